--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+VENV ?= .venv
+# An empty SETUP uses the tools in VENV as they are.
+SETUP ?= $(VENV)/.installed
+PYTHON := $(VENV)/bin/python
+SOURCES := packages standins tests bench
+export PYTHONPATH := packages/core/src:packages/gateway/src:packages/sidecar/src:standins/src
+
+.PHONY: setup format lint test check run bench faults clean
+
+setup: $(SETUP)
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) standins/pyproject.toml
+	python3.11 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps \
+		-e packages/core -e packages/gateway -e packages/sidecar -e standins
+	touch $@
+
+format: setup
+	$(PYTHON) -m ruff format $(SOURCES)
+	$(PYTHON) -m ruff check --fix $(SOURCES)
+
+lint: setup
+	$(PYTHON) -m ruff format --check $(SOURCES)
+	$(PYTHON) -m ruff check $(SOURCES)
+	$(PYTHON) -m mypy packages/core/src packages/gateway/src packages/sidecar/src standins/src
+
+test: setup
+	$(PYTHON) -m pytest
+
+check: lint test
+
+clean:
+	rm -rf $(VENV) build run .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- /dev/null
+++ b/packages/core/src/verbenafall_core/__init__.py
@@ -0,0 +1,1 @@
+"""Shared types and services of the verbenafall load balancer."""
--- /dev/null
+++ b/packages/core/src/verbenafall_core/bundles/__init__.py
@@ -0,0 +1,1 @@
+"""Signed, versioned bundles: what operators put in force."""
--- /dev/null
+++ b/packages/core/src/verbenafall_core/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims: at most one run of each non-idempotent request."""
--- /dev/null
+++ b/packages/core/src/verbenafall_core/event_log.py
@@ -0,0 +1,81 @@
+"""Numbered log events, written through loguru as one line each."""
+
+import sys
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+import loguru
+
+LINE_FORMAT: Final = (
+    "{time:YYYY-MM-DDTHH:mm:ss.SSSZZ} {level.name} {extra[event]} {message}"
+)
+
+
+class Event(NamedTuple):
+    """A kind of log line.
+
+    Attributes:
+        number: Unique number, stable across releases.
+        name: Name in lower case with underscores.
+        level: Level name of loguru.
+        meaning: What happened, and what the operator should do, if anything.
+    """
+
+    number: int
+    name: str
+    level: str
+    meaning: str
+
+
+_registry: dict[int, Event] = {}
+
+
+def define(number: int, name: str, level: str, meaning: str) -> Event:
+    """Add an event to the catalogue.
+
+    Raises:
+        ValueError: The number or name is in use.
+    """
+    if number in _registry:
+        raise ValueError(f"event number {number} is in use")
+    if any(event.name == name for event in _registry.values()):
+        raise ValueError(f"event name {name!r} is in use")
+    event = Event(number, name, level, meaning)
+    _registry[number] = event
+    return event
+
+
+def catalogue() -> list[Event]:
+    """Return all defined events in order of their numbers."""
+    return [_registry[number] for number in sorted(_registry)]
+
+
+def emit(event: Event, **fields: Any) -> None:
+    """Write one line for an event; fields follow as key=value."""
+    text = " ".join(f"{key}={_format(value)}" for key, value in fields.items())
+    line = f"{event.name} {text}" if text else event.name
+    loguru.logger.bind(event=event.number).log(event.level, "{}", line)
+
+
+def configure(level: str, instance: str) -> None:
+    """Send log lines to standard error, each with the instance name."""
+    loguru.logger.remove()
+    loguru.logger.configure(extra={"event": 0, "instance": instance})
+    loguru.logger.add(
+        sys.stderr,
+        level=level,
+        format=LINE_FORMAT + " instance={extra[instance]}",
+        enqueue=False,
+        backtrace=False,
+        diagnose=False,
+    )
+
+
+def _format(value: Any) -> str:
+    if isinstance(value, float):
+        return f"{value:.4g}"
+    text = str(value)
+    if not text or any(char.isspace() or char in '"=' for char in text):
+        return '"' + text.replace("\\", "\\\\").replace('"', '\\"') + '"'
+    return text
--- /dev/null
+++ b/packages/core/src/verbenafall_core/expert_maps/__init__.py
@@ -0,0 +1,1 @@
+"""Expert maps of rank groups: selection and switching."""
--- /dev/null
+++ b/packages/core/src/verbenafall_core/http_client.py
@@ -0,0 +1,157 @@
+"""Blocking HTTP calls by pycurl, with a time limit and without retries."""
+
+import datetime
+import io
+import threading
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+import pycurl
+import returns.result
+
+MAX_ANSWER_BYTES: Final = 8 * 1024 * 1024
+CONNECT_LIMIT: Final = datetime.timedelta(seconds=1)
+
+_NOT_SENT_ERRORS: Final = frozenset(
+    {
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_COULDNT_RESOLVE_PROXY,
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_URL_MALFORMAT,
+        pycurl.E_UNSUPPORTED_PROTOCOL,
+    }
+)
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class HttpRequest(NamedTuple):
+    """An HTTP request.
+
+    Attributes:
+        single_use: Use a connection of its own. libcurl repeats a request by
+            itself when a kept connection turns out to be dead, so requests
+            that must not run twice need this.
+    """
+
+    method: str
+    url: str
+    headers: Headers
+    body: bytes
+    limit: datetime.timedelta
+    single_use: bool
+
+
+class HttpAnswer(NamedTuple):
+    """A complete HTTP answer; header names are in lower case."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class HttpFailure(NamedTuple):
+    """A call without a complete answer.
+
+    Attributes:
+        sent: Whether the server may have received the request.
+    """
+
+    sent: bool
+    message: str
+
+
+class HttpClient:
+    """Makes calls; connections are kept per thread."""
+
+    def __init__(self) -> None:
+        """Create a client without connections."""
+        self.local = threading.local()
+
+    def call(
+        self, request: HttpRequest
+    ) -> returns.result.Result[HttpAnswer, HttpFailure]:
+        """Make one call."""
+        handle = self.handle()
+        body = io.BytesIO()
+        header_lines: list[bytes] = []
+
+        def write(data: bytes) -> int:
+            if body.tell() + len(data) > MAX_ANSWER_BYTES:
+                return 0  # Tells libcurl to abort the transfer.
+            return body.write(data)
+
+        apply_request(handle, request)
+        handle.setopt(pycurl.WRITEFUNCTION, write)
+        handle.setopt(pycurl.HEADERFUNCTION, header_lines.append)
+        try:
+            handle.perform()
+        except pycurl.error as error:
+            return returns.result.Failure(describe_error(handle, error))
+        status = handle.getinfo(pycurl.RESPONSE_CODE)
+        headers = parse_headers(header_lines)
+        return returns.result.Success(
+            HttpAnswer(status, headers, body.getvalue())
+        )
+
+    def handle(self) -> pycurl.Curl:
+        """Return the calling thread's handle, reset to its defaults."""
+        handle: pycurl.Curl | None = getattr(self.local, "handle", None)
+        if handle is None:
+            handle = pycurl.Curl()
+            self.local.handle = handle
+        handle.reset()
+        return handle
+
+
+def apply_request(handle: pycurl.Curl, request: HttpRequest) -> None:
+    """Set the options of a handle for a request."""
+    handle.setopt(pycurl.URL, request.url)
+    handle.setopt(pycurl.CUSTOMREQUEST, request.method)
+    handle.setopt(pycurl.NOSIGNAL, 1)
+    handle.setopt(pycurl.NOPROXY, "*")
+    handle.setopt(pycurl.FOLLOWLOCATION, 0)
+    handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+    handle.setopt(pycurl.TCP_NODELAY, 1)
+    limit_ms = max(1, int(request.limit.total_seconds() * 1000))
+    connect_ms = int(CONNECT_LIMIT.total_seconds() * 1000)
+    handle.setopt(pycurl.TIMEOUT_MS, limit_ms)
+    handle.setopt(pycurl.CONNECTTIMEOUT_MS, min(limit_ms, connect_ms))
+    lines = [f"{name}: {value}" for name, value in request.headers]
+    # An empty Expect keeps libcurl from waiting for "100 Continue".
+    handle.setopt(pycurl.HTTPHEADER, [*lines, "Expect:"])
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        handle.setopt(pycurl.POSTFIELDS, request.body)
+    if request.method == "HEAD":
+        handle.setopt(pycurl.NOBODY, 1)
+    if request.single_use:
+        handle.setopt(pycurl.FRESH_CONNECT, 1)
+        handle.setopt(pycurl.FORBID_REUSE, 1)
+
+
+def describe_error(handle: pycurl.Curl, error: pycurl.error) -> HttpFailure:
+    """Turn libcurl's error into a failure."""
+    arguments: tuple[Any, ...] = error.args
+    code, message = arguments[:2]
+    never_connected = handle.getinfo(pycurl.PRETRANSFER_TIME) == 0
+    sent = code not in _NOT_SENT_ERRORS and not never_connected
+    return HttpFailure(sent, f"{message} (libcurl error {code})")
+
+
+def parse_headers(lines: list[bytes]) -> Headers:
+    """Return the headers of the last header block."""
+    headers: list[tuple[str, str]] = []
+    for raw in lines:
+        line = raw.decode("latin-1").strip()
+        if line.startswith("HTTP/"):
+            headers.clear()
+        elif ":" in line:
+            name, value = line.split(":", 1)
+            headers.append((name.strip().lower(), value.strip()))
+    return tuple(headers)
+
+
+def create_http_client() -> HttpClient:
+    """Create a client without connections."""
+    return HttpClient()
--- /dev/null
+++ b/packages/core/src/verbenafall_core/instance_list/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's list of instances: port and HTTP adapter."""
--- /dev/null
+++ b/packages/core/src/verbenafall_core/link.py
@@ -0,0 +1,491 @@
+"""Links: TCP connections that carry messages between gateways and sidecars.
+
+One thread per process does the I/O of all links. Messages that are sent
+while the thread is busy leave in one write, which keeps the cost per token
+low when many streams are open.
+"""
+
+import collections
+from collections.abc import Callable
+import datetime
+import random
+import selectors
+import socket
+import threading
+from typing import Final
+from typing import Protocol
+
+from verbenafall_core import addresses
+from verbenafall_core import clock as clock_lib
+from verbenafall_core import codec
+from verbenafall_core import event_catalogue
+from verbenafall_core import event_log
+from verbenafall_core import messages
+
+HEARTBEAT_INTERVAL: Final = datetime.timedelta(seconds=1)
+DEAD_AFTER: Final = datetime.timedelta(seconds=3)
+RECONNECT_FIRST: Final = datetime.timedelta(milliseconds=100)
+RECONNECT_LIMIT: Final = datetime.timedelta(seconds=2)
+MAX_PENDING_BYTES: Final = 16 * 1024 * 1024
+READ_BYTES: Final = 256 * 1024
+LOOP_WAIT_SECONDS: Final = 0.2
+
+
+class LinkError(Exception):
+    """A link could not be opened or listened for."""
+
+
+class LinkHandler(Protocol):
+    """Receives what happens on links, on the I/O thread; must not block."""
+
+    def on_open(self, link: "Link") -> None:
+        """Handle a link whose peer has said hello."""
+
+    def on_message(self, link: "Link", message: messages.Message) -> None:
+        """Handle a message other than hello."""
+
+    def on_close(self, link: "Link", reason: str) -> None:
+        """Handle the end of a link that was open."""
+
+
+class Link:
+    """One connection to a peer."""
+
+    def __init__(
+        self,
+        loop: "LinkLoop",
+        sock: socket.socket,
+        address: addresses.Address,
+        outgoing: bool,
+    ) -> None:
+        """Wrap a non-blocking socket."""
+        self.loop = loop
+        self.sock = sock
+        self.address = address
+        self.outgoing = outgoing
+        self.peer: messages.Hello | None = None
+        self.decoder = codec.create_decoder()
+        self.lock = threading.Lock()
+        self.pending: collections.deque[bytes] = collections.deque()
+        self.pending_bytes = 0
+        self.partial = memoryview(b"")
+        self.closed = False
+        self.close_reason = ""
+        self.connected = not outgoing
+        now = loop.clock.monotonic()
+        self.last_received = now
+        self.last_sent = now
+
+    def send(self, message: messages.Message) -> bool:
+        """Queue a message.
+
+        Returns:
+            False when the message was not queued, so no byte of it has left.
+            True says nothing about its arrival.
+        """
+        data = codec.encode(message)
+        with self.lock:
+            if self.closed or self.close_reason:
+                return False
+            if self.pending_bytes + len(data) > MAX_PENDING_BYTES:
+                self.close_reason = "the peer reads too slowly"
+                self.loop.request_attention(self)
+                return False
+            self.pending.append(data)
+            self.pending_bytes += len(data)
+        self.loop.request_attention(self)
+        return True
+
+    def close(self, reason: str) -> None:
+        """Close the link soon; queued messages are dropped."""
+        with self.lock:
+            if not self.close_reason:
+                self.close_reason = reason
+        self.loop.request_attention(self)
+
+    def take_pending(self) -> bytes:
+        """Remove and return all queued bytes."""
+        with self.lock:
+            data = b"".join(self.pending)
+            self.pending.clear()
+            self.pending_bytes = 0
+        return data
+
+    def has_output(self) -> bool:
+        """Return whether bytes wait to be written."""
+        return bool(self.partial) or bool(self.pending)
+
+
+class Target:
+    """A peer that the loop keeps a link to."""
+
+    def __init__(self, address: addresses.Address) -> None:
+        """Create a target that is due at once."""
+        self.address = address
+        self.link: Link | None = None
+        self.delay = RECONNECT_FIRST
+        self.due = datetime.timedelta()
+
+
+class LinkLoop:
+    """The I/O thread and all links of a process."""
+
+    def __init__(
+        self,
+        hello: messages.Hello,
+        heartbeat: Callable[[], messages.Heartbeat],
+        handler: LinkHandler,
+        clock: clock_lib.Clock,
+        generator: random.Random,
+    ) -> None:
+        """Create a loop that is not yet running."""
+        self.hello = hello
+        self.heartbeat = heartbeat
+        self.handler = handler
+        self.clock = clock
+        self.generator = generator
+        self.selector = selectors.DefaultSelector()
+        self.lock = threading.Lock()
+        self.attention: set[Link] = set()
+        self.links: set[Link] = set()
+        self.targets: dict[addresses.Address, Target] = {}
+        self.listeners: list[socket.socket] = []
+        self.stopped = False
+        self.last_pass = clock.monotonic()
+        self.wake_read, self.wake_write = socket.socketpair()
+        self.wake_read.setblocking(False)
+        self.wake_write.setblocking(False)
+        self.selector.register(self.wake_read, selectors.EVENT_READ)
+        self.thread = threading.Thread(
+            target=self.run, name="links", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the I/O thread."""
+        self.last_pass = self.clock.monotonic()
+        self.thread.start()
+
+    def stop(self, limit: datetime.timedelta) -> None:
+        """Write what is queued as far as the limit allows, then close."""
+        self.stopped = True
+        self.wake()
+        self.thread.join(max(limit.total_seconds(), LOOP_WAIT_SECONDS * 5))
+
+    def listen(self, address: addresses.Address) -> addresses.Address:
+        """Accept links on an address; call before start.
+
+        Returns:
+            The bound address, with the port filled in when it was 0.
+
+        Raises:
+            LinkError: The address cannot be bound.
+        """
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind((address.host, address.port))
+        except OSError as error:
+            listener.close()
+            raise LinkError(f"cannot listen on {address}: {error}") from error
+        listener.listen(1024)
+        listener.setblocking(False)
+        self.selector.register(listener, selectors.EVENT_READ)
+        self.listeners.append(listener)
+        return addresses.Address(address.host, listener.getsockname()[1])
+
+    def set_targets(self, wanted: set[addresses.Address]) -> None:
+        """Keep links to exactly these addresses; others are closed."""
+        with self.lock:
+            removed = [a for a in self.targets if a not in wanted]
+            for address in removed:
+                link = self.targets.pop(address).link
+                if link is not None:
+                    link.close("the endpoint is no longer a target")
+            for address in wanted:
+                self.targets.setdefault(address, Target(address))
+        self.wake()
+
+    def open_links(self) -> list[Link]:
+        """Return the links whose peers have said hello."""
+        with self.lock:
+            return [
+                link
+                for link in self.links
+                if link.peer is not None and not link.closed
+            ]
+
+    def request_attention(self, link: Link) -> None:
+        """Make the I/O thread look at a link."""
+        with self.lock:
+            known = link in self.attention
+            self.attention.add(link)
+        if not known:
+            self.wake()
+
+    def wake(self) -> None:
+        """Interrupt the wait of the I/O thread."""
+        try:
+            self.wake_write.send(b"\0")
+        except (BlockingIOError, OSError):
+            return  # A wake-up is already waiting, or the loop has ended.
+
+    def run(self) -> None:
+        """Do I/O until stopped."""
+        while not self.stopped:
+            events = self.selector.select(LOOP_WAIT_SECONDS)
+            self.run_pass(events)
+        self.finish()
+
+    def run_pass(self, events: list[tuple[selectors.SelectorKey, int]]) -> None:
+        """Handle one round of socket events and timers."""
+        now = self.clock.monotonic()
+        if now - self.last_pass > DEAD_AFTER:
+            # Peers have given up on these links. Requests that wait in the
+            # socket buffers are older than their senders believe.
+            self.close_all("this process was paused")
+            events = []
+        self.last_pass = now
+        for key, mask in events:
+            self.handle_event(key, mask, now)
+        with self.lock:
+            attention, self.attention = self.attention, set()
+        for link in attention:
+            self.serve(link)
+        self.check_timers(now)
+
+    def handle_event(
+        self, key: selectors.SelectorKey, mask: int, now: datetime.timedelta
+    ) -> None:
+        """Handle one ready socket."""
+        if key.fileobj is self.wake_read:
+            self.drain_wakeups()
+        elif key.data is None:
+            self.accept(key.fileobj)  # type: ignore[arg-type]
+        else:
+            link: Link = key.data
+            if mask & selectors.EVENT_READ:
+                self.read(link, now)
+            if mask & selectors.EVENT_WRITE and not link.closed:
+                self.write(link)
+
+    def drain_wakeups(self) -> None:
+        """Discard the bytes that woke the thread."""
+        try:
+            while self.wake_read.recv(4096):
+                pass
+        except BlockingIOError:
+            return
+
+    def accept(self, listener: socket.socket) -> None:
+        """Take a new incoming connection."""
+        try:
+            sock, peer = listener.accept()
+        except OSError:
+            return
+        self.add(Link(self, sock, addresses.Address(*peer[:2]), False))
+
+    def add(self, link: Link) -> None:
+        """Start I/O on a new link; hello is the first message sent."""
+        link.sock.setblocking(False)
+        link.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with self.lock:
+            self.links.add(link)
+        mask = selectors.EVENT_READ | selectors.EVENT_WRITE
+        self.selector.register(link.sock, mask, link)
+        link.pending.append(codec.encode(self.hello))
+
+    def connect(self, target: Target) -> None:
+        """Begin to connect to a target."""
+        host, port = target.address
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        target.link = Link(self, sock, target.address, True)
+        sock.connect_ex((host, port))
+        self.add(target.link)
+
+    def read(self, link: Link, now: datetime.timedelta) -> None:
+        """Read and dispatch what has arrived."""
+        try:
+            data = link.sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self.drop(link, f"read failed: {error.strerror}")
+            return
+        if not data:
+            self.drop(link, "closed by the peer")
+            return
+        link.last_received = now
+        try:
+            for message in link.decoder.feed(data):
+                self.receive(link, message)
+        except codec.CodecError as error:
+            event_log.emit(
+                event_catalogue.LINK_BAD_MESSAGE,
+                peer=link.address,
+                error=error,
+            )
+            self.drop(link, "bad message")
+
+    def receive(
+        self, link: Link, message: messages.Message | codec.UnknownKind
+    ) -> None:
+        """Handle one decoded message."""
+        if link.closed:
+            return
+        if isinstance(message, codec.UnknownKind):
+            event_log.emit(
+                event_catalogue.LINK_UNKNOWN_KIND,
+                peer=link.address,
+                kind=message.number,
+            )
+        elif isinstance(message, messages.Hello):
+            self.receive_hello(link, message)
+        elif link.peer is None:
+            self.drop(link, "message before hello")
+        else:
+            self.handler.on_message(link, message)
+
+    def receive_hello(self, link: Link, hello: messages.Hello) -> None:
+        """Open the link if the peer speaks the same protocol."""
+        if link.peer is not None:
+            self.drop(link, "second hello")
+            return
+        if hello.protocol_version != messages.PROTOCOL_VERSION:
+            self.drop(link, f"protocol version {hello.protocol_version}")
+            return
+        link.peer = hello
+        with self.lock:
+            target = self.targets.get(link.address) if link.outgoing else None
+        if target is not None:
+            target.delay = RECONNECT_FIRST
+        event_log.emit(
+            event_catalogue.LINK_OPENED,
+            peer=hello.instance,
+            role=hello.role,
+            address=link.address,
+        )
+        self.handler.on_open(link)
+
+    def serve(self, link: Link) -> None:
+        """Write or close a link that asked for attention."""
+        if link.closed:
+            return
+        if link.close_reason:
+            self.drop(link, link.close_reason)
+        elif link.connected and not link.partial:
+            self.write(link)
+
+    def write(self, link: Link) -> None:
+        """Write as much as the socket takes."""
+        link.connected = True
+        if not link.partial:
+            link.partial = memoryview(link.take_pending())
+        try:
+            if link.partial:
+                sent = link.sock.send(link.partial)
+                link.partial = link.partial[sent:]
+                link.last_sent = self.clock.monotonic()
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            self.drop(link, f"write failed: {error.strerror}")
+            return
+        self.update_interest(link)
+
+    def update_interest(self, link: Link) -> None:
+        """Wait for writability only while there is output."""
+        mask = selectors.EVENT_READ
+        if link.has_output():
+            mask |= selectors.EVENT_WRITE
+        self.selector.modify(link.sock, mask, link)
+
+    def check_timers(self, now: datetime.timedelta) -> None:
+        """Send heartbeats, close dead links, and connect to targets."""
+        for link in list(self.links):
+            if now - link.last_received > DEAD_AFTER:
+                self.drop(link, f"silent for {DEAD_AFTER.total_seconds():g} s")
+            elif link.peer is not None and (
+                now - link.last_sent >= HEARTBEAT_INTERVAL
+            ):
+                link.last_sent = now
+                link.send(self.heartbeat())
+        with self.lock:
+            due = [
+                target
+                for target in self.targets.values()
+                if target.link is None and target.due <= now
+            ]
+        for target in due:
+            self.connect(target)
+
+    def drop(self, link: Link, reason: str) -> None:
+        """Close a link now."""
+        if link.closed:
+            return
+        with link.lock:
+            link.closed = True
+            link.close_reason = link.close_reason or reason
+        with self.lock:
+            self.links.discard(link)
+            target = self.targets.get(link.address) if link.outgoing else None
+        self.selector.unregister(link.sock)
+        link.sock.close()
+        if target is not None and target.link is link:
+            self.schedule_reconnect(target)
+        if link.peer is not None:
+            event_log.emit(
+                event_catalogue.LINK_CLOSED,
+                peer=link.peer.instance,
+                address=link.address,
+                reason=reason,
+            )
+            self.handler.on_close(link, reason)
+
+    def schedule_reconnect(self, target: Target) -> None:
+        """Set the time of the next connection attempt."""
+        target.link = None
+        spread = self.generator.uniform(0.5, 1.5)
+        target.due = self.clock.monotonic() + target.delay * spread
+        target.delay = min(target.delay * 2, RECONNECT_LIMIT)
+
+    def close_all(self, reason: str) -> None:
+        """Close every link."""
+        for link in list(self.links):
+            self.drop(link, reason)
+
+    def finish(self) -> None:
+        """Flush and close everything when the loop has been stopped."""
+        for link in list(self.links):
+            if link.connected and not link.closed:
+                link.sock.setblocking(True)
+                link.sock.settimeout(LOOP_WAIT_SECONDS)
+                self.flush(link)
+        self.close_all("this process is stopping")
+        for listener in self.listeners:
+            listener.close()
+        self.selector.close()
+        self.wake_read.close()
+        self.wake_write.close()
+
+    def flush(self, link: Link) -> None:
+        """Write the queued bytes of a blocking socket."""
+        try:
+            link.sock.sendall(bytes(link.partial) + link.take_pending())
+        except OSError:
+            return
+
+
+def create_link_loop(
+    hello: messages.Hello,
+    heartbeat: Callable[[], messages.Heartbeat],
+    handler: LinkHandler,
+    clock: clock_lib.Clock,
+    generator: random.Random | None = None,
+) -> LinkLoop:
+    """Create the link service of a process."""
+    return LinkLoop(
+        hello, heartbeat, handler, clock, generator or random.Random()
+    )
--- /dev/null
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -0,0 +1,281 @@
+"""Messages between gateways and sidecars.
+
+Each message is a named tuple. On the wire it is a msgpack array of the
+message's kind number and its fields, see the codec module.
+"""
+
+from typing import Final
+from typing import NamedTuple
+
+from verbenafall_core import outcomes
+
+PROTOCOL_VERSION: Final = 1
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class Hello(NamedTuple):
+    """First message in both directions.
+
+    Attributes:
+        protocol_version: Must be equal on both sides.
+        instance: Name of the sending instance.
+        role: "gateway", "sidecar" or "operator".
+        data_centre: Data centre of the sending instance.
+        service: Service of a sidecar's endpoint, else empty.
+    """
+
+    protocol_version: int
+    instance: str
+    role: str
+    data_centre: str
+    service: str
+
+
+class Heartbeat(NamedTuple):
+    """Sent every second in both directions.
+
+    Attributes:
+        in_force: Bundle version in force, 0 for none.
+        pending: Newest verified bundle version not yet in force, or 0.
+        confirmed: Whether the sender's bundle knowledge is current.
+        draining: Whether the sender is stopping.
+    """
+
+    in_force: int
+    pending: int
+    confirmed: bool
+    draining: bool
+
+
+class Dispatch(NamedTuple):
+    """One attempt of a request, sent to the sidecar of the chosen endpoint.
+
+    Attributes:
+        remaining_ms: Time until the client's deadline.
+        idempotent: Whether the request may run more than once.
+        idempotency_key: The client's key, empty for idempotent requests.
+        resume_index: Tokens that the client already has.
+        resume_text: Text of these tokens.
+    """
+
+    request_id: str
+    attempt_id: str
+    service: str
+    team: str
+    priority: int
+    remaining_ms: int
+    idempotent: bool
+    idempotency_key: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    resume_index: int
+    resume_text: str
+
+
+class Cancel(NamedTuple):
+    """Ask the sidecar to give up an attempt, known to it or not."""
+
+    request_id: str
+    attempt_id: str
+
+
+class Accepted(NamedTuple):
+    """The attempt is queued or running."""
+
+    request_id: str
+    attempt_id: str
+    queue_length: int
+
+
+class Refused(NamedTuple):
+    """The attempt was not started.
+
+    Attributes:
+        retry_after_ms: When to come back, 0 for no advice.
+    """
+
+    request_id: str
+    attempt_id: str
+    reason: outcomes.Reason
+    outcome: outcomes.Outcome
+    retry_after_ms: int
+
+
+class Chunk(NamedTuple):
+    """Part of an answer: one token's text, or bytes of a plain body.
+
+    Attributes:
+        sequence: Counts by one, from the dispatch's resume index.
+    """
+
+    request_id: str
+    attempt_id: str
+    sequence: int
+    data: bytes
+
+
+class End(NamedTuple):
+    """The answer is complete.
+
+    Attributes:
+        chunk_count: Chunks sent by this attempt.
+        byte_count: Bytes of data in these chunks.
+        status: HTTP status of the endpoint.
+        finish_reason: Why a model stopped, empty for plain services.
+    """
+
+    request_id: str
+    attempt_id: str
+    chunk_count: int
+    byte_count: int
+    status: int
+    headers: Headers
+    finish_reason: str
+
+
+class Failed(NamedTuple):
+    """The attempt broke off after it was accepted."""
+
+    request_id: str
+    attempt_id: str
+    outcome: outcomes.Outcome
+    reason: outcomes.Reason
+    chunks_sent: int
+    retry_after_ms: int
+
+
+class CancelConfirmed(NamedTuple):
+    """The attempt is cancelled and will never be started after this."""
+
+    request_id: str
+    attempt_id: str
+    outcome: outcomes.Outcome
+
+
+class LoadReport(NamedTuple):
+    """State of an endpoint as its sidecar sees it.
+
+    Attributes:
+        in_flight: Attempts running on the endpoint.
+        queued: Attempts waiting in the sidecar.
+        slots: Attempts that the endpoint runs at once.
+        service_time_ms: Mean time of an attempt on the endpoint.
+        draining: The sidecar is stopping.
+        leaving: The endpoint is stopping or down.
+        map_version: Expert map in use by the endpoint, 0 for none.
+    """
+
+    in_flight: int
+    queued: int
+    slots: int
+    service_time_ms: int
+    draining: bool
+    leaving: bool
+    map_version: int
+
+
+class BundleRequest(NamedTuple):
+    """Ask the peer for the text of a bundle version."""
+
+    version: int
+
+
+class BundlePush(NamedTuple):
+    """A bundle text with its signature.
+
+    Attributes:
+        accepted: Whether the sender knows that the version is accepted.
+        confirmed: Whether the sender's bundle knowledge is current.
+    """
+
+    version: int
+    accepted: bool
+    confirmed: bool
+    text: bytes
+    signature: bytes
+
+
+class StatusRequest(NamedTuple):
+    """Ask the peer for its status."""
+
+    token: int
+
+
+class RejectedBundle(NamedTuple):
+    """A bundle version that a process refused, with the reason."""
+
+    version: int
+    reason: str
+
+
+class GroupStatus(NamedTuple):
+    """What a sidecar knows of its rank group."""
+
+    group: str
+    epoch: int
+    phase: str
+    map_version: int
+    step: int
+
+
+class StatusReply(NamedTuple):
+    """Status of a process.
+
+    Attributes:
+        token: Token of the request that is answered.
+        ready: Whether the process takes new work.
+        not_ready_reason: Empty when ready.
+    """
+
+    token: int
+    instance: str
+    role: str
+    data_centre: str
+    service: str
+    in_force: int
+    pending: int
+    rejected: tuple[RejectedBundle, ...]
+    ready: bool
+    not_ready_reason: str
+    draining: bool
+    groups: tuple[GroupStatus, ...]
+
+
+Message = (
+    Hello
+    | Heartbeat
+    | Dispatch
+    | Cancel
+    | Accepted
+    | Refused
+    | Chunk
+    | End
+    | Failed
+    | CancelConfirmed
+    | LoadReport
+    | BundleRequest
+    | BundlePush
+    | StatusRequest
+    | StatusReply
+)
+
+KINDS: Final[dict[int, type[Message]]] = {
+    1: Hello,
+    2: Heartbeat,
+    3: Dispatch,
+    4: Cancel,
+    5: Accepted,
+    6: Refused,
+    7: Chunk,
+    8: End,
+    9: Failed,
+    10: CancelConfirmed,
+    11: LoadReport,
+    12: BundleRequest,
+    13: BundlePush,
+    14: StatusRequest,
+    15: StatusReply,
+}
--- /dev/null
+++ b/packages/core/src/verbenafall_core/object_store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object store: port, HTTP adapter and call budget."""
--- /dev/null
+++ b/packages/core/src/verbenafall_core/outcomes.py
@@ -0,0 +1,55 @@
+"""What a client is told about a request that has no complete answer."""
+
+import datetime
+import enum
+import random
+from typing import Final
+from typing import NamedTuple
+
+RETRY_SPREAD_LOW: Final = 0.5
+RETRY_SPREAD_HIGH: Final = 1.5
+
+
+class Outcome(enum.StrEnum):
+    """Whether an endpoint processed a request."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class Reason(enum.StrEnum):
+    """Why a request or an attempt was refused or failed."""
+
+    BAD_REQUEST = "bad_request"
+    BUNDLE_UNCONFIRMED = "bundle_unconfirmed"
+    CANCELLED = "cancelled"
+    CLAIM_HELD = "claim_held"
+    CLAIM_MISMATCH = "claim_mismatch"
+    DEADLINE = "deadline"
+    DRAINING = "draining"
+    DUPLICATE_ATTEMPT = "duplicate_attempt"
+    ENDPOINT_FAILED = "endpoint_failed"
+    ENDPOINT_REFUSED = "endpoint_refused"
+    LINK_LOST = "link_lost"
+    NO_ENDPOINT = "no_endpoint"
+    OVERLOADED = "overloaded"
+    STORE_UNAVAILABLE = "store_unavailable"
+    TEAM_LIMIT = "team_limit"
+    WRONG_SERVICE = "wrong_service"
+
+
+class Refusal(NamedTuple):
+    """A final answer other than the endpoint's own."""
+
+    outcome: Outcome
+    reason: Reason
+    message: str
+    retry_after: datetime.timedelta | None
+
+
+def spread_retry_after(
+    base: datetime.timedelta, generator: random.Random
+) -> datetime.timedelta:
+    """Spread a retry delay so that refused clients do not return together."""
+    return base * generator.uniform(RETRY_SPREAD_LOW, RETRY_SPREAD_HIGH)
--- /dev/null
+++ b/packages/core/src/verbenafall_core/periodic.py
@@ -0,0 +1,77 @@
+"""Runs a function at a jittered interval on a thread of its own."""
+
+from collections.abc import Callable
+import datetime
+import random
+import threading
+from typing import Final
+
+from verbenafall_core import event_catalogue
+from verbenafall_core import event_log
+
+JITTER: Final = 0.25
+
+
+class PeriodicTask:
+    """A function that is called again and again until it is stopped."""
+
+    def __init__(
+        self,
+        name: str,
+        interval: datetime.timedelta,
+        function: Callable[[], None],
+        generator: random.Random,
+    ) -> None:
+        """Create a task that is not yet running."""
+        self.name = name
+        self.interval = interval
+        self.function = function
+        self.generator = generator
+        self.wake = threading.Event()
+        self.stopped = False
+        self.thread = threading.Thread(target=self.run, name=name, daemon=True)
+
+    def start(self) -> None:
+        """Start the thread; the first call happens at once."""
+        self.thread.start()
+
+    def stop(self, limit: datetime.timedelta) -> None:
+        """Stop after the call that is running, if any."""
+        self.stopped = True
+        self.wake.set()
+        if self.thread is not threading.current_thread():
+            self.thread.join(limit.total_seconds())
+
+    def run_now(self) -> None:
+        """Make the next call happen without waiting for the interval."""
+        self.wake.set()
+
+    def run(self) -> None:
+        """Call the function until stopped."""
+        while not self.stopped:
+            self.wake.clear()
+            try:
+                self.function()
+            except Exception as error:  # The task must outlive one failure.
+                event_log.emit(
+                    event_catalogue.PERIODIC_TASK_FAILED,
+                    task=self.name,
+                    error=repr(error),
+                )
+            if not self.stopped:
+                self.wake.wait(self.next_delay())
+
+    def next_delay(self) -> float:
+        """Return seconds until the next call, jittered by a quarter."""
+        spread = self.generator.uniform(1 - JITTER, 1 + JITTER)
+        return self.interval.total_seconds() * spread
+
+
+def create_periodic_task(
+    name: str,
+    interval: datetime.timedelta,
+    function: Callable[[], None],
+    generator: random.Random | None = None,
+) -> PeriodicTask:
+    """Create a task that is not yet running."""
+    return PeriodicTask(name, interval, function, generator or random.Random())
--- /dev/null
+++ b/packages/core/src/verbenafall_core/settings.py
@@ -0,0 +1,210 @@
+"""Typed reading of INI settings; all faults are reported at once."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import configparser
+import datetime
+import pathlib
+import re
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+import returns.pipeline
+import returns.result
+
+from verbenafall_core import addresses
+
+EXIT_BAD_SETTINGS: Final = 2
+
+_NAME: Final = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+_DURATION: Final = re.compile(r"(\d+(?:\.\d+)?) ?(ms|s|min|h)")
+_UNIT_SECONDS: Final = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}
+
+Parser = Callable[[str], returns.result.Result[Any, str]]
+
+
+class Option(NamedTuple):
+    """A setting.
+
+    Attributes:
+        parse: Turns the text into a value, or says what is wrong.
+        expected: What a valid value looks like, for messages.
+        default: Text used when the key is missing; None makes it required.
+        meaning: One line for the documentation.
+    """
+
+    section: str
+    key: str
+    parse: Parser
+    expected: str
+    default: str | None
+    meaning: str
+
+
+class SettingFault(NamedTuple):
+    """One thing that is wrong with a settings file."""
+
+    file: str
+    section: str
+    key: str
+    problem: str
+    expected: str
+
+    def __str__(self) -> str:
+        """Return one line for the operator."""
+        place = f"{self.file}: [{self.section}] {self.key}".rstrip()
+        line = f"{place}: {self.problem}"
+        return f"{line}; expected {self.expected}" if self.expected else line
+
+
+Values = dict[tuple[str, str], Any]
+SettingsResult = returns.result.Result[Values, tuple[SettingFault, ...]]
+
+
+def read_settings(
+    path: pathlib.Path, options: Sequence[Option]
+) -> SettingsResult:
+    """Read and check a settings file."""
+    parser = configparser.ConfigParser(
+        interpolation=None, default_section="", strict=True
+    )
+    try:
+        with path.open(encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        fault = SettingFault(str(path), "", "", str(error), "an INI file")
+        return returns.result.Failure((fault,))
+    faults = find_unknown(str(path), parser, options)
+    values: Values = {}
+    for option in options:
+        result = read_option(str(path), parser, option)
+        if returns.pipeline.is_successful(result):
+            values[option.section, option.key] = result.unwrap()
+        else:
+            faults.append(result.failure())
+    if faults:
+        return returns.result.Failure(tuple(faults))
+    return returns.result.Success(values)
+
+
+def find_unknown(
+    file: str, parser: configparser.ConfigParser, options: Sequence[Option]
+) -> list[SettingFault]:
+    """Return a fault for each section and key that no option describes."""
+    known = {(option.section, option.key) for option in options}
+    sections = sorted({option.section for option in options})
+    faults = []
+    for section in parser.sections():
+        if section not in sections:
+            expected = f"one of {', '.join(sections)}"
+            faults.append(
+                SettingFault(file, section, "", "unknown section", expected)
+            )
+            continue
+        keys = sorted(key for name, key in known if name == section)
+        faults.extend(
+            SettingFault(
+                file, section, key, "unknown key", f"one of {', '.join(keys)}"
+            )
+            for key in parser[section]
+            if (section, key) not in known
+        )
+    return faults
+
+
+def read_option(
+    file: str, parser: configparser.ConfigParser, option: Option
+) -> returns.result.Result[Any, SettingFault]:
+    """Read one option, or its default."""
+    text = parser.get(option.section, option.key, fallback=option.default)
+
+    def fault(problem: str) -> SettingFault:
+        return SettingFault(
+            file, option.section, option.key, problem, option.expected
+        )
+
+    if text is None:
+        return returns.result.Failure(fault("missing"))
+    return option.parse(text.strip()).alt(fault)
+
+
+def parse_name(text: str) -> returns.result.Result[str, str]:
+    """Read a name of lower-case letters, digits and hyphens."""
+    if not _NAME.fullmatch(text):
+        return returns.result.Failure(f"{text!r} is no name")
+    return returns.result.Success(text)
+
+
+def parse_text(text: str) -> returns.result.Result[str, str]:
+    """Read any text, also an empty one."""
+    return returns.result.Success(text)
+
+
+def parse_duration(
+    text: str,
+) -> returns.result.Result[datetime.timedelta, str]:
+    """Read a duration with its unit, such as "250 ms" or "3 s"."""
+    match = _DURATION.fullmatch(text)
+    if match is None:
+        return returns.result.Failure(f"{text!r} is no duration with a unit")
+    seconds = float(match[1]) * _UNIT_SECONDS[match[2]]
+    return returns.result.Success(datetime.timedelta(seconds=seconds))
+
+
+def parse_positive_int(text: str) -> returns.result.Result[int, str]:
+    """Read a whole number above zero."""
+    if not text.isascii() or not text.isdigit() or int(text) == 0:
+        return returns.result.Failure(f"{text!r} is no whole number above 0")
+    return returns.result.Success(int(text))
+
+
+def parse_url(text: str) -> returns.result.Result[str, str]:
+    """Read "http://IP:port" without a path."""
+    scheme, separator, rest = text.partition("://")
+    if not separator or scheme != "http":
+        return returns.result.Failure(f"{text!r} does not start with http://")
+    address = addresses.parse_address(rest)
+    return address.map(lambda found: f"http://{found}")
+
+
+def parse_optional_address(
+    text: str,
+) -> returns.result.Result[addresses.Address | None, str]:
+    """Read an address; an empty text gives None."""
+    if not text:
+        return returns.result.Success(None)
+    return addresses.parse_address(text).map(lambda found: found)
+
+
+def parse_choice(*choices: str) -> Parser:
+    """Return a parser for one of the given words."""
+
+    def parse(text: str) -> returns.result.Result[str, str]:
+        if text not in choices:
+            return returns.result.Failure(f"{text!r} is not known")
+        return returns.result.Success(text)
+
+    return parse
+
+
+def parse_list(parse: Parser) -> Parser:
+    """Return a parser for values separated by commas or line breaks."""
+
+    def parse_items(
+        text: str,
+    ) -> returns.result.Result[tuple[Any, ...], str]:
+        items = [item.strip() for item in re.split(r"[,\n]", text)]
+        results = [parse(item) for item in items if item]
+        problems = [
+            result.failure()
+            for result in results
+            if not returns.pipeline.is_successful(result)
+        ]
+        if problems:
+            return returns.result.Failure("; ".join(problems))
+        return returns.result.Success(
+            tuple(result.unwrap() for result in results)
+        )
+
+    return parse_items
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Gateway process of the verbenafall load balancer."""
--- /dev/null
+++ b/packages/sidecar/src/verbenafall_sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Sidecar process of the verbenafall load balancer."""
--- /dev/null
+++ b/tests/core/test_codec.py
@@ -0,0 +1,83 @@
+"""The codec: every kind survives a round trip, bad input is refused."""
+
+import msgpack
+import pytest
+
+from verbenafall_core import codec
+from verbenafall_core import messages
+from verbenafall_core import outcomes
+
+SAMPLES = [
+    messages.Hello(1, "i", "gateway", "d", "s"),
+    messages.Heartbeat(3, 4, True, False),
+    messages.Dispatch(
+        "r", "r.1", "s", "t", 1, 900, False, "k", "POST", "/x",
+        (("a", "b"),), b"\xff", 2, "so far",
+    ),
+    messages.Cancel("r", "r.1"),
+    messages.Accepted("r", "r.1", 3),
+    messages.Refused(
+        "r", "r.1", outcomes.Reason.DRAINING, outcomes.Outcome.NOT_RUN, 100
+    ),
+    messages.Chunk("r", "r.1", 7, b"token"),
+    messages.End("r", "r.1", 8, 40, 200, (), "stop"),
+    messages.Failed(
+        "r", "r.1", outcomes.Outcome.UNKNOWN, outcomes.Reason.LINK_LOST, 2, 0
+    ),
+    messages.CancelConfirmed("r", "r.1", outcomes.Outcome.NOT_RUN),
+    messages.LoadReport(1, 2, 3, 4, False, True, 5),
+    messages.BundleRequest(4),
+    messages.BundlePush(4, True, True, b"{}", b"sig"),
+    messages.StatusRequest(9),
+    messages.StatusReply(
+        9, "i", "sidecar", "d", "s", 1, 2,
+        (messages.RejectedBundle(3, "bad signature"),), True, "", False,
+        (messages.GroupStatus("g", 1, "stable", 2, 100),),
+    ),
+]  # fmt: skip
+
+BAD_ITEMS = [
+    ("no array", {"a": 1}),
+    ("empty array", []),
+    ("kind is text", ["x"]),
+    ("too few fields", [3, "r"]),
+    ("wrong type", [4, "r", 7]),
+    ("unknown reason", [6, "r", "r.1", "nonsense", "not_run", 0]),
+]
+
+
+class TestRoundTrip:
+    @pytest.mark.parametrize("sample", SAMPLES, ids=lambda s: type(s).__name__)
+    def test_every_kind_byte_by_byte(self, sample):
+        decoder = codec.create_decoder()
+        found = []
+        for byte in codec.encode(sample):
+            found.extend(decoder.feed(bytes([byte])))
+        assert found == [sample]
+        assert type(found[0]) is type(sample)
+
+    def test_samples_cover_every_kind(self):
+        assert {type(s) for s in SAMPLES} == set(messages.KINDS.values())
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(
+        "item", [item for _, item in BAD_ITEMS], ids=[n for n, _ in BAD_ITEMS]
+    )
+    def test_refused(self, item):
+        decoder = codec.create_decoder()
+        with pytest.raises(codec.CodecError):
+            list(decoder.feed(msgpack.packb(item)))
+
+    def test_unknown_kind_is_reported_not_fatal(self):
+        decoder = codec.create_decoder()
+        data = msgpack.packb([999, 1]) + codec.encode(SAMPLES[0])
+        assert list(decoder.feed(data)) == [
+            codec.UnknownKind(999),
+            SAMPLES[0],
+        ]
+
+    def test_oversized_message_is_refused(self):
+        decoder = codec.create_decoder()
+        with pytest.raises(codec.CodecError):
+            list(decoder.feed(bytes(codec.MAX_MESSAGE_BYTES + 1)))
--- /dev/null
+++ b/tests/core/test_link.py
@@ -0,0 +1,139 @@
+"""Links: framing, heartbeats, reconnects, and what send() promises."""
+
+import queue
+import socket
+import threading
+
+import pytest
+
+from verbenafall_core import addresses
+from verbenafall_core import clock
+from verbenafall_core import codec
+from verbenafall_core import link as link_lib
+from verbenafall_core import messages
+
+ANY_PORT = addresses.Address("127.0.0.1", 0)
+WAIT_SECONDS = 10
+CHUNK = messages.Chunk("r", "r.1", 0, b"x")
+
+
+class Recorder:
+    def __init__(self):
+        self.opened = queue.Queue()
+        self.received = queue.Queue()
+        self.closed = queue.Queue()
+
+    def on_open(self, link):
+        self.opened.put(link)
+
+    def on_message(self, link, message):
+        self.received.put(message)
+
+    def on_close(self, link, reason):
+        self.closed.put(reason)
+
+
+def create_loop(name, recorder):
+    hello = messages.Hello(1, name, "gateway", "dc", "")
+    return link_lib.create_link_loop(
+        hello,
+        lambda: messages.Heartbeat(0, 0, False, False),
+        recorder,
+        clock.system_clock(),
+    )
+
+
+@pytest.fixture
+def pair():
+    server_events, client_events = Recorder(), Recorder()
+    server = create_loop("server", server_events)
+    client = create_loop("client", client_events)
+    address = server.listen(ANY_PORT)
+    server.start()
+    client.start()
+    client.set_targets({address})
+    link = client_events.opened.get(timeout=WAIT_SECONDS)
+    yield server_events, client_events, link, address
+    client.stop(link_lib.DEAD_AFTER)
+    server.stop(link_lib.DEAD_AFTER)
+
+
+def next_of(events, kind):
+    while True:
+        message = events.received.get(timeout=WAIT_SECONDS)
+        if isinstance(message, kind):
+            return message
+
+
+class TestLink:
+    def test_messages_arrive_in_order(self, pair):
+        server_events, _, link, _ = pair
+        for number in range(1000):
+            assert link.send(CHUNK._replace(sequence=number))
+        got = [
+            next_of(server_events, messages.Chunk).sequence for _ in range(1000)
+        ]
+        assert got == list(range(1000))
+
+    def test_heartbeats_flow_without_other_messages(self, pair):
+        server_events, client_events, _, _ = pair
+        next_of(server_events, messages.Heartbeat)
+        next_of(client_events, messages.Heartbeat)
+
+    def test_send_on_a_closed_link_says_that_nothing_was_queued(self, pair):
+        _, client_events, link, _ = pair
+        link.close("test")
+        client_events.closed.get(timeout=WAIT_SECONDS)
+        assert not link.send(CHUNK)
+
+    def test_reconnects_after_a_close(self, pair):
+        _, client_events, link, _ = pair
+        link.close("test")
+        second = client_events.opened.get(timeout=WAIT_SECONDS)
+        assert second is not link
+
+    def test_slow_reader_is_closed_instead_of_growing_memory(self, pair):
+        _, _, link, _ = pair
+        blocked = threading.Event()
+        link.loop.write = lambda _link: blocked.wait(0)
+        big = CHUNK._replace(data=bytes(1024 * 1024))
+        results = [link.send(big) for _ in range(20)]
+        assert not results[-1]
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"\xc1",
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"\x92\x07\x01",
+            codec.encode(CHUNK),
+            codec.encode(messages.Hello(99, "n", "gateway", "d", "")),
+        ],
+        ids=["reserved", "http", "fields", "no-hello", "version"],
+    )
+    def test_closes_on_bytes_that_are_no_valid_start(self, pair, data):
+        _, _, _, address = pair
+        with socket.create_connection(address, timeout=WAIT_SECONDS) as sock:
+            sock.sendall(data)
+            while sock.recv(4096):
+                pass
+
+
+class TestPause:
+    def test_drops_links_after_a_pause_before_reading_old_messages(self):
+        # A request that waited in the socket buffer during a pause is older
+        # than its sender believes and must not be started.
+        recorder = Recorder()
+        loop = create_loop("paused", recorder)
+        address = loop.listen(ANY_PORT)
+        with socket.create_connection(address) as sock:
+            sock.sendall(
+                codec.encode(messages.Hello(1, "g", "gateway", "d", ""))
+            )
+            while recorder.opened.empty():
+                loop.run_pass(loop.selector.select(1))
+            sock.sendall(codec.encode(CHUNK))
+            loop.last_pass -= 2 * link_lib.DEAD_AFTER
+            loop.run_pass(loop.selector.select(1))
+        assert recorder.closed.get_nowait() == "this process was paused"
+        assert recorder.received.empty()
