--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -1,4 +1,4 @@
-"""Messages between gateways and sidecars.
+"""Messages on links between gateways and sidecars.
 
 Each message is a named tuple. On the wire it is a msgpack array of the
 message's kind number and its fields, see the codec module.
@@ -244,6 +244,42 @@
     groups: tuple[GroupStatus, ...]
 
 
+class GroupRecord(NamedTuple):
+    """The record of a rank group as read from the store.
+
+    Attributes:
+        version: Version of the object in the store; the highest is newest.
+        record: Value of the object.
+    """
+
+    group: str
+    version: int
+    record: bytes
+
+
+class GroupMember(NamedTuple):
+    """State of the ranks behind one sidecar of a rank group.
+
+    Attributes:
+        epoch: Epoch of the newest order that the ranks have taken.
+        map_version: Expert map that the ranks run on.
+        prepared: Map versions whose weights are loaded.
+        armed_step: Step before which the ranks hold, 0 for none.
+        passed_step: Boundary step that passed before it was armed, or 0.
+        step: Step that the ranks have reached.
+    """
+
+    group: str
+    instance: str
+    ranks: tuple[int, ...]
+    epoch: int
+    map_version: int
+    prepared: tuple[int, ...]
+    armed_step: int
+    passed_step: int
+    step: int
+
+
 Message = (
     Hello
     | Heartbeat
@@ -260,6 +296,8 @@
     | BundlePush
     | StatusRequest
     | StatusReply
+    | GroupRecord
+    | GroupMember
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -278,4 +316,6 @@
     13: BundlePush,
     14: StatusRequest,
     15: StatusReply,
+    16: GroupRecord,
+    17: GroupMember,
 }
--- a/tests/core/test_codec.py
+++ b/tests/core/test_codec.py
@@ -34,6 +34,8 @@
         (messages.RejectedBundle(3, "bad signature"),), True, "", False,
         (messages.GroupStatus("g", 1, "stable", 2, 100),),
     ),
+    messages.GroupRecord("g", 4, b"{}"),
+    messages.GroupMember("g", "i", (0, 1), 2, 3, (3, 4), 100, 0, 99),
 ]  # fmt: skip
 
 BAD_ITEMS = [
