--- /dev/null
+++ b/standins/src/verbenafall_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration run: a reduced deployment as separate processes on loopback."""
