--- /dev/null
+++ b/standins/src/verbenafall_standins/demo/client.py
@@ -0,0 +1,166 @@
+"""Sends the requests of the demonstration run and judges the answers."""
+
+import enum
+import http.client
+import json
+import time
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+from verbenafall_core import addresses
+from verbenafall_standins.demo import workload
+
+DEADLINE_MS: Final = 20_000
+SOCKET_LIMIT_SECONDS: Final = 25.0
+
+
+class Verdict(enum.StrEnum):
+    """What a client got.
+
+    WHOLE: The whole answer to its own request.
+    PARTIAL: A clean end on an incomplete answer.
+    FOREIGN: Text that does not belong to the request.
+    NOT_RUN, UNKNOWN, RAN: An error with that outcome.
+    BROKEN: No answer, or one that cannot be read.
+    """
+
+    WHOLE = "whole"
+    PARTIAL = "partial"
+    FOREIGN = "foreign"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+    BROKEN = "broken"
+
+
+class Report(NamedTuple):
+    """Result of one request.
+
+    Attributes:
+        first_token: Seconds until the first token of a stream, or None.
+        gaps: Seconds between the tokens of a stream.
+    """
+
+    verdict: Verdict
+    detail: str
+    first_token: float | None
+    gaps: tuple[float, ...]
+
+
+def send_request(
+    address: addresses.Address, request: workload.Request
+) -> Report:
+    """Send a request to a gateway."""
+    connection = http.client.HTTPConnection(
+        *address, timeout=SOCKET_LIMIT_SECONDS
+    )
+    try:
+        match request:
+            case workload.ChatRequest():
+                return send_chat(connection, request)
+            case workload.RecordsRequest():
+                return send_records(connection, request)
+    except (OSError, http.client.HTTPException, ValueError) as error:
+        return Report(Verdict.BROKEN, repr(error), None, ())
+    finally:
+        connection.close()
+
+
+def common_headers(caller: workload.Caller) -> dict[str, str]:
+    """Return the headers that every request carries."""
+    return {
+        "Authorization": f"Bearer {caller.credential}",
+        "X-Deadline-Ms": str(DEADLINE_MS),
+        "Content-Type": "application/json",
+    }
+
+
+def send_chat(
+    connection: http.client.HTTPConnection, request: workload.ChatRequest
+) -> Report:
+    """Send a chat request, plain or as a stream."""
+    body = {
+        "model": request.caller.model_service,
+        "messages": [{"role": "user", "content": request.prompt}],
+        "max_tokens": request.token_count,
+        "stream": request.stream,
+    }
+    begin = time.monotonic()
+    connection.request(
+        "POST",
+        "/v1/chat/completions",
+        json.dumps(body),
+        common_headers(request.caller),
+    )
+    response = connection.getresponse()
+    if response.status != 200:
+        return judge_error(response.read())
+    if request.stream:
+        return read_stream(response, request.expected, begin)
+    answer = json.loads(response.read())
+    text = answer["choices"][0]["message"]["content"]
+    return Report(judge_text(text, request.expected), text, None, ())
+
+
+def read_stream(
+    response: http.client.HTTPResponse, expected: str, begin: float
+) -> Report:
+    """Read an event-stream to its end."""
+    texts: list[str] = []
+    times: list[float] = []
+    done = False
+    for line in response:
+        if not line.startswith(b"data: "):
+            continue
+        data = line[len(b"data: ") :].strip()
+        if data == b"[DONE]":
+            done = True
+            break
+        event = json.loads(data)
+        if "error" in event:
+            return judge_error(data)
+        content = event["choices"][0]["delta"].get("content")
+        if content:
+            texts.append(content)
+            times.append(time.monotonic())
+    text = "".join(texts)
+    verdict = judge_text(text, expected) if done else Verdict.BROKEN
+    first = times[0] - begin if times else None
+    gaps = tuple(b - a for a, b in zip(times, times[1:], strict=False))
+    return Report(verdict, text, first, gaps)
+
+
+def send_records(
+    connection: http.client.HTTPConnection, request: workload.RecordsRequest
+) -> Report:
+    """Send a call to a records service."""
+    headers = common_headers(request.caller)
+    body = ""
+    if request.key:
+        headers["Idempotency-Key"] = request.key
+        body = json.dumps({"item": request.marker})
+    path = f"/services/{request.caller.records_service}{request.path}"
+    connection.request(request.method, path, body, headers)
+    response = connection.getresponse()
+    data = response.read()
+    if response.status != 200:
+        return judge_error(data)
+    answer = json.loads(data)
+    own = request.marker in (answer["path"] + answer["body"])
+    verdict = Verdict.WHOLE if own else Verdict.FOREIGN
+    return Report(verdict, data.decode(), None, ())
+
+
+def judge_text(text: str, expected: str) -> Verdict:
+    """Compare the text of an answer with the expected one."""
+    if text == expected:
+        return Verdict.WHOLE
+    return Verdict.PARTIAL if expected.startswith(text) else Verdict.FOREIGN
+
+
+def judge_error(data: bytes) -> Report:
+    """Read the outcome of an error answer."""
+    error: dict[str, Any] = json.loads(data)["error"]
+    detail = f"{error.get('code')}: {error.get('message')}"
+    return Report(Verdict(error["outcome"]), detail, None, ())
