Add the stand-ins of the outside systems

Cause: the adapters, the gateway and the sidecar have nothing to run against.

Ruled out: one process per engine, since the ranks of a group share a step barrier; a thread per rank, since the barrier is one condition in a step loop. Raising an error in the application to close a connection, since cheroot then answers with 500; the connection is shut down instead.

Conclusion: usable for a first try of the other parts; tests follow.

--- /dev/null
+++ b/standins/src/verbenafall_standins/engines/__init__.py
@@ -0,0 +1,1 @@
+"""The rank group of model engines: runs, steps, orders, HTTP."""
--- /dev/null
+++ b/standins/src/verbenafall_standins/engines/http_app.py
@@ -0,0 +1,373 @@
+"""HTTP interface of one engine of a rank group."""
+
+from collections.abc import Iterator
+import json
+import queue
+from typing import Any
+from typing import Final
+import uuid
+
+import werkzeug.exceptions
+
+from verbenafall_core import addresses
+from verbenafall_standins import http_serving
+from verbenafall_standins.engines import group as group_lib
+from verbenafall_standins.engines import ranks as ranks_lib
+from verbenafall_standins.engines import runs as runs_lib
+from verbenafall_standins.engines import tokens
+from verbenafall_standins.engines import weights as weights_lib
+
+DEFAULT_TOKENS: Final = 32
+MAX_TOKENS: Final = 8192
+# Threads that stay free of open streams, for cancels, orders and state.
+SPARE_THREADS: Final = 16
+EVENT_WAIT_SECONDS: Final = 1.0
+
+
+class EngineApp:
+    """Answers the requests to one engine."""
+
+    def __init__(self, group: group_lib.Group, number: int) -> None:
+        """Create the application of an engine."""
+        self.group = group
+        self.engine = group.engines[number]
+        self.open_limit = open_limit(group.options)
+
+    def handle(self, request: http_serving.Request) -> http_serving.Response:
+        """Answer a request."""
+        if request.path.startswith("/v1/kv/"):
+            return self.handle_kv(request)
+        match request.method, request.path:
+            case "POST", "/v1/chat/completions":
+                return self.chat(request)
+            case "POST", "/v1/cancel":
+                return self.cancel(http_serving.read_json(request))
+            case "POST", "/v1/orders":
+                return self.order(http_serving.read_json(request))
+            case "POST", "/-/faults":
+                return self.set_fault(http_serving.read_json(request))
+            case "GET", path:
+                return self.report(path, request)
+        raise werkzeug.exceptions.NotFound
+
+    def report(
+        self, path: str, request: http_serving.Request
+    ) -> http_serving.Response:
+        """Answer a request for state."""
+        match path:
+            case "/v1/state":
+                return http_serving.json_answer(self.state())
+            case "/v1/load":
+                return http_serving.json_answer(self.load())
+            case "/v1/cache-events":
+                after = request.args.get("after", 0, int)
+                return http_serving.json_answer(self.cache_events(after))
+            case "/-/runs":
+                return http_serving.json_answer(self.run_list())
+            case "/-/steps":
+                with self.group.changed:
+                    steps = {
+                        "steps": self.group.step,
+                        "mixed": self.group.mixed,
+                    }
+                return http_serving.json_answer(steps)
+        raise werkzeug.exceptions.NotFound
+
+    def chat(self, request: http_serving.Request) -> http_serving.Response:
+        """Run a chat completion."""
+        body = http_serving.read_json(request)
+        run = create_run(request.headers.get("X-Request-Id", ""), body)
+        with self.group.changed:
+            if len(self.engine.runs.open_runs()) >= self.open_limit:
+                raise werkzeug.exceptions.ServiceUnavailable("queue is full")
+            self.engine.runs.submit(run)
+            if run.index >= run.last:
+                run.end("length")
+        form = AnswerForm(run, body, int(self.group.clock.now().timestamp()))
+        if body.get("stream"):
+            return http_serving.Response(
+                self.stream(request, form), content_type="text/event-stream"
+            )
+        return self.answer_whole(request, form)
+
+    def events(self, run: runs_lib.Run) -> Iterator[runs_lib.Emitted]:
+        """Return the events of a run; the last has a finish reason."""
+        while True:
+            try:
+                emitted = run.events.get(timeout=EVENT_WAIT_SECONDS)
+            except queue.Empty:
+                if not self.group.stopping.is_set():
+                    continue
+                emitted = runs_lib.Emitted(run.index, "", "", True)
+            yield emitted
+            if emitted.finish_reason or emitted.broken:
+                return
+
+    def stream(
+        self, request: http_serving.Request, form: "AnswerForm"
+    ) -> Iterator[bytes]:
+        """Return the event-stream of a run."""
+        try:
+            for emitted in self.events(form.run):
+                if emitted.broken:
+                    http_serving.break_connection(request)
+                    return
+                yield form.event(emitted)
+            yield b"data: [DONE]\n\n"
+        finally:
+            # The client may have closed the stream before its end.
+            with self.group.changed:
+                form.run.end("abandoned")
+
+    def answer_whole(
+        self, request: http_serving.Request, form: "AnswerForm"
+    ) -> http_serving.Response:
+        """Return the answer of a run in one piece."""
+        texts = []
+        for emitted in self.events(form.run):
+            if emitted.broken:
+                return http_serving.break_connection(request)
+            texts.append(emitted.text)
+        return http_serving.json_answer(form.whole("".join(texts), emitted))
+
+    def cancel(self, body: dict[str, Any]) -> http_serving.Response:
+        """End a run early."""
+        with self.group.changed:
+            run = self.engine.runs.known.get(str(body.get("request_id")))
+            cancelled = run is not None and not run.ended
+            if run is not None:
+                run.end("cancelled")
+            produced = run.produced if run is not None else 0
+        return http_serving.json_answer(
+            {"cancelled": cancelled, "tokens": produced}
+        )
+
+    def order(self, body: dict[str, Any]) -> http_serving.Response:
+        """Take an order to the ranks."""
+        order = read_order(body, self.group.options)
+        refusal = self.group.order(self.engine, order)
+        match refusal:
+            case ranks_lib.OrderRefusal():
+                return http_serving.json_answer(refusal._asdict(), 409)
+            case weights_lib.WeightsBusy():
+                busy = {"error": "weights_busy"} | refusal._asdict()
+                return http_serving.json_answer(busy, 503)
+        return http_serving.json_answer(self.state())
+
+    def state(self) -> dict[str, Any]:
+        """Return the state of the engine."""
+        with self.group.changed:
+            ranks = self.engine.ranks
+            return {
+                "group": self.group.options.group,
+                "ranks": list(ranks.ranks),
+                "map_version": ranks.map_version,
+                "prepared": sorted(ranks.placements),
+                "armed": ranks.armed and ranks.armed._asdict(),
+                "step": self.group.step,
+                "epoch": ranks.epoch,
+                "in_flight": len(self.engine.runs.open_runs()),
+                "slots": self.group.options.slots,
+                "rank_step_ms": [
+                    round(mean, 3) for mean in self.engine.times.mean_ms
+                ],
+                "expert_load": list(self.engine.expert_load),
+            }
+
+    def load(self) -> dict[str, Any]:
+        """Return the lagging load report, zero before the first."""
+        load = self.group.reported_load(self.engine)
+        if load is None:
+            zero = self.group.clock.monotonic()
+            experts = (0,) * self.group.options.experts
+            load = group_lib.Load(zero, 0, 0, 0, experts)
+        report = load._asdict()
+        return {"as_of_ms": int(report.pop("at") / group_lib.MS)} | report
+
+    def cache_events(self, after: int) -> list[dict[str, Any]]:
+        """Return late cache events with gaps."""
+        return [
+            {
+                "sequence": event.sequence,
+                "kind": event.kind,
+                "prefix": event.prefix,
+            }
+            for event in self.group.reported_events(self.engine, after)
+        ]
+
+    def run_list(self) -> list[dict[str, Any]]:
+        """Return the runs in the order of arrival."""
+        with self.group.changed:
+            return [
+                {
+                    "request_id": run.request_id,
+                    "tokens": run.produced,
+                    "finished": run.finished,
+                }
+                for run in self.engine.runs.history
+            ]
+
+    def handle_kv(self, request: http_serving.Request) -> http_serving.Response:
+        """Export or import the KV cache of a run."""
+        request_id = request.path.removeprefix("/v1/kv/")
+        if request.method == "PUT":
+            cached = http_serving.read_json(request)
+            with self.group.changed:
+                now = self.group.clock.monotonic()
+                self.engine.runs.cache.use(str(cached.get("prompt")), now)
+            return http_serving.Response(status=204)
+        with self.group.changed:
+            run = self.engine.runs.known.get(request_id)
+            if run is None:
+                raise werkzeug.exceptions.NotFound
+            exported = {"prompt": run.prompt, "tokens": run.index}
+        return http_serving.Response(
+            json.dumps(exported), content_type="application/octet-stream"
+        )
+
+    def set_fault(self, body: dict[str, Any]) -> http_serving.Response:
+        """Set a fault of this engine."""
+        engine, delay_ms = self.engine, float(body.get("delay_ms", 0))
+        with self.group.changed:
+            match body.get("mode"):
+                case "up":
+                    engine.stalled.clear()
+                    engine.delays_ms = dict.fromkeys(engine.delays_ms, 0.0)
+                case "stall":
+                    self.stall(int(body.get("rank", -1)), delay_ms)
+                case "slow":
+                    engine.delays_ms = dict.fromkeys(engine.delays_ms, delay_ms)
+                case "break_streams":
+                    for run in engine.runs.open_runs():
+                        run.end("", broken=True)
+                case mode:
+                    raise werkzeug.exceptions.BadRequest(f"no mode {mode!r}")
+            self.group.changed.notify_all()
+        return http_serving.json_answer(body)
+
+    def stall(self, rank: int, delay_ms: float) -> None:
+        """Delay each step of a rank, or stop the rank without a delay."""
+        if rank not in self.engine.delays_ms:
+            raise werkzeug.exceptions.BadRequest(f"no rank {rank} here")
+        if delay_ms:
+            self.engine.delays_ms[rank] = delay_ms
+        else:
+            self.engine.stalled.add(rank)
+
+
+class AnswerForm:
+    """The chat completions form of a run's answer."""
+
+    def __init__(
+        self, run: runs_lib.Run, body: dict[str, Any], created: int
+    ) -> None:
+        """Create the form for a request body."""
+        self.run = run
+        self.common = {
+            "id": f"chatcmpl-{run.request_id}",
+            "created": created,
+            "model": str(body.get("model", "")),
+        }
+
+    def event(self, emitted: runs_lib.Emitted) -> bytes:
+        """Return one event of the event-stream."""
+        choice = {
+            "index": 0,
+            "delta": {"content": emitted.text} if emitted.text else {},
+            "finish_reason": emitted.finish_reason or None,
+        }
+        event = self.common | {
+            "object": "chat.completion.chunk",
+            "choices": [choice],
+        }
+        if emitted.text:
+            event["token_index"] = emitted.token_index
+        return f"data: {json.dumps(event)}\n\n".encode()
+
+    def whole(self, text: str, last: runs_lib.Emitted) -> dict[str, Any]:
+        """Return the plain answer."""
+        prompt_tokens = len(self.run.prompt.split())
+        return self.common | {
+            "object": "chat.completion",
+            "choices": [
+                {
+                    "index": 0,
+                    "message": {"role": "assistant", "content": text},
+                    "finish_reason": last.finish_reason,
+                }
+            ],
+            "usage": {
+                "prompt_tokens": prompt_tokens,
+                "completion_tokens": self.run.produced,
+                "total_tokens": prompt_tokens + self.run.produced,
+            },
+        }
+
+
+def create_run(request_id: str, body: dict[str, Any]) -> runs_lib.Run:
+    """Create the run of a chat request.
+
+    Raises:
+        werkzeug.exceptions.BadRequest: The request is malformed, or its
+            resume text is not the start of the answer.
+    """
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise werkzeug.exceptions.BadRequest("messages is no list")
+    wanted = body.get("max_completion_tokens") or body.get("max_tokens")
+    last = int(wanted or DEFAULT_TOKENS)
+    if not 0 < last <= MAX_TOKENS:
+        raise werkzeug.exceptions.BadRequest(f"max_tokens above {MAX_TOKENS}")
+    resume = body.get("resume") or {"index": 0, "text": ""}
+    run = runs_lib.Run(
+        request_id or uuid.uuid4().hex,
+        int(body.get("priority", 0)),
+        tokens.prompt_text(messages),
+        int(resume["index"]),
+        last,
+    )
+    if resume["text"] != tokens.answer_text(run.digest, run.index):
+        raise werkzeug.exceptions.BadRequest("resume text does not match")
+    return run
+
+
+def read_order(
+    body: dict[str, Any], options: group_lib.GroupOptions
+) -> ranks_lib.Order:
+    """Read an order.
+
+    Raises:
+        werkzeug.exceptions.BadRequest: The order is malformed.
+    """
+    try:
+        order = ranks_lib.Order(
+            int(body["epoch"]),
+            ranks_lib.OrderKind(body["kind"]),
+            int(body["map_version"]),
+            tuple(body.get("placement") or ()),
+            int(body.get("step") or 0),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise werkzeug.exceptions.BadRequest(repr(error)) from error
+    if order.kind is ranks_lib.OrderKind.PREPARE:
+        ranks = range(options.engines * options.ranks_per_engine)
+        known = all(rank in ranks for rank in order.placement)
+        if len(order.placement) != options.experts or not known:
+            raise werkzeug.exceptions.BadRequest("placement does not fit")
+    return order
+
+
+def open_limit(options: group_lib.GroupOptions) -> int:
+    """Return how many runs an engine takes before it refuses."""
+    return 2 * options.slots
+
+
+def create_engine_server(
+    group: group_lib.Group,
+    number: int,
+    address: addresses.Address = addresses.Address("127.0.0.1", 0),  # noqa: B008
+) -> http_serving.HttpStandin:
+    """Bind the server of one engine of a group."""
+    threads = open_limit(group.options) + SPARE_THREADS
+    app = EngineApp(group, number)
+    return http_serving.create_standin(app.handle, address, threads)
--- /dev/null
+++ b/standins/src/verbenafall_standins/engines/ranks.py
@@ -0,0 +1,153 @@
+"""Orders, maps and the step barrier of a rank group, without I/O."""
+
+import enum
+from typing import Final
+from typing import NamedTuple
+
+
+class OrderKind(enum.StrEnum):
+    """What an order asks for."""
+
+    PREPARE = "prepare"
+    ARM = "arm"
+    RELEASE = "release"
+    DISARM = "disarm"
+
+
+class Order(NamedTuple):
+    """An order to the ranks of an engine.
+
+    Attributes:
+        placement: Rank of each expert; for prepare.
+        step: First step on the map; for arm and release.
+    """
+
+    epoch: int
+    kind: OrderKind
+    map_version: int
+    placement: tuple[int, ...]
+    step: int
+
+
+class OrderRefusal(NamedTuple):
+    """Why an order was refused."""
+
+    error: str
+    epoch: int
+
+
+class Boundary(NamedTuple):
+    """A coming change of the map."""
+
+    step: int
+    map_version: int
+
+
+class EngineRanks:
+    """The ranks of one engine.
+
+    Attributes:
+        placements: Placement of each prepared map version.
+        armed: Step before which the ranks hold.
+        released: Step from which the ranks run on another map.
+        epoch: Epoch of the last order taken.
+    """
+
+    def __init__(
+        self, ranks: range, fences: bool, placement: tuple[int, ...]
+    ) -> None:
+        """Create ranks that run on map version 1."""
+        self.ranks = ranks
+        self.fences = fences
+        self.placements: dict[int, tuple[int, ...]] = {1: placement}
+        self.map_version = 1
+        self.armed: Boundary | None = None
+        self.released: Boundary | None = None
+        self.epoch = 0
+
+    def check(self, order: Order) -> OrderRefusal | None:
+        """Return why an order is refused, if it is."""
+        if self.fences and order.epoch < self.epoch:
+            return OrderRefusal("fenced", self.epoch)
+        needs_weights = order.kind in (OrderKind.ARM, OrderKind.RELEASE)
+        if needs_weights and order.map_version not in self.placements:
+            return OrderRefusal("not_prepared", self.epoch)
+        return None
+
+    def moved_experts(self, order: Order) -> int:
+        """Return how many experts an order makes these ranks load."""
+        if order.map_version in self.placements:
+            return 0
+        current = self.placements[self.map_version]
+        return sum(
+            rank in self.ranks and current[expert] != rank
+            for expert, rank in enumerate(order.placement)
+        )
+
+    def apply(self, order: Order, last_step: int) -> None:
+        """Take a checked order; `last_step` is the last step that ran."""
+        self.epoch = order.epoch
+        boundary = Boundary(order.step, order.map_version)
+        match order.kind:
+            case OrderKind.PREPARE:
+                self.prepare(order)
+            case OrderKind.ARM if order.step > last_step:
+                self.armed, self.released = boundary, None
+            case OrderKind.RELEASE if order.step > last_step:
+                self.armed, self.released = None, boundary
+            case OrderKind.DISARM:
+                self.armed = None
+
+    def prepare(self, order: Order) -> None:
+        """Hold the weights of a map; a known version stays as it is."""
+        self.placements.setdefault(order.map_version, order.placement)
+
+    def holds(self, step: int) -> bool:
+        """Return whether the ranks stop before a step."""
+        return self.armed is not None and self.armed.step <= step
+
+    def enter(self, step: int) -> None:
+        """Begin a step, on another map if that was ordered."""
+        if self.released is not None and self.released.step <= step:
+            self.map_version = self.released.map_version
+            self.released = None
+
+
+MEAN_STEPS: Final = 64
+
+
+class RankTimes:
+    """Decayed mean step time of each rank of an engine."""
+
+    def __init__(self, ranks: int) -> None:
+        """Create times of zero."""
+        self.mean_ms = [0.0] * ranks
+        self.steps = 0
+
+    def add(self, times_ms: list[float]) -> None:
+        """Add the times of one step."""
+        self.steps += 1
+        weight = 1 / min(self.steps, MEAN_STEPS)
+        for position, value in enumerate(times_ms):
+            self.mean_ms[position] += (value - self.mean_ms[position]) * weight
+
+
+def rank_times(
+    counts: list[int],
+    placement: tuple[int, ...],
+    ranks: range,
+    token_ms: float,
+) -> list[float]:
+    """Return the time in ms that each rank spends on a step's tokens.
+
+    Args:
+        counts: Tokens of each expert in the step.
+        placement: Rank of each expert.
+        ranks: Ranks to return times for.
+        token_ms: Time of one token.
+    """
+    times = [0.0] * len(ranks)
+    for expert, count in enumerate(counts):
+        if placement[expert] in ranks:
+            times[placement[expert] - ranks.start] += token_ms * count
+    return times
--- /dev/null
+++ b/standins/src/verbenafall_standins/http_serving.py
@@ -0,0 +1,150 @@
+"""Serves werkzeug applications by cheroot, with connections that can break."""
+
+from collections.abc import Callable
+import contextlib
+import datetime
+import json
+import signal
+import socket
+import sys
+import threading
+from typing import Any
+from typing import Final
+
+import cheroot.wsgi
+import werkzeug.exceptions
+import werkzeug.wrappers
+
+from verbenafall_core import addresses
+
+_CONNECTION: Final = "verbenafall.connection"
+STOP_LIMIT: Final = datetime.timedelta(seconds=5)
+# cheroot closes idle connections above this number; each peer keeps several.
+IDLE_CONNECTIONS: Final = 1000
+
+Request = werkzeug.wrappers.Request
+Response = werkzeug.wrappers.Response
+Handler = Callable[[Request], Response]
+
+
+class BreakableGateway(cheroot.wsgi.Gateway_10):
+    """A WSGI gateway that gives the application its connection."""
+
+    # cheroot's type stubs declare that get_environ returns nothing.
+    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
+        """Return the WSGI environment of a request."""
+        environ: dict[str, Any] = super().get_environ()  # type: ignore
+        environ[_CONNECTION] = self.req.conn.socket
+        return environ
+
+
+class HttpStandin:
+    """An HTTP server on a thread of its own.
+
+    Attributes:
+        address: The bound address.
+    """
+
+    def __init__(
+        self, address: addresses.Address, handler: Handler, threads: int
+    ) -> None:
+        """Bind the address."""
+        self.server = cheroot.wsgi.Server(
+            tuple(address),
+            create_application(handler),
+            numthreads=threads,
+            request_queue_size=256,
+            timeout=60,
+            shutdown_timeout=int(STOP_LIMIT.total_seconds()),
+        )
+        self.server.gateway = BreakableGateway
+        self.server.keep_alive_conn_limit = IDLE_CONNECTIONS
+        self.server.prepare()
+        host, port = self.server.bind_addr[:2]
+        self.address = addresses.Address(host, port)
+        self.thread = threading.Thread(target=self.server.serve, daemon=True)
+
+    @property
+    def url(self) -> str:
+        """Return the URL without a path."""
+        return f"http://{self.address}"
+
+    def start(self) -> None:
+        """Start to serve."""
+        self.thread.start()
+
+    def stop(self, limit: datetime.timedelta = STOP_LIMIT) -> None:
+        """Stop after the open requests."""
+        self.server.stop()
+        self.thread.join(limit.total_seconds())
+
+
+def create_application(handler: Handler) -> Callable[..., Any]:
+    """Return a WSGI application; HTTP exceptions become answers."""
+
+    @werkzeug.wrappers.Request.application
+    def application(request: Request) -> Response:
+        try:
+            return handler(request)
+        except werkzeug.exceptions.HTTPException as error:
+            return json_answer({"error": error.description}, error.code or 500)
+
+    return application
+
+
+def create_standin(
+    handler: Handler,
+    address: addresses.Address = addresses.Address("127.0.0.1", 0),  # noqa: B008
+    threads: int = 32,
+) -> HttpStandin:
+    """Bind a server that is not yet started."""
+    return HttpStandin(address, handler, threads)
+
+
+def json_answer(value: Any, status: int = 200) -> Response:
+    """Return an answer with a JSON body."""
+    body = json.dumps(value, separators=(",", ":"))
+    return Response(body, status, content_type="application/json")
+
+
+def read_json(request: Request) -> dict[str, Any]:
+    """Return the JSON object in a request's body.
+
+    Raises:
+        werkzeug.exceptions.BadRequest: The body is no JSON object.
+    """
+    try:
+        value = json.loads(request.get_data() or b"{}")
+    except ValueError as error:
+        raise werkzeug.exceptions.BadRequest(str(error)) from error
+    if not isinstance(value, dict):
+        raise werkzeug.exceptions.BadRequest("the body is no JSON object")
+    return value
+
+
+def break_connection(request: Request) -> Response:
+    """Close the connection of a request without an answer."""
+    connection: socket.socket = request.environ[_CONNECTION]
+    with contextlib.suppress(OSError):  # The peer may have closed it already.
+        connection.shutdown(socket.SHUT_RDWR)
+    return Response(status=500)
+
+
+def serve_until_terminated(servers: dict[str, HttpStandin]) -> None:
+    """Start servers, print their addresses as JSON, stop on SIGTERM."""
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda _number, _frame: stopping.set())
+    for server in servers.values():
+        server.start()
+    bound = {name: str(server.address) for name, server in servers.items()}
+    sys.stdout.write(json.dumps(bound) + "\n")
+    sys.stdout.flush()
+    stopping.wait()
+    stoppers = [
+        threading.Thread(target=server.stop) for server in servers.values()
+    ]
+    for stopper in stoppers:
+        stopper.start()
+    for stopper in stoppers:
+        stopper.join()
--- /dev/null
+++ b/standins/src/verbenafall_standins/instance_list.py
@@ -0,0 +1,64 @@
+"""Stand-in of the lagging instance list."""
+
+import datetime
+import json
+import threading
+from typing import Any
+from typing import Final
+
+import werkzeug.exceptions
+
+from verbenafall_core import clock as clock_lib
+from verbenafall_standins import http_serving
+
+LAG: Final = datetime.timedelta(seconds=1)
+
+
+class InstanceListStandin:
+    """Serves a list that follows changes after a lag."""
+
+    def __init__(self, lag: datetime.timedelta) -> None:
+        """Create an empty list."""
+        self.lag = lag
+        self.clock = clock_lib.system_clock()
+        self.lock = threading.Lock()
+        self.down = False
+        self.visible: list[Any] = []
+        self.pending: list[tuple[datetime.timedelta, list[Any]]] = []
+
+    def handle(self, request: http_serving.Request) -> http_serving.Response:
+        """Answer a request."""
+        match request.method, request.path:
+            case "GET", "/instances":
+                return self.read()
+            case "PUT", "/-/instances":
+                return self.replace(json.loads(request.get_data()))
+            case "POST", "/-/faults":
+                body = http_serving.read_json(request)
+                self.down = body.get("mode") == "down"
+                return http_serving.json_answer(body)
+        raise werkzeug.exceptions.NotFound
+
+    def read(self) -> http_serving.Response:
+        """Return the list as of the lag."""
+        if self.down:
+            return http_serving.json_answer({"error": "outage"}, 503)
+        now = self.clock.monotonic()
+        with self.lock:
+            while self.pending and self.pending[0][0] <= now:
+                self.visible = self.pending.pop(0)[1]
+            return http_serving.json_answer(self.visible)
+
+    def replace(self, instances: list[Any]) -> http_serving.Response:
+        """Replace the list once the lag has passed."""
+        with self.lock:
+            due = self.clock.monotonic() + self.lag
+            self.pending.append((due, instances))
+        return http_serving.json_answer(instances)
+
+
+def create_instance_list(
+    lag: datetime.timedelta = LAG,
+) -> InstanceListStandin:
+    """Create an empty list."""
+    return InstanceListStandin(lag)
