--- /dev/null
+++ b/packages/core/src/verbenafall_core/instance_list/http_adapter.py
@@ -0,0 +1,96 @@
+"""Instance list over HTTP, see docs/platform_interfaces.md."""
+
+import datetime
+from typing import Final
+
+import msgspec
+import returns.pipeline
+import returns.result
+
+from verbenafall_core import addresses
+from verbenafall_core import http_client
+from verbenafall_core.instance_list import port
+
+CALL_LIMIT: Final = datetime.timedelta(seconds=2)
+
+ReadResult = returns.result.Result[tuple[port.Instance, ...], port.ListFailure]
+
+
+class ListedInstance(msgspec.Struct):
+    """One instance as the platform lists it."""
+
+    name: str
+    role: str
+    data_centre: str
+    service: str
+    address: str
+    state: port.InstanceState
+
+
+class HttpInstanceList:
+    """Reads the list by HTTP."""
+
+    def __init__(
+        self,
+        client: http_client.HttpClient,
+        url: str,
+        limit: datetime.timedelta,
+    ) -> None:
+        """Create an adapter for a list at a URL without a path."""
+        self.client = client
+        self.url = url
+        self.limit = limit
+
+    def read(self) -> ReadResult:
+        """Return all instances in the list."""
+        request = http_client.HttpRequest(
+            "GET", f"{self.url}/instances", (), b"", self.limit, False
+        )
+        result = self.client.call(request)
+        if not returns.pipeline.is_successful(result):
+            return fail(result.failure().message)
+        answer = result.unwrap()
+        if answer.status != 200:
+            return fail(f"HTTP status {answer.status}")
+        return parse_list(answer.body)
+
+
+def parse_list(body: bytes) -> ReadResult:
+    """Read the list; one malformed entry makes the whole list unusable.
+
+    A list without the malformed entry would make its instance look removed.
+    """
+    try:
+        listed = msgspec.json.decode(body, type=list[ListedInstance])
+    except msgspec.DecodeError as error:
+        return fail(f"malformed list: {error}")
+    instances = []
+    for entry in listed:
+        address = addresses.parse_address(entry.address)
+        if not returns.pipeline.is_successful(address):
+            return fail(f"instance {entry.name!r}: {address.failure()}")
+        instances.append(
+            port.Instance(
+                entry.name,
+                entry.role,
+                entry.data_centre,
+                entry.service,
+                address.unwrap(),
+                entry.state,
+            )
+        )
+    return returns.result.Success(tuple(instances))
+
+
+def fail(message: str) -> ReadResult:
+    """Return a failed result."""
+    return returns.result.Failure(port.ListFailure(message))
+
+
+def create_http_instance_list(
+    client: http_client.HttpClient,
+    url: str,
+    limit: datetime.timedelta = CALL_LIMIT,
+) -> port.InstanceList:
+    """Create an adapter for a list at a URL without a path."""
+    return HttpInstanceList(client, url, limit)
--- /dev/null
+++ b/packages/core/src/verbenafall_core/object_store/http_adapter.py
@@ -0,0 +1,199 @@
+"""Object store over HTTP, see docs/platform_interfaces.md."""
+
+import datetime
+from typing import Any
+from typing import Final
+import urllib.parse
+
+import msgspec
+import returns.pipeline
+import returns.result
+
+from verbenafall_core import http_client
+from verbenafall_core.object_store import port
+
+CALL_LIMIT: Final = datetime.timedelta(seconds=2)
+
+_KIND_BY_STATUS: Final = {
+    304: port.FailureKind.MISSING,
+    404: port.FailureKind.MISSING,
+    408: port.FailureKind.UNCERTAIN,
+    412: port.FailureKind.CONFLICT,
+    429: port.FailureKind.THROTTLED,
+    503: port.FailureKind.UNAVAILABLE,
+}
+
+AnswerResult = returns.result.Result[http_client.HttpAnswer, port.StoreFailure]
+
+
+class ListedObject(msgspec.Struct):
+    """One object in the answer to a list call; the value is in base64."""
+
+    name: str
+    version: int
+    value: bytes
+
+
+class HttpObjectStore:
+    """Calls the store by HTTP; reads keep connections, writes do not."""
+
+    def __init__(
+        self,
+        client: http_client.HttpClient,
+        url: str,
+        limit: datetime.timedelta,
+    ) -> None:
+        """Create an adapter for a store at a URL without a path."""
+        self.client = client
+        self.url = url
+        self.limit = limit
+
+    def read(self, name: str) -> port.ObjectResult:
+        """Return an object."""
+        answer = self.call("GET", object_path(name), (), b"", self.limit)
+        return answer.bind(lambda got: read_object(name, got, got.body))
+
+    def list_objects(self, prefix: str, limit: int) -> port.ListResult:
+        """Return the first objects whose names start with a prefix."""
+        query = urllib.parse.urlencode({"prefix": prefix, "limit": limit})
+        answer = self.call("GET", f"/objects?{query}", (), b"", self.limit)
+        return answer.bind(read_list)
+
+    def create(self, name: str, value: bytes) -> port.ObjectResult:
+        """Create an object; CONFLICT when it exists."""
+        return self.put(name, value, ("If-None-Match", "*"))
+
+    def update(
+        self, name: str, value: bytes, expected_version: int
+    ) -> port.ObjectResult:
+        """Replace a value; CONFLICT when the version is another."""
+        return self.put(name, value, ("If-Match", f'"{expected_version}"'))
+
+    def delete(self, name: str, expected_version: int) -> port.DeleteResult:
+        """Delete an object; CONFLICT when the version is another."""
+        headers = (("If-Match", f'"{expected_version}"'),)
+        answer = self.call(
+            "DELETE", object_path(name), headers, b"", self.limit
+        )
+        return answer.map(lambda _got: None)
+
+    def watch(
+        self, name: str, known_version: int, wait: datetime.timedelta
+    ) -> port.ObjectResult:
+        """Return an object once its version exceeds the known one."""
+        wait_ms = wait // datetime.timedelta(milliseconds=1)
+        query = f"watch_after={known_version}&wait_ms={wait_ms}"
+        path = f"{object_path(name)}?{query}"
+        answer = self.call("GET", path, (), b"", wait + self.limit)
+        return answer.bind(lambda got: read_object(name, got, got.body))
+
+    def put(
+        self, name: str, value: bytes, condition: tuple[str, str]
+    ) -> port.ObjectResult:
+        """Write a value under a condition."""
+        if len(value) > port.MAX_VALUE_BYTES:
+            return fail(
+                port.FailureKind.INVALID,
+                f"value of {len(value)} bytes exceeds {port.MAX_VALUE_BYTES}",
+            )
+        headers = (condition, ("Content-Type", "application/octet-stream"))
+        answer = self.call("PUT", object_path(name), headers, value, self.limit)
+        return answer.bind(lambda got: read_object(name, got, value))
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        headers: http_client.Headers,
+        body: bytes,
+        limit: datetime.timedelta,
+    ) -> AnswerResult:
+        """Make one call; a status other than 2xx is a failure.
+
+        libcurl repeats a request on a kept connection that turns out to be
+        dead. A repeated conditional write would report a conflict with
+        itself, so writes use connections of their own.
+        """
+        request = http_client.HttpRequest(
+            method, self.url + path, headers, body, limit, method != "GET"
+        )
+        result = self.client.call(request)
+        if not returns.pipeline.is_successful(result):
+            failure = result.failure()
+            kind = port.FailureKind.UNAVAILABLE
+            if failure.sent:
+                kind = port.FailureKind.UNCERTAIN
+            return fail(kind, f"{method} {path}: {failure.message}")
+        answer = result.unwrap()
+        if 200 <= answer.status < 300:
+            return returns.result.Success(answer)
+        return fail(
+            classify_status(answer.status),
+            f"{method} {path}: HTTP status {answer.status}",
+        )
+
+
+def classify_status(status: int) -> port.FailureKind:
+    """Return the kind of a failure that the store answered.
+
+    Only statuses that state that nothing was changed count as such; a
+    gateway's 500, 502 or 504 says nothing about the write.
+    """
+    kind = _KIND_BY_STATUS.get(status)
+    if kind is not None:
+        return kind
+    if 400 <= status < 500:
+        return port.FailureKind.INVALID
+    return port.FailureKind.UNCERTAIN
+
+
+def object_path(name: str) -> str:
+    """Return the path of an object."""
+    return f"/objects/{urllib.parse.quote(name)}"
+
+
+def read_object(
+    name: str, answer: http_client.HttpAnswer, value: bytes
+) -> port.ObjectResult:
+    """Return the object with the version in an answer's ETag.
+
+    An answer without a version leaves a write unresolved, so it counts as
+    no answer.
+    """
+    etag = dict(answer.headers).get("etag", "")
+    version = etag.removeprefix("W/").strip('"')
+    if not (version.isascii() and version.isdigit()):
+        return fail(
+            port.FailureKind.UNCERTAIN, f"{name}: ETag {etag!r} is no version"
+        )
+    return returns.result.Success(port.StoredObject(name, int(version), value))
+
+
+def read_list(answer: http_client.HttpAnswer) -> port.ListResult:
+    """Return the objects in the answer to a list call."""
+    try:
+        listed = msgspec.json.decode(answer.body, type=list[ListedObject])
+    except msgspec.DecodeError as error:
+        return fail(port.FailureKind.UNCERTAIN, f"list: {error}")
+    return returns.result.Success(
+        tuple(
+            port.StoredObject(entry.name, entry.version, entry.value)
+            for entry in listed
+        )
+    )
+
+
+def fail(
+    kind: port.FailureKind, message: str
+) -> returns.result.Result[Any, port.StoreFailure]:
+    """Return a failed result."""
+    return returns.result.Failure(port.StoreFailure(kind, message))
+
+
+def create_http_object_store(
+    client: http_client.HttpClient,
+    url: str,
+    limit: datetime.timedelta = CALL_LIMIT,
+) -> port.ObjectStore:
+    """Create an adapter for a store at a URL without a path."""
+    return HttpObjectStore(client, url, limit)
--- a/standins/src/verbenafall_standins/engines/http_app.py
+++ b/standins/src/verbenafall_standins/engines/http_app.py
@@ -315,18 +315,22 @@
     if not isinstance(messages, list) or not messages:
         raise werkzeug.exceptions.BadRequest("messages is no list")
     wanted = body.get("max_completion_tokens") or body.get("max_tokens")
-    last = int(wanted or DEFAULT_TOKENS)
-    if not 0 < last <= MAX_TOKENS:
-        raise werkzeug.exceptions.BadRequest(f"max_tokens above {MAX_TOKENS}")
-    resume = body.get("resume") or {"index": 0, "text": ""}
+    resume = body.get("resume") or {}
+    try:
+        last = int(wanted or DEFAULT_TOKENS)
+        index = int(resume.get("index", 0))
+        priority = int(body.get("priority", 0))
+        prompt = tokens.prompt_text(messages)
+    except (AttributeError, TypeError, ValueError) as error:
+        raise werkzeug.exceptions.BadRequest(repr(error)) from error
+    if not 0 < last <= MAX_TOKENS or not 0 <= index <= MAX_TOKENS:
+        raise werkzeug.exceptions.BadRequest(
+            f"token numbers are 1 to {MAX_TOKENS}"
+        )
     run = runs_lib.Run(
-        request_id or uuid.uuid4().hex,
-        int(body.get("priority", 0)),
-        tokens.prompt_text(messages),
-        int(resume["index"]),
-        last,
+        request_id or uuid.uuid4().hex, priority, prompt, index, last
     )
-    if resume["text"] != tokens.answer_text(run.digest, run.index):
+    if resume.get("text", "") != tokens.answer_text(run.digest, run.index):
         raise werkzeug.exceptions.BadRequest("resume text does not match")
     return run
 
