Add contract tests of store and list ports, and a lease state machine

Cause: adapters, budget, list service and leases had no tests.

Ruled out: a server per contract test, since stopping cheroot takes half a second each; the names in the store are unique per test instead. A state machine that starts from an empty store only: it did not find a lease that ends at half its duration, so it also starts from a lease in use.

Change: contract tables for both ports, run in memory, over HTTP, and against a factory named in the environment; fault and status tables; budget and service tables; lease tables and a state machine with two instances, clocks of other rates, pauses inside calls, lost and delayed writes. A lease record with a duration above a minute now counts as malformed, since it would keep the lease from everyone.

--- a/packages/core/src/verbenafall_core/leases.py
+++ b/packages/core/src/verbenafall_core/leases.py
@@ -10,6 +10,7 @@
 import enum
 import random
 import threading
+from typing import Annotated
 from typing import Final
 from typing import NamedTuple
 import uuid
@@ -29,6 +30,9 @@
 # check of holds() and the action after it.
 HOLD_MARGIN: Final = datetime.timedelta(seconds=1)
 
+# A record with a longer duration would keep the lease from everyone.
+MAX_DURATION: Final = datetime.timedelta(minutes=1)
+
 _US: Final = datetime.timedelta(microseconds=1)
 
 
@@ -131,7 +135,7 @@
 
     holder: str
     sent_at_us: int
-    duration_us: int
+    duration_us: Annotated[int, msgspec.Meta(ge=0, le=MAX_DURATION // _US)]
 
 
 def decode_record(value: bytes) -> LeaseRecord | None:
--- /dev/null
+++ b/tests/adapters.py
@@ -0,0 +1,115 @@
+"""Adapters under the contract tests: in memory, over HTTP, and a named one."""
+
+import contextlib
+import datetime
+import importlib
+import json
+import os
+from typing import NamedTuple
+
+import returns.result
+
+from verbenafall_core import http_client
+from verbenafall_core.instance_list import http_adapter as list_adapter
+from verbenafall_core.instance_list import port as list_port
+from verbenafall_core.object_store import http_adapter as store_adapter
+from verbenafall_standins import http_serving
+from verbenafall_standins import instance_list
+from verbenafall_standins import object_store
+from verbenafall_standins.fakes import memory_store
+
+CALL_LIMIT = datetime.timedelta(seconds=10)
+
+
+class MemoryList:
+    def __init__(self):
+        self.instances = ()
+
+    def read(self):
+        return returns.result.Success(self.instances)
+
+
+class ListUnderTest(NamedTuple):
+    """An adapter, and a function that makes the platform list instances."""
+
+    adapter: list_port.InstanceList
+    publish: object
+
+
+def named_adapters(variable):
+    """Return the built-in adapters and the one named by the environment.
+
+    The variable holds "module:function"; the function takes nothing and
+    returns what the built-in factories of this module return.
+    """
+    return ["memory", "http", *([variable] if variable in os.environ else [])]
+
+
+def create_named(variable):
+    module, _, function = os.environ[variable].partition(":")
+    return getattr(importlib.import_module(module), function)()
+
+
+@contextlib.contextmanager
+def serving(handler, threads=8):
+    server = http_serving.create_standin(handler, threads=threads)
+    server.start()
+    try:
+        yield server.url
+    finally:
+        server.stop()
+
+
+@contextlib.contextmanager
+def open_store(kind):
+    """Yield a store adapter and the store or stand-in behind it."""
+    if kind == "memory":
+        store = memory_store.create_memory_store()
+        yield store, store
+    elif kind == "http":
+        standin = object_store.create_object_store()
+        with serving(standin.handle) as url:
+            client = http_client.create_http_client()
+            yield (
+                store_adapter.create_http_object_store(client, url, CALL_LIMIT),
+                standin,
+            )
+    else:
+        yield create_named(kind), None
+
+
+@contextlib.contextmanager
+def open_list(kind):
+    """Yield a list under test."""
+    if kind == "memory":
+        listed = MemoryList()
+        yield ListUnderTest(
+            listed, lambda found: setattr(listed, "instances", found)
+        )
+    elif kind == "http":
+        standin = instance_list.create_instance_list(datetime.timedelta())
+        with serving(standin.handle) as url:
+            client = http_client.create_http_client()
+            adapter = list_adapter.create_http_instance_list(client, url)
+            yield ListUnderTest(
+                adapter, lambda found: publish(client, url, found)
+            )
+    else:
+        yield create_named(kind)
+
+
+def publish(client, url, instances):
+    entries = [
+        entry._asdict() | {"address": str(entry.address)} for entry in instances
+    ]
+    send(client, "PUT", f"{url}/-/instances", entries)
+
+
+def send(client, method, url, body=None, headers=()):
+    """Call a stand-in; return status and body."""
+    data = b"" if body is None else json.dumps(body).encode()
+    request = http_client.HttpRequest(
+        method, url, headers, data, CALL_LIMIT, True
+    )
+    answer = client.call(request).unwrap()
+    return answer.status, answer.body
--- /dev/null
+++ b/tests/core/test_instance_list.py
@@ -0,0 +1,126 @@
+"""The instance list port, against every adapter, and its service."""
+
+import json
+
+import pytest
+import returns.pipeline
+import returns.result
+
+import adapters
+from verbenafall_core import addresses
+from verbenafall_core.instance_list import http_adapter
+from verbenafall_core.instance_list import port
+from verbenafall_core.instance_list import service as service_lib
+
+VARIABLE = "VERBENAFALL_CONTRACT_INSTANCE_LIST"
+GATEWAY = port.Instance(
+    "gw-1",
+    "gateway",
+    "kgn-mona",
+    "",
+    addresses.Address("127.0.0.1", 8000),
+    port.InstanceState.LIVE,
+)
+SIDECAR = port.Instance(
+    "sc-1",
+    "sidecar",
+    "kgn-halfway",
+    "drafter",
+    addresses.Address("::1", 8001),
+    port.InstanceState.LEAVING,
+)
+ENTRY = GATEWAY._asdict() | {"address": "127.0.0.1:8000"}
+LIVE_SIDECAR = SIDECAR._replace(state=port.InstanceState.LIVE)
+
+
+@pytest.fixture(scope="module", params=adapters.named_adapters(VARIABLE))
+def listed(request):
+    with adapters.open_list(request.param) as under_test:
+        yield under_test
+
+
+class TestInstanceListContract:
+    @pytest.mark.parametrize(
+        "instances", [(), (GATEWAY,), (GATEWAY, SIDECAR)], ids=len
+    )
+    def test_published_list_is_read(self, listed, instances):
+        listed.publish(instances)
+        assert sorted(listed.adapter.read().unwrap()) == sorted(instances)
+
+    def test_change_of_state_is_read(self, listed):
+        listed.publish((LIVE_SIDECAR,))
+        listed.adapter.read()
+        listed.publish((SIDECAR,))
+        assert listed.adapter.read().unwrap() == (SIDECAR,)
+
+
+class TestParseList:
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"{}",
+            json.dumps([ENTRY, ENTRY | {"state": "gone"}]).encode(),
+            json.dumps([ENTRY, ENTRY | {"address": "localhost:1"}]).encode(),
+            json.dumps([ENTRY, {"name": "x"}]).encode(),
+        ],
+    )
+    def test_malformed_list_is_refused_whole(self, body):
+        """A shortened list would make live instances look removed."""
+        result = http_adapter.parse_list(body)
+        assert not returns.pipeline.is_successful(result)
+
+
+FAILED = returns.result.Failure(port.ListFailure("down"))
+# Reads in order, and the lists that a subscriber is told.
+POLLS = {
+    "no change is told once": ([(GATEWAY,), (GATEWAY,)], [(GATEWAY,)]),
+    "order does not matter": (
+        [(GATEWAY, SIDECAR), (SIDECAR, GATEWAY)],
+        [(GATEWAY, SIDECAR)],
+    ),
+    "failure keeps the last list": (
+        [(GATEWAY,), FAILED, (GATEWAY,)],
+        [(GATEWAY,)],
+    ),
+    "failure before the first list tells nothing": ([FAILED], []),
+    "state change": (
+        [(LIVE_SIDECAR,), (SIDECAR,)],
+        [(LIVE_SIDECAR,), (SIDECAR,)],
+    ),
+    "empty first list": ([()], [()]),
+}
+
+
+class ScriptedList:
+    def __init__(self, reads):
+        self.reads = [
+            read if read is FAILED else returns.result.Success(read)
+            for read in reads
+        ]
+
+    def read(self):
+        return self.reads.pop(0)
+
+
+class TestInstanceListService:
+    @pytest.mark.parametrize("label", POLLS)
+    def test_polls(self, label):
+        reads, expected = POLLS[label]
+        service = service_lib.create_instance_list_service(ScriptedList(reads))
+        told = []
+        service.subscribe(told.append)
+        for _ in reads:
+            service.poll()
+        assert told == expected
+        assert service.instances == (expected[-1] if expected else ())
+
+    def test_late_subscriber_gets_the_list_despite_a_failing_one(self):
+        service = service_lib.create_instance_list_service(
+            ScriptedList([(GATEWAY,)])
+        )
+        service.subscribe(lambda instances: 1 / 0)
+        service.poll()
+        told = []
+        service.subscribe(told.append)
+        assert told == [(GATEWAY,)]
