Test lost answers on kept connections and the outage of the list

Cause: libcurl's timers decide whether a call was sent; on a kept connection no connect time is there to tell.

Ruled out: a fault in that decision.

Change: rows for a slow answer on a kept connection, for one write per call, for the lag and the outage of the instance list.

Conclusion: the adapters report UNCERTAIN whenever the store may have the call.

--- a/tests/core/test_instance_list.py
+++ b/tests/core/test_instance_list.py
@@ -1,5 +1,6 @@
 """The instance list port, against every adapter, and its service."""
 
+import datetime
 import json
 
 import pytest
@@ -8,9 +9,11 @@
 
 import adapters
 from verbenafall_core import addresses
+from verbenafall_core import http_client
 from verbenafall_core.instance_list import http_adapter
 from verbenafall_core.instance_list import port
 from verbenafall_core.instance_list import service as service_lib
+from verbenafall_standins import instance_list
 
 VARIABLE = "VERBENAFALL_CONTRACT_INSTANCE_LIST"
 GATEWAY = port.Instance(
@@ -54,6 +57,21 @@
         assert listed.adapter.read().unwrap() == (SIDECAR,)
 
 
+class TestOutage:
+    def test_outage_and_lag(self):
+        standin = instance_list.create_instance_list(
+            datetime.timedelta(hours=1)
+        )
+        with adapters.serving(standin.handle) as url:
+            client = http_client.create_http_client()
+            adapter = http_adapter.create_http_instance_list(client, url)
+            adapters.publish(client, url, (GATEWAY,))
+            assert adapter.read().unwrap() == ()
+            standin.down = True
+            assert not returns.pipeline.is_successful(adapter.read())
+        assert not returns.pipeline.is_successful(adapter.read())
+
+
 class TestParseList:
     @pytest.mark.parametrize(
         "body",
--- a/tests/core/test_object_store_contract.py
+++ b/tests/core/test_object_store_contract.py
@@ -187,6 +187,9 @@
             assert outcome(store.create("a", b"")) is expected
             found = store.read("a")
             assert returns.pipeline.is_successful(found) is applied
+            if kind == "http":
+                # A repeated write would conflict with itself.
+                assert behind.calls["writes"] == 2
 
     def test_rate_of_the_store(self):
         standin = object_store.create_object_store(writes_per_second=1e-3)
@@ -213,7 +216,10 @@
             store = http_adapter.create_http_object_store(
                 http_client.create_http_client(), url, LIMIT
             )
-            standin.set_fault({"mode": "slow", "delay_ms": 1000})
+            # The next read is on a kept connection.
+            assert outcome(store.read("a")) is Kind.MISSING
+            standin.set_fault({"mode": "slow", "delay_ms": 400})
+            assert outcome(store.read("a")) is Kind.UNCERTAIN
             assert outcome(store.create("a", b"")) is Kind.UNCERTAIN
 
     @pytest.mark.parametrize(
