Add claims and the sidecar's path from dispatch to endpoint

Cause: the sidecar had no code; nothing passed a dispatch to an endpoint.

Ruled out: one thread per stream (610 endpoints with deep batches would need thousands of threads); a claim record without a token, because a read-back after a lost answer cannot tell two starts of one attempt apart; a void record that names only the last voided attempt, because a taken-over and abandoned key would let an attempt run that was reported as not run.

Claim gets the fields token and voided, both with defaults.

Faults are not tested yet.

--- a/packages/core/src/verbenafall_core/claims/model.py
+++ b/packages/core/src/verbenafall_core/claims/model.py
@@ -8,6 +8,8 @@
 from typing import Protocol
 
 MAX_STORED_BODY_BYTES: Final = 64 * 1024
+# Bounds the record; a claim with more voided attempts is not voided again.
+MAX_VOIDED: Final = 1000
 RETENTION: Final = datetime.timedelta(hours=24)
 
 
@@ -37,7 +39,14 @@
 
 
 class Claim(NamedTuple):
-    """The record in the store for one idempotency key of a team."""
+    """The record in the store for one idempotency key of a team.
+
+    Attributes:
+        token: Random name of the start that wrote the record. Another start
+            of the same attempt has another token.
+        voided: Attempts that were reported as not run; none of them may
+            start even when the key is taken over by another attempt.
+    """
 
     state: ClaimState
     attempt_id: str
@@ -45,6 +54,8 @@
     endpoint: str
     changed_at: datetime.datetime
     answer: StoredAnswer | None
+    token: str = ""
+    voided: tuple[str, ...] = ()
 
 
 class StartedClaim(NamedTuple):
@@ -78,7 +89,7 @@
 
 
 class Voided(NamedTuple):
-    """No attempt up to now ran or will run."""
+    """No attempt has run up to now, and the given attempt never will."""
 
 
 StartResult = StartedClaim | Replay | Held | Mismatch | Unavailable
--- /dev/null
+++ b/packages/sidecar/src/verbenafall_sidecar/http_probe.py
@@ -0,0 +1,27 @@
+"""Check that an HTTP server accepts connections."""
+
+import datetime
+from typing import Final
+
+import pycurl
+
+from verbenafall_core import http_client
+from verbenafall_sidecar import endpoint_port
+
+PROBE_LIMIT: Final = datetime.timedelta(seconds=1)
+
+
+def connect(url: str) -> endpoint_port.CallFailure | None:
+    """Open and close a connection to the server of a URL."""
+    handle = pycurl.Curl()
+    request = http_client.HttpRequest("GET", url, (), b"", PROBE_LIMIT, True)
+    http_client.apply_request(handle, request)
+    handle.setopt(pycurl.CONNECT_ONLY, 1)
+    try:
+        handle.perform()
+    except pycurl.error as error:
+        failure = http_client.describe_error(handle, error)
+        return endpoint_port.CallFailure(False, failure.message)
+    finally:
+        handle.close()
+    return None
--- /dev/null
+++ b/packages/sidecar/src/verbenafall_sidecar/service_view.py
@@ -0,0 +1,64 @@
+"""What the bundle in force says about this sidecar's service."""
+
+from typing import Final
+
+from verbenafall_core.bundles import model
+
+DEFAULT_SHARES: Final = 1
+
+
+class ServiceView:
+    """The service's slots and the teams' shares, from the bundle in force.
+
+    Lookups are cached for as long as the same bundle is in force.
+    """
+
+    def __init__(
+        self, bundles: model.BundleView, service: str, default_slots: int
+    ) -> None:
+        """Create a view; the default holds while no bundle is in force."""
+        self.bundles = bundles
+        self.service = service
+        self.default_slots = default_slots
+        self.bundle: model.Bundle | None = None
+        self.spec: model.ServiceSpec | None = None
+        self.shares: dict[str, int] = {}
+
+    def takes_new_work(self) -> bool:
+        """Return whether a bundle is in force and not in doubt."""
+        return self.bundles.takes_new_work()
+
+    def is_known(self) -> bool:
+        """Return whether the bundle in force lists the service."""
+        self.refresh()
+        return self.spec is not None
+
+    def slots(self) -> int:
+        """Return how many attempts the endpoint runs at once."""
+        self.refresh()
+        return self.spec.slots if self.spec else self.default_slots
+
+    def shares_of(self, team: str) -> int:
+        """Return a team's weight against other teams."""
+        self.refresh()
+        return self.shares.get(team, DEFAULT_SHARES)
+
+    def refresh(self) -> None:
+        """Rebuild the lookups when another bundle is in force."""
+        bundle = self.bundles.current()
+        if bundle is self.bundle:
+            return
+        self.bundle = bundle
+        services = bundle.services if bundle else ()
+        teams = bundle.teams if bundle else ()
+        self.spec = next(
+            (spec for spec in services if spec.name == self.service), None
+        )
+        self.shares = {team.name: max(team.shares, 1) for team in teams}
+
+
+def create_service_view(
+    bundles: model.BundleView, service: str, default_slots: int
+) -> ServiceView:
+    """Create a view; the default holds while no bundle is in force."""
+    return ServiceView(bundles, service, default_slots)
--- /dev/null
+++ b/packages/sidecar/src/verbenafall_sidecar/transfers.py
@@ -0,0 +1,301 @@
+"""HTTP transfers to the endpoint, all carried by one thread.
+
+libcurl's multi interface does the I/O of any number of streams. A transfer
+that is not idempotent has a connection of its own, see
+http_client.HttpRequest.single_use.
+"""
+
+import collections
+from collections.abc import Callable
+import datetime
+import selectors
+import socket
+import threading
+from typing import Final
+from typing import NamedTuple
+from typing import Protocol
+
+import pycurl
+import returns.result
+
+from verbenafall_core import clock as clock_lib
+from verbenafall_core import event_log
+from verbenafall_core import http_client
+from verbenafall_sidecar import event_catalogue
+
+IDLE_WAIT: Final = datetime.timedelta(seconds=1)
+STOP_LIMIT: Final = datetime.timedelta(seconds=2)
+MAX_KEPT_CONNECTIONS: Final = 256
+
+_INTEREST: Final = {
+    pycurl.POLL_IN: selectors.EVENT_READ,
+    pycurl.POLL_OUT: selectors.EVENT_WRITE,
+    pycurl.POLL_INOUT: selectors.EVENT_READ | selectors.EVENT_WRITE,
+}
+
+
+class TransferHead(NamedTuple):
+    """Status and headers of a complete answer; names are in lower case."""
+
+    status: int
+    headers: http_client.Headers
+
+
+TransferResult = returns.result.Result[TransferHead, http_client.HttpFailure]
+
+
+class TransferSink(Protocol):
+    """Receives a transfer, on the transfer thread; must not block."""
+
+    def on_data(self, status: int, data: bytes) -> bool:
+        """Take a part of the body; return False to end the transfer."""
+
+    def on_done(self, result: TransferResult) -> None:
+        """Take the end of the transfer; the last call."""
+
+
+class Transfer:
+    """One HTTP request and its answer."""
+
+    def __init__(
+        self,
+        loop: "TransferLoop",
+        request: http_client.HttpRequest,
+        sink: TransferSink,
+    ) -> None:
+        """Create a transfer that is not yet started."""
+        self.loop = loop
+        self.request = request
+        self.sink = sink
+        self.handle: pycurl.Curl | None = None
+        self.status = 0
+        self.header_lines: list[bytes] = []
+        self.ended = False
+
+    def cancel(self) -> None:
+        """End the transfer soon; the sink gets a failure."""
+        self.loop.post(lambda: self.loop.abort(self))
+
+    def add_header(self, line: bytes) -> None:
+        """Keep a header line; the status is known before the body comes."""
+        if line.startswith(b"HTTP/"):
+            self.status = int(line.split(None, 2)[1])
+        self.header_lines.append(line)
+
+    def write(self, data: bytes) -> int:
+        """Hand a part of the body to the sink; 0 makes libcurl abort."""
+        try:
+            wanted = self.sink.on_data(self.status, data)
+        except Exception as error:  # libcurl would print and drop it.
+            event_log.emit(
+                event_catalogue.TRANSFER_LOOP_FAILED, error=repr(error)
+            )
+            return 0
+        return len(data) if wanted else 0
+
+
+class TransferLoop:
+    """The transfer thread and the transfers that it carries."""
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        """Create a loop that is not yet running."""
+        self.clock = clock
+        self.selector = selectors.DefaultSelector()
+        self.multi = pycurl.CurlMulti()
+        self.multi.setopt(pycurl.M_SOCKETFUNCTION, self.watch_socket)
+        self.multi.setopt(pycurl.M_TIMERFUNCTION, self.set_timer)
+        self.multi.setopt(pycurl.M_MAXCONNECTS, MAX_KEPT_CONNECTIONS)
+        self.commands: collections.deque[Callable[[], None]] = (
+            collections.deque()
+        )
+        self.transfers: dict[pycurl.Curl, Transfer] = {}
+        self.due: datetime.timedelta | None = None
+        self.stopped = False
+        self.wake_read, self.wake_write = socket.socketpair()
+        self.wake_read.setblocking(False)
+        self.wake_write.setblocking(False)
+        self.selector.register(self.wake_read, selectors.EVENT_READ)
+        self.thread = threading.Thread(
+            target=self.run, name="transfers", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the transfer thread."""
+        self.thread.start()
+
+    def stop(self, limit: datetime.timedelta) -> None:
+        """End all transfers and the thread."""
+        self.stopped = True
+        self.wake()
+        self.thread.join(max(limit, STOP_LIMIT).total_seconds())
+
+    def begin(
+        self, request: http_client.HttpRequest, sink: TransferSink
+    ) -> Transfer:
+        """Start a transfer; safe to call from any thread."""
+        transfer = Transfer(self, request, sink)
+        self.post(lambda: self.add(transfer))
+        return transfer
+
+    def post(self, command: Callable[[], None]) -> None:
+        """Run a function on the transfer thread."""
+        self.commands.append(command)
+        self.wake()
+
+    def wake(self) -> None:
+        """Interrupt the wait of the transfer thread."""
+        try:
+            self.wake_write.send(b"\0")
+        except (BlockingIOError, OSError):
+            return  # A wake-up is already waiting, or the loop has ended.
+
+    def run(self) -> None:
+        """Carry transfers until stopped."""
+        while not self.stopped:
+            self.run_pass()
+        for transfer in list(self.transfers.values()):
+            self.abort(transfer)
+        self.run_commands()
+        self.multi.close()
+        self.selector.close()
+        self.wake_read.close()
+        self.wake_write.close()
+
+    def run_pass(self) -> None:
+        """Wait for the next event and handle what is due."""
+        for key, mask in self.selector.select(self.wait_seconds()):
+            if key.fileobj is self.wake_read:
+                self.drain_wakeups()
+            else:
+                self.multi.socket_action(key.fd, to_curl_mask(mask))
+        if self.due is not None and self.due <= self.clock.monotonic():
+            self.due = None
+            self.multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        self.collect_done()
+        self.run_commands()
+
+    def wait_seconds(self) -> float:
+        """Return the time until libcurl's timer is due."""
+        if self.commands:
+            return 0.0
+        if self.due is None:
+            return IDLE_WAIT.total_seconds()
+        left = self.due - self.clock.monotonic()
+        return max(0.0, min(left, IDLE_WAIT).total_seconds())
+
+    def drain_wakeups(self) -> None:
+        """Discard the bytes that woke the thread."""
+        try:
+            while self.wake_read.recv(4096):
+                pass
+        except BlockingIOError:
+            return
+
+    def run_commands(self) -> None:
+        """Run the functions posted by other threads."""
+        while self.commands:
+            self.commands.popleft()()
+
+    def add(self, transfer: Transfer) -> None:
+        """Hand a transfer to libcurl."""
+        if transfer.ended:
+            return
+        if self.stopped:
+            self.end(transfer, not_sent("the sidecar is stopping"))
+            return
+        handle = pycurl.Curl()
+        http_client.apply_request(handle, transfer.request)
+        handle.setopt(pycurl.WRITEFUNCTION, transfer.write)
+        handle.setopt(pycurl.HEADERFUNCTION, transfer.add_header)
+        transfer.handle = handle
+        self.transfers[handle] = transfer
+        self.multi.add_handle(handle)
+
+    def abort(self, transfer: Transfer) -> None:
+        """End a transfer without an answer."""
+        if transfer.ended:
+            return
+        if transfer.handle is None:
+            self.end(transfer, not_sent("cancelled before it was sent"))
+            return
+        sent = transfer.handle.getinfo(pycurl.PRETRANSFER_TIME) > 0
+        failure = http_client.HttpFailure(sent, "cancelled")
+        self.end(transfer, returns.result.Failure(failure))
+
+    def collect_done(self) -> None:
+        """Report the transfers that libcurl has finished."""
+        left = 1
+        while left:
+            left, finished, failed = self.multi.info_read()
+            for handle in finished:
+                transfer = self.transfers[handle]
+                self.end(transfer, read_head(handle, transfer))
+            for handle, code, message in failed:
+                error = pycurl.error(code, message)
+                failure = http_client.describe_error(handle, error)
+                self.end(
+                    self.transfers[handle], returns.result.Failure(failure)
+                )
+
+    def end(self, transfer: Transfer, result: TransferResult) -> None:
+        """Release a transfer and report its result."""
+        transfer.ended = True
+        handle, transfer.handle = transfer.handle, None
+        if handle is not None:
+            del self.transfers[handle]
+            self.multi.remove_handle(handle)
+            handle.close()
+        try:
+            transfer.sink.on_done(result)
+        except Exception as error:  # Other transfers must go on.
+            event_log.emit(
+                event_catalogue.TRANSFER_LOOP_FAILED, error=repr(error)
+            )
+
+    def watch_socket(
+        self, event: int, fd: int, _multi: object, _data: object
+    ) -> None:
+        """Wait on a socket as libcurl asks for."""
+        known = fd in self.selector.get_map()
+        if event == pycurl.POLL_REMOVE:
+            if known:
+                self.selector.unregister(fd)
+        elif known:
+            self.selector.modify(fd, _INTEREST[event])
+        else:
+            self.selector.register(fd, _INTEREST[event])
+
+    def set_timer(self, timeout_ms: int) -> None:
+        """Set when libcurl wants to be called without a socket event."""
+        if timeout_ms < 0:
+            self.due = None
+            return
+        delay = datetime.timedelta(milliseconds=timeout_ms)
+        self.due = self.clock.monotonic() + delay
+
+
+def read_head(handle: pycurl.Curl, transfer: Transfer) -> TransferResult:
+    """Return status and headers of a finished transfer."""
+    status = handle.getinfo(pycurl.RESPONSE_CODE)
+    headers = http_client.parse_headers(transfer.header_lines)
+    return returns.result.Success(TransferHead(status, headers))
+
+
+def not_sent(message: str) -> TransferResult:
+    """Return the failure of a transfer that never reached the endpoint."""
+    return returns.result.Failure(http_client.HttpFailure(False, message))
+
+
+def to_curl_mask(mask: int) -> int:
+    """Turn a selector's mask into libcurl's."""
+    curl_mask = 0
+    if mask & selectors.EVENT_READ:
+        curl_mask |= pycurl.CSELECT_IN
+    if mask & selectors.EVENT_WRITE:
+        curl_mask |= pycurl.CSELECT_OUT
+    return curl_mask
+
+
+def create_transfer_loop(clock: clock_lib.Clock) -> TransferLoop:
+    """Create a loop that is not yet running."""
+    return TransferLoop(clock)
