--- /dev/null
+++ b/tests/sidecar/test_dispatcher.py
@@ -0,0 +1,373 @@
+"""Dispatcher: faults at each step of an attempt, and what is reported."""
+
+import datetime
+import threading
+
+import pytest
+
+from sidecar import helpers
+from verbenafall_core import messages
+from verbenafall_core import outcomes
+from verbenafall_core.claims import model
+from verbenafall_core.claims import record
+from verbenafall_sidecar import endpoint_port
+from verbenafall_standins.fakes import memory_store
+
+DISPATCH = helpers.DISPATCH
+ONCE = helpers.ONCE
+NOT_RUN, UNKNOWN, RAN = helpers.NOT_RUN, helpers.UNKNOWN, helpers.RAN
+Fault = memory_store.Fault
+Reason = outcomes.Reason
+STORE_DOWN = {"create": Fault.DOWN, "read": Fault.DOWN, "update": Fault.DOWN}
+LATE = datetime.timedelta(seconds=11)
+
+
+def set_faults(rig, faults):
+    rig.store.plan = lambda call: faults.get(call.operation)
+
+
+def last_of(rig):
+    message = rig.link.last()
+    kind = type(message).__name__
+    if kind == "End":
+        return kind, message.status
+    return kind, message.outcome, message.reason
+
+
+def claim_of(rig):
+    name = model.object_name("team", "key")
+    stored = rig.store.objects.get(name)
+    return record.decode(stored.value).unwrap() if stored else None
+
+
+# Faults of the store at the claim; whether the endpoint is called.
+AT_CLAIM = [
+    ({}, True),
+    ({"create": Fault.LOST_ANSWER}, True),
+    (STORE_DOWN, False),
+    ({"create": Fault.THROTTLED}, False),
+    ({"create": Fault.LOST_CALL}, False),
+    ({"create": Fault.LOST_ANSWER, "read": Fault.DOWN}, False),
+]
+
+# How a call ends; the last message, the claim's state after it.
+AFTER_CALL = [
+    ("answer", {}, ("End", 200), "done"),
+    ("answer", {"update": Fault.LOST_ANSWER}, ("End", 200), "done"),
+    ("answer", STORE_DOWN, ("End", 200), "started"),
+    ("unsent", {}, ("Refused", NOT_RUN, Reason.ENDPOINT_REFUSED), "void"),
+    (
+        "unsent",
+        STORE_DOWN,
+        ("Refused", NOT_RUN, Reason.ENDPOINT_REFUSED),
+        "started",
+    ),
+    ("died", {}, ("Failed", UNKNOWN, Reason.ENDPOINT_FAILED), "started"),
+]
+
+# Message about an attempt whose key has a record: state, digest, reply.
+EXISTING = [
+    ("done", True, ("End", 201)),
+    ("large", True, ("Refused", RAN, Reason.CLAIM_HELD)),
+    ("started", True, ("Refused", UNKNOWN, Reason.CLAIM_HELD)),
+    ("started", False, ("Refused", NOT_RUN, Reason.CLAIM_MISMATCH)),
+    ("done", False, ("Refused", NOT_RUN, Reason.CLAIM_MISMATCH)),
+    ("voided", True, ("Refused", UNKNOWN, Reason.CLAIM_HELD)),
+]
+
+# Change of the dispatch and of the sidecar's state; reason of the refusal.
+REFUSED = [
+    ({"service": "other"}, {}, Reason.WRONG_SERVICE),
+    ({}, {"draining": True}, Reason.DRAINING),
+    ({}, {"endpoint_up": False}, Reason.ENDPOINT_REFUSED),
+    ({}, {"confirmed": False}, Reason.BUNDLE_UNCONFIRMED),
+    ({"remaining_ms": 0}, {}, Reason.DEADLINE),
+    ({"path": "x y"}, {}, Reason.BAD_REQUEST),
+    ({"headers": (("a", "b\r\nc: d"),)}, {}, Reason.BAD_REQUEST),
+    ({"idempotent": False}, {}, Reason.BAD_REQUEST),
+]
+
+# Phase at the cancel; its outcome, whether the endpoint is called.
+CANCELS = [
+    ("before", DISPATCH, NOT_RUN, False),
+    ("before", ONCE, NOT_RUN, False),
+    ("queued", DISPATCH, NOT_RUN, False),
+    ("starting", DISPATCH, NOT_RUN, False),
+    ("starting", ONCE, NOT_RUN, False),
+    ("running", DISPATCH, UNKNOWN, True),
+    ("running", ONCE, UNKNOWN, True),
+    ("ended", DISPATCH, RAN, True),
+    ("ended", ONCE, RAN, True),
+]
+
+
+class TestClaim:
+    @pytest.mark.parametrize(("faults", "called"), AT_CLAIM)
+    def test_calls_only_with_a_claim(self, faults, called):
+        rig = helpers.Rig()
+        set_faults(rig, faults)
+        rig.dispatch(ONCE)
+        assert rig.endpoint.begun == (["r.1"] if called else [])
+        if not called:
+            assert last_of(rig) == (
+                "Refused",
+                NOT_RUN,
+                Reason.STORE_UNAVAILABLE,
+            )
+            assert rig.dispatcher.in_flight == 0
+
+    def test_voids_a_claim_whose_answer_was_lost_later(self):
+        rig = helpers.Rig()
+        set_faults(rig, AT_CLAIM[-1][0])
+        rig.dispatch(ONCE)
+        assert claim_of(rig).state == "started"
+        set_faults(rig, {})
+        rig.claims.resolve()
+        assert claim_of(rig).state == "void"
+        assert not rig.claims.unresolved
+
+    @pytest.mark.parametrize(("how", "faults", "reply", "state"), AFTER_CALL)
+    def test_end_of_a_call(self, how, faults, reply, state):
+        rig = helpers.Rig()
+        rig.dispatch(ONCE)
+        set_faults(rig, faults)
+        if how == "answer":
+            rig.answer()
+        else:
+            rig.fail(sent=how == "died")
+        assert last_of(rig) == reply
+        assert claim_of(rig).state == state
+        assert not rig.dispatcher.attempts
+        assert rig.dispatcher.in_flight == 0
+
+    @pytest.mark.parametrize(("state", "same", "reply"), EXISTING)
+    def test_existing_claim(self, state, same, reply):
+        rig = helpers.Rig()
+        digest = model.digest_request(ONCE.method, ONCE.path, ONCE.body)
+        if state == "voided":
+            rig.claims.settle("team", "key", "r.1")
+        else:
+            started = rig.claims.start(
+                "team", "key", "other.1", digest if same else "other", "ep"
+            )
+        size = model.MAX_STORED_BODY_BYTES + 1 if state == "large" else 5
+        if state in ("done", "large"):
+            rig.claims.finish(started, model.StoredAnswer(201, (), b"x" * size))
+        rig.dispatch(ONCE)
+        assert last_of(rig) == reply
+        assert rig.endpoint.begun == []
+        if reply[0] == "End":
+            assert rig.link.sent[-2].data == b"xxxxx"
+
+    def test_deadline_is_checked_again_after_the_claim(self):
+        rig = helpers.Rig()
+
+        def slow_store(_call):
+            rig.clock.advance(LATE)
+
+        rig.store.plan = slow_store
+        rig.dispatch(ONCE)
+        assert rig.endpoint.begun == []
+        assert last_of(rig) == ("Refused", NOT_RUN, Reason.DEADLINE)
+        assert claim_of(rig).state == "void"
+
+    def test_store_outage_does_not_hold_up_idempotent_work(self):
+        rig = helpers.Rig()
+        set_faults(rig, STORE_DOWN)
+        rig.dispatch(DISPATCH)
+        rig.answer()
+        assert last_of(rig) == ("End", 200)
+        assert rig.store.calls == []
+
+
+class TestAdmission:
+    @pytest.mark.parametrize(("change", "state", "reason"), REFUSED)
+    def test_refuses_as_not_run(self, change, state, reason):
+        rig = helpers.Rig()
+        rig.dispatcher.draining = state.get("draining", False)
+        rig.bundles.confirmed = state.get("confirmed", True)
+        rig.dispatcher.set_endpoint_up(state.get("endpoint_up", True))
+        rig.dispatch(DISPATCH._replace(**change))
+        assert last_of(rig) == ("Refused", NOT_RUN, reason)
+        assert rig.endpoint.begun == []
+        assert len(rig.reports) == 1
+
+    def test_an_attempt_refused_once_is_not_run_by_a_copy(self):
+        rig = helpers.Rig()
+        rig.bundles.confirmed = False
+        rig.dispatch(DISPATCH)
+        rig.bundles.confirmed = True
+        rig.dispatch(DISPATCH)
+        assert last_of(rig) == ("Refused", NOT_RUN, Reason.DUPLICATE_ATTEMPT)
+        assert rig.endpoint.begun == []
+
+    def test_duplicate_dispatch_runs_once(self):
+        rig = helpers.Rig(slots=2)
+        rig.dispatch(DISPATCH)
+        rig.dispatch(DISPATCH)
+        assert last_of(rig) == ("Refused", UNKNOWN, Reason.DUPLICATE_ATTEMPT)
+        assert rig.endpoint.begun == ["r.1"]
+
+    def test_full_queue_is_refused_with_the_time_to_retry(self):
+        rig = helpers.Rig(max_queue=2)
+        for number in range(4):
+            rig.dispatch(DISPATCH._replace(attempt_id=f"r.{number}"))
+        assert last_of(rig) == ("Refused", NOT_RUN, Reason.OVERLOADED)
+        assert rig.link.last().retry_after_ms > 0
+
+
+class TestQueue:
+    def test_slots_bound_the_calls_and_pass_on(self):
+        rig = helpers.Rig(slots=2)
+        for number in range(1, 5):
+            rig.dispatch(DISPATCH._replace(attempt_id=f"r.{number}"))
+        assert rig.endpoint.begun == ["r.1", "r.2"]
+        rig.answer("r.1")
+        rig.fail(True, "r.2")
+        assert rig.endpoint.begun == ["r.1", "r.2", "r.3", "r.4"]
+
+    @pytest.mark.parametrize("sweep", [True, False])
+    def test_deadline_passed_in_the_queue(self, sweep):
+        rig = helpers.Rig()
+        rig.dispatch(DISPATCH._replace(remaining_ms=60_000))
+        rig.dispatch(DISPATCH._replace(attempt_id="r.2"))
+        rig.clock.advance(LATE)
+        if sweep:
+            rig.dispatcher.expire_queued()
+        else:
+            rig.answer()
+        assert last_of(rig) == ("Refused", NOT_RUN, Reason.DEADLINE)
+        assert rig.endpoint.begun == ["r.1"]
+
+    @pytest.mark.parametrize(
+        ("is_engine", "status", "kind"),
+        [
+            (True, 503, "Failed"),
+            (True, 429, "Failed"),
+            (True, 400, "End"),
+            (False, 503, "End"),
+        ],
+    )
+    def test_only_an_engines_overload_is_a_failure(
+        self, is_engine, status, kind
+    ):
+        rig = helpers.Rig(is_engine=is_engine)
+        rig.dispatch(DISPATCH)
+        rig.answer(end=helpers.ANSWER._replace(status=status))
+        assert last_of(rig)[0] == kind
+
+
+class TestCancel:
+    @pytest.mark.parametrize(
+        ("phase", "dispatch", "outcome", "called"), CANCELS
+    )
+    def test_cancel(self, phase, dispatch, outcome, called):
+        rig = helpers.Rig()
+        if phase == "queued":
+            rig.dispatch(DISPATCH._replace(attempt_id="r.0"))
+        if phase != "before":
+            rig.dispatch(dispatch, run=phase != "starting")
+        if phase == "ended":
+            rig.answer()
+        assert rig.cancel() is outcome
+        rig.pool.run()
+        rig.dispatch(dispatch)
+        assert ("r.1" in rig.endpoint.begun) == called
+        assert rig.endpoint.begun.count("r.1") <= 1
+        assert rig.cancel() is outcome
+        if not called:
+            assert rig.link.sent[-2].outcome is NOT_RUN
+
+    @pytest.mark.parametrize("dispatch", [DISPATCH, ONCE])
+    def test_cancel_while_running(self, dispatch):
+        # The answer to a call that must not be repeated is still recorded;
+        # nothing is sent about a cancelled attempt.
+        rig = helpers.Rig()
+        rig.dispatch(dispatch)
+        rig.cancel()
+        sent = len(rig.link.sent)
+        assert rig.endpoint.cancelled == (["r.1"] * dispatch.idempotent)
+        rig.answer()
+        assert len(rig.link.sent) == sent
+        if not dispatch.idempotent:
+            assert claim_of(rig).state == "done"
+        assert rig.dispatcher.in_flight == 0
+
+    def test_cancel_between_claim_and_call(self):
+        rig = helpers.Rig()
+        seen = []
+
+        def cancel_at_claim(_call):
+            if not seen:
+                seen.append(rig.cancel())
+
+        rig.store.plan = cancel_at_claim
+        rig.dispatch(ONCE)
+        assert seen == [NOT_RUN]
+        assert rig.endpoint.begun == []
+        assert claim_of(rig).state == "void"
+
+    def test_lost_link_gives_up_its_attempts(self):
+        rig = helpers.Rig()
+        for number in range(1, 3):
+            rig.dispatch(DISPATCH._replace(attempt_id=f"r.{number}"))
+        rig.dispatcher.on_link_closed(rig.link, "test")
+        assert rig.endpoint.cancelled == ["r.1"]
+        rig.fail(True)
+        assert rig.endpoint.begun == ["r.1"]
+        assert not rig.dispatcher.attempts
+
+
+class TestDrain:
+    def test_finishes_open_streams_and_refuses_new_ones(self):
+        rig = helpers.Rig()
+        rig.dispatch(DISPATCH)
+        rig.dispatch(DISPATCH._replace(attempt_id="r.2"))
+        rig.dispatcher.begin_drain()
+        rig.dispatch(DISPATCH._replace(attempt_id="r.3"))
+        assert last_of(rig) == ("Refused", NOT_RUN, Reason.DRAINING)
+        assert rig.reports[-1].draining
+        left = []
+        limit = datetime.timedelta(seconds=30)
+        waiter = threading.Thread(
+            target=lambda: left.append(rig.dispatcher.wait_until_idle(limit))
+        )
+        waiter.start()
+        rig.endpoint.sinks["r.1"].on_chunk(b"token")
+        rig.answer("r.1")
+        assert waiter.is_alive()
+        rig.answer("r.2")
+        waiter.join()
+        assert left == [0]
+        ends = [m for m in rig.link.sent if isinstance(m, messages.End)]
+        assert [(e.attempt_id, e.chunk_count) for e in ends] == [
+            ("r.1", 2),
+            ("r.2", 1),
+        ]
+
+    def test_reports_attempts_that_outlive_the_limit(self):
+        rig = helpers.Rig()
+        rig.dispatch(DISPATCH)
+        assert rig.dispatcher.wait_until_idle(datetime.timedelta()) == 1
+
+
+class TestCrash:
+    def test_an_error_in_the_adapter_frees_the_slot(self):
+        rig = helpers.Rig()
+
+        def begin(_dispatch, _limit, _sink):
+            raise RuntimeError("test")
+
+        rig.endpoint.begin = begin
+        rig.dispatch(DISPATCH)
+        assert last_of(rig) == ("Failed", UNKNOWN, Reason.ENDPOINT_FAILED)
+        assert rig.dispatcher.in_flight == 0
+
+    def test_large_answers_are_split(self):
+        rig = helpers.Rig()
+        rig.dispatch(DISPATCH)
+        body = bytes(600 * 1024)
+        rig.answer(end=endpoint_port.CallEnd(200, (), body, ""))
+        *_, first, second, third, end = rig.link.sent
+        assert first.data + second.data + third.data == body
+        assert (end.chunk_count, end.byte_count) == (3, len(body))
