Check, sign and adopt bundles from the store and from peers

Cause: processes have types for bundles but no way to check a text, to verify its signature or to put it in force.

Ruled out: storing texts uncompressed, since a bundle of 16,000 teams with 64-digit credential digests exceeds both the store's 1 MB and the 2 MiB of a link message; verifying texts on the link thread, which must not block.

The time without contact is derived from the last read of the head and from the heartbeats of more than half of the peers, so a paused process is in doubt as soon as it runs again.

--- /dev/null
+++ b/packages/core/src/verbenafall_core/bundles/service.py
@@ -0,0 +1,413 @@
+"""Keeps the bundle of a process current, from the store and from peers."""
+
+import collections
+import datetime
+import random
+import threading
+from typing import Final
+from typing import NamedTuple
+
+import returns.result
+
+from verbenafall_core import clock as clock_lib
+from verbenafall_core import event_log
+from verbenafall_core import link as link_lib
+from verbenafall_core import link_router as link_router_lib
+from verbenafall_core import messages
+from verbenafall_core import outcomes
+from verbenafall_core import periodic
+from verbenafall_core.bundles import adoption
+from verbenafall_core.bundles import event_catalogue
+from verbenafall_core.bundles import model
+from verbenafall_core.bundles import records
+from verbenafall_core.bundles import signing
+from verbenafall_core.object_store import port
+
+POLL_INTERVAL: Final = datetime.timedelta(seconds=2)
+CHECK_INTERVAL: Final = datetime.timedelta(milliseconds=250)
+FETCH_INTERVAL: Final = datetime.timedelta(seconds=1)
+MAX_WAITING_PUSHES: Final = 8
+NO_BUNDLE: Final = "no_bundle"
+
+
+class HeldText(NamedTuple):
+    """A verified bundle and its text as it is sent to peers."""
+
+    bundle: model.Bundle
+    data: bytes
+    signature: bytes
+
+
+class Fetch(NamedTuple):
+    """Attempts to get the text of a version."""
+
+    tries: int
+    due: datetime.timedelta
+
+
+class BundleService:
+    """Bundles of a process; safe to use from any thread.
+
+    One thread makes the store calls, another verifies the texts from peers,
+    so that neither a slow store nor a long text delays the links.
+    """
+
+    def __init__(
+        self,
+        store: port.ObjectStore,
+        public_keys: signing.PublicKeys,
+        clock: clock_lib.Clock,
+        poll_interval: datetime.timedelta,
+        generator: random.Random,
+    ) -> None:
+        """Create a service that is not yet running."""
+        self.store = store
+        self.public_keys = public_keys
+        self.clock = clock
+        self.interval = poll_interval
+        self.generator = generator
+        self.lock = threading.RLock()
+        self.knowledge = adoption.create_knowledge()
+        self.wanted: tuple[int, ...] = ()
+        self.texts: dict[int, HeldText] = {}
+        self.bundle: model.Bundle | None = None
+        self.links: dict[str, link_lib.Link] = {}
+        self.pushes: collections.deque[messages.BundlePush] = collections.deque(
+            maxlen=MAX_WAITING_PUSHES
+        )
+        self.fetches: dict[int, Fetch] = {}
+        self.last_poll: datetime.timedelta | None = None
+        self.jitter = 1.0
+        self.poll_requested = False
+        self.store_failing = False
+        self.reported_ready: bool | None = None
+        self.store_task = periodic.create_periodic_task(
+            "bundle-store", CHECK_INTERVAL, self.run_store, generator
+        )
+        self.text_task = periodic.create_periodic_task(
+            "bundle-texts", CHECK_INTERVAL, self.run_texts, generator
+        )
+
+    def start(self) -> None:
+        """Start both threads; the head is read at once."""
+        self.store_task.start()
+        self.text_task.start()
+
+    def stop(self, limit: datetime.timedelta) -> None:
+        """Stop after the calls that are running, if any."""
+        deadline = self.clock.monotonic() + limit
+        for task in (self.store_task, self.text_task):
+            left = deadline - self.clock.monotonic()
+            task.stop(max(left, datetime.timedelta()))
+
+    def attach(self, link_router: link_router_lib.LinkRouter) -> None:
+        """Receive the bundle messages of links; call before they start."""
+        link_router.subscribe_open(self.on_open)
+        link_router.subscribe_close(self.on_close)
+        link_router.subscribe(messages.Heartbeat, self.on_heartbeat)
+        link_router.subscribe(messages.BundleRequest, self.on_request)
+        link_router.subscribe(messages.BundlePush, self.on_push)
+
+    def current(self) -> model.Bundle | None:
+        """Return the bundle in force."""
+        return self.bundle
+
+    def takes_new_work(self) -> bool:
+        """Return whether a bundle is in force and not in doubt."""
+        now = self.clock.monotonic()
+        return adoption.takes_new_work(self.knowledge, now)
+
+    def not_ready_reason(self) -> str:
+        """Return why no new work is taken, empty when it is."""
+        if self.takes_new_work():
+            return ""
+        if self.bundle is None:
+            return NO_BUNDLE
+        return outcomes.Reason.BUNDLE_UNCONFIRMED.value
+
+    def heartbeat_fields(self) -> tuple[int, int, bool]:
+        """Return the version in force, the pending one, and confirmed."""
+        known = self.knowledge
+        return (
+            known.in_force,
+            adoption.prepared_version(known),
+            adoption.is_confirmed(known, self.clock.monotonic()),
+        )
+
+    def rejected(self) -> tuple[messages.RejectedBundle, ...]:
+        """Return the versions that failed verification."""
+        return self.knowledge.rejected
+
+    def poll_now(self) -> None:
+        """Read the head from the store without waiting for the interval."""
+        self.poll_requested = True
+        self.store_task.run_now()
+
+    def on_open(self, link: link_lib.Link) -> None:
+        """Remember a link by its peer's name."""
+        if link.peer is not None:
+            with self.lock:
+                self.links[link.peer.instance] = link
+
+    def on_close(self, link: link_lib.Link, _reason: str) -> None:
+        """Note that a peer is gone, unless it has a newer link."""
+        if link.peer is None:
+            return
+        name = link.peer.instance
+        with self.lock:
+            if self.links.get(name) is not link:
+                return
+            del self.links[name]
+            self.receive(adoption.PeerClosed(name))
+
+    def on_heartbeat(
+        self, link: link_lib.Link, heartbeat: messages.Heartbeat
+    ) -> None:
+        """Take in what a peer knows."""
+        if link.peer is not None:
+            self.receive(adoption.PeerHeard(link.peer.instance, heartbeat))
+
+    def on_request(
+        self, link: link_lib.Link, request: messages.BundleRequest
+    ) -> None:
+        """Send the text of a version, if it is held."""
+        with self.lock:
+            text = self.texts.get(request.version)
+            known = self.knowledge
+        if text is None:
+            return
+        link.send(
+            messages.BundlePush(
+                request.version,
+                request.version <= known.accepted,
+                adoption.is_confirmed(known, self.clock.monotonic()),
+                text.data,
+                text.signature,
+            )
+        )
+
+    def on_push(self, _link: link_lib.Link, push: messages.BundlePush) -> None:
+        """Queue a text that was asked for; its check takes too long here."""
+        with self.lock:
+            if push.version not in self.wanted:
+                return
+            self.pushes.append(push)
+        self.text_task.run_now()
+
+    def run_texts(self) -> None:
+        """Verify the queued texts, then do what is due by the clock."""
+        while self.pushes:
+            self.take_push(self.pushes.popleft())
+        self.settle()
+        self.report_readiness()
+
+    def take_push(self, push: messages.BundlePush) -> None:
+        """Verify a text from a peer."""
+        with self.lock:
+            if push.version not in self.wanted:
+                return
+        result = records.decompress(push.text).bind(
+            lambda text: records.verify(
+                model.SignedBundle(push.version, text, push.signature),
+                self.public_keys,
+            )
+        )
+        if not isinstance(result, returns.result.Success):
+            event_log.emit(
+                event_catalogue.BUNDLE_PEER_TEXT_REFUSED,
+                version=push.version,
+                reason=result.failure(),
+            )
+            return
+        self.hold(result.unwrap(), "peer")
+        if push.accepted and push.confirmed:
+            self.receive(adoption.AcceptedHeard(push.version))
+
+    def run_store(self) -> None:
+        """Read the head when it is due, then the texts that are missing."""
+        if self.poll_is_due():
+            self.read_head()
+        for version in self.wanted:
+            self.fetch(version)
+
+    def poll_is_due(self) -> bool:
+        """Return whether the head should be read now."""
+        now = self.clock.monotonic()
+        if self.poll_requested or self.last_poll is None:
+            return True
+        interval = adoption.poll_interval(self.knowledge, now, self.interval)
+        return now - self.last_poll >= interval * self.jitter
+
+    def read_head(self) -> None:
+        """Read the head once."""
+        self.poll_requested = False
+        sent_at = self.clock.monotonic()
+        self.last_poll = sent_at
+        self.jitter = self.generator.uniform(
+            1 - periodic.JITTER, 1 + periodic.JITTER
+        )
+        result = self.store.read(records.HEAD_NAME)
+        if isinstance(result, returns.result.Success):
+            self.take_head(result.unwrap().value, sent_at)
+        elif result.failure().kind is port.FailureKind.MISSING:
+            self.note_store("")
+            self.receive(adoption.HeadRead(0, 0, sent_at))
+        else:
+            self.note_store(result.failure().message)
+
+    def take_head(self, value: bytes, sent_at: datetime.timedelta) -> None:
+        """Take in the value of the head."""
+        head = records.decode_head(value)
+        if not isinstance(head, returns.result.Success):
+            self.note_store(head.failure())
+            return
+        self.note_store("")
+        accepted, pending = head.unwrap()
+        self.receive(adoption.HeadRead(accepted, pending, sent_at))
+
+    def note_store(self, problem: str) -> None:
+        """Report when the store starts or ceases to fail."""
+        if problem and not self.store_failing:
+            event_log.emit(event_catalogue.BUNDLE_STORE_FAILED, reason=problem)
+        elif not problem and self.store_failing:
+            event_log.emit(event_catalogue.BUNDLE_STORE_RECOVERED)
+        self.store_failing = bool(problem)
+
+    def fetch(self, version: int) -> None:
+        """Ask a peer and the store in turn for the text of a version.
+
+        Peers come first, so that a roll-out to a large fleet costs the
+        store one read for each gateway and not for each process.
+        """
+        now = self.clock.monotonic()
+        tried = self.fetches.get(version, Fetch(0, now))
+        if now < tried.due:
+            return
+        self.fetches[version] = Fetch(tried.tries + 1, now + FETCH_INTERVAL)
+        if tried.tries % 2 == 0 and self.ask_peer(version):
+            return
+        if not adoption.is_rejected(self.knowledge, version):
+            self.fetch_from_store(version)
+
+    def ask_peer(self, version: int) -> bool:
+        """Ask a linked peer that holds a version; False without one."""
+        with self.lock:
+            names = [
+                name
+                for name in adoption.holders(self.knowledge, version)
+                if name in self.links
+            ]
+            if not names:
+                return False
+            link = self.links[self.generator.choice(names)]
+        return link.send(messages.BundleRequest(version))
+
+    def fetch_from_store(self, version: int) -> None:
+        """Read and verify the store's text of a version."""
+        read = self.store.read(records.bundle_name(version))
+        if not isinstance(read, returns.result.Success):
+            self.note_store(read.failure().message)
+            return
+        result = records.decode_bundle(version, read.unwrap().value).bind(
+            lambda signed: records.verify(signed, self.public_keys)
+        )
+        if isinstance(result, returns.result.Success):
+            self.hold(result.unwrap(), "store")
+            return
+        event_log.emit(
+            event_catalogue.BUNDLE_REJECTED,
+            version=version,
+            reason=result.failure(),
+        )
+        self.receive(adoption.TextRejected(version, result.failure()))
+
+    def hold(self, verified: records.Verified, source: str) -> None:
+        """Keep a verified text."""
+        signed = verified.signed
+        text = HeldText(
+            verified.bundle, records.compress(signed.text), signed.signature
+        )
+        with self.lock:
+            if signed.version not in self.wanted:
+                return
+            self.texts[signed.version] = text
+            self.fetches.pop(signed.version, None)
+            self.receive(adoption.TextVerified(signed.version))
+        event_log.emit(
+            event_catalogue.BUNDLE_PREPARED,
+            version=signed.version,
+            source=source,
+        )
+
+    def receive(self, event: adoption.Event) -> None:
+        """Take in an event and do what follows from it."""
+        with self.lock:
+            now = self.clock.monotonic()
+            self.knowledge = adoption.apply(event, self.knowledge, now)
+            self.settle()
+
+    def settle(self) -> None:
+        """Put a version in force and ask for texts as far as due."""
+        with self.lock:
+            now = self.clock.monotonic()
+            step = adoption.settle(self.knowledge, now)
+            if step.activated:
+                self.bundle = self.texts[step.activated].bundle
+            self.knowledge = step.knowledge
+            news = set(step.wanted) - set(self.wanted)
+            self.wanted = step.wanted
+            if step.activated:
+                self.drop_old_texts()
+        if step.activated:
+            event_log.emit(
+                event_catalogue.BUNDLE_IN_FORCE,
+                version=step.activated,
+                accepted=step.knowledge.accepted,
+            )
+        if news:
+            self.store_task.run_now()
+
+    def drop_old_texts(self) -> None:
+        """Drop texts and attempts below the version in force."""
+        lowest = self.knowledge.in_force
+        self.texts = {v: t for v, t in self.texts.items() if v >= lowest}
+        self.fetches = {v: f for v, f in self.fetches.items() if v >= lowest}
+
+    def report_readiness(self) -> None:
+        """Log each change between taking and not taking new work."""
+        ready = self.takes_new_work()
+        if ready == self.reported_ready or self.bundle is None:
+            return
+        if ready and self.reported_ready is not None:
+            event_log.emit(
+                event_catalogue.BUNDLE_CONFIRMED,
+                version=self.knowledge.in_force,
+            )
+        elif not ready:
+            event_log.emit(
+                event_catalogue.BUNDLE_UNCONFIRMED,
+                in_force=self.knowledge.in_force,
+                accepted=self.knowledge.accepted,
+            )
+        self.reported_ready = ready
+
+
+def create_bundle_service(
+    store: port.ObjectStore,
+    public_keys: signing.PublicKeys,
+    clock: clock_lib.Clock,
+    poll_interval: datetime.timedelta = POLL_INTERVAL,
+    generator: random.Random | None = None,
+) -> BundleService:
+    """Create a service that is not yet running.
+
+    Args:
+        store: Where the head and the texts are read.
+        public_keys: Keys of which one must have signed a bundle.
+        clock: Source of time.
+        poll_interval: Mean time between reads of the head.
+        generator: Source of jitter and of the choice among peers.
+    """
+    return BundleService(
+        store, public_keys, clock, poll_interval, generator or random.Random()
+    )
--- /dev/null
+++ b/tests/core/bundles/test_service.py
@@ -0,0 +1,178 @@
+"""Bundle service: bundles from the store and from peers."""
+
+import datetime
+import random
+import threading
+
+import pytest
+
+import bundle_helpers
+from verbenafall_core import link_router
+from verbenafall_core import messages
+from verbenafall_core.bundles import records
+from verbenafall_core.bundles import service as service_lib
+from verbenafall_standins.fakes import manual_clock
+from verbenafall_standins.fakes import memory_store
+
+SECOND = datetime.timedelta(seconds=1)
+
+
+class Process:
+    """A service with a router and a clock, stepped by the test."""
+
+    def __init__(self, store=None):
+        self.store = store or memory_store.create_memory_store()
+        self.clock = manual_clock.create_manual_clock()
+        self.service = service_lib.create_bundle_service(
+            self.store,
+            bundle_helpers.PUBLIC_KEYS,
+            self.clock,
+            generator=random.Random(1),
+        )
+        self.router = link_router.create_link_router()
+        self.service.attach(self.router)
+
+    def run(self, seconds=0):
+        self.clock.advance(SECOND * seconds)
+        self.service.run_store()
+        self.service.run_texts()
+
+    def link(self, name):
+        link = bundle_helpers.FakeLink(name)
+        self.router.on_open(link)
+        return link
+
+    def hear(self, link, in_force, pending=0, confirmed=True):
+        beat = messages.Heartbeat(in_force, pending, confirmed, False)
+        self.router.on_message(link, beat)
+
+
+def down(_call):
+    return memory_store.Fault.DOWN
+
+
+def push(version, confirmed=True, **changes):
+    signed = bundle_helpers.signed(version, **changes)
+    return messages.BundlePush(
+        version,
+        True,
+        confirmed,
+        records.compress(signed.text),
+        signed.signature,
+    )
+
+
+@pytest.fixture
+def process():
+    return Process()
+
+
+def run_version(process, version):
+    bundle_helpers.put_bundle(process.store, bundle_helpers.signed(version))
+    bundle_helpers.put_head(process.store, version)
+    process.run(3)
+
+
+class TestStore:
+    def test_puts_the_accepted_bundle_in_force(self, process):
+        assert process.service.not_ready_reason() == "no_bundle"
+        run_version(process, 1)
+        assert process.service.current().version == 1
+        assert process.service.not_ready_reason() == ""
+        assert process.service.heartbeat_fields() == (1, 0, True)
+
+    def test_prepares_the_pending_bundle(self, process):
+        run_version(process, 1)
+        bundle_helpers.put_bundle(process.store, bundle_helpers.signed(2))
+        bundle_helpers.put_head(process.store, 1, 2)
+        process.service.poll_now()
+        process.run()
+        assert process.service.heartbeat_fields() == (1, 2, True)
+
+    def test_reports_a_rejected_bundle_and_keeps_the_old_one(self, process):
+        run_version(process, 1)
+        other = bundle_helpers.signed(2, bundle_helpers.OTHER_KEY)
+        bundle_helpers.put_bundle(process.store, other)
+        bundle_helpers.put_head(process.store, 1, 2)
+        process.run(3)
+        assert [entry.version for entry in process.service.rejected()] == [2]
+        assert process.service.heartbeat_fields() == (1, 0, True)
+
+    def test_without_store_and_links_takes_no_new_work(self, process):
+        run_version(process, 1)
+        process.store.plan = down
+        process.run(4)
+        assert process.service.takes_new_work()
+        process.run(2)
+        assert process.service.not_ready_reason() == "bundle_unconfirmed"
+        assert process.service.current().version == 1
+
+
+class TestPeers:
+    def test_takes_the_bundle_of_a_confirmed_peer(self, process):
+        process.store.plan = down
+        link = process.link("peer")
+        process.hear(link, 3)
+        process.run()
+        assert link.sent == [messages.BundleRequest(3)]
+        process.router.on_message(link, push(3))
+        process.run()
+        assert process.service.current().version == 3
+        assert process.service.takes_new_work()
+
+    @pytest.mark.parametrize(
+        ("confirmed", "answer"),
+        [
+            (False, push(3)),
+            (True, push(3, key=bundle_helpers.OTHER_KEY)),
+            (True, push(3)._replace(text=b"x")),
+            (True, push(3)._replace(version=4)),
+        ],
+    )
+    def test_refuses_unconfirmed_and_unverified(
+        self, process, confirmed, answer
+    ):
+        process.store.plan = down
+        link = process.link("peer")
+        process.hear(link, 3, confirmed=confirmed)
+        process.run()
+        process.router.on_message(link, answer)
+        process.run()
+        assert process.service.current() is None
+
+    def test_answers_requests_with_the_text(self, process):
+        run_version(process, 1)
+        link = process.link("peer")
+        for version in (1, 2):
+            request = messages.BundleRequest(version)
+            process.router.on_message(link, request)
+        assert link.sent == [push(1)]
+
+    def test_a_whole_fleet_without_a_store_keeps_serving(self, process):
+        run_version(process, 1)
+        process.store.plan = down
+        links = [process.link(name) for name in "abc"]
+        for _ in range(20):
+            process.run(1)
+            for link in links[:2]:
+                process.hear(link, 1)
+        assert process.service.takes_new_work()
+
+
+class TestThreads:
+    def test_starts_reads_and_stops(self):
+        process = Process()
+        bundle_helpers.put_bundle(process.store, bundle_helpers.signed(1))
+        bundle_helpers.put_head(process.store, 1)
+        read = threading.Event()
+
+        def note(call):
+            if call.name == records.bundle_name(1):
+                read.set()
+
+        process.store.plan = note
+        process.service.start()
+        assert read.wait(30)
+        process.service.stop(SECOND * 10)
+        assert not process.service.store_task.thread.is_alive()
+        assert process.service.current().version == 1
