--- a/packages/core/src/verbenafall_core/bundles/adoption.py
+++ b/packages/core/src/verbenafall_core/bundles/adoption.py
@@ -221,7 +221,7 @@
 def choose_version(knowledge: Knowledge, now: datetime.timedelta) -> int:
     """Return the version that should be in force, never a lower one."""
     if not knowledge.in_force:
-        return _choose_first(knowledge)
+        return _choose_first(knowledge, now)
     best = knowledge.in_force
     if knowledge.accepted in knowledge.held:
         best = max(best, knowledge.accepted)
@@ -232,7 +232,7 @@
     return best
 
 
-def _choose_first(knowledge: Knowledge) -> int:
+def _choose_first(knowledge: Knowledge, now: datetime.timedelta) -> int:
     """Return the version to start with, 0 to wait.
 
     A process may have run a pending version before its restart, by itself or
@@ -244,10 +244,22 @@
     for version in (knowledge.pending, knowledge.accepted):
         if version < knowledge.accepted or is_rejected(knowledge, version):
             continue
-        return version if version in knowledge.held else 0
+        if version in knowledge.held:
+            return version
+        if is_obtainable(knowledge, version, now):
+            return 0
     return 0
 
 
+def is_obtainable(
+    knowledge: Knowledge, version: int, now: datetime.timedelta
+) -> bool:
+    """Return whether a linked peer or the store can give a text."""
+    read_at = knowledge.store_read_at
+    store_works = read_at is not None and now - read_at <= DOUBT_AFTER
+    return store_works or any(holders(knowledge, version))
+
+
 def _activate(knowledge: Knowledge, version: int) -> Knowledge:
     held = frozenset(v for v in knowledge.held if v >= version)
     behind = knowledge.behind_since if knowledge.accepted > version else None
--- /dev/null
+++ b/tests/core/bundles/test_roll.py
@@ -0,0 +1,199 @@
+"""Roll-out: one version wins, lost answers are settled by reading back."""
+
+import datetime
+
+import pytest
+
+import bundle_helpers
+from verbenafall_core import addresses
+from verbenafall_core import messages
+from verbenafall_core.bundles import records
+from verbenafall_core.bundles import roll
+from verbenafall_core.bundles import roll_plan
+from verbenafall_core.instance_list import port as instance_port
+from verbenafall_standins.fakes import manual_clock
+from verbenafall_standins.fakes import memory_store
+
+ADDRESS = addresses.Address("127.0.0.1", 1)
+LIMIT = datetime.timedelta(seconds=10)
+Head = records.Head
+
+
+def status(name, in_force=0, pending=0, rejected=()):
+    return messages.StatusReply(
+        0,
+        name,
+        "sidecar",
+        "dc-1",
+        "chat",
+        in_force,
+        pending,
+        rejected,
+        True,
+        "",
+        False,
+        (),
+    )
+
+
+def instance(name, state="live"):
+    return instance_port.Instance(
+        name,
+        "sidecar",
+        "dc-1",
+        "chat",
+        ADDRESS,
+        instance_port.InstanceState(state),
+    )
+
+
+class Fleet:
+    """Processes that prepare what is pending when they are notified."""
+
+    def __init__(self, store, names=("a", "b"), stuck=(), rejecting=()):
+        self.store = store
+        self.names = names
+        self.stuck = stuck
+        self.rejecting = rejecting
+        self.head = Head(0, 0)
+
+    def notify(self):
+        stored = self.store.objects.get(records.HEAD_NAME)
+        if stored is not None:
+            self.head = records.decode_head(stored.value).unwrap()
+
+    def read(self):
+        self.notify()
+        instances = (
+            *(instance(name) for name in self.names),
+            instance("gone", "leaving"),
+        )
+        return roll.FleetView(
+            instances, tuple(map(self.status, self.names)), ()
+        )
+
+    def status(self, name):
+        if name in self.rejecting:
+            entry = messages.RejectedBundle(self.head.pending, "bad key")
+            return status(name, 0, 0, (entry,))
+        pending = 0 if name in self.stuck else self.head.pending
+        return status(name, self.head.accepted, pending)
+
+
+def start(store, version, fleet=None, text=None):
+    clock = manual_clock.create_manual_clock()
+    lines = []
+    signed = bundle_helpers.signed(version, text=text)
+    fleet = fleet or Fleet(store)
+    runner = roll.create_roll(
+        store, fleet, clock, clock.advance, lines.append, signed, LIMIT
+    )
+    return runner, lines
+
+
+def head_of(store):
+    return records.decode_head(store.objects[records.HEAD_NAME].value).unwrap()
+
+
+MOVES = [
+    (Head(0, 0), 1, (), roll_plan.SetPending(Head(0, 1))),
+    (Head(3, 0), 4, (), roll_plan.SetPending(Head(3, 4))),
+    (Head(3, 4), 6, (), roll_plan.SetPending(Head(3, 6))),
+    (Head(3, 0), 5, (4,), roll_plan.SetPending(Head(3, 5))),
+    (Head(3, 4), 4, (), roll_plan.AwaitPrepared()),
+    (Head(4, 0), 4, (), roll_plan.AlreadyAccepted()),
+    (Head(4, 5), 4, (), roll_plan.AlreadyAccepted()),
+]
+
+LOST = [
+    (Head(3, 0), 5, (), "sign the bundle as version 4"),
+    (Head(3, 0), 6, (4,), "sign the bundle as version 5"),
+    (Head(5, 0), 4, (), "version 5 is accepted"),
+    (Head(3, 6), 5, (), "version 6 is pending"),
+]
+
+
+class TestPlan:
+    @pytest.mark.parametrize(("head", "version", "taken", "move"), MOVES)
+    def test_moves(self, head, version, taken, move):
+        chosen = roll_plan.choose_move(head, version, frozenset(taken))
+        assert chosen == move
+
+    @pytest.mark.parametrize(("head", "version", "taken", "part"), LOST)
+    def test_tells_who_won(self, head, version, taken, part):
+        move = roll_plan.choose_move(head, version, frozenset(taken))
+        assert part in move.message
+
+
+FAULTS = [
+    memory_store.Fault.LOST_ANSWER,
+    memory_store.Fault.LOST_CALL,
+    memory_store.Fault.THROTTLED,
+    memory_store.Fault.DOWN,
+]
+
+
+class TestRoll:
+    @pytest.mark.parametrize("fault", FAULTS)
+    @pytest.mark.parametrize("failing", range(12))
+    def test_one_failed_call_anywhere_is_settled(self, fault, failing):
+        store = memory_store.create_memory_store()
+        store.plan = lambda call: (
+            fault if len(store.calls) == failing + 1 else None
+        )
+        result = start(store, 1)[0].run()
+        assert result.end is roll.RollEnd.ACCEPTED, result
+        assert head_of(store) == Head(1, 0)
+
+    def test_waits_for_every_live_process(self):
+        store = memory_store.create_memory_store()
+        runner = start(store, 1, Fleet(store, stuck=("b",)))[0]
+        result = runner.run()
+        assert result.end is roll.RollEnd.NOT_PREPARED
+        assert "waiting for b" in result.message
+        assert head_of(store) == Head(0, 1)
+        assert start(store, 1)[0].run().end is roll.RollEnd.ACCEPTED
+
+    def test_an_empty_fleet_accepts_nothing(self):
+        store = memory_store.create_memory_store()
+        result = start(store, 1, Fleet(store, names=()))[0].run()
+        assert result.end is roll.RollEnd.NOT_PREPARED
+
+    def test_stops_at_a_rejection_and_a_higher_version_replaces(self):
+        store = memory_store.create_memory_store()
+        result = start(store, 1, Fleet(store, rejecting=("b",)))[0].run()
+        assert result.end is roll.RollEnd.REJECTED
+        assert "b: bad key" in result.message
+        assert start(store, 2)[0].run().end is roll.RollEnd.ACCEPTED
+        assert head_of(store) == Head(2, 0)
+
+    def test_of_two_texts_with_one_version_the_first_wins(self):
+        store = memory_store.create_memory_store()
+        other = bundle_helpers.text_of(1, region="region-b")
+        start(store, 1, Fleet(store, stuck=("a",)))[0].run()
+        result = start(store, 1, text=other)[0].run()
+        assert result.end is roll.RollEnd.LOST
+        assert "another operator" in result.message
+
+    def test_is_told_when_a_higher_version_wins_meanwhile(self):
+        store = memory_store.create_memory_store()
+        runner, _ = start(store, 1, Fleet(store, stuck=("a",)))
+        rounds = []
+
+        def pause(step):
+            rounds.append(step)
+            if len(rounds) == 5:
+                bundle_helpers.put_head(store, 0, 2)
+
+        runner.pause = pause
+        result = runner.run()
+        assert result == (
+            roll.RollEnd.LOST,
+            "version 2 is pending and is newer",
+        )
+
+    def test_reports_a_store_that_stays_down(self):
+        store = memory_store.create_memory_store()
+        store.plan = lambda _call: memory_store.Fault.DOWN
+        result = start(store, 1)[0].run()
+        assert result.end is roll.RollEnd.STORE_FAILED
