--- a/packages/core/src/verbenafall_core/bundles/roll_plan.py
+++ b/packages/core/src/verbenafall_core/bundles/roll_plan.py
@@ -101,8 +101,8 @@
         for instance in instances
         if instance.state is instance_port.InstanceState.LIVE
     )
-    prepared = []
-    waiting = []
+    prepared: list[str] = []
+    waiting: list[str] = []
     for name in live:
         status = by_name.get(name)
         ready = status is not None and has_prepared(status, version)
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/operator_commands/key_commands.py
@@ -0,0 +1,47 @@
+"""Command "keys generate"."""
+
+import argparse
+import pathlib
+from typing import Any
+
+import returns.result
+
+from verbenafall_core.bundles import signing
+from verbenafall_gateway.operator_commands import exit_codes
+from verbenafall_gateway.operator_commands import output
+
+_EXAMPLE = """\
+example:
+  verbenafall-gateway keys generate keys/
+
+Keep the private key with the operators. Copy the public key to every
+instance and name it in the settings. To change keys, name the old and the
+new public key everywhere, sign with the new key, then remove the old one.
+
+"""
+
+
+def register(subparsers: Any) -> None:
+    """Add the command to the command line."""
+    keys = subparsers.add_parser("keys", help="make signing keys")
+    commands = keys.add_subparsers(required=True, metavar="command")
+    generate = commands.add_parser(
+        "generate",
+        help="write a new key pair",
+        description="Write a new Ed25519 key pair; existing files are kept.",
+        epilog=_EXAMPLE + exit_codes.EPILOGUE,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    generate.add_argument("directory", type=pathlib.Path, metavar="DIR")
+    generate.set_defaults(run=run_generate)
+
+
+def run_generate(arguments: argparse.Namespace) -> int:
+    """Run the command; return the exit code."""
+    result = signing.generate_key_files(arguments.directory)
+    if not isinstance(result, returns.result.Success):
+        output.progress(result.failure())
+        return exit_codes.FAULTY_INPUT
+    for path in result.unwrap():
+        output.write(str(path))
+    return exit_codes.DONE
--- a/tests/core/bundles/test_fleet.py
+++ b/tests/core/bundles/test_fleet.py
@@ -389,6 +389,23 @@
         self.highest[name] = min(self.highest[name], self.head().accepted)
         self.sync_links()
 
+    @stateful.rule(name=processes, peer=processes)
+    def restart_beside(self, name, peer):
+        """Restart a process that reaches nothing but one peer."""
+        if name == peer:
+            return
+        self.resume(peer)
+        for one in (name, peer):
+            self.isolated.pop(one, None)
+            self.store_cut.add(one)
+            for other in NAMES:
+                if other not in (name, peer):
+                    self.links_cut.add(frozenset((one, other)))
+        self.links_cut.discard(frozenset((name, peer)))
+        self.restart(name)
+        for _ in range(3):
+            self.tick()
+
     @stateful.rule(name=processes)
     def push_forged_text(self, name):
         process = self.processes[name]
