Add the request path of the gateway

Cause: the gateway package was empty; no client request could be served. Ruled out: werkzeug's own server, which is for development; cheroot's default request parsing, which takes the last of several Content-Length headers and one next to a Transfer-Encoding. Before: no tests of the package. After: 4 tests pass, among them an unmodified openai client and a burst of 150 streams over one real link.

--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/attempt_events.py
@@ -0,0 +1,177 @@
+"""Pure reading of what a sidecar says about one attempt."""
+
+import datetime
+import functools
+from typing import Any
+from typing import NamedTuple
+
+from verbenafall_core import messages
+from verbenafall_core import outcomes
+from verbenafall_gateway import stream_assembly
+
+
+class LinkClosed(NamedTuple):
+    """The link of the attempt has closed."""
+
+    reason: str
+
+
+class Continue(NamedTuple):
+    """Nothing to deliver.
+
+    Attributes:
+        dropped: Whether the message was one that must not be used.
+    """
+
+    dropped: bool
+
+
+class Deliver(NamedTuple):
+    """The next part of the answer."""
+
+    assembly: stream_assembly.Assembly
+    data: bytes
+
+
+class Complete(NamedTuple):
+    """The answer is complete."""
+
+    status: int
+    headers: messages.Headers
+    finish_reason: str
+
+
+class Broken(NamedTuple):
+    """The attempt ended without a complete answer.
+
+    Attributes:
+        refused: The sidecar refused it before it was started.
+        open_at_sidecar: The sidecar may still work on the attempt.
+    """
+
+    outcome: outcomes.Outcome
+    reason: outcomes.Reason
+    message: str
+    retry_after: datetime.timedelta | None
+    refused: bool
+    open_at_sidecar: bool
+
+
+Reaction = Continue | Deliver | Complete | Broken
+AttemptEvent = (
+    messages.Accepted
+    | messages.Refused
+    | messages.Chunk
+    | messages.End
+    | messages.Failed
+    | messages.CancelConfirmed
+    | LinkClosed
+)
+
+
+@functools.singledispatch
+def react(event: Any, assembly: stream_assembly.Assembly) -> Reaction:
+    """Return what an event means for the attempt."""
+    raise TypeError(f"no attempt event: {type(event).__name__} {assembly}")
+
+
+@react.register
+def _(_event: messages.Accepted, _: stream_assembly.Assembly) -> Reaction:
+    return Continue(dropped=False)
+
+
+@react.register
+def _(event: messages.Refused, assembly: stream_assembly.Assembly) -> Reaction:
+    return Broken(
+        known_outcome(event.outcome, assembly),
+        event.reason,
+        f"the endpoint's sidecar refused the request: {event.reason}",
+        to_delay(event.retry_after_ms),
+        refused=True,
+        open_at_sidecar=False,
+    )
+
+
+@react.register
+def _(event: messages.Chunk, assembly: stream_assembly.Assembly) -> Reaction:
+    step = stream_assembly.take_chunk(assembly, event)
+    if step.verdict is stream_assembly.Verdict.DELIVER:
+        return Deliver(step.assembly, event.data)
+    if step.verdict is stream_assembly.Verdict.DROP:
+        return Continue(dropped=True)
+    return Broken(
+        outcomes.Outcome.RAN,
+        outcomes.Reason.ENDPOINT_FAILED,
+        f"chunk {event.sequence} came in place of {assembly.next_sequence}",
+        None,
+        refused=False,
+        open_at_sidecar=True,
+    )
+
+
+@react.register
+def _(event: messages.End, assembly: stream_assembly.Assembly) -> Reaction:
+    if stream_assembly.is_complete(assembly, event):
+        return Complete(event.status, event.headers, event.finish_reason)
+    return Broken(
+        outcomes.Outcome.RAN,
+        outcomes.Reason.ENDPOINT_FAILED,
+        "the answer's totals do not match its chunks",
+        None,
+        refused=False,
+        open_at_sidecar=False,
+    )
+
+
+@react.register
+def _(event: messages.Failed, assembly: stream_assembly.Assembly) -> Reaction:
+    return Broken(
+        known_outcome(event.outcome, assembly),
+        event.reason,
+        f"the attempt failed on its endpoint: {event.reason}",
+        to_delay(event.retry_after_ms),
+        refused=False,
+        open_at_sidecar=False,
+    )
+
+
+@react.register
+def _(
+    event: messages.CancelConfirmed, assembly: stream_assembly.Assembly
+) -> Reaction:
+    return Broken(
+        known_outcome(event.outcome, assembly),
+        outcomes.Reason.CANCELLED,
+        "the attempt was cancelled",
+        None,
+        refused=False,
+        open_at_sidecar=False,
+    )
+
+
+@react.register
+def _(event: LinkClosed, assembly: stream_assembly.Assembly) -> Reaction:
+    return Broken(
+        known_outcome(outcomes.Outcome.UNKNOWN, assembly),
+        outcomes.Reason.LINK_LOST,
+        f"the link to the endpoint was lost: {event.reason}",
+        None,
+        refused=False,
+        open_at_sidecar=False,
+    )
+
+
+def known_outcome(
+    reported: outcomes.Outcome, assembly: stream_assembly.Assembly
+) -> outcomes.Outcome:
+    """Return the outcome; an attempt that sent chunks has run."""
+    if assembly.next_sequence > assembly.resume_index:
+        return outcomes.Outcome.RAN
+    return reported
+
+
+def to_delay(milliseconds: int) -> datetime.timedelta | None:
+    """Return a retry delay; 0 stands for no advice."""
+    if milliseconds <= 0:
+        return None
+    return datetime.timedelta(milliseconds=milliseconds)
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/chat.py
@@ -0,0 +1,155 @@
+"""Chat requests: answers in the common chat completions form."""
+
+from collections.abc import Iterator
+import datetime
+import json
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+from werkzeug import wrappers
+
+from verbenafall_core import outcomes
+from verbenafall_gateway import answers
+from verbenafall_gateway import attempt_events
+from verbenafall_gateway import request_flow
+
+EVENT_STREAM_TYPE: Final = "text/event-stream"
+DONE_EVENT: Final = b"data: [DONE]\n\n"
+HTTP_OK: Final = 200
+
+
+class ChatAnswer(NamedTuple):
+    """What all parts of one chat answer have in common."""
+
+    request_id: str
+    model: str
+    created: datetime.datetime
+
+
+def plain_response(
+    answer: ChatAnswer, flow: request_flow.Flow
+) -> wrappers.Response:
+    """Return the response of a request without streaming."""
+    parts: list[str] = []
+    for event in flow:
+        if isinstance(event, request_flow.Delta):
+            parts.append(decode_token(event.data))
+        elif isinstance(event, outcomes.Refusal):
+            return answers.refusal_response(event, answer.request_id)
+        elif isinstance(event, attempt_events.Complete):
+            if event.status != HTTP_OK:
+                return answers.refusal_response(
+                    endpoint_refusal(event), answer.request_id
+                )
+            body = plain_body(answer, "".join(parts), event.finish_reason)
+            return answers.json_response(body, HTTP_OK, answer.request_id)
+    raise RuntimeError("the request's flow ended without a final event")
+
+
+def stream_response(
+    answer: ChatAnswer, flow: request_flow.Flow
+) -> wrappers.Response:
+    """Return an event stream.
+
+    The status is sent only with the first token, so that a request refused
+    before that gets an error status.
+    """
+    first = next(flow)
+    if isinstance(first, outcomes.Refusal):
+        return answers.refusal_response(first, answer.request_id)
+    if isinstance(first, attempt_events.Complete) and first.status != HTTP_OK:
+        return answers.refusal_response(
+            endpoint_refusal(first), answer.request_id
+        )
+    response = wrappers.Response(
+        stream_events(answer, first, flow), content_type=EVENT_STREAM_TYPE
+    )
+    response.headers[answers.REQUEST_ID_HEADER] = answer.request_id
+    response.headers["Cache-Control"] = "no-cache"
+    return response
+
+
+def stream_events(
+    answer: ChatAnswer,
+    first: request_flow.FlowEvent,
+    flow: request_flow.Flow,
+) -> Iterator[bytes]:
+    """Yield the events of a stream; [DONE] follows only a full answer."""
+    yield encode_event(chunk_body(answer, {"role": "assistant"}, None))
+    event: request_flow.FlowEvent | None = first
+    while event is not None:
+        if isinstance(event, request_flow.Delta):
+            delta = {"content": decode_token(event.data)}
+            yield encode_event(chunk_body(answer, delta, None))
+        elif isinstance(event, outcomes.Refusal):
+            yield encode_event(answers.error_object(event))
+        elif isinstance(event, attempt_events.Complete):
+            yield from final_events(answer, event)
+        event = next(flow, None)
+
+
+def final_events(
+    answer: ChatAnswer, complete: attempt_events.Complete
+) -> Iterator[bytes]:
+    """Yield the events that end a stream."""
+    if complete.status != HTTP_OK:
+        yield encode_event(answers.error_object(endpoint_refusal(complete)))
+        return
+    reason = complete.finish_reason or "stop"
+    yield encode_event(chunk_body(answer, {}, reason))
+    yield DONE_EVENT
+
+
+def endpoint_refusal(complete: attempt_events.Complete) -> outcomes.Refusal:
+    """Return the refusal for an engine's answer with an error status."""
+    return outcomes.Refusal(
+        outcomes.Outcome.UNKNOWN,
+        outcomes.Reason.ENDPOINT_REFUSED,
+        f"the engine answered with status {complete.status}",
+        request_flow.DEFAULT_RETRY_AFTER,
+    )
+
+
+def decode_token(data: bytes) -> str:
+    """Return the text of a token."""
+    return data.decode("utf-8", "replace")
+
+
+def encode_event(body: dict[str, Any]) -> bytes:
+    """Return one event of an event stream."""
+    return b"data: " + json.dumps(body).encode() + b"\n\n"
+
+
+def chunk_body(
+    answer: ChatAnswer, delta: dict[str, str], finish_reason: str | None
+) -> dict[str, Any]:
+    """Return the body of one event."""
+    return {
+        "id": answer.request_id,
+        "object": "chat.completion.chunk",
+        "created": int(answer.created.timestamp()),
+        "model": answer.model,
+        "choices": [
+            {"index": 0, "delta": delta, "finish_reason": finish_reason}
+        ],
+    }
+
+
+def plain_body(
+    answer: ChatAnswer, text: str, finish_reason: str
+) -> dict[str, Any]:
+    """Return the body of a plain answer."""
+    return {
+        "id": answer.request_id,
+        "object": "chat.completion",
+        "created": int(answer.created.timestamp()),
+        "model": answer.model,
+        "choices": [
+            {
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": finish_reason or "stop",
+            }
+        ],
+    }
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/endpoint_view.py
@@ -0,0 +1,158 @@
+"""What this gateway knows of the endpoints that it has links with."""
+
+import datetime
+import threading
+from typing import Protocol
+
+from verbenafall_core import addresses
+from verbenafall_core import link_router
+from verbenafall_core import messages
+from verbenafall_gateway import routing
+from verbenafall_gateway import subsetting
+
+
+class LinkPort(Protocol):
+    """The part of a link that the gateway's services use."""
+
+    peer: messages.Hello | None
+    address: addresses.Address
+
+    def send(self, message: messages.Message) -> bool:
+        """Queue a message; False when no byte of it was handed over."""
+
+
+class LinkedEndpoint:
+    """Mutable state of one linked endpoint."""
+
+    def __init__(self, link: LinkPort, hello: messages.Hello) -> None:
+        """Create the state of an endpoint without reports."""
+        self.link = link
+        self.hello = hello
+        self.own_in_flight = 0
+        self.reported_queue = 0
+        self.draining = False
+        self.leaving = False
+
+
+class EndpointView:
+    """Linked endpoints by address; safe to use from any thread."""
+
+    def __init__(self) -> None:
+        """Create a view without endpoints."""
+        self.lock = threading.Lock()
+        self.endpoints: dict[addresses.Address, LinkedEndpoint] = {}
+        self.listed_unroutable: frozenset[addresses.Address] = frozenset()
+
+    def attach(self, router: link_router.LinkRouter) -> None:
+        """Follow what happens on links."""
+        router.subscribe_open(self.on_open)
+        router.subscribe_close(self.on_close)
+        router.subscribe(messages.LoadReport, self.on_load_report)
+        router.subscribe(messages.Heartbeat, self.on_heartbeat)
+
+    def start(self) -> None:
+        """Do nothing; links report by themselves."""
+
+    def stop(self, limit: datetime.timedelta) -> None:
+        """Do nothing."""
+
+    def on_open(self, link: LinkPort) -> None:
+        """Add the endpoint of a new link."""
+        hello = link.peer
+        if hello is None or hello.role != subsetting.SIDECAR_ROLE:
+            return
+        with self.lock:
+            self.endpoints[link.address] = LinkedEndpoint(link, hello)
+
+    def on_close(self, link: LinkPort, _reason: str) -> None:
+        """Remove the endpoint of a closed link."""
+        with self.lock:
+            known = self.endpoints.get(link.address)
+            if known is not None and known.link is link:
+                del self.endpoints[link.address]
+
+    def on_load_report(
+        self, link: LinkPort, report: messages.LoadReport
+    ) -> None:
+        """Take over what a sidecar reports."""
+        with self.lock:
+            known = self.endpoints.get(link.address)
+            if known is None or known.link is not link:
+                return
+            known.reported_queue = report.queued
+            known.draining = report.draining
+            known.leaving = report.leaving
+
+    def on_heartbeat(self, link: LinkPort, beat: messages.Heartbeat) -> None:
+        """Take over whether a sidecar is draining."""
+        with self.lock:
+            known = self.endpoints.get(link.address)
+            if known is not None and known.link is link:
+                known.draining = beat.draining
+
+    def set_unroutable(self, listed: frozenset[addresses.Address]) -> None:
+        """Set the addresses that get no new work by the instance list."""
+        with self.lock:
+            self.listed_unroutable = listed
+
+    def snapshot(self) -> list[routing.EndpointState]:
+        """Return the state of all linked endpoints."""
+        with self.lock:
+            return [
+                self.describe(address, endpoint)
+                for address, endpoint in self.endpoints.items()
+            ]
+
+    def describe(
+        self, address: addresses.Address, endpoint: LinkedEndpoint
+    ) -> routing.EndpointState:
+        """Return the state of one endpoint; the caller holds the lock."""
+        unavailable = (
+            endpoint.draining
+            or endpoint.leaving
+            or address in self.listed_unroutable
+        )
+        return routing.EndpointState(
+            endpoint.hello.instance,
+            endpoint.hello.service,
+            endpoint.hello.data_centre,
+            address,
+            endpoint.own_in_flight,
+            endpoint.reported_queue,
+            not unavailable,
+        )
+
+    def open_attempt(self, address: addresses.Address) -> LinkPort | None:
+        """Count an attempt on an endpoint and return its link."""
+        with self.lock:
+            known = self.endpoints.get(address)
+            if known is None:
+                return None
+            known.own_in_flight += 1
+            return known.link
+
+    def close_attempt(self, link: LinkPort) -> None:
+        """Take back the count of an attempt."""
+        with self.lock:
+            known = self.endpoints.get(link.address)
+            if known is not None and known.link is link:
+                known.own_in_flight -= 1
+
+    def busy_addresses(self) -> frozenset[addresses.Address]:
+        """Return the addresses of endpoints with open attempts."""
+        with self.lock:
+            return frozenset(
+                address
+                for address, endpoint in self.endpoints.items()
+                if endpoint.own_in_flight > 0
+            )
+
+    def links(self) -> list[LinkPort]:
+        """Return the links to all endpoints."""
+        with self.lock:
+            return [endpoint.link for endpoint in self.endpoints.values()]
+
+
+def create_endpoint_view() -> EndpointView:
+    """Create a view without endpoints."""
+    return EndpointView()
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/http_app.py
@@ -0,0 +1,515 @@
+"""The werkzeug application that clients call."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import datetime
+import random
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from typing import TypeVar
+
+from cheroot import errors as cheroot_errors
+import returns.pipeline
+import returns.result
+from werkzeug import exceptions
+from werkzeug import routing as werkzeug_routing
+from werkzeug import wrappers
+
+from verbenafall_core import clock as clock_lib
+from verbenafall_core import event_log
+from verbenafall_core import identifiers
+from verbenafall_core import metrics as metrics_lib
+from verbenafall_core import outcomes
+from verbenafall_core.bundles import model
+from verbenafall_core.claims import model as claims_model
+from verbenafall_gateway import answers
+from verbenafall_gateway import chat
+from verbenafall_gateway import event_catalogue
+from verbenafall_gateway import records
+from verbenafall_gateway import request_flow
+from verbenafall_gateway import routing
+from verbenafall_gateway import service_state
+from verbenafall_gateway import team_limits
+from verbenafall_gateway import validation
+
+T = TypeVar("T")
+
+CHAT_PATH: Final = "/v1/chat/completions"
+READ_BYTES: Final = 64 * 1024
+
+
+class FaultError(Exception):
+    """A faulty request; ends its handling with a 4xx answer."""
+
+    def __init__(self, fault: answers.Fault) -> None:
+        """Wrap a fault."""
+        super().__init__(fault.message)
+        self.fault = fault
+
+
+class RefusedError(Exception):
+    """A request refused before any attempt."""
+
+    def __init__(self, refusal: outcomes.Refusal) -> None:
+        """Wrap a refusal."""
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+class Caller(NamedTuple):
+    """Who calls, and the bundle by which the request is judged."""
+
+    team: model.TeamSpec
+    bundle: model.Bundle
+
+
+class ClientApp:
+    """WSGI application of the client address."""
+
+    def __init__(
+        self,
+        flow: request_flow.RequestFlow,
+        state: service_state.ServiceState,
+        claims: claims_model.Claims,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
+        generator: random.Random,
+    ) -> None:
+        """Create an application without requests."""
+        self.flow = flow
+        self.state = state
+        self.claims = claims
+        self.clock = clock
+        self.metrics = metrics
+        self.generator = generator
+        self.limits = team_limits.create_team_limits()
+        self.urls = create_url_map()
+        self.handlers: dict[str, Callable[..., wrappers.Response]] = {
+            "chat": self.serve_chat,
+            "models": self.serve_models,
+            "outcome": self.serve_outcome,
+            "ready": self.serve_ready,
+            "records": self.serve_records,
+        }
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer a request."""
+        request = wrappers.Request(environ)
+        response = self.answer(request, identifiers.new_request_id())
+        return response(environ, start_response)
+
+    def answer(
+        self, request: wrappers.Request, request_id: str
+    ) -> wrappers.Response:
+        """Return the response; every fault becomes a JSON error."""
+        try:
+            endpoint, values = self.urls.bind_to_environ(
+                request.environ
+            ).match()
+            response = self.handlers[endpoint](request, request_id, **values)
+        except FaultError as error:
+            response = answers.fault_response(error.fault, request_id)
+        except RefusedError as error:
+            response = answers.refusal_response(error.refusal, request_id)
+        except exceptions.HTTPException as error:
+            response = answers.fault_response(
+                describe_routing(request, error), request_id
+            )
+        except Exception as error:
+            event_log.emit(
+                event_catalogue.REQUEST_ERROR,
+                request=request_id,
+                error=repr(error),
+            )
+            response = unexpected_response(request_id)
+        self.metrics.count(f"http.status.{response.status_code}")
+        if response.status_code >= 400:
+            event_log.emit(
+                event_catalogue.REQUEST_REFUSED,
+                request=request_id,
+                method=request.method,
+                path=request.path,
+                status=response.status_code,
+            )
+        return response
+
+    def serve_ready(
+        self, _request: wrappers.Request, request_id: str
+    ) -> wrappers.Response:
+        """Answer the balancer's readiness check."""
+        return ready_response(self.state, request_id)
+
+    def serve_models(
+        self, request: wrappers.Request, request_id: str
+    ) -> wrappers.Response:
+        """List the models that the caller's team may use."""
+        caller = self.identify(request)
+        names = [
+            service.model
+            for service in caller.bundle.services
+            if service.kind is model.ServiceKind.MODEL
+            and service.name in caller.team.services
+        ]
+        created = int(self.clock.now().timestamp())
+        data = [
+            {
+                "id": name,
+                "object": "model",
+                "created": created,
+                "owned_by": caller.bundle.deployment,
+            }
+            for name in names
+        ]
+        body = {"object": "list", "data": data}
+        return answers.json_response(body, 200, request_id)
+
+    def serve_chat(
+        self, request: wrappers.Request, request_id: str
+    ) -> wrappers.Response:
+        """Answer a chat request."""
+        caller = self.identify(request)
+        key = request.headers.get("Idempotency-Key")
+        require(validation.check_key(key))
+        # The time that a client allows includes that of reading its body.
+        started = self.clock.monotonic()
+        call = require(validation.check_chat(read_body(request)))
+        service = require(
+            validation.find_model_service(
+                call.model, caller.team, caller.bundle
+            )
+        )
+        flow_request = request_flow.FlowRequest(
+            request_id=request_id,
+            service=service.name,
+            team=caller.team.name,
+            priority=caller.team.priority,
+            deadline=started + self.allowed_time(request, service),
+            idempotent=True,
+            idempotency_key="",
+            method="POST",
+            path=CHAT_PATH,
+            headers=(("Content-Type", answers.JSON_TYPE),),
+            body=call.body,
+            affinity=routing.affinity_key(call.prompt),
+            resumable=True,
+        )
+        answer = chat.ChatAnswer(request_id, call.model, self.clock.now())
+        if call.stream:
+            return self.run(
+                caller.team,
+                flow_request,
+                lambda flow: chat.stream_response(answer, flow),
+            )
+        return self.run(
+            caller.team,
+            flow_request,
+            lambda flow: chat.plain_response(answer, flow),
+        )
+
+    def serve_records(
+        self,
+        request: wrappers.Request,
+        request_id: str,
+        service: str,
+        rest: str = "",
+    ) -> wrappers.Response:
+        """Forward a call of a records service."""
+        del rest  # The path goes on as sent by the client, not decoded.
+        caller = self.identify(request)
+        spec = require(
+            validation.find_records_service(service, caller.team, caller.bundle)
+        )
+        key = require(
+            validation.check_key(request.headers.get("Idempotency-Key"))
+        )
+        call = require(
+            validation.check_records(
+                request.method, forwarded_path(request), key, spec.rules
+            )
+        )
+        started = self.clock.monotonic()
+        flow_request = request_flow.FlowRequest(
+            request_id=request_id,
+            service=spec.name,
+            team=caller.team.name,
+            priority=caller.team.priority,
+            deadline=started + self.allowed_time(request, spec),
+            idempotent=call.idempotent,
+            idempotency_key="" if call.idempotent else key,
+            method=call.method,
+            path=call.path,
+            headers=records.forwarded_headers(request.headers),
+            body=read_body(request),
+            affinity="",
+            resumable=False,
+        )
+        return self.run(
+            caller.team,
+            flow_request,
+            lambda flow: records.records_response(request_id, flow),
+        )
+
+    def serve_outcome(
+        self, request: wrappers.Request, request_id: str, key: str
+    ) -> wrappers.Response:
+        """Tell what became of a request that must not run twice."""
+        caller = self.identify(request)
+        require(validation.check_key(key))
+        team = caller.team.name
+        if self.flow.holds_key(team, key):
+            return outcome_response(outcomes.Outcome.UNKNOWN, request_id)
+        result = self.claims.settle(team, key, f"{request_id}.query")
+        if isinstance(result, claims_model.Voided):
+            return outcome_response(outcomes.Outcome.NOT_RUN, request_id)
+        if isinstance(result, claims_model.Replay):
+            return outcome_response(
+                outcomes.Outcome.RAN, request_id, result.answer.status
+            )
+        if isinstance(result, claims_model.Held):
+            return outcome_response(outcomes.Outcome.UNKNOWN, request_id)
+        raise RefusedError(
+            self.refusal(
+                outcomes.Outcome.UNKNOWN,
+                outcomes.Reason.STORE_UNAVAILABLE,
+                f"the outcome cannot be read now: {result.message}",
+            )
+        )
+
+    def identify(self, request: wrappers.Request) -> Caller:
+        """Return who calls, unless no new work is taken.
+
+        Raises:
+            RefusedError: This gateway takes no new work.
+            FaultError: The credential is not valid.
+        """
+        if self.state.phase is service_state.Phase.REFUSING:
+            raise RefusedError(
+                self.refusal(
+                    outcomes.Outcome.NOT_RUN,
+                    outcomes.Reason.DRAINING,
+                    "this gateway is stopping; use another connection",
+                )
+            )
+        bundle = self.state.bundles.current()
+        if bundle is None or not self.state.bundles.takes_new_work():
+            raise RefusedError(
+                self.refusal(
+                    outcomes.Outcome.NOT_RUN,
+                    outcomes.Reason.BUNDLE_UNCONFIRMED,
+                    "this gateway cannot confirm which bundle is in force",
+                )
+            )
+        authorization = request.headers.get("Authorization")
+        team = require(validation.find_team(authorization, bundle))
+        return Caller(team, bundle)
+
+    def allowed_time(
+        self, request: wrappers.Request, service: model.ServiceSpec
+    ) -> datetime.timedelta:
+        """Return the time that the client allows."""
+        return require(
+            validation.check_deadline(
+                request.headers.get("X-Deadline-Ms"), service.deadline
+            )
+        )
+
+    def run(
+        self,
+        team: model.TeamSpec,
+        flow_request: request_flow.FlowRequest,
+        respond: Callable[[request_flow.Flow], wrappers.Response],
+    ) -> wrappers.Response:
+        """Run a request within the team's limit.
+
+        Closing the response ends the flow and with it an open attempt.
+        """
+        if not self.limits.try_enter(team.name, team.max_in_flight):
+            raise RefusedError(
+                self.refusal(
+                    outcomes.Outcome.NOT_RUN,
+                    outcomes.Reason.TEAM_LIMIT,
+                    f"team {team.name} has {team.max_in_flight} requests open"
+                    " at this gateway, which is its limit",
+                )
+            )
+        flow = self.flow.run(flow_request)
+
+        def finish() -> None:
+            try:
+                flow.close()
+            finally:
+                self.limits.leave(team.name)
+
+        try:
+            response = respond(flow)
+        except BaseException:
+            finish()
+            raise
+        response.call_on_close(finish)
+        return response
+
+    def refusal(
+        self,
+        outcome: outcomes.Outcome,
+        reason: outcomes.Reason,
+        message: str,
+    ) -> outcomes.Refusal:
+        """Return a refusal with a spread delay."""
+        delay = outcomes.spread_retry_after(
+            request_flow.DEFAULT_RETRY_AFTER, self.generator
+        )
+        return outcomes.Refusal(outcome, reason, message, delay)
+
+
+def create_url_map() -> werkzeug_routing.Map:
+    """Return the paths and methods that are served.
+
+    Slashes are not merged, since the paths of services go on unchanged.
+    """
+    rule = werkzeug_routing.Rule
+    return werkzeug_routing.Map(
+        [
+            rule(CHAT_PATH, endpoint="chat", methods=["POST"]),
+            rule("/v1/models", endpoint="models", methods=["GET"]),
+            rule(
+                "/v1/outcomes/<path:key>", endpoint="outcome", methods=["GET"]
+            ),
+            rule("/-/ready", endpoint="ready", methods=["GET"]),
+            rule("/services/<service>/", endpoint="records"),
+            rule("/services/<service>/<path:rest>", endpoint="records"),
+        ],
+        strict_slashes=False,
+        merge_slashes=False,
+    )
+
+
+def require(result: returns.result.Result[T, answers.Fault]) -> T:
+    """Return a checked value.
+
+    Raises:
+        FaultError: The check found a fault.
+    """
+    if not returns.pipeline.is_successful(result):
+        raise FaultError(result.failure())
+    return result.unwrap()
+
+
+def read_body(request: wrappers.Request) -> bytes:
+    """Return the whole body.
+
+    Raises:
+        FaultError: The body is too large, too slow, or malformed.
+    """
+    source = request.environ["wsgi.input"]
+    parts: list[bytes] = []
+    size = 0
+    try:
+        while data := source.read(READ_BYTES):
+            size += len(data)
+            if size <= validation.MAX_BODY_BYTES:
+                parts.append(data)
+    except TimeoutError as error:
+        raise FaultError(
+            answers.Fault(
+                408, "slow_body", "the body did not arrive within 10 s"
+            )
+        ) from error
+    except (cheroot_errors.MaxSizeExceeded, OSError) as error:
+        raise FaultError(oversized_body()) from error
+    except ValueError as error:
+        raise FaultError(
+            answers.Fault(400, "bad_body", f"bad chunked body: {error}")
+        ) from error
+    if size > validation.MAX_BODY_BYTES:
+        raise FaultError(oversized_body())
+    if request.content_length is not None and size != request.content_length:
+        raise FaultError(
+            answers.Fault(
+                400,
+                "short_body",
+                f"the body ended after {size} of {request.content_length}"
+                " bytes",
+            )
+        )
+    return b"".join(parts)
+
+
+def oversized_body() -> answers.Fault:
+    """Return the fault of a body over the limit."""
+    return answers.Fault(
+        413,
+        "body_too_large",
+        f"the body exceeds {validation.MAX_BODY_BYTES} bytes",
+    )
+
+
+def forwarded_path(request: wrappers.Request) -> str:
+    """Return path and query for the service, as sent by the client."""
+    raw: str = request.environ["REQUEST_URI"]
+    path, separator, query = raw.partition("?")
+    segments = path.split("/", 3)  # "", "services", the service, the rest
+    rest = segments[3] if len(segments) > 3 else ""
+    return f"/{rest}{separator}{query}"
+
+
+def describe_routing(
+    request: wrappers.Request, error: exceptions.HTTPException
+) -> answers.Fault:
+    """Return the fault of a path or method that nothing serves."""
+    if isinstance(error, exceptions.MethodNotAllowed):
+        allowed = ", ".join(sorted(error.valid_methods or ()))
+        return answers.Fault(
+            405,
+            "bad_method",
+            f"{request.path} takes {allowed}, not {request.method}",
+        )
+    return answers.Fault(
+        404, "unknown_path", f"there is nothing at {request.path}"
+    )
+
+
+def ready_response(
+    state: service_state.ServiceState, request_id: str
+) -> wrappers.Response:
+    """Return whether the balancer should send new work here."""
+    reason = state.not_ready_reason()
+    body = {"ready": not reason, "reason": reason}
+    return answers.json_response(body, 503 if reason else 200, request_id)
+
+
+def outcome_response(
+    outcome: outcomes.Outcome, request_id: str, status: int | None = None
+) -> wrappers.Response:
+    """Return what became of a request."""
+    body: dict[str, Any] = {"outcome": str(outcome)}
+    if status is not None:
+        body["status"] = status
+    return answers.json_response(body, 200, request_id)
+
+
+def unexpected_response(request_id: str) -> wrappers.Response:
+    """Return the answer after an unexpected error."""
+    body = answers.build_error(
+        outcomes.Outcome.UNKNOWN,
+        "internal_error",
+        "the gateway met an unexpected error",
+        None,
+    )
+    return answers.json_response(body, 500, request_id)
+
+
+def create_client_app(
+    flow: request_flow.RequestFlow,
+    state: service_state.ServiceState,
+    claims: claims_model.Claims,
+    clock: clock_lib.Clock,
+    metrics: metrics_lib.Metrics,
+    generator: random.Random | None = None,
+) -> ClientApp:
+    """Create the application of the client address."""
+    return ClientApp(
+        flow, state, claims, clock, metrics, generator or random.Random()
+    )
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/open_attempts.py
@@ -0,0 +1,113 @@
+"""Attempts in progress, and the delivery of link messages to them."""
+
+import datetime
+import queue
+import threading
+
+from verbenafall_core import event_log
+from verbenafall_core import link_router
+from verbenafall_core import messages
+from verbenafall_core import metrics as metrics_lib
+from verbenafall_gateway import attempt_events
+from verbenafall_gateway import endpoint_view
+from verbenafall_gateway import event_catalogue
+
+_AttemptMessage = (
+    messages.Accepted
+    | messages.Refused
+    | messages.Chunk
+    | messages.End
+    | messages.Failed
+    | messages.CancelConfirmed
+)
+
+
+class OpenAttempt:
+    """An attempt that waits for messages from one link."""
+
+    def __init__(
+        self,
+        attempt_id: str,
+        instance: str,
+        link: endpoint_view.LinkPort,
+    ) -> None:
+        """Create an attempt without events."""
+        self.attempt_id = attempt_id
+        self.instance = instance
+        self.link = link
+        self.events: queue.SimpleQueue[attempt_events.AttemptEvent] = (
+            queue.SimpleQueue()
+        )
+
+    def next_event(
+        self, limit: datetime.timedelta
+    ) -> attempt_events.AttemptEvent | None:
+        """Wait for the next event; None when the limit has passed."""
+        try:
+            if limit <= datetime.timedelta():
+                return self.events.get_nowait()
+            return self.events.get(timeout=limit.total_seconds())
+        except queue.Empty:
+            return None
+
+
+class OpenAttempts:
+    """The attempts of this process by id."""
+
+    def __init__(self, metrics: metrics_lib.Metrics) -> None:
+        """Create the registry without attempts."""
+        self.metrics = metrics
+        self.lock = threading.Lock()
+        self.attempts: dict[str, OpenAttempt] = {}
+
+    def attach(self, router: link_router.LinkRouter) -> None:
+        """Receive the messages about attempts."""
+        router.subscribe(messages.Accepted, self.receive)
+        router.subscribe(messages.Refused, self.receive)
+        router.subscribe(messages.Chunk, self.receive)
+        router.subscribe(messages.End, self.receive)
+        router.subscribe(messages.Failed, self.receive)
+        router.subscribe(messages.CancelConfirmed, self.receive)
+        router.subscribe_close(self.on_close)
+
+    def add(self, attempt: OpenAttempt) -> None:
+        """Deliver messages to an attempt from now on."""
+        with self.lock:
+            self.attempts[attempt.attempt_id] = attempt
+
+    def remove(self, attempt: OpenAttempt) -> None:
+        """Drop later messages for an attempt."""
+        with self.lock:
+            self.attempts.pop(attempt.attempt_id, None)
+
+    def receive(
+        self, link: endpoint_view.LinkPort, message: _AttemptMessage
+    ) -> None:
+        """Hand a message to its attempt, if that is open on this link."""
+        with self.lock:
+            attempt = self.attempts.get(message.attempt_id)
+        if attempt is None or attempt.link is not link:
+            self.metrics.count("attempt.late_messages")
+            event_log.emit(
+                event_catalogue.LATE_MESSAGE,
+                attempt=message.attempt_id,
+                kind=type(message).__name__,
+            )
+            return
+        attempt.events.put(message)
+
+    def on_close(self, link: endpoint_view.LinkPort, reason: str) -> None:
+        """Tell the attempts on a link that it has closed."""
+        with self.lock:
+            concerned = [
+                attempt
+                for attempt in self.attempts.values()
+                if attempt.link is link
+            ]
+        for attempt in concerned:
+            attempt.events.put(attempt_events.LinkClosed(reason))
+
+
+def create_open_attempts(metrics: metrics_lib.Metrics) -> OpenAttempts:
+    """Create the registry without attempts."""
+    return OpenAttempts(metrics)
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/records.py
@@ -0,0 +1,74 @@
+"""Calls of records services: answers forwarded only when complete."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from werkzeug import wrappers
+
+from verbenafall_core import messages
+from verbenafall_core import outcomes
+from verbenafall_gateway import answers
+from verbenafall_gateway import attempt_events
+from verbenafall_gateway import request_flow
+
+# Headers that concern one connection, or that this gateway sets itself.
+# Credentials are the gateway's to check and go no further.
+_NOT_FORWARDED: Final = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-deadline-ms",
+        "x-request-id",
+    }
+)
+
+
+def forwarded_headers(headers: Iterable[tuple[str, str]]) -> messages.Headers:
+    """Return the headers that go from one side to the other."""
+    items = tuple(headers)
+    named = ",".join(v for name, v in items if name.lower() == "connection")
+    dropped = {name.strip().lower() for name in named.split(",")}
+    dropped |= _NOT_FORWARDED
+    return tuple(
+        (name, value) for name, value in items if name.lower() not in dropped
+    )
+
+
+def records_response(
+    request_id: str, flow: request_flow.Flow
+) -> wrappers.Response:
+    """Return the endpoint's answer once it is complete."""
+    parts: list[bytes] = []
+    for event in flow:
+        if isinstance(event, request_flow.Delta):
+            parts.append(event.data)
+        elif isinstance(event, request_flow.Restarted):
+            parts.clear()
+        elif isinstance(event, outcomes.Refusal):
+            return answers.refusal_response(event, request_id)
+        else:
+            return forward(request_id, event, b"".join(parts))
+    raise RuntimeError("the request's flow ended without a final event")
+
+
+def forward(
+    request_id: str, complete: attempt_events.Complete, body: bytes
+) -> wrappers.Response:
+    """Return a complete answer of an endpoint."""
+    response = wrappers.Response(body, status=complete.status)
+    # werkzeug's own default type must not stand in for a missing one.
+    del response.headers["Content-Type"]
+    for name, value in forwarded_headers(complete.headers):
+        response.headers.add(name, value)
+    response.headers[answers.REQUEST_ID_HEADER] = request_id
+    return response
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/routing.py
@@ -0,0 +1,123 @@
+"""Pure choice of an endpoint for one attempt."""
+
+from collections.abc import Sequence
+import enum
+import math
+import random
+from typing import Final
+from typing import NamedTuple
+
+from verbenafall_core import addresses
+from verbenafall_gateway import rendezvous
+
+AFFINITY_CHARACTERS: Final = 256
+LOAD_BOUND: Final = 1.25
+
+
+class EndpointState(NamedTuple):
+    """A linked endpoint as the gateway knows it.
+
+    Attributes:
+        own_in_flight: Open attempts of this gateway.
+        reported_queue: Queue length in the sidecar's last load report.
+        available: Neither draining nor leaving.
+    """
+
+    instance: str
+    service: str
+    data_centre: str
+    address: addresses.Address
+    own_in_flight: int
+    reported_queue: int
+    available: bool
+
+    @property
+    def load(self) -> int:
+        """Return the load by which endpoints are compared."""
+        return self.own_in_flight + self.reported_queue
+
+
+class RouteReason(enum.StrEnum):
+    """Why an endpoint was chosen."""
+
+    AFFINITY = "prefix_affinity"
+    LOCAL_CHOICE = "two_choices_local"
+    GLOBAL_CHOICE = "two_choices_any"
+
+
+class Choice(NamedTuple):
+    """An endpoint and the inputs of its choice."""
+
+    endpoint: EndpointState
+    reason: RouteReason
+    candidates: int
+    load_limit: int
+
+
+def choose(
+    endpoints: Sequence[EndpointState],
+    service: str,
+    data_centre: str,
+    affinity: str,
+    excluded: frozenset[str],
+    generator: random.Random,
+) -> Choice | None:
+    """Choose an endpoint; None when none can take the attempt.
+
+    Args:
+        endpoints: All linked endpoints.
+        service: Service that is called.
+        data_centre: Data centre of this gateway, preferred.
+        affinity: Start of the prompt, empty for no affinity.
+        excluded: Instances already tried for this request.
+        generator: Source of the random choices.
+    """
+    candidates = [
+        endpoint
+        for endpoint in endpoints
+        if endpoint.service == service
+        and endpoint.available
+        and endpoint.instance not in excluded
+    ]
+    if not candidates:
+        return None
+    limit = load_limit(candidates)
+    if affinity:
+        preferred = max(
+            candidates,
+            key=lambda endpoint: rendezvous.score(affinity, endpoint.instance),
+        )
+        if preferred.load < limit:
+            return Choice(
+                preferred, RouteReason.AFFINITY, len(candidates), limit
+            )
+    local = [
+        endpoint
+        for endpoint in candidates
+        if endpoint.data_centre == data_centre and endpoint.load < limit
+    ]
+    reason = RouteReason.LOCAL_CHOICE if local else RouteReason.GLOBAL_CHOICE
+    chosen = better_of_two(local or candidates, generator)
+    return Choice(chosen, reason, len(candidates), limit)
+
+
+def load_limit(candidates: Sequence[EndpointState]) -> int:
+    """Return the load that an endpoint may reach with one more attempt.
+
+    Rounding up leaves room for one attempt on an idle fleet.
+    """
+    total = sum(endpoint.load for endpoint in candidates) + 1
+    return math.ceil(LOAD_BOUND * total / len(candidates))
+
+
+def better_of_two(
+    candidates: Sequence[EndpointState], generator: random.Random
+) -> EndpointState:
+    """Return the less loaded of two random endpoints."""
+    drawn = generator.sample(candidates, min(2, len(candidates)))
+    return min(drawn, key=lambda endpoint: endpoint.load)
+
+
+def affinity_key(prompt: str) -> str:
+    """Return the part of a prompt that decides its preferred endpoint."""
+    return prompt[:AFFINITY_CHARACTERS]
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/stream_assembly.py
@@ -0,0 +1,71 @@
+"""Pure check that an attempt's chunks form one gapless sequence."""
+
+import enum
+from typing import NamedTuple
+
+from verbenafall_core import messages
+
+
+class Verdict(enum.StrEnum):
+    """What to do with a chunk.
+
+    DELIVER: It is the next one.
+    DROP: It belongs to another attempt or repeats an earlier one.
+    GAP: At least one chunk is missing; the attempt has failed.
+    """
+
+    DELIVER = "deliver"
+    DROP = "drop"
+    GAP = "gap"
+
+
+class Assembly(NamedTuple):
+    """Chunks of one attempt so far.
+
+    Attributes:
+        resume_index: Sequence number of the attempt's first chunk.
+        next_sequence: Sequence number of the next chunk.
+        byte_count: Bytes delivered by this attempt.
+    """
+
+    attempt_id: str
+    resume_index: int
+    next_sequence: int
+    byte_count: int
+
+
+class Step(NamedTuple):
+    """The assembly after a chunk, and what to do with the chunk."""
+
+    assembly: Assembly
+    verdict: Verdict
+
+
+def begin(attempt_id: str, resume_index: int) -> Assembly:
+    """Return the assembly of an attempt without chunks."""
+    return Assembly(attempt_id, resume_index, resume_index, 0)
+
+
+def take_chunk(assembly: Assembly, chunk: messages.Chunk) -> Step:
+    """Check one chunk."""
+    if chunk.attempt_id != assembly.attempt_id:
+        return Step(assembly, Verdict.DROP)
+    if chunk.sequence < assembly.next_sequence:
+        return Step(assembly, Verdict.DROP)
+    if chunk.sequence > assembly.next_sequence:
+        return Step(assembly, Verdict.GAP)
+    grown = assembly._replace(
+        next_sequence=assembly.next_sequence + 1,
+        byte_count=assembly.byte_count + len(chunk.data),
+    )
+    return Step(grown, Verdict.DELIVER)
+
+
+def is_complete(assembly: Assembly, end: messages.End) -> bool:
+    """Return whether the totals of an end match what was delivered."""
+    received = assembly.next_sequence - assembly.resume_index
+    return (
+        end.attempt_id == assembly.attempt_id
+        and end.chunk_count == received
+        and end.byte_count == assembly.byte_count
+    )
--- /dev/null
+++ b/tests/gateway/test_chat_over_links.py
@@ -0,0 +1,103 @@
+"""Chat over HTTP and a real link, called by an unmodified openai client."""
+
+from concurrent import futures
+
+import openai
+import pytest
+
+from gateway import gateway_fakes as fakes
+
+TOKENS = ["Two ", "mixers ", "for ", "niño", " hire", "."]
+MESSAGES = [{"role": "user", "content": "How much are two mixers?"}]
+
+
+def serve_answer(message):
+    return fakes.answer(message, TOKENS)
+
+
+def create_client(address, credential=fakes.CREDENTIAL):
+    return openai.OpenAI(
+        base_url=f"http://{address}/v1", api_key=credential, max_retries=0
+    )
+
+
+def read_stream(address):
+    with create_client(address) as client:
+        stream = client.chat.completions.create(
+            model="quote-model", messages=MESSAGES, stream=True
+        )
+        chunks = [chunk.choices[0] for chunk in stream]
+    text = "".join(choice.delta.content or "" for choice in chunks)
+    return text, chunks[-1].finish_reason
+
+
+class TestChatOverLinks:
+    def test_unmodified_client_gets_plain_and_streamed_answers(self):
+        """Guards against answers that existing client libraries reject."""
+        gateway = fakes.create_gateway()
+        with fakes.linked_sidecar(gateway, serve_answer) as address:
+            with create_client(address) as client:
+                plain = client.chat.completions.create(
+                    model="quote-model", messages=MESSAGES
+                )
+                models = client.models.list()
+            assert plain.choices[0].message.content == "".join(TOKENS)
+            assert plain.choices[0].finish_reason == "stop"
+            assert read_stream(address) == ("".join(TOKENS), "stop")
+            assert [item.id for item in models] == ["quote-model"]
+
+    def test_unmodified_client_raises_its_errors(self):
+        """Guards against error bodies that clients cannot read."""
+        gateway = fakes.create_gateway()
+        with fakes.linked_sidecar(gateway, serve_answer) as address:
+            with (
+                create_client(address, "wrong") as client,
+                pytest.raises(openai.AuthenticationError) as unknown,
+            ):
+                client.models.list()
+            with (
+                create_client(address) as client,
+                pytest.raises(openai.NotFoundError) as missing,
+            ):
+                client.chat.completions.create(model="no", messages=MESSAGES)
+        assert unknown.value.code == "unknown_credential"
+        assert missing.value.code == "unknown_model"
+        assert missing.value.body["outcome"] == "not_run"
+
+    def test_stream_error_event_reaches_the_client(self):
+        """Guards against a broken stream that looks complete."""
+        gateway = fakes.create_gateway()
+
+        def break_off(message):
+            failed = fakes.failed(message, fakes.outcomes.Outcome.RAN)
+            return [fakes.chunk(message, 0, "Two "), failed]
+
+        with (
+            fakes.linked_sidecar(gateway, break_off) as address,
+            pytest.raises(openai.APIError) as error,
+        ):
+            read_stream(address)
+        assert error.value.body["outcome"] == "ran"
+
+    def test_serves_a_burst_of_150_streams(self):
+        """Guards against a pool that leaves part of a burst waiting.
+
+        The sidecar answers only when all streams are open at once.
+        """
+        gateway = fakes.create_gateway()
+        held = []
+
+        def answer_when_all_are_open(message):
+            held.append(message)
+            if len(held) < 150:
+                return []
+            return [part for item in held for part in serve_answer(item)]
+
+        with (
+            fakes.linked_sidecar(
+                gateway, answer_when_all_are_open, threads=160
+            ) as address,
+            futures.ThreadPoolExecutor(150) as pool,
+        ):
+            results = list(pool.map(read_stream, [address] * 150))
+        assert results == [("".join(TOKENS), "stop")] * 150
