Add wiring, settings, drain and status of the gateway

Cause: the request path had no process around it. Ruled out: closing links to endpoints that leave the list at once, which would truncate the answers that they carry. Change: settings, serve command, kernel wiring, link targets by the instance list, planned stop, status over links, administrative application.

--- a/packages/core/src/verbenafall_core/service_names.py
+++ b/packages/core/src/verbenafall_core/service_names.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+ADMIN_SERVER: Final = "admin-server"
 BUNDLES: Final = "bundles"
 CLAIMS: Final = "claims"
 DISPATCHER: Final = "dispatcher"
@@ -13,6 +14,7 @@
 HTTP_SERVER: Final = "http-server"
 INSTANCE_LIST: Final = "instance-list"
 LINKS: Final = "links"
+LINK_TARGETS: Final = "link-targets"
 OBJECT_STORE: Final = "object-store"
 REQUEST_FLOW: Final = "request-flow"
 STATUS: Final = "status"
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/admin_app.py
@@ -0,0 +1,84 @@
+"""The werkzeug application of the administrative address."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+from werkzeug import exceptions
+from werkzeug import routing as werkzeug_routing
+from werkzeug import wrappers
+
+from verbenafall_core import identifiers
+from verbenafall_gateway import answers
+from verbenafall_gateway import http_app
+from verbenafall_gateway import service_state
+from verbenafall_gateway import status as status_lib
+
+
+class AdminApp:
+    """Readiness, status and the notice of a new bundle."""
+
+    def __init__(
+        self,
+        state: service_state.ServiceState,
+        status: status_lib.Status,
+    ) -> None:
+        """Create an application without requests."""
+        self.state = state
+        self.status = status
+        rule = werkzeug_routing.Rule
+        self.urls = werkzeug_routing.Map(
+            [
+                rule("/-/ready", endpoint="ready", methods=["GET"]),
+                rule("/-/status", endpoint="status", methods=["GET"]),
+                rule("/-/bundle-poll", endpoint="poll", methods=["POST"]),
+            ]
+        )
+        self.handlers: dict[str, Callable[[str], wrappers.Response]] = {
+            "ready": self.serve_ready,
+            "status": self.serve_status,
+            "poll": self.serve_poll,
+        }
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer a request."""
+        request = wrappers.Request(environ)
+        request_id = identifiers.new_request_id()
+        try:
+            endpoint, _ = self.urls.bind_to_environ(environ).match()
+            response = self.handlers[endpoint](request_id)
+        except exceptions.HTTPException as error:
+            response = answers.fault_response(
+                http_app.describe_routing(request, error), request_id
+            )
+        return response(environ, start_response)
+
+    def serve_ready(self, request_id: str) -> wrappers.Response:
+        """Tell whether new work is taken."""
+        return http_app.ready_response(self.state, request_id)
+
+    def serve_status(self, request_id: str) -> wrappers.Response:
+        """Return own status and that of the linked sidecars."""
+        collected = self.status.collect()
+        body = {
+            "self": status_lib.describe(self.status.own(0)),
+            "linked": [
+                status_lib.describe(reply) for reply in collected.replies
+            ],
+            "silent": list(collected.silent),
+        }
+        return answers.json_response(body, 200, request_id)
+
+    def serve_poll(self, request_id: str) -> wrappers.Response:
+        """Read the bundle head from the store now."""
+        self.state.bundles.poll_now()
+        return answers.json_response({"polling": True}, 202, request_id)
+
+
+def create_admin_app(
+    state: service_state.ServiceState, status: status_lib.Status
+) -> AdminApp:
+    """Create the application of the administrative address."""
+    return AdminApp(state, status)
--- a/packages/gateway/src/verbenafall_gateway/chat.py
+++ b/packages/gateway/src/verbenafall_gateway/chat.py
@@ -40,7 +40,7 @@
         elif isinstance(event, attempt_events.Complete):
             if event.status != HTTP_OK:
                 return answers.refusal_response(
-                    endpoint_refusal(event), answer.request_id
+                    endpoint_refusal(event, "".join(parts)), answer.request_id
                 )
             body = plain_body(answer, "".join(parts), event.finish_reason)
             return answers.json_response(body, HTTP_OK, answer.request_id)
@@ -101,12 +101,18 @@
     yield DONE_EVENT
 
 
-def endpoint_refusal(complete: attempt_events.Complete) -> outcomes.Refusal:
+def endpoint_refusal(
+    complete: attempt_events.Complete, detail: str = ""
+) -> outcomes.Refusal:
     """Return the refusal for an engine's answer with an error status."""
+    reason = outcomes.Reason.ENDPOINT_REFUSED
+    if 400 <= complete.status < 500:
+        reason = outcomes.Reason.BAD_REQUEST
+    message = f"the engine answered with status {complete.status}"
     return outcomes.Refusal(
-        outcomes.Outcome.UNKNOWN,
-        outcomes.Reason.ENDPOINT_REFUSED,
-        f"the engine answered with status {complete.status}",
+        outcomes.Outcome.RAN,
+        reason,
+        f"{message}: {detail}" if detail else message,
         request_flow.DEFAULT_RETRY_AFTER,
     )
 
--- a/packages/gateway/src/verbenafall_gateway/endpoint_view.py
+++ b/packages/gateway/src/verbenafall_gateway/endpoint_view.py
@@ -41,7 +41,7 @@
         """Create a view without endpoints."""
         self.lock = threading.Lock()
         self.endpoints: dict[addresses.Address, LinkedEndpoint] = {}
-        self.listed_unroutable: frozenset[addresses.Address] = frozenset()
+        self.routable: frozenset[addresses.Address] | None = None
 
     def attach(self, router: link_router.LinkRouter) -> None:
         """Follow what happens on links."""
@@ -90,10 +90,13 @@
             if known is not None and known.link is link:
                 known.draining = beat.draining
 
-    def set_unroutable(self, listed: frozenset[addresses.Address]) -> None:
-        """Set the addresses that get no new work by the instance list."""
+    def set_routable(self, routable: frozenset[addresses.Address]) -> None:
+        """Set the addresses that may get new work by the instance list.
+
+        Before the first call all linked endpoints may.
+        """
         with self.lock:
-            self.listed_unroutable = listed
+            self.routable = routable
 
     def snapshot(self) -> list[routing.EndpointState]:
         """Return the state of all linked endpoints."""
@@ -107,11 +110,6 @@
         self, address: addresses.Address, endpoint: LinkedEndpoint
     ) -> routing.EndpointState:
         """Return the state of one endpoint; the caller holds the lock."""
-        unavailable = (
-            endpoint.draining
-            or endpoint.leaving
-            or address in self.listed_unroutable
-        )
         return routing.EndpointState(
             endpoint.hello.instance,
             endpoint.hello.service,
@@ -119,14 +117,26 @@
             address,
             endpoint.own_in_flight,
             endpoint.reported_queue,
-            not unavailable,
+            self.is_available(address, endpoint),
         )
 
+    def is_available(
+        self, address: addresses.Address, endpoint: LinkedEndpoint
+    ) -> bool:
+        """Return whether an endpoint gets new work."""
+        if endpoint.draining or endpoint.leaving:
+            return False
+        return self.routable is None or address in self.routable
+
     def open_attempt(self, address: addresses.Address) -> LinkPort | None:
-        """Count an attempt on an endpoint and return its link."""
+        """Count an attempt on an endpoint and return its link.
+
+        None when the endpoint became unavailable after it was chosen. Its
+        link may be closed as soon as no attempt is counted.
+        """
         with self.lock:
             known = self.endpoints.get(address)
-            if known is None:
+            if known is None or not self.is_available(address, known):
                 return None
             known.own_in_flight += 1
             return known.link
--- a/packages/gateway/src/verbenafall_gateway/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/event_catalogue.py
@@ -74,9 +74,3 @@
     "A request raised an unexpected error; the client was told that its"
     " outcome is unknown.",
 )
-INSTANCE_LIST_UNREADABLE = event_log.define(
-    2019,
-    "instance_list_unreadable",
-    "WARNING",
-    "The instance list could not be read; the last list stays in use.",
-)
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/gateway.py
@@ -0,0 +1,125 @@
+"""Wiring: builds the services of a gateway process into a kernel."""
+
+from typing import Final
+from typing import NamedTuple
+
+from cryptography.hazmat.primitives.asymmetric import ed25519
+
+from verbenafall_core import clock as clock_lib
+from verbenafall_core import http_client
+from verbenafall_core import kernel as kernel_lib
+from verbenafall_core import link
+from verbenafall_core import link_router
+from verbenafall_core import messages
+from verbenafall_core import metrics as metrics_lib
+from verbenafall_core import service_names
+from verbenafall_core.bundles import service as bundle_service
+from verbenafall_core.claims import service as claim_service
+from verbenafall_core.instance_list import http_adapter as list_adapter
+from verbenafall_core.instance_list import service as list_service
+from verbenafall_core.object_store import budget
+from verbenafall_core.object_store import http_adapter as store_adapter
+from verbenafall_gateway import activity as activity_lib
+from verbenafall_gateway import admin_app
+from verbenafall_gateway import drain as drain_lib
+from verbenafall_gateway import endpoint_view
+from verbenafall_gateway import gateway_settings
+from verbenafall_gateway import http_app
+from verbenafall_gateway import http_server
+from verbenafall_gateway import link_targets
+from verbenafall_gateway import request_flow
+from verbenafall_gateway import service_state
+from verbenafall_gateway import status as status_lib
+
+ADMIN_THREADS: Final = 4
+METRICS_PREFIX: Final = "verbenafall.gateway"
+
+PublicKeys = tuple[ed25519.Ed25519PublicKey, ...]
+
+
+class Gateway(NamedTuple):
+    """A gateway process that is not yet started."""
+
+    kernel: kernel_lib.Kernel
+    drain: drain_lib.Drain
+
+
+def create_gateway(
+    settings: gateway_settings.GatewaySettings,
+    public_keys: PublicKeys,
+    clock: clock_lib.Clock,
+) -> Gateway:
+    """Build all services; nothing is started."""
+    metrics = create_metrics(settings)
+    client = http_client.create_http_client()
+    store = budget.create_budgeted_store(
+        store_adapter.create_http_object_store(client, settings.object_store),
+        clock,
+        metrics,
+    )
+    bundles = bundle_service.create_bundle_service(store, public_keys, clock)
+    claims = claim_service.create_claim_service(store, clock)
+    state = service_state.create_service_state(bundles)
+    view = endpoint_view.create_endpoint_view()
+    flow = request_flow.create_request_flow(
+        view, claims, clock, metrics, settings.data_centre
+    )
+    status = status_lib.create_status(
+        status_lib.Identity(settings.name, settings.data_centre), state, view
+    )
+    router = link_router.create_link_router()
+    for follower in (view, flow, status, bundles):
+        follower.attach(router)
+    hello = messages.Hello(
+        messages.PROTOCOL_VERSION,
+        settings.name,
+        "gateway",
+        settings.data_centre,
+        "",
+    )
+    links = link.create_link_loop(hello, state.heartbeat, router, clock)
+    instances = list_service.create_instance_list_service(
+        list_adapter.create_http_instance_list(client, settings.instance_list)
+    )
+    targets = link_targets.create_link_targets(
+        settings.name,
+        settings.data_centre,
+        settings.links_per_service,
+        instances,
+        links,
+        view,
+    )
+    activity = activity_lib.create_activity()
+    app = http_app.create_client_app(flow, state, claims, clock, metrics)
+    client_server = http_server.create_http_server(
+        settings.client_listen, app, settings.client_threads, clock, activity
+    )
+    admin_server = http_server.create_http_server(
+        settings.admin_listen,
+        admin_app.create_admin_app(state, status),
+        ADMIN_THREADS,
+        clock,
+        activity_lib.create_activity(),
+    )
+    kernel = kernel_lib.create_kernel(clock)
+    kernel.register(service_names.BUNDLES, bundles)
+    kernel.register(service_names.INSTANCE_LIST, instances)
+    kernel.register(service_names.ENDPOINT_VIEW, view)
+    kernel.register(service_names.REQUEST_FLOW, flow)
+    kernel.register(service_names.STATUS, status)
+    kernel.register(service_names.LINKS, links)
+    kernel.register(service_names.LINK_TARGETS, targets)
+    kernel.register(service_names.ADMIN_SERVER, admin_server)
+    kernel.register(service_names.HTTP_SERVER, client_server)
+    return Gateway(kernel, drain_lib.create_drain(state, activity))
+
+
+def create_metrics(
+    settings: gateway_settings.GatewaySettings,
+) -> metrics_lib.Metrics:
+    """Return metrics to the statsd server, if one is set."""
+    if settings.statsd is None:
+        return metrics_lib.NullMetrics()
+    return metrics_lib.create_statsd(
+        settings.statsd.host, settings.statsd.port, METRICS_PREFIX
+    )
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/link_targets.py
@@ -0,0 +1,106 @@
+"""Keeps links with the endpoints that the instance list calls for."""
+
+import datetime
+import random
+from typing import Final
+from typing import Protocol
+
+from verbenafall_core import addresses
+from verbenafall_core import event_log
+from verbenafall_core import periodic
+from verbenafall_core.instance_list import port
+from verbenafall_gateway import endpoint_view
+from verbenafall_gateway import event_catalogue
+from verbenafall_gateway import subsetting
+
+INTERVAL: Final = datetime.timedelta(seconds=1)
+
+
+class InstanceSource(Protocol):
+    """The part of the instance list service that is used here."""
+
+    instances: tuple[port.Instance, ...]
+
+
+class TargetKeeper(Protocol):
+    """The part of the link service that is used here."""
+
+    def set_targets(self, wanted: set[addresses.Address]) -> None:
+        """Keep links to exactly these addresses."""
+
+
+class LinkTargets:
+    """Follows the instance list."""
+
+    def __init__(
+        self,
+        gateway: str,
+        data_centre: str,
+        links_per_service: int,
+        source: InstanceSource,
+        links: TargetKeeper,
+        view: endpoint_view.EndpointView,
+        generator: random.Random,
+    ) -> None:
+        """Create a service that is not yet running."""
+        self.gateway = gateway
+        self.data_centre = data_centre
+        self.links_per_service = links_per_service
+        self.source = source
+        self.links = links
+        self.view = view
+        self.chosen: frozenset[addresses.Address] = frozenset()
+        self.task = periodic.create_periodic_task(
+            "link-targets", INTERVAL, self.apply, generator
+        )
+
+    def start(self) -> None:
+        """Start to follow the list."""
+        self.task.start()
+
+    def stop(self, limit: datetime.timedelta) -> None:
+        """Stop following the list; links stay as they are."""
+        self.task.stop(limit)
+
+    def apply(self) -> None:
+        """Bring links and routing in line with the list.
+
+        A link that carries attempts stays until they have ended, also when
+        its endpoint is leaving or gone from the list: closing it would
+        truncate their answers.
+        """
+        chosen = subsetting.choose_targets(
+            self.gateway,
+            self.data_centre,
+            self.source.instances,
+            self.links_per_service,
+        )
+        if not self.source.instances and self.chosen:
+            event_log.emit(event_catalogue.INSTANCE_LIST_EMPTY)
+            return
+        self.chosen = chosen
+        # Routing must stop before the busy links are looked up, or an
+        # attempt could begin on a link that is about to be closed.
+        self.view.set_routable(chosen)
+        self.links.set_targets(set(chosen | self.view.busy_addresses()))
+
+
+def create_link_targets(
+    gateway: str,
+    data_centre: str,
+    links_per_service: int,
+    source: InstanceSource,
+    links: TargetKeeper,
+    view: endpoint_view.EndpointView,
+    generator: random.Random | None = None,
+) -> LinkTargets:
+    """Create a service that is not yet running."""
+    return LinkTargets(
+        gateway,
+        data_centre,
+        links_per_service,
+        source,
+        links,
+        view,
+        generator or random.Random(),
+    )
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/serve_command.py
@@ -0,0 +1,107 @@
+"""Command "serve": runs a gateway until a planned stop."""
+
+import argparse
+import datetime
+import pathlib
+import signal
+import sys
+import threading
+from typing import Any
+
+import returns.pipeline
+
+from verbenafall_core import clock as clock_lib
+from verbenafall_core import event_catalogue as core_events
+from verbenafall_core import event_log
+from verbenafall_core import settings as settings_lib
+from verbenafall_core.bundles import signing
+from verbenafall_gateway import event_catalogue
+from verbenafall_gateway import gateway as gateway_lib
+from verbenafall_gateway import gateway_settings
+from verbenafall_gateway import http_server
+
+EXIT_CANNOT_LISTEN = 1
+
+
+def register(subparsers: Any) -> None:
+    """Add the command to the command line."""
+    parser = subparsers.add_parser("serve", help="run the gateway")
+    parser.add_argument(
+        "--settings",
+        type=pathlib.Path,
+        required=True,
+        help="settings file (INI)",
+    )
+    parser.add_argument(
+        "--check",
+        action="store_true",
+        help="check the settings and exit",
+    )
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Run the command; return the exit code."""
+    result = gateway_settings.read_gateway_settings(arguments.settings)
+    if not returns.pipeline.is_successful(result):
+        return report([str(fault) for fault in result.failure()])
+    settings = result.unwrap()
+    keys = signing.read_public_keys(settings.public_keys)
+    if not returns.pipeline.is_successful(keys):
+        return report(
+            [
+                f"{arguments.settings}: [bundles] public_keys: {problem}"
+                for problem in keys.failure()
+            ]
+        )
+    if arguments.check:
+        return 0
+    event_log.configure(settings.log_level, settings.name)
+    gateway = gateway_lib.create_gateway(
+        settings, keys.unwrap(), clock_lib.system_clock()
+    )
+    return serve(gateway, settings)
+
+
+def report(faults: list[str]) -> int:
+    """Write all faults of the settings to standard error."""
+    sys.stderr.writelines(f"{fault}\n" for fault in faults)
+    return settings_lib.EXIT_BAD_SETTINGS
+
+
+def serve(
+    gateway: gateway_lib.Gateway, settings: gateway_settings.GatewaySettings
+) -> int:
+    """Serve until a signal asks to stop; return the exit code."""
+    # A second signal finds the event set and changes nothing.
+    stop_requested = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop_requested.set())
+    try:
+        gateway.kernel.start()
+    except http_server.HttpServerError as error:
+        sys.stderr.write(f"{error}\n")
+        return EXIT_CANNOT_LISTEN
+    event_log.emit(
+        event_catalogue.GATEWAY_STARTED,
+        client=settings.client_listen,
+        admin=settings.admin_listen,
+    )
+    stop_requested.wait()
+    stop(gateway, settings.stop_limit)
+    return 0
+
+
+def stop(gateway: gateway_lib.Gateway, limit: datetime.timedelta) -> None:
+    """Finish open requests, then stop all services."""
+    clock = gateway.kernel.clock
+    deadline = clock.monotonic() + limit
+    still_open = gateway.drain.run(limit)
+    left = max(deadline - clock.monotonic(), datetime.timedelta())
+    for failure in gateway.kernel.stop(left):
+        event_log.emit(
+            core_events.SERVICE_STOP_FAILED,
+            service=failure.service,
+            error=repr(failure.error),
+        )
+    event_log.emit(event_catalogue.GATEWAY_STOPPED, open=still_open)
--- a/packages/gateway/src/verbenafall_gateway/service_state.py
+++ b/packages/gateway/src/verbenafall_gateway/service_state.py
@@ -4,6 +4,7 @@
 import threading
 from typing import Protocol
 
+from verbenafall_core import link_router as link_router_lib
 from verbenafall_core import messages
 from verbenafall_core.bundles import model
 
@@ -34,6 +35,9 @@
     def rejected(self) -> tuple[messages.RejectedBundle, ...]:
         """Return the versions that were refused, with reasons."""
 
+    def attach(self, link_router: link_router_lib.LinkRouter) -> None:
+        """Receive the bundle messages of links."""
+
     def poll_now(self) -> None:
         """Read the bundle head from the store soon."""
 
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/status.py
@@ -0,0 +1,141 @@
+"""Status of this gateway and of the sidecars that it has links with."""
+
+import datetime
+import itertools
+import threading
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+from verbenafall_core import link_router
+from verbenafall_core import messages
+from verbenafall_gateway import endpoint_view
+from verbenafall_gateway import service_state
+
+COLLECT_LIMIT: Final = datetime.timedelta(milliseconds=500)
+
+
+class Identity(NamedTuple):
+    """Name and place of this gateway."""
+
+    instance: str
+    data_centre: str
+
+
+class Collected(NamedTuple):
+    """Replies of sidecars.
+
+    Attributes:
+        silent: Instances that did not reply in time.
+    """
+
+    replies: tuple[messages.StatusReply, ...]
+    silent: tuple[str, ...]
+
+
+class Status:
+    """Answers and asks for status over links."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        state: service_state.ServiceState,
+        view: endpoint_view.EndpointView,
+    ) -> None:
+        """Create a service without open collections."""
+        self.identity = identity
+        self.state = state
+        self.view = view
+        self.tokens = itertools.count(1)
+        self.changed = threading.Condition()
+        self.collections: dict[int, dict[str, messages.StatusReply]] = {}
+
+    def attach(self, router: link_router.LinkRouter) -> None:
+        """Receive the status messages of links."""
+        router.subscribe(messages.StatusRequest, self.on_request)
+        router.subscribe(messages.StatusReply, self.on_reply)
+
+    def start(self) -> None:
+        """Do nothing; status is collected on request."""
+
+    def stop(self, limit: datetime.timedelta) -> None:
+        """Do nothing."""
+
+    def on_request(
+        self, link: endpoint_view.LinkPort, request: messages.StatusRequest
+    ) -> None:
+        """Answer a peer."""
+        link.send(self.own(request.token))
+
+    def on_reply(
+        self, link: endpoint_view.LinkPort, reply: messages.StatusReply
+    ) -> None:
+        """Keep a reply for the collection that waits for it."""
+        if link.peer is None:
+            return
+        with self.changed:
+            collection = self.collections.get(reply.token)
+            if collection is not None:
+                collection[link.peer.instance] = reply
+                self.changed.notify_all()
+
+    def own(self, token: int) -> messages.StatusReply:
+        """Return the status of this gateway."""
+        in_force, pending, _ = self.state.bundles.heartbeat_fields()
+        reason = self.state.not_ready_reason()
+        return messages.StatusReply(
+            token=token,
+            instance=self.identity.instance,
+            role="gateway",
+            data_centre=self.identity.data_centre,
+            service="",
+            in_force=in_force,
+            pending=pending,
+            rejected=self.state.bundles.rejected(),
+            ready=not reason,
+            not_ready_reason=reason,
+            draining=self.state.phase is not service_state.Phase.SERVING,
+            groups=(),
+        )
+
+    def collect(self, limit: datetime.timedelta = COLLECT_LIMIT) -> Collected:
+        """Ask all linked sidecars; wait up to the limit for their replies."""
+        token = next(self.tokens)
+        replies: dict[str, messages.StatusReply] = {}
+        with self.changed:
+            self.collections[token] = replies
+        links = self.view.links()
+        asked = {link.peer.instance for link in links if link.peer is not None}
+        try:
+            for link in links:
+                link.send(messages.StatusRequest(token))
+            with self.changed:
+                self.changed.wait_for(
+                    lambda: asked <= replies.keys(), limit.total_seconds()
+                )
+                found = dict(replies)
+        finally:
+            with self.changed:
+                del self.collections[token]
+        return Collected(
+            tuple(found[name] for name in sorted(found)),
+            tuple(sorted(asked - found.keys())),
+        )
+
+
+def describe(reply: messages.StatusReply) -> dict[str, Any]:
+    """Return a status in the form of the status page."""
+    fields = reply._asdict()
+    del fields["token"]
+    fields["rejected"] = [item._asdict() for item in reply.rejected]
+    fields["groups"] = [item._asdict() for item in reply.groups]
+    return fields
+
+
+def create_status(
+    identity: Identity,
+    state: service_state.ServiceState,
+    view: endpoint_view.EndpointView,
+) -> Status:
+    """Create a service without open collections."""
+    return Status(identity, state, view)
--- a/packages/gateway/src/verbenafall_gateway/subsetting.py
+++ b/packages/gateway/src/verbenafall_gateway/subsetting.py
@@ -38,19 +38,3 @@
         for group in by_service.values()
         for instance in sorted(group, key=rank)[:links_per_service]
     )
-
-
-def unroutable_addresses(
-    linked: Iterable[addresses.Address], instances: Iterable[port.Instance]
-) -> frozenset[addresses.Address]:
-    """Return the linked addresses that the list has as leaving or not at all.
-
-    These get no new work.
-    """
-    live = {
-        instance.address
-        for instance in instances
-        if instance.role == SIDECAR_ROLE
-        and instance.state is port.InstanceState.LIVE
-    }
-    return frozenset(address for address in linked if address not in live)
--- a/tests/gateway/test_chat_over_links.py
+++ b/tests/gateway/test_chat_over_links.py
@@ -21,12 +21,11 @@
     )
 
 
-def read_stream(address):
-    with create_client(address) as client:
-        stream = client.chat.completions.create(
-            model="quote-model", messages=MESSAGES, stream=True
-        )
-        chunks = [chunk.choices[0] for chunk in stream]
+def read_stream(client):
+    stream = client.chat.completions.create(
+        model="quote-model", messages=MESSAGES, stream=True
+    )
+    chunks = [chunk.choices[0] for chunk in stream]
     text = "".join(choice.delta.content or "" for choice in chunks)
     return text, chunks[-1].finish_reason
 
@@ -41,9 +40,10 @@
                     model="quote-model", messages=MESSAGES
                 )
                 models = client.models.list()
+                streamed = read_stream(client)
             assert plain.choices[0].message.content == "".join(TOKENS)
             assert plain.choices[0].finish_reason == "stop"
-            assert read_stream(address) == ("".join(TOKENS), "stop")
+            assert streamed == ("".join(TOKENS), "stop")
             assert [item.id for item in models] == ["quote-model"]
 
     def test_unmodified_client_raises_its_errors(self):
@@ -74,9 +74,10 @@
 
         with (
             fakes.linked_sidecar(gateway, break_off) as address,
+            create_client(address) as client,
             pytest.raises(openai.APIError) as error,
         ):
-            read_stream(address)
+            read_stream(client)
         assert error.value.body["outcome"] == "ran"
 
     def test_serves_a_burst_of_150_streams(self):
@@ -97,7 +98,8 @@
             fakes.linked_sidecar(
                 gateway, answer_when_all_are_open, threads=160
             ) as address,
+            create_client(address) as client,
             futures.ThreadPoolExecutor(150) as pool,
         ):
-            results = list(pool.map(read_stream, [address] * 150))
+            results = list(pool.map(read_stream, [client] * 150))
         assert results == [("".join(TOKENS), "stop")] * 150
