Test routing, assembly and the request flow by tables

Cause: retries, resume and refusals were covered by four end-to-end tests only. Ruled out: real links for these cases, whose timing would vary.

--- /dev/null
+++ b/tests/gateway/test_request_flow.py
@@ -0,0 +1,414 @@
+"""Request flow: retries, resume, and when not_run may be said."""
+
+import datetime
+from typing import NamedTuple
+
+import pytest
+
+from gateway import gateway_fakes as fakes
+from verbenafall_core import messages
+from verbenafall_core import outcomes
+from verbenafall_core.claims import model as claims_model
+from verbenafall_gateway import attempt_events
+from verbenafall_gateway import request_flow
+from verbenafall_standins.fakes import manual_clock
+
+NOT_RUN, UNKNOWN, RAN = outcomes.Outcome
+Reason = outcomes.Reason
+TOKENS = ["a ", "b ", "c ", "d"]
+TEXT = "".join(TOKENS)
+LOST = fakes.Close("reset")
+
+
+def create_request(idempotent, resumable=True):
+    return request_flow.FlowRequest(
+        request_id="req-1",
+        service="s",
+        team="desk",
+        priority=1,
+        deadline=datetime.timedelta(seconds=10),
+        idempotent=idempotent,
+        idempotency_key="" if idempotent else "key-1",
+        method="POST",
+        path="/p",
+        headers=(),
+        body=b"{}",
+        affinity="",
+        resumable=resumable,
+    )
+
+
+class Script:
+    """Answers the dispatches of a request, one step for each."""
+
+    def __init__(self, steps):
+        self.steps = list(steps)
+        self.seen = []
+        self.cancels = []
+        self.after_cancel = []
+
+    def __call__(self, message):
+        if isinstance(message, messages.Cancel):
+            self.cancels.append(message.attempt_id)
+            return [reply(message) for reply in self.after_cancel]
+        self.seen.append(message)
+        return self.steps.pop(0)(message)
+
+
+def ok(message):
+    return fakes.answer(message, TOKENS)
+
+
+def overloaded(message):
+    return [fakes.refused(message, Reason.OVERLOADED, wait=700)]
+
+
+def lost(_message):
+    return [LOST]
+
+
+def not_handed_over(_message):
+    return None
+
+
+def tokens_then(*tail):
+    def step(message):
+        start = message.resume_index
+        first = fakes.chunk(message, start, TOKENS[start])
+        return [first, *(part(message) for part in tail)]
+
+    return step
+
+
+def close(_message):
+    return LOST
+
+
+def end_with(count, size):
+    return lambda message: messages.End(
+        *fakes.ids(message), count, size, 200, (), "stop"
+    )
+
+
+def gap(message):
+    return fakes.chunk(message, message.resume_index + 2, "c ")
+
+
+def repeat(message):
+    return fakes.chunk(message, message.resume_index, "a ")
+
+
+def foreign(message):
+    other = message._replace(attempt_id="req-2.1")
+    return fakes.chunk(other, message.resume_index + 1, "OTHER")
+
+
+def old_attempt(message):
+    other = message._replace(attempt_id="req-1.1")
+    return fakes.chunk(other, message.resume_index + 1, "OLD")
+
+
+def rest(message):
+    """Complete an answer whose first token was sent."""
+    start = message.resume_index + 1
+    later = message._replace(resume_index=start)
+    *chunks, end = fakes.answer(later, TOKENS)
+    return [
+        *chunks[1:],
+        end._replace(
+            chunk_count=end.chunk_count + 1,
+            byte_count=end.byte_count + len(TOKENS[start - 1]),
+        ),
+    ]
+
+
+def tokens_then_rest(*tail):
+    begin = tokens_then(*tail)
+    return lambda message: begin(message) + rest(message)
+
+
+class Row(NamedTuple):
+    name: str
+    idempotent: bool
+    steps: list
+    text: str
+    end: object
+    resumed_at: list
+    settled: int = 0
+    settle: object = claims_model.Voided()
+
+
+def refusal(outcome, reason):
+    return (outcome, reason)
+
+
+ROWS = [
+    Row("plain", True, [ok], TEXT, 200, [0]),
+    Row("refused_then_retried", True, [overloaded, ok], TEXT, 200, [0, 0]),
+    Row("refused_once_only_work", False, [overloaded, ok], TEXT, 200, [0, 0]),
+    Row("not_handed_over", False, [not_handed_over, ok], TEXT, 200, [0, 0]),
+    Row(
+        "never_handed_over",
+        False,
+        [not_handed_over] * 4,
+        "",
+        refusal(NOT_RUN, Reason.NO_ENDPOINT),
+        [0] * 4,
+    ),
+    Row("lost_before_answer", True, [lost, ok], TEXT, 200, [0, 0]),
+    Row(
+        "lost_once_only_work_is_voided",
+        False,
+        [lost, ok],
+        TEXT,
+        200,
+        [0, 0],
+        settled=1,
+    ),
+    Row(
+        "lost_once_only_work_is_held",
+        False,
+        [lost],
+        "",
+        refusal(UNKNOWN, Reason.LINK_LOST),
+        [0],
+        settled=1,
+        settle=claims_model.Held("req-1.1"),
+    ),
+    Row(
+        "lost_once_only_work_without_store",
+        False,
+        [lost],
+        "",
+        refusal(UNKNOWN, Reason.LINK_LOST),
+        [0],
+        settled=1,
+        settle=claims_model.Unavailable("down"),
+    ),
+    Row(
+        "lost_once_only_work_that_answered",
+        False,
+        [tokens_then(close)],
+        "a ",
+        refusal(RAN, Reason.LINK_LOST),
+        [0],
+    ),
+    Row(
+        "failed_once_only_work",
+        False,
+        [lambda message: [fakes.failed(message, UNKNOWN)]],
+        "",
+        refusal(UNKNOWN, Reason.ENDPOINT_FAILED),
+        [0],
+    ),
+    Row(
+        "claim_held",
+        False,
+        [lambda m: [fakes.refused(m, Reason.CLAIM_HELD, UNKNOWN)]],
+        "",
+        refusal(UNKNOWN, Reason.CLAIM_HELD),
+        [0],
+    ),
+    Row(
+        "store_down",
+        False,
+        [lambda m: [fakes.refused(m, Reason.STORE_UNAVAILABLE)]],
+        "",
+        refusal(NOT_RUN, Reason.STORE_UNAVAILABLE),
+        [0],
+    ),
+    Row("resumed_at_token", True, [tokens_then(close), ok], TEXT, 200, [0, 1]),
+    Row(
+        "resumed_twice",
+        True,
+        [tokens_then(close), tokens_then(close), ok],
+        TEXT,
+        200,
+        [0, 1, 2],
+    ),
+    Row(
+        "retries_used_up",
+        True,
+        [tokens_then(close)] * 3,
+        "a b c ",
+        refusal(RAN, Reason.LINK_LOST),
+        [0, 1, 2],
+    ),
+    Row(
+        "ran_then_refused_is_not_not_run",
+        True,
+        [tokens_then(close), overloaded, overloaded],
+        "a ",
+        refusal(RAN, Reason.OVERLOADED),
+        [0, 1, 1],
+    ),
+    Row("gap_resumed", True, [tokens_then(gap), ok], TEXT, 200, [0, 1]),
+    Row("repeat", True, [tokens_then_rest(repeat)], TEXT, 200, [0]),
+    Row("crossed", True, [tokens_then_rest(foreign)], TEXT, 200, [0]),
+    Row(
+        "late_chunk_of_first_attempt",
+        True,
+        [tokens_then(close), tokens_then_rest(old_attempt)],
+        TEXT,
+        200,
+        [0, 1],
+    ),
+    Row(
+        "short_end_resumed",
+        True,
+        [tokens_then(end_with(4, 7)), ok],
+        TEXT,
+        200,
+        [0, 1],
+    ),
+    Row(
+        "short_end_of_once_only_work",
+        False,
+        [tokens_then(end_with(2, 2))],
+        "a ",
+        refusal(RAN, Reason.ENDPOINT_FAILED),
+        [0],
+    ),
+]
+
+
+def run(gateway, request):
+    parts, last = [], None
+    for event in gateway.flow.run(request):
+        last = event
+        if isinstance(event, request_flow.Delta):
+            parts.append(event.data.decode())
+    if isinstance(last, attempt_events.Complete):
+        return "".join(parts), last.status
+    return "".join(parts), (last.outcome, last.reason)
+
+
+def create(steps, settle=None, clock=None, count=4):
+    clock = clock or manual_clock.create_manual_clock()
+    gateway = fakes.create_gateway(clock, fakes.FakeClaims(settle))
+    script = Script(steps)
+    links = [
+        fakes.ScriptedLink(gateway.router, f"e-{number}", "s", script)
+        for number in range(count)
+    ]
+    return gateway, script, links
+
+
+class TestRequestFlow:
+    @pytest.mark.parametrize("row", ROWS, ids=[row.name for row in ROWS])
+    def test_outcomes(self, row):
+        """Guards against second runs, false refusals and mixed answers."""
+        gateway, script, links = create(row.steps, row.settle)
+        for _ in range(20):
+            gateway.flow.budget.record_request()
+        assert run(gateway, create_request(row.idempotent)) == (
+            row.text,
+            row.end,
+        )
+        assert [item.resume_index for item in script.seen] == row.resumed_at
+        assert [item.attempt_id for item in script.seen] == [
+            f"req-1.{number + 1}" for number in range(len(script.seen))
+        ]
+        assert len(gateway.claims.settled) == row.settled
+        assert all(
+            item.resume_text == "".join(TOKENS[: item.resume_index])
+            for item in script.seen
+        )
+        assert gateway.flow.attempts.attempts == {}
+        assert gateway.view.busy_addresses() == frozenset()
+        assert gateway.flow.open_keys == {}
+        tried = [link for link in links if link.of_kind(messages.Dispatch)]
+        assert len(tried) == len(script.seen)
+
+    def test_settles_with_the_attempt_that_was_lost(self):
+        """Guards against a void that leaves the lost attempt free to run."""
+        gateway, _, _ = create([overloaded, lost, ok])
+        run(gateway, create_request(False))
+        assert gateway.claims.settled == [("desk", "key-1", "req-1.2")]
+
+    def test_advice_of_the_sidecar_reaches_the_client(self):
+        """Guards against a lost retry time."""
+        gateway, _, _ = create([overloaded], count=1)
+        *_, last = gateway.flow.run(create_request(True))
+        assert last.retry_after == datetime.timedelta(milliseconds=700)
+        assert last.outcome is NOT_RUN
+
+    def test_retries_of_refusals_stop_with_the_budget(self):
+        """Guards against retries that multiply an overload."""
+        gateway, script, _ = create([overloaded] * 4, count=2)
+        run(gateway, create_request(True))
+        run(gateway, create_request(True))
+        assert len(script.seen) == 3
+
+    def test_restart_voids_the_parts_of_a_plain_answer(self):
+        """Guards against a records answer mixed from two attempts."""
+        gateway, _, _ = create([tokens_then(close), ok])
+        request = create_request(True, resumable=False)
+        kinds = [type(event) for event in gateway.flow.run(request)]
+        assert kinds.index(request_flow.Restarted) == 1
+
+    @pytest.mark.parametrize(
+        ("after_cancel", "outcome"),
+        [
+            ([], UNKNOWN),
+            ([lambda m: messages.CancelConfirmed(*m, NOT_RUN)], NOT_RUN),
+            ([lambda m: messages.CancelConfirmed(*m, RAN)], RAN),
+            ([lambda m: messages.Chunk(*m, 0, b"a")], RAN),
+        ],
+    )
+    def test_deadline(self, after_cancel, outcome):
+        """Guards against not_run for work that may have started."""
+        clock = manual_clock.create_manual_clock()
+
+        def late(message):
+            clock.advance(datetime.timedelta(seconds=11))
+            return [messages.Accepted(*fakes.ids(message), 0)]
+
+        gateway, script, _ = create([late], clock=clock)
+        script.after_cancel = after_cancel
+        result = run(gateway, create_request(True))
+        assert result == ("", (outcome, Reason.DEADLINE))
+        assert script.cancels == ["req-1.1"]
+
+    def test_deadline_before_dispatch_is_not_run(self):
+        """Guards against work that begins after its deadline."""
+        clock = manual_clock.create_manual_clock()
+        gateway, script, _ = create([], clock=clock)
+        clock.advance(datetime.timedelta(seconds=10))
+        result = run(gateway, create_request(True))
+        assert result == ("", (NOT_RUN, Reason.DEADLINE))
+        assert script.seen == []
+
+    def test_closing_the_flow_cancels_the_attempt(self):
+        """Guards against engines that work for clients that are gone."""
+        gateway, script, _ = create([tokens_then()])
+        flow = gateway.flow.run(create_request(True))
+        next(flow)
+        assert gateway.view.busy_addresses()
+        flow.close()
+        assert script.cancels == ["req-1.1"]
+        assert not gateway.view.busy_addresses()
+
+    def test_messages_on_another_link_are_dropped(self):
+        """Guards against an answer from an endpoint that was not asked."""
+
+        def cross(message):
+            return [messages.Accepted(*fakes.ids(message), 0)]
+
+        gateway, script, links = create([cross])
+        crossed = messages.Chunk("req-1", "req-1.1", 0, b"OTHER")
+        gateway.router.subscribe(
+            messages.Accepted,
+            lambda link, _message: (
+                [
+                    gateway.router.on_message(other, crossed)
+                    for other in links
+                    if other is not link
+                ]
+                and gateway.router.on_message(
+                    link, fakes.failed(script.seen[0], UNKNOWN, Reason.DEADLINE)
+                )
+            ),
+        )
+        result = run(gateway, create_request(True))
+        assert result == ("", (UNKNOWN, Reason.DEADLINE))
--- /dev/null
+++ b/tests/gateway/test_routing.py
@@ -0,0 +1,219 @@
+"""Choice of endpoints, of links, and of retries, as pure functions."""
+
+import datetime
+import random
+
+import pytest
+
+from verbenafall_core import addresses
+from verbenafall_core import outcomes
+from verbenafall_core.instance_list import port
+from verbenafall_gateway import attempt_events
+from verbenafall_gateway import retry_budget
+from verbenafall_gateway import retry_rules
+from verbenafall_gateway import routing
+from verbenafall_gateway import subsetting
+from verbenafall_standins.fakes import manual_clock
+
+
+def endpoint(name, load=0, data_centre="north", service="s", available=True):
+    return routing.EndpointState(
+        name,
+        service,
+        data_centre,
+        addresses.Address("127.0.0.1", 1),
+        load,
+        0,
+        available,
+    )
+
+
+def choose(endpoints, affinity="", excluded=(), seed=1):
+    return routing.choose(
+        endpoints,
+        "s",
+        "north",
+        affinity,
+        frozenset(excluded),
+        random.Random(seed),
+    )
+
+
+# Name, endpoints, excluded; none of them can take the attempt.
+UNUSABLE = [
+    ("none", [], ()),
+    ("draining_or_leaving", [endpoint("a", available=False)], ()),
+    ("other_service", [endpoint("a", service="t")], ()),
+    ("already_tried", [endpoint("a")], ("a",)),
+]
+
+# Name, endpoints, names that may be chosen over all seeds.
+CHOICES = [
+    ("less_loaded_of_two", [endpoint("a", 3), endpoint("b", 1)], {"b"}),
+    (
+        "same_data_centre_first",
+        [endpoint("a", 1), endpoint("b", 0, "south")],
+        {"a"},
+    ),
+    (
+        "other_data_centre_when_overloaded",
+        [endpoint("a", 9), endpoint("b", 0, "south")],
+        {"b"},
+    ),
+    ("any_of_equals", [endpoint("a"), endpoint("b")], {"a", "b"}),
+]
+
+
+class TestChoose:
+    @pytest.mark.parametrize(
+        ("endpoints", "excluded"),
+        [row[1:] for row in UNUSABLE],
+        ids=[row[0] for row in UNUSABLE],
+    )
+    def test_never_chooses_unusable_endpoints(self, endpoints, excluded):
+        """Guards against work on leaving, draining or tried endpoints."""
+        assert choose(endpoints, excluded=excluded) is None
+        assert choose(endpoints, "prompt", excluded) is None
+
+    @pytest.mark.parametrize(
+        ("endpoints", "names"),
+        [row[1:] for row in CHOICES],
+        ids=[row[0] for row in CHOICES],
+    )
+    def test_two_choices(self, endpoints, names):
+        """Guards against load or data centre being ignored."""
+        chosen = {
+            choose(endpoints, seed=seed).endpoint.instance for seed in range(20)
+        }
+        assert chosen == names
+
+    def test_affinity_holds_until_the_load_bound(self):
+        """Guards against lost prompt caches and against hot endpoints."""
+        idle = [endpoint(name) for name in "abcdefgh"]
+        first = choose(idle, "a prompt")
+        assert first.reason is routing.RouteReason.AFFINITY
+        for seed in range(20):
+            again = choose(list(reversed(idle)), "a prompt", seed=seed)
+            assert again.endpoint == first.endpoint
+        hot = [
+            item._replace(own_in_flight=5)
+            if item.instance == first.endpoint.instance
+            else item
+            for item in idle
+        ]
+        moved = choose(hot, "a prompt")
+        assert moved.endpoint.instance != first.endpoint.instance
+
+    def test_affinity_spreads_prompts(self):
+        """Guards against a hash that sends all prompts to one endpoint."""
+        idle = [endpoint(name) for name in "abcd"]
+        found = [
+            choose(idle, f"prompt {number}\ud800").endpoint.instance
+            for number in range(400)
+        ]
+        assert min(found.count(name) for name in "abcd") > 60
+
+
+def listed(name, data_centre="north", service="s", state="live"):
+    number = int(name.rpartition("-")[2]) + 1
+    return port.Instance(
+        name,
+        "sidecar",
+        data_centre,
+        service,
+        addresses.Address("127.0.0.1", number),
+        port.InstanceState(state),
+    )
+
+
+class TestSubsetting:
+    def test_links_with_a_stable_share_and_own_data_centre_first(self):
+        """Guards against full meshes and against reshuffled links."""
+        fleet = [
+            listed(f"e-{number}", "north" if number < 10 else "south")
+            for number in range(100)
+        ]
+        chosen = subsetting.choose_targets("g", "north", fleet, 16)
+        local = {item.address for item in fleet[:10]}
+        assert len(chosen) == 16
+        assert local <= chosen
+        rest = [item for item in fleet if item.address not in chosen]
+        fewer = [item for item in fleet if item not in rest[:50]]
+        assert subsetting.choose_targets("g", "north", fewer, 16) == chosen
+
+    def test_leaves_out_leaving_instances_and_gateways(self):
+        """Guards against links to instances that take no work."""
+        fleet = [
+            listed("e-1", state="leaving"),
+            listed("e-2")._replace(role="gateway"),
+            listed("e-3"),
+            listed("e-4", service="t"),
+        ]
+        chosen = subsetting.choose_targets("g", "north", fleet, 16)
+        assert chosen == {fleet[2].address, fleet[3].address}
+
+
+NOT_RUN, UNKNOWN, RAN = outcomes.Outcome
+Reason = outcomes.Reason
+RETRY, WITH_BUDGET, GIVE_UP = retry_rules.Action
+
+# Idempotent, outcome, reason, refused, retries so far, remaining ms, action.
+RULES = [
+    (True, NOT_RUN, Reason.OVERLOADED, True, 0, 100, WITH_BUDGET),
+    (False, NOT_RUN, Reason.OVERLOADED, True, 0, 100, WITH_BUDGET),
+    (True, UNKNOWN, Reason.LINK_LOST, False, 0, 100, RETRY),
+    (True, RAN, Reason.ENDPOINT_FAILED, False, 1, 100, RETRY),
+    (False, UNKNOWN, Reason.LINK_LOST, False, 0, 100, GIVE_UP),
+    (False, RAN, Reason.ENDPOINT_FAILED, False, 0, 100, GIVE_UP),
+    (False, NOT_RUN, Reason.LINK_LOST, False, 0, 100, RETRY),
+    (False, UNKNOWN, Reason.CLAIM_HELD, True, 0, 100, GIVE_UP),
+    (False, NOT_RUN, Reason.CLAIM_MISMATCH, True, 0, 100, GIVE_UP),
+    (False, NOT_RUN, Reason.STORE_UNAVAILABLE, True, 0, 100, GIVE_UP),
+    (True, NOT_RUN, Reason.DEADLINE, True, 0, 100, GIVE_UP),
+    (True, NOT_RUN, Reason.OVERLOADED, True, 2, 100, GIVE_UP),
+    (True, NOT_RUN, Reason.OVERLOADED, True, 0, 0, GIVE_UP),
+]
+
+
+class TestRetryRules:
+    @pytest.mark.parametrize(
+        (
+            "idempotent",
+            "outcome",
+            "reason",
+            "refused",
+            "retries",
+            "remaining",
+            "action",
+        ),
+        RULES,
+    )
+    def test_actions(
+        self,
+        idempotent,
+        outcome,
+        reason,
+        refused,
+        retries,
+        remaining,
+        action,
+    ):
+        """Guards against a second run of work that must not be repeated."""
+        broken = attempt_events.Broken(
+            outcome, reason, "", None, refused, False
+        )
+        left = datetime.timedelta(milliseconds=remaining)
+        situation = retry_rules.Situation(idempotent, retries, left)
+        assert retry_rules.decide(broken, situation) is action
+
+    def test_budget_is_a_tenth_of_requests_and_one_a_second(self):
+        """Guards against retry storms."""
+        clock = manual_clock.create_manual_clock()
+        budget = retry_budget.create_retry_budget(clock)
+        assert [budget.try_take(), budget.try_take()] == [True, False]
+        for _ in range(30):
+            budget.record_request()
+        taken = [budget.try_take() for _ in range(4)]
+        assert taken.count(True) in (2, 3)
+        clock.advance(datetime.timedelta(seconds=1))
+        assert [budget.try_take(), budget.try_take()] == [True, False]
