--- a/tests/gateway/gateway_fakes.py
+++ b/tests/gateway/gateway_fakes.py
@@ -147,6 +147,8 @@
 
 def answer(dispatch, tokens, status=200, headers=(), finish="stop"):
     """Messages of a complete answer from the dispatch's resume index."""
+    if isinstance(dispatch, messages.Cancel):
+        return []
     start = dispatch.resume_index
     rest = tokens[start:]
     size = sum(len(token.encode()) for token in rest)
--- /dev/null
+++ b/tests/gateway/test_http_server.py
@@ -0,0 +1,164 @@
+"""HTTP server: framing, limits and slow clients, over raw sockets."""
+
+import contextlib
+import datetime
+import json
+import socket
+
+import pytest
+
+from gateway import gateway_fakes as fakes
+from verbenafall_core import clock as clock_lib
+from verbenafall_gateway import activity as activity_lib
+from verbenafall_gateway import http_server
+from verbenafall_gateway import service_state
+
+HOST = "Host: a\r\n"
+GET = "GET /-/ready HTTP/1.1\r\n"
+POST = "POST /v1/chat/completions HTTP/1.1\r\n"
+AUTH = f"Authorization: Bearer {fakes.CREDENTIAL}\r\n"
+
+# Name, head of the request, body, expected status.
+REQUESTS = [
+    ("good", GET + HOST, "", 200),
+    ("good_chunked", POST + HOST + AUTH, "", 400),
+    (
+        "length_and_encoding",
+        POST + HOST + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "0\r\n\r\n",
+        400,
+    ),
+    (
+        "repeated_length",
+        POST + HOST + "Content-Length: 3\r\nContent-Length: 4\r\n",
+        "abcd",
+        400,
+    ),
+    ("signed_length", POST + HOST + "Content-Length: +3\r\n", "abc", 400),
+    ("length_with_mark", POST + HOST + "Content-Length: 1_0\r\n", "abc", 400),
+    ("spaced_name", POST + HOST + "Content-Length : 3\r\n", "abc", 400),
+    ("folded", GET + HOST + "X-A: 1\r\n b\r\n", "", 400),
+    (
+        "two_encodings",
+        POST + HOST + "Transfer-Encoding: gzip, chunked\r\n",
+        "",
+        400,
+    ),
+    (
+        "encoding_in_http_1_0",
+        POST.replace("1.1", "1.0") + HOST + "Transfer-Encoding: chunked\r\n",
+        "0\r\n\r\n",
+        400,
+    ),
+    ("repeated_credential", GET + HOST + AUTH + AUTH, "", 400),
+    (
+        "over_read_limit",
+        POST + HOST + AUTH + "Content-Length: 9999999\r\n",
+        "",
+        413,
+    ),
+    (
+        "over_body_limit",
+        POST + HOST + AUTH + "Content-Length: 1048577\r\n",
+        "x" * 1048577,
+        413,
+    ),
+    (
+        "over_body_limit_chunked",
+        POST + HOST + AUTH + "Transfer-Encoding: chunked\r\n",
+        f"100001\r\n{'x' * 0x100001}\r\n0\r\n\r\n",
+        413,
+    ),
+    (
+        "bad_chunk",
+        POST + HOST + AUTH + "Transfer-Encoding: chunked\r\n",
+        "zz\r\n",
+        400,
+    ),
+]
+
+
+class JumpingClock(clock_lib.SystemClock):
+    """Moves six seconds with each reading."""
+
+    def __init__(self):
+        self.seconds = 0
+
+    def monotonic(self):
+        self.seconds += 6
+        return datetime.timedelta(seconds=self.seconds)
+
+
+@contextlib.contextmanager
+def serving(clock=None):
+    gateway = fakes.create_gateway()
+    server = http_server.create_http_server(
+        fakes.ANY_PORT,
+        gateway.app,
+        2,
+        clock or clock_lib.system_clock(),
+        gateway.activity,
+    )
+    server.start()
+    try:
+        yield server.address(), gateway
+    finally:
+        server.stop(datetime.timedelta(seconds=2))
+
+
+def exchange(address, data):
+    """Send bytes; return status and body up to the end of the connection."""
+    with socket.create_connection(address, 10) as sock:
+        sock.sendall(data)
+        answer = b""
+        while part := sock.recv(65536):
+            answer += part
+    head, _, body = answer.partition(b"\r\n\r\n")
+    return int(head.split()[1]), body
+
+
+class TestHttpServer:
+    @pytest.mark.parametrize(
+        ("head", "body", "status"),
+        [row[1:] for row in REQUESTS],
+        ids=[row[0] for row in REQUESTS],
+    )
+    def test_statuses(self, head, body, status):
+        """Guards against smuggled requests and unclear refusals."""
+        with serving() as (address, _):
+            request = f"{head}Connection: close\r\n\r\n{body}".encode()
+            found, answer = exchange(address, request)
+        assert found == status
+        if status != 200:
+            assert json.loads(answer)["error"]["outcome"] == "not_run"
+
+    def test_slow_body_is_refused(self):
+        """Guards against clients that hold a thread byte by byte."""
+        with serving(JumpingClock()) as (address, _):
+            head = f"{POST}{HOST}{AUTH}Content-Length: 50\r\n\r\n"
+            found, answer = exchange(address, f"{head}abc".encode())
+        assert found == 408
+        assert json.loads(answer)["error"]["outcome"] == "not_run"
+
+    def test_connection_is_kept_for_further_requests(self):
+        """Guards against a connection for each request."""
+        with serving() as (address, _):
+            two = f"{GET}{HOST}\r\n{GET}{HOST}Connection: close\r\n\r\n"
+            _, body = exchange(address, two.encode())
+        assert body.count(b'"ready": true') == 2
+
+    def test_refusals_of_a_stopping_gateway_close_the_connection(self):
+        """Guards against clients that stay on a gateway that stops."""
+        with serving() as (address, gateway):
+            gateway.state.enter(service_state.Phase.REFUSING)
+            request = f"{POST}{HOST}{AUTH}Content-Length: 2\r\n\r\n{{}}"
+            found, _ = exchange(address, request.encode())
+        assert found == 503
+
+    def test_counts_open_requests(self):
+        """Guards against a stop that truncates answers."""
+        activity = activity_lib.create_activity()
+        activity.enter()
+        assert activity.wait_idle(datetime.timedelta()) == 1
+        activity.leave()
+        assert activity.wait_idle(datetime.timedelta(seconds=1)) == 0
