Name the indexed bundle of a caller apart from tuple.index

Ruled out: silencing the check. Change: the field is called indexed. Conclusion: no behaviour changes.

--- a/packages/gateway/src/verbenafall_gateway/http_app.py
+++ b/packages/gateway/src/verbenafall_gateway/http_app.py
@@ -62,7 +62,7 @@
     """Who calls, and the indexed bundle by which the request is judged."""
 
     team: model.TeamSpec
-    index: bundle_index.BundleIndex
+    indexed: bundle_index.BundleIndex
 
 
 class ClientApp:
@@ -151,7 +151,7 @@
         caller = self.identify(request)
         names = [
             service.model
-            for service in caller.index.bundle.services
+            for service in caller.indexed.bundle.services
             if service.kind is model.ServiceKind.MODEL
             and service.name in caller.team.services
         ]
@@ -161,7 +161,7 @@
                 "id": name,
                 "object": "model",
                 "created": created,
-                "owned_by": caller.index.bundle.deployment,
+                "owned_by": caller.indexed.bundle.deployment,
             }
             for name in names
         ]
@@ -179,7 +179,9 @@
         started = self.clock.monotonic()
         call = require(validation.check_chat(read_body(request)))
         service = require(
-            validation.find_model_service(call.model, caller.team, caller.index)
+            validation.find_model_service(
+                call.model, caller.team, caller.indexed
+            )
         )
         flow_request = request_flow.FlowRequest(
             request_id=request_id,
@@ -220,7 +222,9 @@
         del rest  # The path goes on as sent by the client, not decoded.
         caller = self.identify(request)
         spec = require(
-            validation.find_records_service(service, caller.team, caller.index)
+            validation.find_records_service(
+                service, caller.team, caller.indexed
+            )
         )
         key = require(
             validation.check_key(request.headers.get("Idempotency-Key"))
