Log the bound addresses when the gateway has started

Cause: with port 0 in the settings the log named port 0. Ruled out: writing the address to a file. Change: the event gives the addresses of the listening servers. Before: client=127.0.0.1:0. Conclusion: tests can start the process on free ports.

--- a/packages/gateway/src/verbenafall_gateway/gateway.py
+++ b/packages/gateway/src/verbenafall_gateway/gateway.py
@@ -42,6 +42,8 @@
 
     kernel: kernel_lib.Kernel
     drain: drain_lib.Drain
+    client_server: http_server.HttpServer
+    admin_server: http_server.HttpServer
 
 
 def create_gateway(
@@ -111,7 +113,8 @@
     kernel.register(service_names.LINK_TARGETS, targets)
     kernel.register(service_names.ADMIN_SERVER, admin_server)
     kernel.register(service_names.HTTP_SERVER, client_server)
-    return Gateway(kernel, drain_lib.create_drain(state, activity))
+    drain = drain_lib.create_drain(state, activity)
+    return Gateway(kernel, drain, client_server, admin_server)
 
 
 def create_metrics(
--- a/packages/gateway/src/verbenafall_gateway/serve_command.py
+++ b/packages/gateway/src/verbenafall_gateway/serve_command.py
@@ -7,6 +7,7 @@
 import sys
 import threading
 from typing import Any
+from typing import Final
 
 import returns.pipeline
 
@@ -20,7 +21,7 @@
 from verbenafall_gateway import gateway_settings
 from verbenafall_gateway import http_server
 
-EXIT_CANNOT_LISTEN = 1
+EXIT_CANNOT_LISTEN: Final = 1
 
 
 def register(subparsers: Any) -> None:
@@ -60,7 +61,7 @@
     gateway = gateway_lib.create_gateway(
         settings, keys.unwrap(), clock_lib.system_clock()
     )
-    return serve(gateway, settings)
+    return serve(gateway, settings.stop_limit)
 
 
 def report(faults: list[str]) -> int:
@@ -69,9 +70,7 @@
     return settings_lib.EXIT_BAD_SETTINGS
 
 
-def serve(
-    gateway: gateway_lib.Gateway, settings: gateway_settings.GatewaySettings
-) -> int:
+def serve(gateway: gateway_lib.Gateway, stop_limit: datetime.timedelta) -> int:
     """Serve until a signal asks to stop; return the exit code."""
     # A second signal finds the event set and changes nothing.
     stop_requested = threading.Event()
@@ -84,11 +83,11 @@
         return EXIT_CANNOT_LISTEN
     event_log.emit(
         event_catalogue.GATEWAY_STARTED,
-        client=settings.client_listen,
-        admin=settings.admin_listen,
+        client=gateway.client_server.address(),
+        admin=gateway.admin_server.address(),
     )
     stop_requested.wait()
-    stop(gateway, settings.stop_limit)
+    stop(gateway, stop_limit)
     return 0
 
 
