Bound the settling of claims and keep query errors apart from outcomes

Cause: a lost link made the client wait for the store without limit, and a refused outcome query said not_run, which reads as the outcome of its key. Ruled out: settling in the background after the answer, which gives up every provable not_run. Change: settle on a pool with a limit of 1 s and of the deadline; errors of the query say unknown; timings of requests and of first chunks; the empty instance list is logged once. Conclusion: a slow store no longer delays final answers past the deadline.

--- a/packages/gateway/src/verbenafall_gateway/answers.py
+++ b/packages/gateway/src/verbenafall_gateway/answers.py
@@ -46,11 +46,13 @@
         status: HTTP status, 400 to 499.
         code: Name of the fault for programs.
         message: What is wrong and what is expected.
+        outcome: Outcome of the request that the client asks about.
     """
 
     status: int
     code: str
     message: str
+    outcome: outcomes.Outcome = outcomes.Outcome.NOT_RUN
 
 
 def error_object(refusal: outcomes.Refusal) -> dict[str, Any]:
@@ -109,9 +111,7 @@
 
 def fault_response(fault: Fault, request_id: str) -> wrappers.Response:
     """Return the response for a faulty request."""
-    body = build_error(
-        outcomes.Outcome.NOT_RUN, fault.code, fault.message, None
-    )
+    body = build_error(fault.outcome, fault.code, fault.message, None)
     response = json_response(body, fault.status, request_id)
     if fault.status == 401:
         response.headers["WWW-Authenticate"] = "Bearer"
--- a/packages/gateway/src/verbenafall_gateway/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/event_catalogue.py
@@ -42,13 +42,6 @@
     "DEBUG",
     "A message for an attempt that is not open on this link was dropped.",
 )
-STREAM_GAP = event_log.define(
-    2014,
-    "stream_gap",
-    "ERROR",
-    "An attempt's chunks or totals do not add up; the attempt was given up."
-    " Check the releases of gateway and sidecar.",
-)
 REQUEST_REFUSED = event_log.define(
     2015,
     "request_refused",
--- a/packages/gateway/src/verbenafall_gateway/http_app.py
+++ b/packages/gateway/src/verbenafall_gateway/http_app.py
@@ -259,9 +259,21 @@
     def serve_outcome(
         self, request: wrappers.Request, request_id: str, key: str
     ) -> wrappers.Response:
-        """Tell what became of a request that must not run twice."""
-        caller = self.identify(request)
-        require(validation.check_key(key))
+        """Tell what became of a request that must not run twice.
+
+        An error says "unknown": a refused or faulty query tells nothing
+        about the request with that key.
+        """
+        unknown = outcomes.Outcome.UNKNOWN
+        try:
+            caller = self.identify(request)
+            require(validation.check_key(key))
+        except RefusedError as error:
+            refusal = error.refusal._replace(outcome=unknown)
+            raise RefusedError(refusal) from error
+        except FaultError as error:
+            fault = error.fault._replace(outcome=unknown)
+            raise FaultError(fault) from error
         team = caller.team.name
         if self.flow.holds_key(team, key):
             return outcome_response(outcomes.Outcome.UNKNOWN, request_id)
--- a/packages/gateway/src/verbenafall_gateway/link_targets.py
+++ b/packages/gateway/src/verbenafall_gateway/link_targets.py
@@ -50,6 +50,7 @@
         self.links = links
         self.view = view
         self.chosen: frozenset[addresses.Address] = frozenset()
+        self.empty = False
         self.task = periodic.create_periodic_task(
             "link-targets", INTERVAL, self.apply, generator
         )
@@ -76,14 +77,21 @@
             self.links_per_service,
         )
         if not self.source.instances and self.chosen:
-            event_log.emit(event_catalogue.INSTANCE_LIST_EMPTY)
+            self.report_empty()
             return
+        self.empty = False
         self.chosen = chosen
         # Routing must stop before the busy links are looked up, or an
         # attempt could begin on a link that is about to be closed.
         self.view.set_routable(chosen)
         self.links.set_targets(set(chosen | self.view.busy_addresses()))
 
+    def report_empty(self) -> None:
+        """Write to the log once that the list has become empty."""
+        if not self.empty:
+            event_log.emit(event_catalogue.INSTANCE_LIST_EMPTY)
+        self.empty = True
+
 
 def create_link_targets(
     gateway: str,
--- a/packages/gateway/src/verbenafall_gateway/request_flow.py
+++ b/packages/gateway/src/verbenafall_gateway/request_flow.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Generator
+import concurrent.futures
 import datetime
 import random
 import threading
@@ -32,6 +33,9 @@
 # final answer still comes before the deadline.
 CANCEL_SHARE: Final = 0.1
 CANCEL_LIMIT: Final = datetime.timedelta(milliseconds=100)
+# A client's final answer does not wait longer than this for the store.
+SETTLE_LIMIT: Final = datetime.timedelta(seconds=1)
+SETTLE_THREADS: Final = 16
 DEFAULT_RETRY_AFTER: Final = datetime.timedelta(seconds=1)
 
 _ZERO: Final = datetime.timedelta()
@@ -80,11 +84,16 @@
     """State of a request across its attempts."""
 
     def __init__(
-        self, request: FlowRequest, cancel_at: datetime.timedelta
+        self,
+        request: FlowRequest,
+        cancel_at: datetime.timedelta,
+        started: datetime.timedelta,
     ) -> None:
         """Create the state of a request without attempts."""
         self.request = request
         self.cancel_at = cancel_at
+        self.started = started
+        self.answered = False
         self.delivered: list[str] = []
         self.tried: frozenset[str] = frozenset()
         self.attempts = 0
@@ -114,6 +123,9 @@
         self.generator = generator
         self.budget = retry_budget.create_retry_budget(clock)
         self.attempts = open_attempts.create_open_attempts(metrics)
+        self.settle_pool = concurrent.futures.ThreadPoolExecutor(
+            SETTLE_THREADS, "settle"
+        )
         self.lock = threading.Lock()
         self.open_keys: dict[tuple[str, str], int] = {}
 
@@ -125,20 +137,25 @@
         """Do nothing; requests bring their own threads."""
 
     def stop(self, limit: datetime.timedelta) -> None:
-        """Do nothing; the HTTP server waits for open requests."""
+        """End the threads; the HTTP server has waited for open requests."""
+        del limit  # A settle in progress is bounded by the store's adapter.
+        self.settle_pool.shutdown(wait=False, cancel_futures=True)
 
     def run(self, request: FlowRequest) -> Flow:
         """Run a request; the last event is Complete or a Refusal."""
         self.budget.record_request()
         remaining = request.deadline - self.clock.monotonic()
         reserve = min(max(remaining, _ZERO) * CANCEL_SHARE, CANCEL_LIMIT)
-        progress = Progress(request, request.deadline - reserve)
+        started = self.clock.monotonic()
+        progress = Progress(request, request.deadline - reserve, started)
         key = (request.team, request.idempotency_key)
         self.hold_key(key)
         try:
             yield from self.run_attempts(progress)
         finally:
             self.release_key(key)
+            duration = self.clock.monotonic() - started
+            self.metrics.timing(f"request.{request.service}", duration)
 
     def run_attempts(self, progress: Progress) -> Flow:
         """Run attempts until one is complete or none may follow."""
@@ -296,7 +313,12 @@
                 self.send_cancel(progress, attempt)
 
     def note_delivered(self, progress: Progress, data: bytes) -> None:
-        """Keep a token as the start of a resume."""
+        """Keep a token as the start of a resume, and time the first one."""
+        if not progress.answered:
+            progress.answered = True
+            waited = self.clock.monotonic() - progress.started
+            service = progress.request.service
+            self.metrics.timing(f"first_chunk.{service}", waited)
         if progress.request.resumable:
             progress.delivered.append(data.decode("utf-8", "replace"))
 
@@ -401,11 +423,20 @@
             or broken.outcome is not outcomes.Outcome.UNKNOWN
         ):
             return broken
-        result = self.claims.settle(
+        pending = self.settle_pool.submit(
+            self.claims.settle,
             request.team,
             request.idempotency_key,
             identifiers.attempt_id(request.request_id, progress.attempts),
         )
+        remaining = progress.cancel_at - self.clock.monotonic()
+        limit = min(SETTLE_LIMIT, max(remaining, _ZERO))
+        try:
+            result = pending.result(limit.total_seconds())
+        except concurrent.futures.TimeoutError:
+            # A void that is written later only keeps the attempt from
+            # running, which "unknown" allows for.
+            return broken
         if isinstance(result, claims_model.Voided):
             return broken._replace(outcome=outcomes.Outcome.NOT_RUN)
         return broken
--- a/tests/gateway/test_http_app.py
+++ b/tests/gateway/test_http_app.py
@@ -61,20 +61,10 @@
     chat_row("no_tokens", max_tokens=0),
     chat_row("resume", resume={"index": 1, "text": "a"}),
     Row(
-        "unknown_model",
-        CHAT,
-        {**GOOD, "model": "x"},
-        {},
-        404,
-        "unknown_model",
+        "unknown_model", CHAT, {**GOOD, "model": "x"}, {}, 404, "unknown_model"
     ),
     Row(
-        "unknown_service",
-        "/services/x/search",
-        "",
-        {},
-        404,
-        "unknown_service",
+        "unknown_service", "/services/x/search", "", {}, 404, "unknown_service"
     ),
     Row(
         "model_as_records",
@@ -182,11 +172,7 @@
 SETTLED = [
     (claims_model.Voided(), 200, "not_run"),
     (claims_model.Held("a"), 200, "unknown"),
-    (
-        claims_model.Replay(claims_model.StoredAnswer(201, (), b"")),
-        200,
-        "ran",
-    ),
+    (claims_model.Replay(claims_model.StoredAnswer(201, (), b"")), 200, "ran"),
     (claims_model.Unavailable("down"), 503, "unknown"),
 ]
 
@@ -266,6 +252,17 @@
         assert body.get("error", body)["outcome"] == outcome
         assert [item[:2] for item in claims.settled] == [("desk", "a/b c")]
 
+    @pytest.mark.parametrize("phase", list(service_state.Phase)[::2])
+    def test_refused_query_tells_nothing(self, phase):
+        """Guards against not_run of a query taken for that of its key."""
+        gateway = fakes.create_gateway()
+        gateway.state.enter(phase)
+        response = call(
+            gateway, "/v1/outcomes/k", "", {"Authorization": "Bearer x"}, "GET"
+        )
+        assert response.status_code in (401, 503)
+        assert response.json["error"]["outcome"] == "unknown"
+
     def test_open_request_is_unknown(self):
         """Guards against voiding the key of a request that is open here."""
         found = []
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -1,6 +1,7 @@
 """Request flow: retries, resume, and when not_run may be said."""
 
 import datetime
+import threading
 from typing import NamedTuple
 
 import pytest
@@ -326,6 +327,21 @@
         run(gateway, create_request(False))
         assert gateway.claims.settled == [("desk", "key-1", "req-1.2")]
 
+    def test_hanging_store_does_not_delay_the_answer(self):
+        """Guards against a final answer that comes after the deadline."""
+        clock = manual_clock.create_manual_clock()
+        release = threading.Event()
+
+        def lose_late(_message):
+            clock.advance(datetime.timedelta(seconds=9.9))
+            return [LOST]
+
+        gateway, _, _ = create([lose_late], clock=clock)
+        gateway.claims.settle = lambda *_: release.wait(30)
+        result = run(gateway, create_request(False))
+        release.set()
+        assert result == ("", (UNKNOWN, Reason.LINK_LOST))
+
     def test_advice_of_the_sidecar_reaches_the_client(self):
         """Guards against a lost retry time."""
         gateway, _, _ = create([overloaded], count=1)
--- a/tests/gateway/test_routing.py
+++ b/tests/gateway/test_routing.py
@@ -189,14 +189,7 @@
         RULES,
     )
     def test_actions(
-        self,
-        idempotent,
-        outcome,
-        reason,
-        refused,
-        retries,
-        remaining,
-        action,
+        self, idempotent, outcome, reason, refused, retries, remaining, action
     ):
         """Guards against a second run of work that must not be repeated."""
         broken = attempt_events.Broken(
