Refuse requests over the gateway's limit instead of letting them wait

Cause: with all threads busy a request waited in the server's queue without an answer and without its deadline being seen. Ruled out: a bound on cheroot's queue, which closes connections with a plain 503 only after ten seconds. Change: the limit of open requests is checked with that of the team; sixteen spare threads answer readiness and refusals. Before: 174 tests. After: 175 pass. Conclusion: overload at the gateway gets an immediate not_run with the time to retry.

--- a/packages/gateway/src/verbenafall_gateway/gateway.py
+++ b/packages/gateway/src/verbenafall_gateway/gateway.py
@@ -32,6 +32,8 @@
 from verbenafall_gateway import status as status_lib
 
 ADMIN_THREADS: Final = 4
+# Answer readiness and refusals at once while all other threads are busy.
+SPARE_THREADS: Final = 16
 METRICS_PREFIX: Final = "verbenafall.gateway"
 
 PublicKeys = tuple[ed25519.Ed25519PublicKey, ...]
@@ -92,9 +94,15 @@
         view,
     )
     activity = activity_lib.create_activity()
-    app = http_app.create_client_app(flow, state, claims, clock, metrics)
+    app = http_app.create_client_app(
+        flow, state, claims, clock, metrics, settings.client_threads
+    )
     client_server = http_server.create_http_server(
-        settings.client_listen, app, settings.client_threads, clock, activity
+        settings.client_listen,
+        app,
+        settings.client_threads + SPARE_THREADS,
+        clock,
+        activity,
     )
     admin_server = http_server.create_http_server(
         settings.admin_listen,
--- a/packages/gateway/src/verbenafall_gateway/gateway_settings.py
+++ b/packages/gateway/src/verbenafall_gateway/gateway_settings.py
@@ -135,7 +135,7 @@
         settings.parse_positive_int,
         "a whole number above 0",
         "256",
-        "Client requests served at once; more wait for a free thread.",
+        "Client requests served at once; more are refused.",
     ),
     settings.Option(
         "limits",
--- a/packages/gateway/src/verbenafall_gateway/http_app.py
+++ b/packages/gateway/src/verbenafall_gateway/http_app.py
@@ -75,6 +75,7 @@
         claims: claims_model.Claims,
         clock: clock_lib.Clock,
         metrics: metrics_lib.Metrics,
+        max_open: int,
         generator: random.Random,
     ) -> None:
         """Create an application without requests."""
@@ -84,7 +85,7 @@
         self.clock = clock
         self.metrics = metrics
         self.generator = generator
-        self.limits = team_limits.create_team_limits()
+        self.limits = team_limits.create_team_limits(max_open)
         self.indexes = bundle_index.create_index_cache()
         self.urls = create_url_map()
         self.handlers: dict[str, Callable[..., wrappers.Response]] = {
@@ -343,15 +344,7 @@
 
         Closing the response ends the flow and with it an open attempt.
         """
-        if not self.limits.try_enter(team.name, team.max_in_flight):
-            raise RefusedError(
-                self.refusal(
-                    outcomes.Outcome.NOT_RUN,
-                    outcomes.Reason.TEAM_LIMIT,
-                    f"team {team.name} has {team.max_in_flight} requests open"
-                    " at this gateway, which is its limit",
-                )
-            )
+        self.enter(team)
         flow = self.flow.run(flow_request)
 
         def finish() -> None:
@@ -368,6 +361,31 @@
         response.call_on_close(finish)
         return response
 
+    def enter(self, team: model.TeamSpec) -> None:
+        """Count a new request.
+
+        Raises:
+            RefusedError: The team or the gateway is at its limit.
+        """
+        entry = self.limits.try_enter(team.name, team.max_in_flight)
+        if entry is team_limits.Entry.TEAM_FULL:
+            raise RefusedError(
+                self.refusal(
+                    outcomes.Outcome.NOT_RUN,
+                    outcomes.Reason.TEAM_LIMIT,
+                    f"team {team.name} has {team.max_in_flight} requests open"
+                    " at this gateway, which is its limit",
+                )
+            )
+        if entry is team_limits.Entry.GATEWAY_FULL:
+            raise RefusedError(
+                self.refusal(
+                    outcomes.Outcome.NOT_RUN,
+                    outcomes.Reason.OVERLOADED,
+                    "this gateway has as many requests open as it can serve",
+                )
+            )
+
     def refusal(
         self,
         outcome: outcomes.Outcome,
@@ -524,9 +542,9 @@
     claims: claims_model.Claims,
     clock: clock_lib.Clock,
     metrics: metrics_lib.Metrics,
+    max_open: int,
     generator: random.Random | None = None,
 ) -> ClientApp:
     """Create the application of the client address."""
-    return ClientApp(
-        flow, state, claims, clock, metrics, generator or random.Random()
-    )
+    generator = generator or random.Random()
+    return ClientApp(flow, state, claims, clock, metrics, max_open, generator)
--- a/packages/gateway/src/verbenafall_gateway/team_limits.py
+++ b/packages/gateway/src/verbenafall_gateway/team_limits.py
@@ -1,28 +1,47 @@
-"""Limit on the open requests of each team at this gateway."""
+"""Limits on the open requests of each team and of the whole gateway."""
 
+import enum
 import threading
 
 
+class Entry(enum.StrEnum):
+    """Whether a request may begin."""
+
+    ENTERED = "entered"
+    TEAM_FULL = "team_full"
+    GATEWAY_FULL = "gateway_full"
+
+
 class TeamLimits:
     """Open requests by team; teams without any take no memory."""
 
-    def __init__(self) -> None:
-        """Create limits without open requests."""
+    def __init__(self, max_open: int) -> None:
+        """Create limits without open requests.
+
+        Args:
+            max_open: Open requests of all teams together.
+        """
+        self.max_open = max_open
         self.lock = threading.Lock()
+        self.total = 0
         self.open: dict[str, int] = {}
 
-    def try_enter(self, team: str, limit: int) -> bool:
-        """Count a new request; False when the team is at its limit."""
+    def try_enter(self, team: str, limit: int) -> Entry:
+        """Count a new request, unless a limit is reached."""
         with self.lock:
             count = self.open.get(team, 0)
             if count >= limit:
-                return False
+                return Entry.TEAM_FULL
+            if self.total >= self.max_open:
+                return Entry.GATEWAY_FULL
             self.open[team] = count + 1
-            return True
+            self.total += 1
+            return Entry.ENTERED
 
     def leave(self, team: str) -> None:
         """Take back the count of a request that has ended."""
         with self.lock:
+            self.total -= 1
             count = self.open[team] - 1
             if count:
                 self.open[team] = count
@@ -30,6 +49,6 @@
                 del self.open[team]
 
 
-def create_team_limits() -> TeamLimits:
+def create_team_limits(max_open: int) -> TeamLimits:
     """Create limits without open requests."""
-    return TeamLimits()
+    return TeamLimits(max_open)
--- a/tests/gateway/gateway_fakes.py
+++ b/tests/gateway/gateway_fakes.py
@@ -181,7 +181,7 @@
     activity: activity_lib.Activity
 
 
-def create_gateway(clock=None, claims=None):
+def create_gateway(clock=None, claims=None, max_open=200):
     clock = clock or clock_lib.system_clock()
     claims = claims or FakeClaims()
     router = link_router.create_link_router()
@@ -199,7 +199,13 @@
     bundles = FakeBundles()
     state = service_state.create_service_state(bundles)
     app = http_app.create_client_app(
-        flow, state, claims, clock, metrics.NullMetrics(), random.Random(5)
+        flow,
+        state,
+        claims,
+        clock,
+        metrics.NullMetrics(),
+        max_open,
+        random.Random(5),
     )
     activity = activity_lib.create_activity()
     return Gateway(router, view, flow, claims, bundles, state, app, activity)
--- a/tests/gateway/test_http_app.py
+++ b/tests/gateway/test_http_app.py
@@ -309,15 +309,24 @@
 
 
 class TestNewWork:
-    def test_team_limit(self):
-        """Guards against one team taking all threads, and lost slots."""
-        gateway, _ = create("asistente-llm", lambda m: fakes.answer(m, "ab"))
-        team = fakes.TEAM._replace(max_in_flight=1)
+    @pytest.mark.parametrize(
+        ("team_limit", "max_open", "status"), [(1, 200, 429), (200, 1, 503)]
+    )
+    def test_limits(self, team_limit, max_open, status):
+        """Guards against requests that wait unseen, and against lost slots."""
+        gateway = fakes.create_gateway(max_open=max_open)
+        fakes.ScriptedLink(
+            gateway.router,
+            "e-1",
+            "asistente-llm",
+            lambda m: fakes.answer(m, "ab"),
+        )
+        team = fakes.TEAM._replace(max_in_flight=team_limit)
         gateway.bundles.bundle = fakes.BUNDLE._replace(teams=(team,))
         body = {**GOOD, "stream": True}
         open_one = call(gateway, CHAT, body)
         refused = call(gateway, CHAT, body)
-        assert refused.status_code == 429
+        assert refused.status_code == status
         assert refused.json["error"]["outcome"] == "not_run"
         assert refused.headers["Retry-After"]
         open_one.close()
