--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/endpoint_view.py
@@ -0,0 +1,168 @@
+"""What this gateway knows of the endpoints that it has links with."""
+
+import datetime
+import threading
+from typing import Protocol
+
+from verbenafall_core import addresses
+from verbenafall_core import link_router
+from verbenafall_core import messages
+from verbenafall_gateway import routing
+from verbenafall_gateway import subsetting
+
+
+class LinkPort(Protocol):
+    """The part of a link that the gateway's services use."""
+
+    peer: messages.Hello | None
+    address: addresses.Address
+
+    def send(self, message: messages.Message) -> bool:
+        """Queue a message; False when no byte of it was handed over."""
+
+
+class LinkedEndpoint:
+    """Mutable state of one linked endpoint."""
+
+    def __init__(self, link: LinkPort, hello: messages.Hello) -> None:
+        """Create the state of an endpoint without reports."""
+        self.link = link
+        self.hello = hello
+        self.own_in_flight = 0
+        self.reported_queue = 0
+        self.draining = False
+        self.leaving = False
+
+
+class EndpointView:
+    """Linked endpoints by address; safe to use from any thread."""
+
+    def __init__(self) -> None:
+        """Create a view without endpoints."""
+        self.lock = threading.Lock()
+        self.endpoints: dict[addresses.Address, LinkedEndpoint] = {}
+        self.routable: frozenset[addresses.Address] | None = None
+
+    def attach(self, router: link_router.LinkRouter) -> None:
+        """Follow what happens on links."""
+        router.subscribe_open(self.on_open)
+        router.subscribe_close(self.on_close)
+        router.subscribe(messages.LoadReport, self.on_load_report)
+        router.subscribe(messages.Heartbeat, self.on_heartbeat)
+
+    def start(self) -> None:
+        """Do nothing; links report by themselves."""
+
+    def stop(self, limit: datetime.timedelta) -> None:
+        """Do nothing."""
+
+    def on_open(self, link: LinkPort) -> None:
+        """Add the endpoint of a new link."""
+        hello = link.peer
+        if hello is None or hello.role != subsetting.SIDECAR_ROLE:
+            return
+        with self.lock:
+            self.endpoints[link.address] = LinkedEndpoint(link, hello)
+
+    def on_close(self, link: LinkPort, _reason: str) -> None:
+        """Remove the endpoint of a closed link."""
+        with self.lock:
+            known = self.endpoints.get(link.address)
+            if known is not None and known.link is link:
+                del self.endpoints[link.address]
+
+    def on_load_report(
+        self, link: LinkPort, report: messages.LoadReport
+    ) -> None:
+        """Take over what a sidecar reports."""
+        with self.lock:
+            known = self.endpoints.get(link.address)
+            if known is None or known.link is not link:
+                return
+            known.reported_queue = report.queued
+            known.draining = report.draining
+            known.leaving = report.leaving
+
+    def on_heartbeat(self, link: LinkPort, beat: messages.Heartbeat) -> None:
+        """Take over whether a sidecar is draining."""
+        with self.lock:
+            known = self.endpoints.get(link.address)
+            if known is not None and known.link is link:
+                known.draining = beat.draining
+
+    def set_routable(self, routable: frozenset[addresses.Address]) -> None:
+        """Set the addresses that may get new work by the instance list.
+
+        Before the first call all linked endpoints may.
+        """
+        with self.lock:
+            self.routable = routable
+
+    def snapshot(self) -> list[routing.EndpointState]:
+        """Return the state of all linked endpoints."""
+        with self.lock:
+            return [
+                self.describe(address, endpoint)
+                for address, endpoint in self.endpoints.items()
+            ]
+
+    def describe(
+        self, address: addresses.Address, endpoint: LinkedEndpoint
+    ) -> routing.EndpointState:
+        """Return the state of one endpoint; the caller holds the lock."""
+        return routing.EndpointState(
+            endpoint.hello.instance,
+            endpoint.hello.service,
+            endpoint.hello.data_centre,
+            address,
+            endpoint.own_in_flight,
+            endpoint.reported_queue,
+            self.is_available(address, endpoint),
+        )
+
+    def is_available(
+        self, address: addresses.Address, endpoint: LinkedEndpoint
+    ) -> bool:
+        """Return whether an endpoint gets new work."""
+        if endpoint.draining or endpoint.leaving:
+            return False
+        return self.routable is None or address in self.routable
+
+    def open_attempt(self, address: addresses.Address) -> LinkPort | None:
+        """Count an attempt on an endpoint and return its link.
+
+        None when the endpoint became unavailable after it was chosen. Its
+        link may be closed as soon as no attempt is counted.
+        """
+        with self.lock:
+            known = self.endpoints.get(address)
+            if known is None or not self.is_available(address, known):
+                return None
+            known.own_in_flight += 1
+            return known.link
+
+    def close_attempt(self, link: LinkPort) -> None:
+        """Take back the count of an attempt."""
+        with self.lock:
+            known = self.endpoints.get(link.address)
+            if known is not None and known.link is link:
+                known.own_in_flight -= 1
+
+    def busy_addresses(self) -> frozenset[addresses.Address]:
+        """Return the addresses of endpoints with open attempts."""
+        with self.lock:
+            return frozenset(
+                address
+                for address, endpoint in self.endpoints.items()
+                if endpoint.own_in_flight > 0
+            )
+
+    def links(self) -> list[LinkPort]:
+        """Return the links to all endpoints."""
+        with self.lock:
+            return [endpoint.link for endpoint in self.endpoints.values()]
+
+
+def create_endpoint_view() -> EndpointView:
+    """Create a view without endpoints."""
+    return EndpointView()
