Add the processes of the demonstration run

Cause: make run needs stand-ins, gateways and sidecars as processes.

Ruled out: fixed ports, which collide with other runs on the machine.

--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,8 @@
 
 check: lint test
 
+run: setup
+	$(PYTHON) -m verbenafall_standins.demo --directory run $(if $(KEEP),--keep)
+
 clean:
 	rm -rf $(VENV) build run .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- a/packages/gateway/src/verbenafall_gateway/main.py
+++ b/packages/gateway/src/verbenafall_gateway/main.py
@@ -6,6 +6,7 @@
 from typing import Final
 from typing import Protocol
 
+from verbenafall_gateway import operator_commands
 from verbenafall_gateway import serve_command
 
 
@@ -16,7 +17,10 @@
         """Add the commands; each sets "run" to a function of the arguments."""
 
 
-COMMAND_MODULES: Final[tuple[CommandModule, ...]] = (serve_command,)
+COMMAND_MODULES: Final[tuple[CommandModule, ...]] = (
+    serve_command,
+    operator_commands,
+)
 
 
 def build_parser() -> argparse.ArgumentParser:
--- a/standins/src/verbenafall_standins/demo/client.py
+++ b/standins/src/verbenafall_standins/demo/client.py
@@ -2,6 +2,7 @@
 
 import enum
 import http.client
+import itertools
 import json
 import time
 from typing import Any
@@ -127,7 +128,7 @@
     text = "".join(texts)
     verdict = judge_text(text, expected) if done else Verdict.BROKEN
     first = times[0] - begin if times else None
-    gaps = tuple(b - a for a, b in zip(times, times[1:], strict=False))
+    gaps = tuple(b - a for a, b in itertools.pairwise(times))
     return Report(verdict, text, first, gaps)
 
 
--- /dev/null
+++ b/standins/src/verbenafall_standins/demo/fleet.py
@@ -0,0 +1,258 @@
+"""Starts the processes of the demonstration run in order."""
+
+import http.client
+import json
+import pathlib
+import subprocess
+import sys
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+from verbenafall_core import addresses
+from verbenafall_standins.demo import files
+from verbenafall_standins.demo import plan as plan_lib
+from verbenafall_standins.demo import processes
+
+READY_SECONDS: Final = 20.0
+ROLL_SECONDS: Final = 30.0
+CALL_SECONDS: Final = 3.0
+STEP_MS: Final = 15.0
+TOKEN_US: Final = 500.0
+
+
+class Fleet(NamedTuple):
+    """The running processes, in the order of their start."""
+
+    plan: plan_lib.Plan
+    directory: pathlib.Path
+    standins: list[processes.Running]
+    sidecars: list[processes.Running]
+    gateways: list[processes.Running]
+
+    def all(self) -> list[processes.Running]:
+        """Return all processes."""
+        return [*self.standins, *self.sidecars, *self.gateways]
+
+
+def create_fleet(directory: pathlib.Path) -> Fleet:
+    """Create a fleet without processes."""
+    directory.mkdir(parents=True, exist_ok=True)
+    return Fleet(plan_lib.create_plan(), directory, [], [], [])
+
+
+def gateway_command(*arguments: str) -> list[str]:
+    """Return a command of the gateway binary."""
+    return [sys.executable, "-m", "verbenafall_gateway", *arguments]
+
+
+def sidecar_command(*arguments: str) -> list[str]:
+    """Return a command of the sidecar binary."""
+    return [sys.executable, "-m", "verbenafall_sidecar", *arguments]
+
+
+def standin_command(*arguments: str) -> list[str]:
+    """Return a command of the stand-ins."""
+    return [sys.executable, "-m", "verbenafall_standins", *arguments]
+
+
+def start_standins(fleet: Fleet) -> None:
+    """Start the platform, the engines and the records services."""
+    plan = fleet.plan
+    commands = {
+        "platform": standin_command(
+            "platform",
+            f"--object-store={plan.object_store}",
+            f"--instance-list={plan.instance_list}",
+            f"--weight-store={plan.weight_store}",
+        )
+    }
+    for group in plan.groups():
+        commands[f"engines-{group}"] = standin_command(
+            "engines",
+            *(str(one.endpoint) for one in plan.engines_of(group)),
+            f"--group={group}",
+            f"--ranks-per-engine={plan_lib.RANKS_PER_ENGINE}",
+            f"--experts={plan_lib.EXPERTS}",
+            "--slots=16",
+            f"--step-ms={STEP_MS}",
+            f"--token-us={TOKEN_US}",
+            f"--weight-store=http://{plan.weight_store}",
+        )
+    commands["records"] = standin_command(
+        "records", *(str(one.endpoint) for one in plan.records())
+    )
+    for name, command in commands.items():
+        fleet.standins.append(
+            processes.start_process(name, command, fleet.directory)
+        )
+    wait_listening(
+        fleet,
+        [plan.object_store, plan.instance_list, plan.weight_store]
+        + [one.endpoint for one in plan.sidecars],
+    )
+    send_json(
+        plan.instance_list,
+        "PUT",
+        "/-/instances",
+        files.create_instance_list(plan),
+    )
+
+
+def start_system(fleet: Fleet) -> pathlib.Path:
+    """Start sidecars and gateways; return the directory of the keys."""
+    directory = fleet.directory
+    keys = directory / "keys"
+    run_command(gateway_command("keys", "generate", str(keys)))
+    public = next(keys.glob("*.pub*"))
+    for sidecar in fleet.plan.sidecars:
+        path = files.write_settings(
+            directory / f"{sidecar.name}.ini",
+            files.create_sidecar_settings(fleet.plan, sidecar, public),
+        )
+        command = sidecar_command("serve", f"--settings={path}")
+        fleet.sidecars.append(
+            processes.start_process(sidecar.name, command, directory)
+        )
+    for gateway in fleet.plan.gateways:
+        path = files.write_settings(
+            directory / f"{gateway.name}.ini",
+            files.create_gateway_settings(fleet.plan, gateway, public),
+        )
+        command = gateway_command("serve", f"--settings={path}")
+        fleet.gateways.append(
+            processes.start_process(gateway.name, command, directory)
+        )
+    wait_listening(
+        fleet,
+        [one.links for one in fleet.plan.sidecars]
+        + [one.admin for one in fleet.plan.gateways],
+    )
+    return keys
+
+
+def roll_bundle(fleet: Fleet, keys: pathlib.Path) -> None:
+    """Check, sign and roll the bundle, and wait until gateways are ready."""
+    directory = fleet.directory
+    private = next(p for p in keys.iterdir() if ".pub" not in p.name)
+    public = next(keys.glob("*.pub*"))
+    bundle = files.write_bundle(
+        directory / "bundle.json", files.create_bundle(fleet.plan)
+    )
+    operator = files.write_settings(
+        directory / "operator.ini",
+        files.create_platform(fleet.plan)
+        | {"bundles": {"public_keys": str(public)}},
+    )
+    run_command(gateway_command("bundle", "check", str(bundle)))
+    run_command(
+        gateway_command("bundle", "sign", str(bundle), f"--key={private}")
+    )
+    run_command(
+        gateway_command("bundle", "roll", str(bundle), f"--settings={operator}")
+    )
+    processes.wait_until(
+        "readiness of all gateways",
+        READY_SECONDS,
+        lambda: all(is_ready(one.client) for one in fleet.plan.gateways),
+        fleet.all(),
+    )
+
+
+def read_status(fleet: Fleet) -> str:
+    """Return what `bundle status` prints."""
+    operator = fleet.directory / "operator.ini"
+    return run_command(
+        gateway_command("bundle", "status", f"--settings={operator}")
+    )
+
+
+def run_command(command: list[str]) -> str:
+    """Run an operator command; return its standard output.
+
+    Raises:
+        ProcessError: The command failed.
+    """
+    done = subprocess.run(
+        command,
+        check=False,
+        capture_output=True,
+        text=True,
+        timeout=ROLL_SECONDS,
+    )
+    if done.returncode != 0:
+        shown = " ".join(command[2:5])
+        raise processes.ProcessError(
+            f"{shown} ended with exit code {done.returncode}:"
+            f"\n{done.stdout}{done.stderr}"
+        )
+    return done.stdout
+
+
+def wait_listening(fleet: Fleet, expected: list[addresses.Address]) -> None:
+    """Wait until something listens on all addresses."""
+    for address in expected:
+        processes.wait_until(
+            f"a listener on {address}",
+            READY_SECONDS,
+            lambda address=address: processes.is_listening(address),  # type: ignore[misc]
+            fleet.all(),
+        )
+
+
+def is_ready(address: addresses.Address) -> bool:
+    """Return whether a gateway takes requests."""
+    try:
+        read_json(address, "/-/ready")
+    except (OSError, ValueError):
+        return False
+    return True
+
+
+def read_json(address: addresses.Address, path: str) -> Any:
+    """Return the JSON answer to a GET."""
+    return json.loads(call(address, "GET", path, b""))
+
+
+def send_json(
+    address: addresses.Address, method: str, path: str, body: Any
+) -> None:
+    """Send a JSON body."""
+    call(address, method, path, json.dumps(body).encode())
+
+
+def call(
+    address: addresses.Address, method: str, path: str, body: bytes
+) -> bytes:
+    """Make an HTTP call; return the body of a good answer.
+
+    Raises:
+        OSError: The call failed or its status is no success.
+    """
+    connection = http.client.HTTPConnection(*address, timeout=CALL_SECONDS)
+    headers = {"Content-Type": "application/json"}
+    try:
+        connection.request(method, path, body, headers)
+        response = connection.getresponse()
+        data = response.read()
+    finally:
+        connection.close()
+    if response.status >= 400:
+        raise OSError(f"{method} {path}: status {response.status}")
+    return data
+
+
+def count_mixed_steps(fleet: Fleet) -> int:
+    """Return the steps of all groups that ran on more than one map."""
+    firsts = [fleet.plan.engines_of(name)[0] for name in fleet.plan.groups()]
+    reports = [read_json(one.endpoint, "/-/steps") for one in firsts]
+    return sum(report["mixed"] for report in reports)
+
+
+def read_runs(fleet: Fleet) -> list[dict[str, str]]:
+    """Return what the records services processed."""
+    return [
+        run
+        for one in fleet.plan.records()
+        for run in read_json(one.endpoint, "/-/runs")
+    ]
--- a/standins/src/verbenafall_standins/demo/processes.py
+++ b/standins/src/verbenafall_standins/demo/processes.py
@@ -4,11 +4,14 @@
 from collections.abc import Sequence
 import pathlib
 import signal
+import socket
 import subprocess
 import time
 from typing import Final
 from typing import NamedTuple
 
+from verbenafall_core import addresses
+
 POLL_SECONDS: Final = 0.05
 
 
@@ -97,3 +100,12 @@
             code = process.popen.wait()
         ended.append(Stopped(process.name, code))
     return ended
+
+
+def is_listening(address: addresses.Address) -> bool:
+    """Return whether something accepts connections on an address."""
+    try:
+        with socket.create_connection(address, timeout=1):
+            return True
+    except OSError:
+        return False
--- a/standins/src/verbenafall_standins/demo/workload.py
+++ b/standins/src/verbenafall_standins/demo/workload.py
@@ -108,10 +108,9 @@
     """Return a write, some of the time one that was sent before."""
     if earlier and generator.random() < REPEATED_KEY_SHARE:
         return generator.choice(earlier)
-    kind = "/reservations" if caller.records_service == "mostrador-app" else (
-        "/consents"
-    )
+    is_desk = caller.records_service == "mostrador-app"
+    path = "/reservations" if is_desk else "/consents"
     key = f"key-{number}"
-    request = RecordsRequest(caller, "POST", kind, key, f"item {number}")
+    request = RecordsRequest(caller, "POST", path, key, f"item {number}")
     earlier.append(request)
     return request
