--- /dev/null
+++ b/packages/sidecar/src/verbenafall_sidecar/__main__.py
@@ -0,0 +1,7 @@
+"""Entry point of "python -m verbenafall_sidecar"."""
+
+import sys
+
+from verbenafall_sidecar import main
+
+sys.exit(main.main())
--- /dev/null
+++ b/packages/sidecar/src/verbenafall_sidecar/serve_command.py
@@ -0,0 +1,64 @@
+"""The command "serve": runs a sidecar until it is told to stop."""
+
+import pathlib
+import signal
+import sys
+import threading
+from typing import Final
+
+import returns.pipeline
+
+from verbenafall_core import clock as clock_lib
+from verbenafall_core import event_log
+from verbenafall_core import link
+from verbenafall_core import settings as settings_lib
+from verbenafall_sidecar import platform_services
+from verbenafall_sidecar import sidecar_settings
+from verbenafall_sidecar import wiring
+
+EXIT_OK: Final = 0
+EXIT_FAILED: Final = 1
+
+
+def serve(path: pathlib.Path, check_only: bool) -> int:
+    """Run a sidecar; return the exit code of the process."""
+    result = sidecar_settings.read(path)
+    if not returns.pipeline.is_successful(result):
+        return report_faults([str(fault) for fault in result.failure()])
+    if check_only:
+        return EXIT_OK
+    settings = result.unwrap()
+    event_log.configure(settings.log_level, settings.instance)
+    clock = clock_lib.system_clock()
+    platform = platform_services.create_platform(settings, clock)
+    if not returns.pipeline.is_successful(platform):
+        return report_faults([platform.failure()])
+    sidecar = wiring.create_sidecar(settings, platform.unwrap(), clock)
+    return run(sidecar)
+
+
+def run(sidecar: wiring.Sidecar) -> int:
+    """Run until SIGTERM or SIGINT; further signals change nothing."""
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda _number, _frame: stop.set())
+    try:
+        sidecar.start()
+    except link.LinkError as error:
+        print_line(str(error))
+        return EXIT_FAILED
+    stop.wait()
+    sidecar.stop()
+    return EXIT_OK
+
+
+def report_faults(lines: list[str]) -> int:
+    """Print all faults; return the exit code for bad settings."""
+    for line in lines:
+        print_line(line)
+    return settings_lib.EXIT_BAD_SETTINGS
+
+
+def print_line(line: str) -> None:
+    """Write a line for the operator."""
+    sys.stderr.write(line + "\n")
