--- a/packages/sidecar/src/verbenafall_sidecar/fair_queue.py
+++ b/packages/sidecar/src/verbenafall_sidecar/fair_queue.py
@@ -104,7 +104,9 @@
                 continue
             key, waiting = team.waiting.popitem(last=False)
             del self.team_of[key]
-            team.usage += waiting.cost / team.shares**2 * self.scale(now)
+            # Reading the scale can change the stored usages.
+            scale = self.scale(now)
+            team.usage += waiting.cost / team.shares**2 * scale
             self.settle(team)
             return Queued(name, waiting.item)
         return None
@@ -127,8 +129,9 @@
 
     def usage_of(self, team_name: str, now: datetime.timedelta) -> float:
         """Return the decayed usage of a team."""
+        scale = self.scale(now)
         team = self.teams.get(team_name)
-        return team.usage / self.scale(now) if team else 0.0
+        return team.usage / scale if team else 0.0
 
     def scale(self, now: datetime.timedelta) -> float:
         """Return the factor by which a usage of now is stored."""
--- /dev/null
+++ b/tests/sidecar/test_process.py
@@ -0,0 +1,181 @@
+"""The sidecar's settings, command line and wiring."""
+
+import pathlib
+import queue
+import threading
+
+import pytest
+
+from sidecar import helpers
+from sidecar import test_thin_path
+from verbenafall_core import clock as clock_lib
+from verbenafall_core import link_router
+from verbenafall_core import messages
+from verbenafall_core.bundles import model
+from verbenafall_sidecar import main
+from verbenafall_sidecar import sidecar_settings
+from verbenafall_sidecar import wiring
+from verbenafall_standins.fakes import memory_store
+
+url = test_thin_path.url
+
+GOOD = """\
+[instance]
+name = ep-1
+data_centre = dc
+[links]
+listen = 127.0.0.1:0
+[endpoint]
+service = svc
+kind = records
+url = {url}
+[platform]
+object_store = http://127.0.0.1:1
+instance_list = http://127.0.0.1:1
+[bundles]
+public_keys = {keys}
+"""
+
+# Text to replace, its replacement, a part of each line that is printed.
+BAD = [
+    ("kind = records", "kind = other", ["[endpoint] kind"]),
+    ("name = ep-1", "", ["[instance] name"]),
+    (
+        "service = svc\nkind = records",
+        "service = A\nkind = b",
+        ["[endpoint] service", "[endpoint] kind"],
+    ),
+    ("[bundles]", "[group]\nname = g\n[bundles]", ["ranks", "only engines"]),
+    ("[bundles]", "[group]\nranks = 3-1\n[bundles]", ["'3-1'"]),
+    ("public_keys = ", "public_keys = /none", ["no file"]),
+]
+
+
+def write(tmp_path, text, url="http://127.0.0.1:1"):
+    keys = tmp_path / "keys.pem"
+    keys.write_text("")
+    path = tmp_path / "sidecar.ini"
+    path.write_text(text.format(url=url, keys=keys))
+    return path
+
+
+class TestCommandLine:
+    def test_check_accepts_good_settings(self, tmp_path):
+        path = write(tmp_path, GOOD)
+        assert main.main(["serve", "--settings", str(path), "--check"]) == 0
+
+    @pytest.mark.parametrize(("old", "new", "lines"), BAD)
+    def test_prints_all_faults(self, tmp_path, capsys, old, new, lines):
+        path = write(tmp_path, GOOD.replace(old, new))
+        assert main.main(["serve", "--settings", str(path)]) == 2
+        printed = capsys.readouterr().err.splitlines()
+        assert len(printed) == len(lines)
+        assert all(
+            part in line for part, line in zip(lines, printed, strict=True)
+        )
+
+    def test_ranks(self):
+        assert sidecar_settings.parse_ranks("0-2, 7").unwrap() == (0, 1, 2, 7)
+        assert sidecar_settings.parse_ranks("0-2, 1").failure()
+
+
+class FakeService:
+    def start(self):
+        pass
+
+    def stop(self, limit):
+        pass
+
+
+class FakeLease(FakeService):
+    def holds(self):
+        return False
+
+
+class FakeBundles(FakeService, helpers.FakeBundles):
+    def attach(self, router):
+        pass
+
+    def heartbeat_fields(self):
+        return 3, 0, True
+
+    def not_ready_reason(self):
+        return ""
+
+    def rejected(self):
+        return ()
+
+
+@pytest.fixture
+def running(tmp_path, url):
+    path = write(tmp_path, GOOD, url)
+    settings = sidecar_settings.read(pathlib.Path(path)).unwrap()
+    bundles = FakeBundles()
+    spec = model.ServiceSpec(
+        "svc", model.ServiceKind.RECORDS, "", 2, None, False, ()
+    )
+    bundles.bundle = model.Bundle(3, "d", "r", (), (spec,), (), ())
+    platform = wiring.Platform(
+        memory_store.create_memory_store(),
+        bundles,
+        FakeService(),
+        lambda _subscriber: None,
+        lambda _name: FakeLease(),
+        None,
+    )
+    sidecar = wiring.create_sidecar(
+        settings, platform, clock_lib.system_clock()
+    )
+    sidecar.start()
+    received, opened = queue.Queue(), queue.Queue()
+    router = link_router.create_link_router()
+    router.subscribe_open(opened.put)
+    for kind in messages.KINDS.values():
+        router.subscribe(kind, lambda _link, message: received.put(message))
+    client = test_thin_path.create_loop("gateway", "gateway", router)
+    client.start()
+    client.set_targets({sidecar.address})
+    yield (
+        sidecar,
+        opened.get(timeout=test_thin_path.WAIT_SECONDS),
+        received,
+    )
+    client.stop(test_thin_path.STOP)
+
+
+def next_of(received, kind, accept=lambda _message: True):
+    while True:
+        message = received.get(timeout=test_thin_path.WAIT_SECONDS)
+        if isinstance(message, kind) and accept(message):
+            return message
+
+
+class TestSidecar:
+    def test_serves_reports_and_stops_after_the_open_answer(self, running):
+        sidecar, link, received = running
+        assert next_of(received, messages.LoadReport).slots == 2
+        link.send(messages.StatusRequest(7))
+        reply = next_of(received, messages.StatusReply)
+        assert (reply.token, reply.in_force, reply.ready) == (7, 3, True)
+        # Holds the answer back until the sidecar is draining.
+        released = threading.Event()
+        begin = sidecar.endpoint.begin
+
+        def begin_later(dispatch, limit, sink):
+            released.wait(test_thin_path.WAIT_SECONDS)
+            return begin(dispatch, limit, sink)
+
+        sidecar.endpoint.begin = begin_later
+        link.send(helpers.ONCE)
+        next_of(received, messages.Accepted)
+        stopper = threading.Thread(target=sidecar.stop)
+        stopper.start()
+        next_of(received, messages.LoadReport, lambda m: m.draining)
+        link.send(helpers.DISPATCH._replace(attempt_id="r.2"))
+        refused = next_of(received, messages.Refused)
+        assert (refused.reason, refused.outcome) == ("draining", "not_run")
+        released.set()
+        assert next_of(received, messages.Chunk).data == b"echo:{}"
+        assert next_of(received, messages.End).status == 201
+        stopper.join(test_thin_path.WAIT_SECONDS)
+        assert not stopper.is_alive()
--- /dev/null
+++ b/tests/sidecar/test_pure_parts.py
@@ -0,0 +1,200 @@
+"""Pure parts of the sidecar, as tables and without I/O."""
+
+import datetime
+
+import pytest
+
+from sidecar import helpers
+from verbenafall_sidecar import admission
+from verbenafall_sidecar import attempt_registry
+from verbenafall_sidecar import endpoint_health
+from verbenafall_sidecar import engine_http
+from verbenafall_sidecar import fair_queue
+from verbenafall_sidecar import http_forwarding
+
+ZERO = datetime.timedelta()
+SECOND = datetime.timedelta(seconds=1)
+LOAD = admission.Load(8, 0, 8, 100, SECOND, 0, 0, 1)
+
+# Change of the load, remaining seconds; reason of a refusal or None.
+ADMISSION = [
+    ({"in_flight": 0}, 1, None),
+    ({}, 1, None),
+    ({"in_flight": 0}, 0, "deadline"),
+    ({"queued": 80, "active_shares": 1, "team_queued": 80}, 5, "overloaded"),
+    ({"queued": 100, "active_shares": 1}, 60, "overloaded"),
+    ({"queued": 60, "active_shares": 2, "team_queued": 55}, 60, "team_limit"),
+    ({"queued": 60, "active_shares": 1, "team_queued": 60}, 60, None),
+    # A team without queued items does not wait for the queue of another.
+    ({"queued": 80, "active_shares": 1, "team_queued": 0}, 5, None),
+]
+
+EVENTS = [
+    ('{"choices": [{"delta": {"content": "a"}}], "token_index": 3}', (3, "a")),
+    ('{"choices": [{"delta": {}, "finish_reason": "stop"}]}', ("stop",)),
+    ('{"choices": [{"delta": {"role": "assistant"}}]}', None),
+    ('{"choices": []}', None),
+    ("[DONE]", ()),
+]
+MALFORMED = ["{", "[]", '{"choices": [{"delta": {"content": 1}}]}']
+
+# Probes, and whether the endpoint counts as up after each.
+PROBES = [
+    ([True, False, True, False], [True, True, True, True]),
+    ([False, False, False], [True, False, False]),
+    ([False, False, True], [True, False, True]),
+    ([False, False, True, False], [True, False, True, True]),
+]
+
+
+class TestAdmission:
+    @pytest.mark.parametrize(("change", "remaining", "reason"), ADMISSION)
+    def test_decide(self, change, remaining, reason):
+        decision = admission.decide(LOAD._replace(**change), remaining * SECOND)
+        assert getattr(decision, "reason", None) == reason
+
+    def test_retry_after_is_the_time_to_drain(self):
+        load = LOAD._replace(queued=15, active_shares=1, team_queued=15)
+        decision = admission.decide(load, SECOND)
+        assert decision.retry_after == 2 * SECOND
+
+
+class TestFairQueue:
+    def served(self, queue, count, now=ZERO):
+        return [queue.pop(now).team for _ in range(count)]
+
+    def fill(self, queue, shares, count, now=ZERO):
+        for team, share in shares.items():
+            for number in range(count):
+                key = f"{team}{number}"
+                queue.push(key, team, share, 1.0, key, now)
+
+    @pytest.mark.parametrize(
+        ("shares", "rounds", "expected"),
+        [
+            ({"a": 1, "b": 1}, 40, {"a": 20, "b": 20}),
+            # Cost divided by squared shares: twice the shares, four times
+            # the service.
+            ({"a": 1, "b": 2}, 40, {"a": 8, "b": 32}),
+        ],
+    )
+    def test_teams_are_served_by_squared_shares(self, shares, rounds, expected):
+        queue = fair_queue.create_fair_queue(ZERO)
+        self.fill(queue, shares, 50)
+        served = self.served(queue, rounds)
+        assert {t: served.count(t) for t in shares} == expected
+
+    def test_a_new_team_goes_ahead_of_a_busy_one(self):
+        queue = fair_queue.create_fair_queue(ZERO)
+        self.fill(queue, {"busy": 1}, 10)
+        self.served(queue, 5)
+        self.fill(queue, {"new": 1}, 1)
+        assert self.served(queue, 2) == ["new", "busy"]
+
+    def test_usage_halves_and_the_team_is_forgotten_near_zero(self):
+        queue = fair_queue.create_fair_queue(ZERO)
+        self.fill(queue, {"a": 1}, 1)
+        self.served(queue, 1)
+        assert queue.usage_of("a", fair_queue.HALF_LIFE) == 0.5
+        queue.forget_idle(6 * fair_queue.HALF_LIFE)
+        assert "a" in queue.teams
+        queue.forget_idle(7 * fair_queue.HALF_LIFE)
+        assert not queue.teams
+        assert not queue.idle
+
+    def test_order_is_kept_when_the_scale_is_moved(self):
+        # The scale would overflow after about 1,000 half-lives.
+        queue = fair_queue.create_fair_queue(ZERO)
+        self.fill(queue, {"a": 1, "b": 1}, 3)
+        self.served(queue, 1)
+        later = 600 * fair_queue.HALF_LIFE
+        assert queue.usage_of("a", later) == pytest.approx(2.0**-600)
+        assert self.served(queue, 5, later) == ["b", "a", "b", "a", "b"]
+
+    def test_remove_keeps_the_counts(self):
+        queue = fair_queue.create_fair_queue(ZERO)
+        self.fill(queue, {"a": 3, "b": 2}, 2)
+        assert queue.remove("a0") == "a0"
+        assert queue.remove("a0") is None
+        assert (len(queue), queue.active_shares) == (3, 5)
+        assert queue.remove("a1") == "a1"
+        assert (len(queue), queue.active_shares) == (2, 2)
+        assert self.served(queue, 2) == ["b", "b"]
+        assert queue.pop(ZERO) is None
+        assert queue.active_shares == 0
+
+
+class TestRegistry:
+    def test_keeps_what_ended_for_ten_minutes(self):
+        registry = attempt_registry.create_attempt_registry()
+        registry.open("a")
+        registry.close("a", attempt_registry.finished(helpers.RAN), ZERO)
+        registry.open("open")
+        before = attempt_registry.KEEP - SECOND
+        assert registry.find("a", before).outcome is helpers.RAN
+        assert registry.find("a", attempt_registry.KEEP) is None
+        assert registry.find("open", attempt_registry.KEEP) is not None
+
+    def test_a_full_registry_takes_no_more_and_forgets_nothing(self):
+        # Forgetting a cancel would let the late dispatch run.
+        registry = attempt_registry.create_attempt_registry(1)
+        assert registry.close("a", attempt_registry.CANCELLED, ZERO)
+        assert not registry.has_room(ZERO)
+        assert not registry.close("b", attempt_registry.CANCELLED, ZERO)
+        assert registry.find("a", ZERO) is attempt_registry.CANCELLED
+        assert registry.has_room(attempt_registry.KEEP)
+
+
+class TestEvents:
+    @pytest.mark.parametrize(("data", "item"), EVENTS)
+    def test_parse(self, data, item):
+        assert engine_http.parse_event(data) == item
+
+    @pytest.mark.parametrize("data", MALFORMED)
+    def test_malformed(self, data):
+        item = engine_http.parse_event(data)
+        assert isinstance(item, engine_http.Malformed)
+
+    @pytest.mark.parametrize("mark", ["\n", "\r\n"])
+    @pytest.mark.parametrize("size", [1, 2, 3, 7, 100])
+    def test_events_split_at_any_byte(self, mark, size):
+        body = "".join(f"data: {t}{mark}{mark}" for t in ("a", "ñandú", "c"))
+        data = body.encode()
+        splitter = engine_http.EventSplitter()
+        found = []
+        for start in range(0, len(data), size):
+            found += splitter.feed(data[start : start + size])
+        assert found == ["a", "ñandú", "c"]
+
+    def test_an_endless_event_is_an_error(self):
+        splitter = engine_http.EventSplitter()
+        with pytest.raises(ValueError, match="exceeds"):
+            splitter.feed(b"x" * (engine_http.MAX_EVENT_BYTES + 1))
+
+
+class TestHealth:
+    @pytest.mark.parametrize(("probes", "up"), PROBES)
+    def test_next_health(self, probes, up):
+        health = endpoint_health.Health(True, 0)
+        seen = []
+        for succeeded in probes:
+            health = endpoint_health.next_health(health, succeeded)
+            seen.append(health.up)
+        assert seen == up
+
+
+class TestForwarding:
+    def test_credentials_and_connection_headers_stay_here(self):
+        dispatch = helpers.ONCE._replace(
+            headers=(
+                ("Authorization", "Bearer secret"),
+                ("Connection", "close"),
+                ("X-Request-Id", "forged"),
+                ("Accept", "text/plain"),
+            )
+        )
+        assert http_forwarding.request_headers(dispatch, "run") == (
+            ("Accept", "text/plain"),
+            ("X-Request-Id", "run"),
+            ("Idempotency-Key", "key"),
+        )
