--- a/packages/core/src/verbenafall_core/bundles/signing.py
+++ b/packages/core/src/verbenafall_core/bundles/signing.py
@@ -14,6 +14,8 @@
 PRIVATE_NAME: Final = "bundle-signing-key.pem"
 PUBLIC_NAME: Final = "bundle-public-key.pem"
 
+_PEM_BEGIN: Final = b"-----BEGIN "
+
 PublicKeys = Sequence[ed25519.Ed25519PublicKey]
 
 
@@ -79,12 +81,18 @@
 
 
 def read_public_keys(paths: Sequence[pathlib.Path]) -> PublicResult:
-    """Read public key files; the failure names every bad file."""
+    """Read public key files; the failure names every bad file.
+
+    A file may hold several keys, so that keys can be changed.
+    """
     keys: list[ed25519.Ed25519PublicKey] = []
     problems: list[str] = []
     for path in paths:
         try:
-            key = serialization.load_pem_public_key(path.read_bytes())
+            loaded = [
+                serialization.load_pem_public_key(_PEM_BEGIN + block)
+                for block in _split_pem(path.read_bytes())
+            ]
         except (
             OSError,
             ValueError,
@@ -92,15 +100,23 @@
         ) as error:
             problems.append(f"{path}: {error}")
             continue
-        if isinstance(key, ed25519.Ed25519PublicKey):
-            keys.append(key)
-        else:
-            problems.append(f"{path}: is no Ed25519 public key")
+        for key in loaded:
+            if isinstance(key, ed25519.Ed25519PublicKey):
+                keys.append(key)
+            else:
+                problems.append(f"{path}: holds a key that is not Ed25519")
     if problems:
         return returns.result.Failure(tuple(problems))
     return returns.result.Success(tuple(keys))
 
 
+def _split_pem(data: bytes) -> list[bytes]:
+    blocks = data.split(_PEM_BEGIN)[1:]
+    if not blocks:
+        raise ValueError("holds no PEM key")
+    return blocks
+
+
 def sign(text: bytes, key: ed25519.Ed25519PrivateKey) -> bytes:
     """Return the detached signature over the exact bytes of a text."""
     return key.sign(text)
--- a/tests/core/bundles/test_signing.py
+++ b/tests/core/bundles/test_signing.py
@@ -59,6 +59,15 @@
         keys = signing.read_public_keys([paths.public]).unwrap()
         assert signing.verify(b"x", signing.sign(b"x", key), keys)
 
+    def test_one_file_may_hold_several_keys(self, tmp_path):
+        pair = [
+            signing.generate_key_files(tmp_path / name).unwrap().public
+            for name in "ab"
+        ]
+        both = tmp_path / "both.pem"
+        both.write_bytes(b"".join(path.read_bytes() for path in pair))
+        assert len(signing.read_public_keys([both]).unwrap()) == 2
+
     def test_existing_files_are_kept(self, tmp_path):
         paths = signing.generate_key_files(tmp_path).unwrap()
         before = paths.private.read_bytes()
