Check valid bundles with the compiled shape before JSON Schema

Cause: each process checks each bundle. An integer written as 1.0 also passed and reached the typed bundle as a float.

Ruled out: skipping the check in processes, since a signature does not prove that a text was checked; a second description of the shape beside the schema.

Change: the shape is described once with msgspec types and the JSON Schema is derived from it. JSON Schema runs only to explain a text that the compiled check refuses.

The tables of faults pass unchanged, with one row added for 1.0.

--- a/packages/core/src/verbenafall_core/bundles/check.py
+++ b/packages/core/src/verbenafall_core/bundles/check.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 import jsonschema
+import msgspec
 import returns.result
 
 from verbenafall_core.bundles import schema
@@ -84,11 +85,12 @@
     Parts with schema faults are left out of the checks of meaning, so that
     one mistake is not reported twice.
     """
-    errors = sorted(
-        _VALIDATOR.iter_errors(document),
-        key=lambda error: format_place(tuple(error.absolute_path)),
-    )
+    problem = _shape_problem(document)
+    errors = _schema_errors(document) if problem else []
     faults = [_schema_fault(error) for error in errors]
+    if problem and not faults:
+        # JSON Schema takes 1.0 for an integer, the shape does not.
+        faults.append(BundleFault("document", problem, "that type"))
     if isinstance(document, dict):
         broken = {tuple(error.absolute_path)[:2] for error in errors}
         faults.extend(_meaning_faults(document, broken))
@@ -97,6 +99,26 @@
     return returns.result.Success(document)
 
 
+def _shape_problem(document: Any) -> str:
+    """Return what the compiled check finds first, empty for nothing.
+
+    JSON Schema explains every fault but takes seconds for thousands of
+    teams, and each process checks each bundle. So this check runs first.
+    """
+    try:
+        msgspec.convert(document, schema.BundleShape)
+    except msgspec.ValidationError as error:
+        return str(error)
+    return ""
+
+
+def _schema_errors(document: Any) -> list[jsonschema.ValidationError]:
+    return sorted(
+        _VALIDATOR.iter_errors(document),
+        key=lambda error: format_place(tuple(error.absolute_path)),
+    )
+
+
 def format_place(path: Place) -> str:
     """Return a path as text, such as "teams[3].name"."""
     text = ""
--- a/packages/core/src/verbenafall_core/bundles/schema.py
+++ b/packages/core/src/verbenafall_core/bundles/schema.py
@@ -1,79 +1,88 @@
-"""JSON Schema of a bundle text."""
+"""Shape of a bundle text, and the JSON Schema that is derived from it."""
 
+from typing import Annotated
 from typing import Any
 from typing import Final
+from typing import Literal
+
+import msgspec
 
 NAME_PATTERN: Final = "^[a-z0-9][a-z0-9-]{0,62}$"
 DIGEST_PATTERN: Final = "^[0-9a-f]{64}$"
 MAX_INT: Final = 2**53 - 1
 
+Name = Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
+Digest = Annotated[str, msgspec.Meta(pattern=DIGEST_PATTERN)]
+Method = Annotated[str, msgspec.Meta(pattern=r"^([A-Z]+|\*)$")]
+PathPrefix = Annotated[str, msgspec.Meta(pattern="^/")]
+ModelName = Annotated[str, msgspec.Meta(max_length=128)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT)]
+Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_INT)]
+Weight = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class RuleShape(msgspec.Struct, forbid_unknown_fields=True):
+    """Which calls of a records service may be repeated."""
+
+    method: Method
+    path_prefix: PathPrefix
+    idempotent: bool
+
+
+class ServiceShape(msgspec.Struct, forbid_unknown_fields=True):
+    """A service; the deadline is in milliseconds."""
+
+    name: Name
+    kind: Literal["model", "records"]
+    model: ModelName
+    slots: Positive
+    deadline_ms: Positive
+    fences_orders: bool
+    rules: list[RuleShape]
+
+
+class TeamShape(msgspec.Struct, forbid_unknown_fields=True):
+    """A team."""
+
+    name: Name
+    credential_digests: Annotated[list[Digest], msgspec.Meta(min_length=1)]
+    shares: Positive
+    max_in_flight: Positive
+    priority: Count
+    services: Annotated[list[Name], msgspec.Meta(min_length=1)]
+
+
+class MapShape(msgspec.Struct, forbid_unknown_fields=True):
+    """An expert map: the rank of each expert."""
+
+    version: Positive
+    placement: Annotated[list[Count], msgspec.Meta(min_length=1)]
+
+
+class GroupShape(msgspec.Struct, forbid_unknown_fields=True):
+    """A rank group; the dwell time is in milliseconds."""
+
+    name: Name
+    service: Name
+    ranks: Positive
+    experts: Positive
+    maps: Annotated[list[MapShape], msgspec.Meta(min_length=1)]
+    skew_weight: Weight
+    move_weight: Weight
+    minimum_dwell_ms: Count
+    moves_per_minute: Positive
+
+
+class BundleShape(msgspec.Struct, forbid_unknown_fields=True):
+    """A bundle."""
+
+    version: Positive
+    deployment: Name
+    region: Name
+    data_centres: Annotated[list[Name], msgspec.Meta(min_length=1)]
+    services: Annotated[list[ServiceShape], msgspec.Meta(min_length=1)]
+    teams: list[TeamShape]
+    groups: list[GroupShape]
+
 
-def _object(**properties: Any) -> dict[str, Any]:
-    return {
-        "type": "object",
-        "properties": properties,
-        "required": list(properties),
-        "additionalProperties": False,
-    }
-
-
-def _list(items: dict[str, Any], least: int = 0) -> dict[str, Any]:
-    return {"type": "array", "items": items, "minItems": least}
-
-
-def _integer(least: int) -> dict[str, Any]:
-    return {"type": "integer", "minimum": least, "maximum": MAX_INT}
-
-
-_NAME: Final = {"type": "string", "pattern": NAME_PATTERN}
-_WEIGHT: Final = {"type": "number", "minimum": 0}
-
-_RULE: Final = _object(
-    method={"type": "string", "pattern": r"^([A-Z]+|\*)$"},
-    path_prefix={"type": "string", "pattern": "^/"},
-    idempotent={"type": "boolean"},
-)
-_SERVICE: Final = _object(
-    name=_NAME,
-    kind={"enum": ["model", "records"]},
-    model={"type": "string", "maxLength": 128},
-    slots=_integer(1),
-    deadline_ms=_integer(1),
-    fences_orders={"type": "boolean"},
-    rules=_list(_RULE),
-)
-_TEAM: Final = _object(
-    name=_NAME,
-    credential_digests=_list(
-        {"type": "string", "pattern": DIGEST_PATTERN}, least=1
-    ),
-    shares=_integer(1),
-    max_in_flight=_integer(1),
-    priority=_integer(0),
-    services=_list(_NAME, least=1),
-)
-_MAP: Final = _object(version=_integer(1), placement=_list(_integer(0), 1))
-_GROUP: Final = _object(
-    name=_NAME,
-    service=_NAME,
-    ranks=_integer(1),
-    experts=_integer(1),
-    maps=_list(_MAP, least=1),
-    skew_weight=_WEIGHT,
-    move_weight=_WEIGHT,
-    minimum_dwell_ms=_integer(0),
-    moves_per_minute=_integer(1),
-)
-
-BUNDLE: Final[dict[str, Any]] = {
-    "$schema": "https://json-schema.org/draft/2020-12/schema",
-    **_object(
-        version=_integer(1),
-        deployment=_NAME,
-        region=_NAME,
-        data_centres=_list(_NAME, least=1),
-        services=_list(_SERVICE, least=1),
-        teams=_list(_TEAM),
-        groups=_list(_GROUP),
-    ),
-}
+BUNDLE: Final[dict[str, Any]] = msgspec.json.schema(BundleShape)
--- a/tests/core/bundles/test_check.py
+++ b/tests/core/bundles/test_check.py
@@ -33,6 +33,7 @@
     (("version",), 0, "version", "expected at least 1"),
     (("version",), "1", "version", "expected a value of type integer"),
     (("version",), True, "version", "expected a value of type integer"),
+    (("version",), 1.0, "document", "`$.version`"),
     (("data_centres",), [], "data_centres", "expected at least 1"),
     (("data_centres",), ["a", "a"], "data_centres", "'a' appears more"),
     (("services", 0, "kind"), "x", "services[0].kind", "model, records"),
