--- a/packages/core/src/verbenafall_core/expert_maps/proposal.py
+++ b/packages/core/src/verbenafall_core/expert_maps/proposal.py
@@ -27,7 +27,11 @@
 
 
 def adapt_map(
-    version: int, base: model.MapSpec, load: Sequence[float], ranks: int, swaps: int
+    version: int,
+    base: model.MapSpec,
+    load: Sequence[float],
+    ranks: int,
+    swaps: int,
 ) -> model.MapSpec:
     """Return a map with less skew that few swaps away from a base map.
 
--- a/packages/core/src/verbenafall_core/expert_maps/record.py
+++ b/packages/core/src/verbenafall_core/expert_maps/record.py
@@ -82,21 +82,19 @@
 
 def find_fault(record: MapRecord) -> str:
     """Return what is inconsistent in a record, or an empty text."""
-    if record.epoch < FIRST_EPOCH:
-        return "epoch is not positive"
-    if record.map_version < 1:
-        return "map_version is not positive"
-    if record.boundary_step < 0:
-        return "boundary_step is negative"
-    if record.phase is Phase.STABLE:
-        return "target_version in phase stable" if record.target_version else ""
-    if record.target_version < 1:
-        return f"no target_version in phase {record.phase}"
-    if record.target_version == record.map_version:
-        return "target_version equals map_version"
-    if record.phase is Phase.SWITCHING and record.boundary_step < 1:
-        return "no boundary_step in phase switching"
-    return ""
+    stable = record.phase is Phase.STABLE
+    switching = record.phase is Phase.SWITCHING
+    target = record.target_version
+    checks = (
+        (record.epoch < FIRST_EPOCH, "epoch is not positive"),
+        (record.map_version < 1, "map_version is not positive"),
+        (record.boundary_step < 0, "boundary_step is negative"),
+        (stable and target != 0, "target_version in phase stable"),
+        (not stable and target < 1, "target_version is not positive"),
+        (target == record.map_version, "target_version equals map_version"),
+        (switching and record.boundary_step < 1, "no boundary_step"),
+    )
+    return next((problem for failed, problem in checks if failed), "")
 
 
 def first_record(map_version: int) -> MapRecord:
--- /dev/null
+++ b/packages/core/src/verbenafall_core/expert_maps/selection.py
@@ -0,0 +1,212 @@
+"""Selects the expert map of a group from observed load; pure.
+
+The cost of a map is its expected skew times the skew weight, summed over the
+minutes of the horizon, plus the experts that a switch to it moves times the
+move weight. The skew weight is thus a price per minute.
+"""
+
+from collections.abc import Sequence
+import datetime
+import enum
+import itertools
+import statistics
+from typing import Final
+from typing import NamedTuple
+
+from verbenafall_core.bundles import model
+from verbenafall_core.expert_maps import load_history
+
+# Time over which the skew of a map is expected to stay as it is now.
+HORIZON: Final = datetime.timedelta(minutes=180)
+# A switch must save this multiple of what it costs.
+HYSTERESIS: Final = 1.2
+# Older load says too little about the load to come.
+MAX_LOAD_AGE: Final = datetime.timedelta(minutes=30)
+# A rank that needs this multiple of the time expected for its load is slow.
+STRAGGLER_FACTOR: Final = 1.5
+
+
+class Reason(enum.StrEnum):
+    """Why a map was chosen or kept."""
+
+    BEST = "best"
+    CURRENT_IS_BEST = "current_is_best"
+    DWELL = "dwell"
+    HYSTERESIS = "hysteresis"
+    MOVE_RATE = "move_rate"
+    NO_LOAD = "no_load"
+    NOT_ALLOWED = "current_not_allowed"
+    STALE_LOAD = "stale_load"
+
+
+class Facts(NamedTuple):
+    """What is known of a group when its map is selected.
+
+    Attributes:
+        current: Map version in use.
+        history: Load per expert.
+        now: Monotonic time.
+        switched_at: Monotonic time from which the current map is in use.
+    """
+
+    current: int
+    history: load_history.LoadHistory
+    now: datetime.timedelta
+    switched_at: datetime.timedelta
+
+
+class Choice(NamedTuple):
+    """The selected map.
+
+    Attributes:
+        version: The current map unless the reason says otherwise.
+        candidate: The map of least cost, chosen or not.
+        current_skew: Expected skew of the current map, 0 when not known.
+        candidate_skew: Expected skew of the candidate.
+        moved: Experts that a switch to the candidate moves.
+    """
+
+    version: int
+    candidate: int
+    reason: Reason
+    current_skew: float
+    candidate_skew: float
+    moved: int
+
+
+def select(spec: model.GroupSpec, facts: Facts) -> Choice:
+    """Return the map that the group shall use."""
+    current = find_map(spec, facts.current)
+    if current is None:
+        return _leave_forbidden(spec, facts)
+    if facts.history.as_of is None:
+        return _keep(facts.current, Reason.NO_LOAD)
+    if facts.now - facts.history.as_of > MAX_LOAD_AGE:
+        return _keep(facts.current, Reason.STALE_LOAD)
+    shares = load_history.load_shares(facts.history.load)
+    skew = expected_skew(current, shares, spec.ranks)
+    best = min(
+        (rate(spec, current, candidate, shares) for candidate in spec.maps),
+        key=lambda rating: (rating.cost, rating.version != facts.current),
+    )
+    reason = _judge(spec, facts, skew, best)
+    version = best.version if reason is Reason.BEST else facts.current
+    return Choice(version, best.version, reason, skew, best.skew, best.moved)
+
+
+class Rating(NamedTuple):
+    """Expected skew and cost of a switch to a map."""
+
+    version: int
+    skew: float
+    moved: int
+    cost: float
+
+
+def rate(
+    spec: model.GroupSpec,
+    current: model.MapSpec,
+    candidate: model.MapSpec,
+    shares: Sequence[float],
+) -> Rating:
+    """Return what a switch from one map to another costs."""
+    skew = expected_skew(candidate, shares, spec.ranks)
+    moved = count_moved(current, candidate)
+    return Rating(
+        candidate.version,
+        skew,
+        moved,
+        _skew_cost(spec, skew) + moved * spec.move_weight,
+    )
+
+
+def expected_skew(
+    candidate: model.MapSpec, shares: Sequence[float], ranks: int
+) -> float:
+    """Return the greatest over the mean rank time under a load."""
+    totals = [0.0] * ranks
+    for expert, rank in enumerate(candidate.placement):
+        totals[rank] += shares[expert]
+    return max(totals) * ranks / sum(totals)
+
+
+def count_moved(first: model.MapSpec, second: model.MapSpec) -> int:
+    """Return how many experts have different ranks in two maps."""
+    pairs = zip(first.placement, second.placement, strict=True)
+    return sum(one != other for one, other in pairs)
+
+
+def find_map(spec: model.GroupSpec, version: int) -> model.MapSpec | None:
+    """Return an allowed map by its version."""
+    return next((m for m in spec.maps if m.version == version), None)
+
+
+def find_stragglers(
+    spec: model.GroupSpec,
+    current: int,
+    shares: Sequence[float],
+    rank_step_ms: Sequence[float],
+) -> tuple[int, ...]:
+    """Return the ranks that are slow at equal load.
+
+    The time expected for a rank's load is a robust line through the times of
+    all ranks, so one slow rank does not shift what is expected.
+    """
+    used = find_map(spec, current)
+    if used is None or len(rank_step_ms) != spec.ranks:
+        return ()
+    loads = [0.0] * spec.ranks
+    for expert, rank in enumerate(used.placement):
+        loads[rank] += shares[expert]
+    points = list(zip(loads, rank_step_ms, strict=True))
+    slopes = [
+        (second[1] - first[1]) / (second[0] - first[0])
+        for first, second in itertools.combinations(points, 2)
+        if abs(second[0] - first[0]) > 1e-9
+    ]
+    slope = max(0.0, statistics.median(slopes)) if slopes else 0.0
+    base = statistics.median(ms - slope * load for load, ms in points)
+    return tuple(
+        rank
+        for rank, (load, ms) in enumerate(points)
+        if ms > STRAGGLER_FACTOR * (base + slope * load) > 0
+    )
+
+
+def _judge(
+    spec: model.GroupSpec, facts: Facts, skew: float, best: Rating
+) -> Reason:
+    if best.version == facts.current:
+        return Reason.CURRENT_IS_BEST
+    in_use = facts.now - facts.switched_at
+    if in_use < spec.minimum_dwell:
+        return Reason.DWELL
+    saved = _skew_cost(spec, skew - best.skew)
+    if saved < HYSTERESIS * best.moved * spec.move_weight:
+        return Reason.HYSTERESIS
+    minutes = in_use / datetime.timedelta(minutes=1)
+    if best.moved > spec.moves_per_minute * minutes:
+        return Reason.MOVE_RATE
+    return Reason.BEST
+
+
+def _skew_cost(spec: model.GroupSpec, skew: float) -> float:
+    minutes = HORIZON / datetime.timedelta(minutes=1)
+    return skew * spec.skew_weight * minutes
+
+
+def _leave_forbidden(spec: model.GroupSpec, facts: Facts) -> Choice:
+    # A map that the bundle no longer allows is left at once, for the allowed
+    # map with the least skew under what is known of the load.
+    shares = load_history.load_shares(facts.history.load)
+    skews = [
+        (expected_skew(m, shares, spec.ranks), m.version) for m in spec.maps
+    ]
+    if not skews:
+        return _keep(facts.current, Reason.NOT_ALLOWED)
+    skew, version = min(skews)
+    return Choice(version, version, Reason.NOT_ALLOWED, 0.0, skew, spec.experts)
+
+
+def _keep(version: int, reason: Reason) -> Choice:
+    return Choice(version, version, reason, 0.0, 0.0, 0)
--- a/packages/core/src/verbenafall_core/expert_maps/switch.py
+++ b/packages/core/src/verbenafall_core/expert_maps/switch.py
@@ -41,6 +41,27 @@
     step: int
 
 
+class Step(enum.StrEnum):
+    """Steps of a switch; START puts a replaced rank on the group's map."""
+
+    PREPARING = "preparing"
+    PREPARE = "prepare"
+    SWITCHING = "switching"
+    ARM = "arm"
+    RELEASE = "release"
+    STABLE = "stable"
+    START = "start"
+
+
+def step_of_order(order: Order) -> Step | None:
+    """Return the step that an order belongs to, None for a disarm."""
+    if order.kind is OrderKind.DISARM:
+        return None
+    if order.kind is OrderKind.RELEASE and order.step == START_STEP:
+        return Step.START
+    return Step(order.kind.value)
+
+
 class Coverage(NamedTuple):
     """Ranks that are not claimed by exactly one block."""
 
@@ -97,7 +118,9 @@
     return _order_outside_switch(view, view.own)
 
 
-def _order_outside_switch(view: View, own: messages.GroupMember) -> Order | None:
+def _order_outside_switch(
+    view: View, own: messages.GroupMember
+) -> Order | None:
     record = view.record
     if own.map_version == 0:
         return _start(view, own, record.map_version)
@@ -114,13 +137,18 @@
     target, boundary = record.target_version, record.boundary_step
     if target not in own.prepared:
         return _order(record, OrderKind.PREPARE, target, 0)
-    if own.map_version == 0 and own.step >= boundary:
-        known = any(other.map_version == target for other in view.others)
-        return _start(view, own, target) if known else None
     if own.map_version == target:
         return _hold_none(view, own)
-    if own.passed_step == boundary or own.step >= boundary:
-        return None
+    if own.step >= boundary:
+        return _order_after_boundary(view, own)
+    return _order_before_boundary(view, own)
+
+
+def _order_before_boundary(
+    view: View, own: messages.GroupMember
+) -> Order | None:
+    record = view.record
+    target, boundary = record.target_version, record.boundary_step
     # A rank without a map is armed before it is started: it may have been
     # armed before it was replaced, and others may count on that.
     if own.armed_step != boundary:
@@ -132,6 +160,16 @@
     return None
 
 
+def _order_after_boundary(
+    view: View, own: messages.GroupMember
+) -> Order | None:
+    # A rank without a map is started only when it is known on which map the
+    # boundary step ran; otherwise the lease holder writes a new record.
+    target = view.record.target_version
+    known = any(other.map_version == target for other in view.others)
+    return _start(view, own, target) if own.map_version == 0 and known else None
+
+
 def _hold_none(view: View, own: messages.GroupMember) -> Order | None:
     # A late repeated arm order can hold a rank that was released already.
     if not own.armed_step or not all_committed(view):
@@ -190,6 +228,7 @@
     """Return the record that the lease holder writes now, if any.
 
     Args:
+        view: What this process knows.
         wanted: Map to switch to, 0 for none.
         allowed: Map versions that the bundle allows.
         overdue: Whether preparing has taken too long.
@@ -247,9 +286,7 @@
 
 def _switch(view: View, margin: int) -> record_lib.MapRecord:
     # Above each step ever named, so that no late order can name it again.
-    known = [
-        max(member.step, member.armed_step) for member in view.members()
-    ]
+    known = [max(member.step, member.armed_step) for member in view.members()]
     return view.record._replace(
         epoch=view.record.epoch + 1,
         phase=record_lib.Phase.SWITCHING,
@@ -266,3 +303,22 @@
         map_version=map_version,
         target_version=0,
     )
+
+
+def decide_first(
+    members: Sequence[messages.GroupMember],
+    ranks: int,
+    allowed: frozenset[int],
+) -> record_lib.MapRecord | None:
+    """Return the first record of a group that has none.
+
+    The map is the one that all ranks run on, or the lowest allowed one when
+    no rank has a map yet.
+    """
+    if not cover(members, ranks).complete():
+        return None
+    in_use = {member.map_version for member in members} - {0}
+    if len(in_use) > 1:
+        return None
+    version = next(iter(in_use), min(allowed, default=0))
+    return record_lib.first_record(version) if version else None
--- /dev/null
+++ b/packages/sidecar/src/verbenafall_sidecar/group_member.py
@@ -0,0 +1,510 @@
+"""The rank-group part of a sidecar.
+
+Polls the engine's state, keeps the group record up to date from the store
+and from the other sidecars of the group, and carries out what `switch`
+decides. While this process holds the group's lease it also leads the group.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import datetime
+import threading
+from typing import Final
+from typing import NamedTuple
+
+import returns.pipeline
+import returns.result
+
+from verbenafall_core import clock as clock_lib
+from verbenafall_core import event_log
+from verbenafall_core import link as link_lib
+from verbenafall_core import link_router
+from verbenafall_core import messages
+from verbenafall_core import metrics as metrics_lib
+from verbenafall_core import periodic
+from verbenafall_core.bundles import model
+from verbenafall_core.expert_maps import coordinator as coordinator_lib
+from verbenafall_core.expert_maps import event_catalogue
+from verbenafall_core.expert_maps import load_history
+from verbenafall_core.expert_maps import record as record_lib
+from verbenafall_core.expert_maps import switch
+from verbenafall_core.object_store import port as store_port
+from verbenafall_sidecar import order_gate
+from verbenafall_sidecar import order_port
+
+SWITCH_POLL_INTERVAL: Final = datetime.timedelta(milliseconds=100)
+STABLE_POLL_INTERVAL: Final = datetime.timedelta(seconds=1)
+# In a stable group the state is sent on changes and otherwise this often.
+STABLE_SEND_INTERVAL: Final = datetime.timedelta(seconds=5)
+WATCH_WAIT: Final = datetime.timedelta(seconds=30)
+WATCH_RETRY: Final = datetime.timedelta(seconds=1)
+MAX_ORDERS_PER_POLL: Final = 4
+SIDECAR_ROLE: Final = "sidecar"
+
+
+class Setup(NamedTuple):
+    """What a group member works with.
+
+    Attributes:
+        find_group: Returns the group in the bundle in force.
+        open_links: Returns the open links of this process.
+        holds_lease: Returns whether this process holds the group's lease.
+    """
+
+    group: str
+    instance: str
+    find_group: Callable[[], model.GroupSpec | None]
+    engine: order_port.OrderPort
+    store: store_port.ObjectStore
+    router: link_router.LinkRouter
+    open_links: Callable[[], Sequence[link_lib.Link]]
+    holds_lease: Callable[[], bool]
+    clock: clock_lib.Clock
+    metrics: metrics_lib.Metrics
+
+
+class Peer:
+    """An open link to another sidecar, and what was heard over it."""
+
+    def __init__(self, link: link_lib.Link, instance: str) -> None:
+        """Create a peer that was not heard from."""
+        self.link = link
+        self.instance = instance
+        self.member: messages.GroupMember | None = None
+
+
+class GroupMemberService:
+    """Kernel service. The lock guards what the link callbacks share.
+
+    Attributes:
+        stored: Newest record known, None before the first.
+        absent: Whether the store answered that there is no record.
+        confirmed: See `switch.View`.
+        peers: Open links to other sidecars, in the order of opening.
+        released_step: Boundary step for which the engine took a release in
+            this switch, 0 for none. Until that step an engine does not show
+            that it was released.
+    """
+
+    def __init__(self, setup: Setup) -> None:
+        """Create a member that is not yet running and subscribe it."""
+        self.setup = setup
+        self.lock = threading.Lock()
+        self.stored: coordinator_lib.Stored | None = None
+        self.absent = False
+        self.confirmed = False
+        self.peers: list[Peer] = []
+        self.own: messages.GroupMember | None = None
+        self.engine_state: order_port.EngineState | None = None
+        self.gate = order_gate.closed_gate()
+        self.released_step = 0
+        self.polled: coordinator_lib.Stored | None = None
+        self.sent: messages.GroupMember | None = None
+        self.next_send = setup.clock.monotonic()
+        self.next_poll = setup.clock.monotonic()
+        self.next_order = setup.clock.monotonic()
+        self.coordinator = coordinator_lib.create_coordinator(
+            setup.group, setup.store, setup.clock
+        )
+        self.stopping = threading.Event()
+        self.watcher = threading.Thread(
+            target=self.watch, name="group-watch", daemon=True
+        )
+        self.poller = periodic.create_periodic_task(
+            "group-poll", SWITCH_POLL_INTERVAL, self.poll_when_due
+        )
+        setup.router.subscribe_open(self.on_open)
+        setup.router.subscribe_close(self.on_close)
+        setup.router.subscribe(messages.GroupRecord, self.on_record)
+        setup.router.subscribe(messages.GroupMember, self.on_member)
+
+    def start(self) -> None:
+        """Start to poll the engine and to watch the record."""
+        self.watcher.start()
+        self.poller.start()
+
+    def stop(self, limit: datetime.timedelta) -> None:
+        """Stop polling; a pending watch ends with the process."""
+        self.stopping.set()
+        self.poller.stop(limit)
+
+    def status(self) -> messages.GroupStatus:
+        """Return what is known of the group."""
+        with self.lock:
+            step = self.own.step if self.own else 0
+            if self.stored is None:
+                return messages.GroupStatus(self.setup.group, 0, "", 0, step)
+            record = self.stored.record
+            return messages.GroupStatus(
+                self.setup.group,
+                record.epoch,
+                record.phase,
+                record.map_version,
+                step,
+            )
+
+    # Links.
+
+    def on_open(self, link: link_lib.Link) -> None:
+        """Forget what an earlier link of the peer said, and greet it."""
+        if link.peer is None or link.peer.role != SIDECAR_ROLE:
+            return
+        with self.lock:
+            for peer in self.peers:
+                if peer.instance == link.peer.instance:
+                    peer.member = None
+            self.peers.append(Peer(link, link.peer.instance))
+            stored, own = self.stored, self.own
+        if stored is not None:
+            link.send(self.record_message(stored))
+        if own is not None:
+            link.send(own)
+
+    def on_close(self, link: link_lib.Link, _reason: str) -> None:
+        """Forget a peer; its ranks are unclaimed until it is back."""
+        with self.lock:
+            self.peers = [peer for peer in self.peers if peer.link is not link]
+
+    def on_record(
+        self, _link: link_lib.Link, message: messages.GroupRecord
+    ) -> None:
+        """Take a record that a peer passed on."""
+        if message.group == self.setup.group:
+            self.learn(message.version, message.record)
+
+    def on_member(
+        self, link: link_lib.Link, message: messages.GroupMember
+    ) -> None:
+        """Take a peer's state from its newest link."""
+        if message.group != self.setup.group:
+            return
+        with self.lock:
+            for peer in reversed(self.peers):
+                if peer.instance == message.instance:
+                    if peer.link is link:
+                        peer.member = message
+                    return
+
+    def broadcast(
+        self, message: messages.GroupRecord | messages.GroupMember
+    ) -> None:
+        """Send to all other sidecars."""
+        with self.lock:
+            links = [peer.link for peer in self.peers]
+        for link in links:
+            link.send(message)
+
+    # Record.
+
+    def watch(self) -> None:
+        """Follow the record in the store until stopped."""
+        while not self.stopping.is_set():
+            if not self.watch_once(WATCH_WAIT):
+                self.stopping.wait(WATCH_RETRY.total_seconds())
+
+    def watch_once(self, wait: datetime.timedelta) -> bool:
+        """Wait for a newer record; return whether one came."""
+        with self.lock:
+            known = self.stored.version if self.stored else 0
+        name = record_lib.object_name(self.setup.group)
+        result = self.setup.store.watch(name, known, wait)
+        if returns.pipeline.is_successful(result):
+            found = result.unwrap()
+            self.learn(found.version, found.value)
+            self.confirm()
+            return True
+        if result.failure().kind is store_port.FailureKind.MISSING:
+            self.absent = known == 0
+            if known:
+                self.confirm()
+        return False
+
+    def confirm(self) -> None:
+        """Note that the store has shown the newest record."""
+        with self.lock:
+            self.confirmed = self.stored is not None
+
+    def learn(self, version: int, value: bytes) -> None:
+        """Take a record if it is newer, and pass it on."""
+        result = record_lib.decode(value)
+        if isinstance(result, returns.result.Failure):
+            event_log.emit(
+                event_catalogue.RECORD_INVALID,
+                group=self.setup.group,
+                version=version,
+                problem=result.failure(),
+            )
+            return
+        self.adopt(coordinator_lib.Stored(version, result.unwrap()))
+
+    def adopt(self, stored: coordinator_lib.Stored) -> None:
+        """Take a record if it is newer, and pass it on."""
+        with self.lock:
+            if self.stored and stored.version <= self.stored.version:
+                return
+            self.stored = stored
+            self.gate = order_gate.learn_epoch(self.gate, stored.record.epoch)
+        self.broadcast(self.record_message(stored))
+        self.poller.run_now()
+
+    def record_message(
+        self, stored: coordinator_lib.Stored
+    ) -> messages.GroupRecord:
+        """Return the message that passes a record on."""
+        return messages.GroupRecord(
+            self.setup.group, stored.version, record_lib.encode(stored.record)
+        )
+
+    # Engine.
+
+    def poll_when_due(self) -> None:
+        """Poll at the interval of the phase."""
+        now = self.setup.clock.monotonic()
+        with self.lock:
+            stored = self.stored
+        stable = stored and stored.record.phase is record_lib.Phase.STABLE
+        if stable and stored == self.polled and now < self.next_poll:
+            return
+        self.polled = stored
+        self.next_poll = now + STABLE_POLL_INTERVAL
+        self.poll()
+
+    def poll(self) -> None:
+        """Read the engine's state and do what is due."""
+        spec = self.setup.find_group()
+        if spec is None or not self.read_engine():
+            return
+        self.obey(spec)
+        self.share()
+        if self.setup.holds_lease():
+            self.lead(spec)
+
+    def read_engine(self) -> bool:
+        """Read the engine's state; return whether it is known."""
+        result = self.setup.engine.read_state()
+        if isinstance(result, returns.result.Failure):
+            event_log.emit(
+                event_catalogue.ENGINE_UNREACHABLE,
+                group=self.setup.group,
+                kind=result.failure().kind,
+                problem=result.failure().message,
+            )
+            with self.lock:
+                self.own = None
+            return False
+        self.take_state(result.unwrap())
+        return True
+
+    def take_state(self, state: order_port.EngineState) -> None:
+        """Turn the engine's state into the state that peers are told."""
+        before, self.engine_state = self.engine_state, state
+        if before is not None and state.map_version == 0 < before.map_version:
+            event_log.emit(
+                event_catalogue.ENGINE_DIFFERS,
+                group=self.setup.group,
+                step=state.step,
+                before=before.map_version,
+                now=state.map_version,
+            )
+        self.add_load(before, state)
+        with self.lock:
+            record = self.stored.record if self.stored else None
+            if state.map_version == 0 or state.armed_step:
+                self.released_step = 0
+            others = self.other_members()
+            own = messages.GroupMember(
+                group=self.setup.group,
+                instance=self.setup.instance,
+                ranks=state.ranks,
+                epoch=state.epoch,
+                map_version=state.map_version,
+                prepared=state.prepared,
+                armed_step=state.armed_step,
+                passed_step=0,
+                step=state.step,
+            )
+            if record is not None:
+                own = self.complete(record, own, others)
+            self.own = own
+
+    def complete(
+        self,
+        record: record_lib.MapRecord,
+        own: messages.GroupMember,
+        others: tuple[messages.GroupMember, ...],
+    ) -> messages.GroupMember:
+        """Add what only this sidecar knows of its ranks."""
+        boundary = record.boundary_step
+        waits = own.step < boundary and own.map_version == record.map_version
+        switching = record.phase is record_lib.Phase.SWITCHING
+        if switching and waits and self.released_step == boundary:
+            own = own._replace(armed_step=boundary)
+        passed = switch.find_passed(record, own, others)
+        return own._replace(passed_step=passed)
+
+    def add_load(
+        self,
+        before: order_port.EngineState | None,
+        state: order_port.EngineState,
+    ) -> None:
+        """Pass the load since the last state to the coordinator."""
+        if before is None or not state.expert_load:
+            return
+        added = load_history.count_since(before.expert_load, state.expert_load)
+        if sum(added) > 0:
+            now = self.setup.clock.monotonic()
+            report = load_history.LoadReport(now, added)
+            self.coordinator.add_load(report, len(added))
+
+    def obey(self, spec: model.GroupSpec) -> None:
+        """Give the engine the orders that are due."""
+        for _ in range(MAX_ORDERS_PER_POLL):
+            view = self.view(spec)
+            if view is None or self.setup.clock.monotonic() < self.next_order:
+                return
+            order = switch.decide_order(view)
+            if order is None or self.is_taken(order):
+                return
+            if not self.give(spec, order):
+                return
+
+    def is_taken(self, order: switch.Order) -> bool:
+        """Return whether the engine took a release that it cannot show."""
+        state = self.engine_state
+        return (
+            order.kind is switch.OrderKind.RELEASE
+            and order.step == self.released_step > 0
+            and state is not None
+            and state.armed_step == 0
+        )
+
+    def give(self, spec: model.GroupSpec, order: switch.Order) -> bool:
+        """Give one order through the gate; return whether it was taken."""
+        placement = find_placement(spec, order)
+        verdict = order_gate.judge(self.gate, order)
+        if verdict is not order_gate.Verdict.PASSED or placement is None:
+            reason = "map_not_in_bundle" if placement is None else verdict
+            event_log.emit(
+                event_catalogue.ORDER_HELD,
+                group=self.setup.group,
+                reason=reason,
+                **order._asdict(),
+            )
+            return False
+        result = self.setup.engine.send_order(order, placement)
+        if isinstance(result, returns.result.Failure):
+            self.note_failure(order, result.failure())
+            return False
+        event_log.emit(
+            event_catalogue.ORDER_SENT,
+            group=self.setup.group,
+            **order._asdict(),
+        )
+        if order.kind is switch.OrderKind.RELEASE and order.step:
+            self.released_step = order.step
+        self.take_state(result.unwrap())
+        return True
+
+    def note_failure(
+        self, order: switch.Order, failure: order_port.OrderFailure
+    ) -> None:
+        """Log a failed order and wait as long as the engine asks."""
+        self.next_order = self.setup.clock.monotonic() + failure.retry_after
+        event_log.emit(
+            event_catalogue.ORDER_FAILED,
+            group=self.setup.group,
+            cause=failure.kind,
+            problem=failure.message,
+            **order._asdict(),
+        )
+
+    def share(self) -> None:
+        """Tell the peers the own state when it is due."""
+        now = self.setup.clock.monotonic()
+        with self.lock:
+            own, stored = self.own, self.stored
+        if own is None:
+            return
+        switching = stored and stored.record.phase != record_lib.Phase.STABLE
+        same = self.sent and self.sent._replace(step=own.step) == own
+        if same and not switching and now < self.next_send:
+            return
+        self.sent = own
+        self.next_send = now + STABLE_SEND_INTERVAL
+        self.broadcast(own)
+
+    # Decisions.
+
+    def other_members(self) -> tuple[messages.GroupMember, ...]:
+        """Return the peers' states; called with the lock held."""
+        newest = {peer.instance: peer.member for peer in self.peers}
+        return tuple(
+            member
+            for instance, member in newest.items()
+            if member is not None and instance != self.setup.instance
+        )
+
+    def view(self, spec: model.GroupSpec) -> switch.View | None:
+        """Return what is known, None before there is a record."""
+        with self.lock:
+            if self.stored is None:
+                return None
+            view = switch.View(
+                self.stored.record,
+                self.own,
+                self.other_members(),
+                spec.ranks,
+                self.confirmed,
+            )
+            # Each peer has dropped what the last process here had said
+            # before it sent its state over a link to this one.
+            if switch.cover(view.members(), spec.ranks).complete():
+                self.confirmed = True
+            return view._replace(confirmed=self.confirmed)
+
+    def lead(self, spec: model.GroupSpec) -> None:
+        """Write the record if this process, as lease holder, has to."""
+        view = self.view(spec)
+        if view is None:
+            self.create_record(spec)
+            return
+        with self.lock:
+            stored = self.stored
+        if stored is None or stored.record != view.record:
+            return
+        self.coordinator.observe(stored.record)
+        times = self.engine_state.rank_step_ms if self.engine_state else ()
+        written = self.coordinator.lead(spec, stored, view, times)
+        if written is not None:
+            self.adopt(written)
+
+    def create_record(self, spec: model.GroupSpec) -> None:
+        """Write the first record of a group that has none."""
+        if not self.absent:
+            return
+        with self.lock:
+            own = (self.own,) if self.own else ()
+            members = (*own, *self.other_members())
+        allowed = frozenset(item.version for item in spec.maps)
+        record = switch.decide_first(members, spec.ranks, allowed)
+        if record is not None:
+            written = self.coordinator.write(record, 0)
+            if written is not None:
+                self.adopt(written)
+
+
+def find_placement(
+    spec: model.GroupSpec, order: switch.Order
+) -> tuple[int, ...] | None:
+    """Return the placement that an order carries, None when not known."""
+    if order.kind is not switch.OrderKind.PREPARE:
+        return ()
+    return next(
+        (m.placement for m in spec.maps if m.version == order.map_version),
+        None,
+    )
+
+
+def create_group_member(setup: Setup) -> GroupMemberService:
+    """Create a member that is not yet running; call before links start."""
+    return GroupMemberService(setup)
--- /dev/null
+++ b/packages/sidecar/src/verbenafall_sidecar/order_http.py
@@ -0,0 +1,146 @@
+"""Map orders and engine state over HTTP."""
+
+import datetime
+from typing import Any
+from typing import Final
+from typing import NotRequired
+from typing import TypedDict
+
+import msgspec
+import returns.result
+
+from verbenafall_core import addresses
+from verbenafall_core import http_client
+from verbenafall_core.expert_maps import switch
+from verbenafall_sidecar import order_port
+
+CALL_LIMIT: Final = datetime.timedelta(seconds=2)
+# Loading the weights of a map goes on for as long as the weight store needs.
+PREPARE_LIMIT: Final = datetime.timedelta(seconds=30)
+BUSY_DELAY: Final = datetime.timedelta(seconds=1)
+NO_DELAY: Final = datetime.timedelta()
+
+STATUS_OK: Final = 200
+STATUS_CONFLICT: Final = 409
+STATUS_BUSY: Final = 503
+
+
+class _Armed(TypedDict):
+    step: int
+    map_version: int
+
+
+class _State(TypedDict):
+    group: str
+    ranks: list[int]
+    map_version: int
+    prepared: list[int]
+    armed: _Armed | None
+    step: int
+    epoch: int
+    rank_step_ms: list[float]
+    expert_load: list[float]
+
+
+class _Error(TypedDict):
+    error: str
+    epoch: NotRequired[int]
+    retry_after_ms: NotRequired[int]
+
+
+class HttpOrderPort:
+    """Calls to the engine at one address."""
+
+    def __init__(
+        self, client: http_client.HttpClient, address: addresses.Address
+    ) -> None:
+        """Create a port without connections."""
+        self.client = client
+        self.base = f"http://{address}"
+
+    def read_state(self) -> order_port.StateResult:
+        """Return the state of the ranks."""
+        return self.call("GET", "/v1/state", b"", CALL_LIMIT)
+
+    def send_order(
+        self, order: switch.Order, placement: tuple[int, ...]
+    ) -> order_port.StateResult:
+        """Give an order and return the state after it."""
+        body = msgspec.json.encode({**order._asdict(), "placement": placement})
+        is_prepare = order.kind is switch.OrderKind.PREPARE
+        limit = PREPARE_LIMIT if is_prepare else CALL_LIMIT
+        return self.call("POST", "/v1/orders", body, limit)
+
+    def call(
+        self, method: str, path: str, body: bytes, limit: datetime.timedelta
+    ) -> order_port.StateResult:
+        """Make one call whose good answer is the state."""
+        headers = (("Content-Type", "application/json"),) if body else ()
+        # A repeated order changes nothing, so kept connections are safe.
+        request = http_client.HttpRequest(
+            method, self.base + path, headers, body, limit, single_use=False
+        )
+        result = self.client.call(request)
+        if isinstance(result, returns.result.Failure):
+            return _fail(
+                order_port.FailureKind.UNCERTAIN, result.failure().message
+            )
+        return parse_answer(result.unwrap())
+
+
+def parse_answer(answer: http_client.HttpAnswer) -> order_port.StateResult:
+    """Turn an HTTP answer into a state or a failure."""
+    try:
+        if answer.status == STATUS_OK:
+            return returns.result.Success(_parse_state(answer.body))
+        error = msgspec.json.decode(answer.body, type=_Error)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
+        message = f"HTTP {answer.status}: {fault}"
+        return _fail(order_port.FailureKind.INVALID, message)
+    return _parse_error(answer.status, error)
+
+
+def _parse_state(body: bytes) -> order_port.EngineState:
+    form = msgspec.json.decode(body, type=_State)
+    armed = form["armed"]
+    return order_port.EngineState(
+        group=form["group"],
+        ranks=tuple(form["ranks"]),
+        map_version=form["map_version"],
+        prepared=tuple(form["prepared"]),
+        armed_step=armed["step"] if armed else 0,
+        step=form["step"],
+        epoch=form["epoch"],
+        rank_step_ms=tuple(form["rank_step_ms"]),
+        expert_load=tuple(form["expert_load"]),
+    )
+
+
+def _parse_error(status: int, error: _Error) -> order_port.StateResult:
+    name = error["error"]
+    if status == STATUS_CONFLICT and name == "fenced":
+        message = f"engine is at epoch {error.get('epoch')}"
+        return _fail(order_port.FailureKind.FENCED, message)
+    if status == STATUS_CONFLICT and name == "not_prepared":
+        return _fail(order_port.FailureKind.NOT_PREPARED, name)
+    if status == STATUS_BUSY:
+        wait = datetime.timedelta(milliseconds=error.get("retry_after_ms", 0))
+        delay = max(wait, BUSY_DELAY)
+        return _fail(order_port.FailureKind.BUSY, name, delay)
+    message = f"HTTP {status}: {name}"
+    return _fail(order_port.FailureKind.INVALID, message)
+
+
+def _fail(
+    kind: order_port.FailureKind,
+    message: str,
+    delay: datetime.timedelta = NO_DELAY,
+) -> returns.result.Result[Any, order_port.OrderFailure]:
+    return returns.result.Failure(order_port.OrderFailure(kind, message, delay))
+
+
+def create_http_order_port(
+    client: http_client.HttpClient, address: addresses.Address
+) -> order_port.OrderPort:
+    """Create a port to the engine at an address."""
+    return HttpOrderPort(client, address)
--- /dev/null
+++ b/tests/expert_maps/group_model.py
@@ -0,0 +1,309 @@
+"""A rank group in lock-step and its sidecars, in memory, with faults."""
+
+import collections
+import datetime
+import functools
+
+import returns.result
+
+from verbenafall_core import link_router
+from verbenafall_core import messages
+from verbenafall_core import metrics
+from verbenafall_core.bundles import model
+from verbenafall_core.expert_maps import record as record_lib
+from verbenafall_core.expert_maps import switch
+from verbenafall_core.object_store import port as store_port
+from verbenafall_sidecar import group_member
+from verbenafall_sidecar import order_port
+from verbenafall_standins.fakes import manual_clock
+from verbenafall_standins.fakes import memory_store
+
+MAPS = (model.MapSpec(1, (0, 1, 2)), model.MapSpec(2, (1, 2, 0)))
+SECOND = datetime.timedelta(seconds=1)
+
+
+class Engine:
+    """One rank; it holds without a map until it is released with step 0."""
+
+    def __init__(self, group, index, fences, map_version):
+        self.group, self.index, self.fences = group, index, fences
+        self.map_version = map_version
+        self.prepared = {map_version} - {0}
+        self.armed = self.epoch = 0
+        self.pending = None
+
+    def state(self):
+        return order_port.EngineState(
+            "g",
+            (self.index,),
+            self.map_version,
+            tuple(sorted(self.prepared)),
+            self.armed,
+            self.group.step,
+            self.epoch,
+            (),
+            (),
+        )
+
+    def take(self, order):
+        if self.fences and order.epoch < self.epoch:
+            return fail(order_port.FailureKind.FENCED)
+        loads = order.kind is switch.OrderKind.PREPARE
+        if not loads and order.map_version not in self.prepared:
+            return fail(order_port.FailureKind.NOT_PREPARED)
+        self.epoch = order.epoch
+        if loads:
+            self.prepared.add(order.map_version)
+        elif order.kind is switch.OrderKind.DISARM:
+            self.armed = 0 if order.step == self.armed else self.armed
+        elif order.step == switch.START_STEP:
+            self.map_version = self.map_version or order.map_version
+        elif order.step > self.group.step:
+            arms = order.kind is switch.OrderKind.ARM
+            self.armed = order.step if arms else 0
+            self.pending = None if arms else (order.step, order.map_version)
+        return returns.result.Success(self.state())
+
+    def map_at(self, step):
+        """Return the map of a step, 0 when the rank holds before it."""
+        if self.armed and self.armed <= step:
+            return 0
+        if self.pending and self.pending[0] <= step:
+            return self.pending[1]
+        return self.map_version
+
+
+class FakeLink:
+    def __init__(self, group, source, target, peer):
+        self.group, self.source, self.target = group, source, target
+        self.peer = messages.Hello(1, peer, "sidecar", "", "s")
+        self.other = None
+        self.is_open = True
+
+    def send(self, message):
+        if self.is_open and self.other.is_open:
+            self.group.mail.append((self.other, message))
+        return True
+
+
+class EnginePort:
+    """Orders of one sidecar process, with the group's faults."""
+
+    def __init__(self, group, index):
+        self.group, self.index = group, index
+
+    def read_state(self):
+        return returns.result.Success(self.group.engines[self.index].state())
+
+    def send_order(self, order, placement):
+        engine = self.group.engines[self.index]
+        fault = self.group.order_fault(self.index, order)
+        if fault in ("late", "duplicate"):
+            self.group.late_orders.append((engine, order))
+        if fault not in ("late", "lost"):
+            result = engine.take(order)
+        if fault in ("late", "lost", "lost_answer"):
+            return fail(order_port.FailureKind.UNCERTAIN)
+        return result
+
+
+class LateStore:
+    """Passes calls on; a write can take effect later than its answer."""
+
+    def __init__(self, group, index):
+        self.group, self.index, self.inner = group, index, group.store
+
+    def __getattr__(self, name):
+        return getattr(self.inner, name)
+
+    def update(self, name, value, version):
+        fault = self.group.write_fault(self.index, value)
+        call = functools.partial(self.inner.update, name, value, version)
+        if fault in ("late", "duplicate"):
+            self.group.late_writes.append(call)
+        if fault not in ("late", "lost"):
+            result = call()
+        if fault in ("late", "lost", "lost_answer"):
+            return returns.result.Failure(
+                store_port.StoreFailure(store_port.FailureKind.UNCERTAIN, "")
+            )
+        return result
+
+
+class Group:
+    """Three ranks, each with a sidecar; faults are set by the test."""
+
+    def __init__(self, fences=True, size=3):
+        self.size, self.fences = size, fences
+        self.clock = manual_clock.create_manual_clock()
+        self.store = memory_store.create_memory_store()
+        self.step, self.mixed = 0, []
+        self.engines = [Engine(self, i, fences, 1) for i in range(size)]
+        self.late_orders, self.late_writes, self.mail = [], [], []
+        self.order_fault = self.write_fault = lambda index, what: None
+        self.holders, self.paused, self.wanted = {0}, set(), 0
+        self.cuts = set()
+        self.links = collections.defaultdict(list)
+        self.members = [None] * size
+        self.births = [0] * size
+        for index in range(size):
+            self.boot(index)
+
+    def boot(self, index):
+        """Start a sidecar process without memory; links come up at once."""
+        spec = model.GroupSpec(
+            "g", "s", self.size, 3, MAPS, 1, 1, 10 * SECOND, 10
+        )
+        self.births[index] += 1
+        self.members[index] = group_member.create_group_member(
+            group_member.Setup(
+                "g",
+                f"i{index}",
+                lambda: spec,
+                EnginePort(self, index),
+                LateStore(self, index),
+                link_router.create_link_router(),
+                list,
+                lambda: index in self.holders,
+                self.clock,
+                metrics.NullMetrics(),
+            )
+        )
+        self.members[index].coordinator.select = lambda *_: self.wanted
+        self.paused.discard(index)
+        for other in range(self.size):
+            if other != index:
+                self.connect(index, other)
+
+    def connect(self, first, second):
+        pair = frozenset((first, second))
+        if pair in self.cuts or None in (
+            self.members[first],
+            self.members[second],
+        ):
+            return
+        one = FakeLink(self, first, second, f"i{second}")
+        two = FakeLink(self, second, first, f"i{first}")
+        one.other, two.other = two, one
+        for link in (one, two):
+            self.links[pair].append(link)
+            self.members[link.source].setup.router.on_open(link)
+
+    def close(self, first, second):
+        """Close all links of two sidecars at both ends."""
+        for link in self.links.pop(frozenset((first, second)), []):
+            link.is_open = False
+            if self.members[link.source]:
+                self.members[link.source].setup.router.on_close(link, "")
+
+    def kill(self, index):
+        """End a process; its peers do not notice yet."""
+        self.members[index] = None
+        for pair, links in self.links.items():
+            for link in links if index in pair else ():
+                link.is_open = link.source != index
+        self.mail = [m for m in self.mail if m[0].source != index]
+
+    def replace_engine(self, index):
+        self.engines[index] = Engine(self, index, self.fences, 0)
+        self.late_orders = [
+            late for late in self.late_orders if late[0] in self.engines
+        ]
+
+    def live(self):
+        return [
+            index
+            for index, member in enumerate(self.members)
+            if member and index not in self.paused
+        ]
+
+    def poll(self, index):
+        self.clock.advance(SECOND)
+        self.members[index].poll()
+
+    def watch(self, index):
+        self.members[index].watch_once(datetime.timedelta())
+
+    def deliver(self, position, keep=False):
+        link, message = self.mail[position]
+        if not keep:
+            del self.mail[position]
+        if link.is_open and self.members[link.source]:
+            self.members[link.source].setup.router.on_message(link, message)
+
+    def deliver_all(self):
+        waiting = []
+        while self.mail:
+            if self.mail[0][0].source in self.paused:
+                waiting.append(self.mail.pop(0))
+            else:
+                self.deliver(0)
+        self.mail = waiting
+
+    def run_steps(self, count):
+        """Run up to so many steps; stop when a rank holds."""
+        for _ in range(count):
+            step = self.step + 1
+            maps = [engine.map_at(step) for engine in self.engines]
+            if 0 in maps:
+                return
+            if len(set(maps)) > 1:
+                self.mixed.append((step, maps))
+            for engine, version in zip(self.engines, maps, strict=True):
+                engine.map_version = version
+            self.step = step
+
+    def round(self, steps=1):
+        for index in self.live():
+            self.watch(index)
+        for index in self.live():
+            self.poll(index)
+        self.deliver_all()
+        self.run_steps(steps)
+
+    def record(self):
+        stored = self.store.objects.get("groups/g")
+        return record_lib.decode(stored.value).unwrap() if stored else None
+
+    def heal(self):
+        """End all faults."""
+        self.store.plan = memory_store.no_faults
+        self.order_fault = self.write_fault = lambda index, what: None
+        self.holders, self.wanted = {0}, 0
+        self.paused.clear()
+        self.cuts.clear()
+        for index in range(self.size):
+            if self.members[index] is None:
+                self.boot(index)
+        for first in range(self.size):
+            for second in range(first):
+                self.close(first, second)
+                self.connect(first, second)
+        while self.late_orders:
+            engine, order = self.late_orders.pop()
+            engine.take(order)
+        while self.late_writes:
+            self.late_writes.pop()()
+
+    def assert_recovers(self):
+        """Check that the group becomes stable and runs, by itself."""
+        self.heal()
+        for _ in range(60):
+            self.round(steps=8)
+            self.assert_one_map()
+        assert self.record().phase is record_lib.Phase.STABLE
+        before = self.step
+        self.run_steps(5)
+        assert self.step == before + 5
+        assert {e.map_version for e in self.engines} == {
+            self.record().map_version
+        }
+
+    def assert_one_map(self):
+        assert self.mixed == []
+
+
+def fail(kind):
+    return returns.result.Failure(
+        order_port.OrderFailure(kind, "", datetime.timedelta())
+    )
--- /dev/null
+++ b/tests/expert_maps/test_switch_machine.py
@@ -0,0 +1,131 @@
+"""A map switch under faults: every step runs on one map in all ranks."""
+
+import group_model
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from verbenafall_standins.fakes import memory_store
+
+INDEX = st.integers(0, 2)
+ORDER_FAULTS = st.sampled_from(["lost", "lost_answer", "late", "duplicate"])
+
+
+class SwitchMachine(stateful.RuleBasedStateMachine):
+    fences = True
+
+    def __init__(self):
+        super().__init__()
+        self.group = group_model.Group(self.fences)
+        for _ in range(3):
+            self.group.round()
+
+    @stateful.rule(count=st.integers(1, 4))
+    def run_steps(self, count):
+        self.group.run_steps(count)
+
+    @stateful.rule(steps=st.integers(0, 3))
+    def round(self, steps):
+        self.group.round(steps)
+
+    @stateful.rule(version=st.integers(0, 2))
+    def want(self, version):
+        self.group.wanted = version
+
+    @stateful.rule(index=INDEX)
+    def poll(self, index):
+        if index in self.group.live():
+            self.group.poll(index)
+
+    @stateful.rule(index=INDEX)
+    def watch(self, index):
+        if index in self.group.live():
+            self.group.watch(index)
+
+    @stateful.rule(position=st.integers(0, 30), keep=st.booleans())
+    def deliver(self, position, keep):
+        """Deliver a message out of order, and maybe again later."""
+        if position < len(self.group.mail):
+            self.group.deliver(position, keep)
+
+    @stateful.rule(index=INDEX)
+    def lose_mail(self, index):
+        self.group.mail = [m for m in self.group.mail if m[0].source != index]
+
+    @stateful.rule(index=INDEX, boot=st.booleans(), engine=st.booleans())
+    def kill(self, index, boot, engine):
+        self.group.kill(index)
+        if engine:
+            self.group.replace_engine(index)
+        if boot:
+            self.group.boot(index)
+
+    @stateful.rule(index=INDEX)
+    def boot(self, index):
+        if self.group.members[index] is None:
+            self.group.boot(index)
+
+    @stateful.rule(index=INDEX)
+    def replace_engine(self, index):
+        self.group.replace_engine(index)
+
+    @stateful.rule(index=INDEX)
+    def pause_or_continue(self, index):
+        self.group.paused ^= {index}
+
+    @stateful.rule(holders=st.frozensets(INDEX))
+    def change_holders(self, holders):
+        """More than one holder: one was paused past its lease."""
+        self.group.holders = set(holders)
+
+    @stateful.rule(first=INDEX, second=INDEX, back=st.booleans())
+    def cut(self, first, second, back):
+        if first != second:
+            self.group.close(first, second)
+            if back:
+                self.group.connect(first, second)
+
+    @stateful.rule(index=INDEX, fault=st.none() | ORDER_FAULTS)
+    def fault_orders(self, index, fault):
+        self.group.order_fault = lambda i, _: fault if i == index else None
+
+    @stateful.rule(fault=st.none() | ORDER_FAULTS)
+    def fault_writes(self, fault):
+        self.group.write_fault = lambda *_: fault
+
+    @stateful.rule(position=st.integers(0, 5))
+    def late_order(self, position):
+        if position < len(self.group.late_orders):
+            engine, order = self.group.late_orders.pop(position)
+            engine.take(order)
+
+    @stateful.rule()
+    def late_write(self):
+        if self.group.late_writes:
+            self.group.late_writes.pop(0)()
+
+    @stateful.rule(fault=st.none() | st.sampled_from(memory_store.Fault))
+    def fault_store(self, fault):
+        self.group.store.plan = lambda _call: fault
+
+    @stateful.invariant()
+    def one_map(self):
+        self.group.assert_one_map()
+
+    def teardown(self):
+        self.group.assert_recovers()
+
+
+class UnfencedMachine(SwitchMachine):
+    fences = False
+
+
+SETTINGS = hypothesis.settings(
+    max_examples=150,
+    stateful_step_count=50,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+TestFencing = SwitchMachine.TestCase
+TestFencing.settings = SETTINGS
+TestUnfenced = UnfencedMachine.TestCase
+TestUnfenced.settings = SETTINGS
