--- a/packages/core/src/verbenafall_core/expert_maps/selection.py
+++ b/packages/core/src/verbenafall_core/expert_maps/selection.py
@@ -17,7 +17,7 @@
 from verbenafall_core.expert_maps import load_history
 
 # Time over which the skew of a map is expected to stay as it is now.
-HORIZON: Final = datetime.timedelta(minutes=180)
+HORIZON: Final = datetime.timedelta(minutes=120)
 # A switch must save this multiple of what it costs.
 HYSTERESIS: Final = 1.2
 # Older load says too little about the load to come.
