Give the sidecar's settings the section names of the gateway

Cause: the two programs named the same settings differently.

Ruled out: keeping both, which operators would have to remember.

Change: [listen] links, [metrics] statsd, [log] level, and a list of public keys in the sidecar's settings; file names of the demonstration's keys.

--- a/packages/sidecar/src/verbenafall_sidecar/platform_services.py
+++ b/packages/sidecar/src/verbenafall_sidecar/platform_services.py
@@ -28,9 +28,7 @@
     settings: sidecar_settings.SidecarSettings, clock: clock_lib.Clock
 ) -> PlatformResult:
     """Create the services; the failure says which key file is bad."""
-    keys = core_module("bundles.signing").read_public_keys(
-        [settings.public_keys]
-    )
+    keys = core_module("bundles.signing").read_public_keys(settings.public_keys)
     if not returns.pipeline.is_successful(keys):
         return returns.result.Failure(str(keys.failure()))
     client = http_client.create_http_client()
--- a/packages/sidecar/src/verbenafall_sidecar/sidecar_settings.py
+++ b/packages/sidecar/src/verbenafall_sidecar/sidecar_settings.py
@@ -66,8 +66,8 @@
         "Data centre of the instance.",
     ),
     _option(
-        "links",
         "listen",
+        "links",
         addresses.parse_address,
         _ADDRESS,
         "Address for links from gateways and other sidecars.",
@@ -106,12 +106,12 @@
     _option(
         "bundles",
         "public_keys",
-        settings.parse_text,
-        "a path",
-        "File with the public keys of operators.",
+        settings.parse_list(settings.parse_text),
+        "paths of readable PEM files",
+        "Files with the keys of which one must have signed a bundle.",
     ),
     _option(
-        "observability",
+        "metrics",
         "statsd",
         settings.parse_optional_address,
         _ADDRESS,
@@ -119,8 +119,8 @@
         "",
     ),
     _option(
-        "observability",
-        "log_level",
+        "log",
+        "level",
         settings.parse_choice(*_LEVELS),
         f"one of {', '.join(_LEVELS)}",
         "Least severe level of log lines.",
@@ -180,7 +180,7 @@
     endpoint_url: str
     object_store_url: str
     instance_list_url: str
-    public_keys: pathlib.Path
+    public_keys: tuple[pathlib.Path, ...]
     statsd: addresses.Address | None
     log_level: str
     group: str
@@ -217,28 +217,32 @@
         fault("group", "ranks", "does not fit the name", "both or neither")
     if group and values["endpoint", "kind"] != ENGINE:
         fault("group", "name", "only engines have ranks", "no group")
-    keys = pathlib.Path(values["bundles", "public_keys"])
-    if not keys.is_file():
-        fault("bundles", "public_keys", f"no file {keys}", "a readable file")
+    keys = tuple(map(pathlib.Path, values["bundles", "public_keys"]))
+    missing = [str(key) for key in keys if not key.is_file()]
+    if missing or not keys:
+        problem = f"no file {', '.join(missing)}" if missing else "empty"
+        fault("bundles", "public_keys", problem, "readable PEM files")
     if faults:
         return returns.result.Failure(tuple(faults))
     return returns.result.Success(build(values, keys))
 
 
-def build(values: settings.Values, keys: pathlib.Path) -> SidecarSettings:
+def build(
+    values: settings.Values, keys: tuple[pathlib.Path, ...]
+) -> SidecarSettings:
     """Return checked values by name."""
     return SidecarSettings(
         values["instance", "name"],
         values["instance", "data_centre"],
-        values["links", "listen"],
+        values["listen", "links"],
         values["endpoint", "service"],
         values["endpoint", "kind"],
         values["endpoint", "url"],
         values["platform", "object_store"],
         values["platform", "instance_list"],
         keys,
-        values["observability", "statsd"],
-        values["observability", "log_level"],
+        values["metrics", "statsd"],
+        values["log", "level"],
         values["group", "name"],
         values["group", "ranks"],
         values["limits", "slots"],
--- a/standins/src/verbenafall_standins/demo/fleet.py
+++ b/standins/src/verbenafall_standins/demo/fleet.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import pathlib
+import shutil
 import subprocess
 import sys
 from typing import Any
@@ -10,6 +11,7 @@
 from typing import NamedTuple
 
 from verbenafall_core import addresses
+from verbenafall_core.bundles import signing
 from verbenafall_standins.demo import files
 from verbenafall_standins.demo import plan as plan_lib
 from verbenafall_standins.demo import processes
@@ -37,7 +39,8 @@
 
 def create_fleet(directory: pathlib.Path) -> Fleet:
     """Create a fleet without processes."""
-    directory.mkdir(parents=True, exist_ok=True)
+    shutil.rmtree(directory, ignore_errors=True)
+    directory.mkdir(parents=True)
     return Fleet(plan_lib.create_plan(), directory, [], [], [])
 
 
@@ -104,7 +107,7 @@
     directory = fleet.directory
     keys = directory / "keys"
     run_command(gateway_command("keys", "generate", str(keys)))
-    public = next(keys.glob("*.pub*"))
+    public = keys / signing.PUBLIC_NAME
     for sidecar in fleet.plan.sidecars:
         path = files.write_settings(
             directory / f"{sidecar.name}.ini",
@@ -134,8 +137,8 @@
 def roll_bundle(fleet: Fleet, keys: pathlib.Path) -> None:
     """Check, sign and roll the bundle, and wait until gateways are ready."""
     directory = fleet.directory
-    private = next(p for p in keys.iterdir() if ".pub" not in p.name)
-    public = next(keys.glob("*.pub*"))
+    private = keys / signing.PRIVATE_NAME
+    public = keys / signing.PUBLIC_NAME
     bundle = files.write_bundle(
         directory / "bundle.json", files.create_bundle(fleet.plan)
     )
--- a/tests/sidecar/test_process.py
+++ b/tests/sidecar/test_process.py
@@ -23,8 +23,8 @@
 [instance]
 name = ep-1
 data_centre = dc
-[links]
-listen = 127.0.0.1:0
+[listen]
+links = 127.0.0.1:0
 [endpoint]
 service = svc
 kind = records
