Test that a closed connection cancels the attempt

Cause: nothing showed that an engine stops when a streaming client is gone. Ruled out: a fake connection, which would not show how the server closes. Change: a test over a real connection and a real link. Conclusion: streams are cancelled at the next write; plain requests run on until their end or deadline, as the server does not watch their connections.

--- a/tests/gateway/test_chat_over_links.py
+++ b/tests/gateway/test_chat_over_links.py
@@ -1,11 +1,13 @@
 """Chat over HTTP and a real link, called by an unmodified openai client."""
 
 from concurrent import futures
+import threading
 
 import openai
 import pytest
 
 from gateway import gateway_fakes as fakes
+from verbenafall_core import messages
 
 TOKENS = ["Two ", "mixers ", "for ", "niño", " hire", "."]
 MESSAGES = [{"role": "user", "content": "How much are two mixers?"}]
@@ -103,3 +105,34 @@
         ):
             results = list(pool.map(read_stream, [client] * 150))
         assert results == [("".join(TOKENS), "stop")] * 150
+
+    def test_closed_connection_cancels_the_attempt(self):
+        """Guards against engines that work for clients that are gone."""
+        gateway = fakes.create_gateway()
+        dispatches, cancelled = [], threading.Event()
+
+        def go_on_with_the_first_at_the_second(message):
+            if isinstance(message, messages.Cancel):
+                assert message.attempt_id == dispatches[0].attempt_id
+                cancelled.set()
+                return []
+            dispatches.append(message)
+            first = dispatches[0]
+            if len(dispatches) == 1:
+                return [fakes.chunk(first, 0, "Two ")]
+            more = [fakes.chunk(first, n, "x" * 999) for n in range(1, 2000)]
+            return more + serve_answer(message)
+
+        with (
+            fakes.linked_sidecar(
+                gateway, go_on_with_the_first_at_the_second
+            ) as address,
+            create_client(address) as client,
+        ):
+            with client.chat.completions.create(
+                model="quote-model", messages=MESSAGES, stream=True
+            ) as stream:
+                next(iter(stream))
+            assert read_stream(client) == ("".join(TOKENS), "stop")
+            assert cancelled.wait(30)
+        assert gateway.app.limits.total == 0
