--- a/packages/sidecar/src/verbenafall_sidecar/attempt_registry.py
+++ b/packages/sidecar/src/verbenafall_sidecar/attempt_registry.py
@@ -32,9 +32,6 @@
 
 
 OPEN: Final = KnownAttempt(AttemptState.OPEN, outcomes.Outcome.UNKNOWN)
-CANCELLED: Final = KnownAttempt(
-    AttemptState.CANCELLED, outcomes.Outcome.NOT_RUN
-)
 
 
 class AttemptRegistry:
@@ -93,6 +90,11 @@
     return KnownAttempt(AttemptState.FINISHED, outcome)
 
 
+def cancelled(outcome: outcomes.Outcome) -> KnownAttempt:
+    """Return the record of an attempt that must not be started."""
+    return KnownAttempt(AttemptState.CANCELLED, outcome)
+
+
 def create_attempt_registry(limit: int = MAX_ATTEMPTS) -> AttemptRegistry:
     """Create an empty registry."""
     return AttemptRegistry(limit)
--- a/packages/sidecar/src/verbenafall_sidecar/dispatcher.py
+++ b/packages/sidecar/src/verbenafall_sidecar/dispatcher.py
@@ -104,6 +104,7 @@
         self.clock = clock
         self.metrics = metrics
         self.generator = generator
+        self.created_at = clock.monotonic()
         self.lock = threading.RLock()
         self.changed = threading.Condition(self.lock)
         self.queue: fair_queue.FairQueue[attempt_lib.Attempt] = (
@@ -356,13 +357,20 @@
         )
 
     def cancel_closed(self, attempt_id: str) -> outcomes.Outcome:
-        """Return the outcome of an attempt that is not open."""
+        """Return the outcome of an attempt that is not open.
+
+        An attempt that is not known is kept from being started later.
+        """
         now = self.clock.monotonic()
         known = self.registry.find(attempt_id, now)
         if known is not None:
             return known.outcome
-        kept = self.registry.close(attempt_id, attempt_registry.CANCELLED, now)
-        return NOT_RUN if kept else UNKNOWN
+        # An earlier process beside this endpoint may have run the attempt.
+        complete = now - self.created_at >= attempt_registry.KEEP
+        outcome = NOT_RUN if complete else UNKNOWN
+        cancelled = attempt_registry.cancelled(outcome)
+        kept = self.registry.close(attempt_id, cancelled, now)
+        return outcome if kept else UNKNOWN
 
     def cancel_open(self, attempt: attempt_lib.Attempt) -> outcomes.Outcome:
         """Give up an open attempt as far as its phase allows."""
@@ -370,7 +378,7 @@
         if attempt.phase is Phase.QUEUED:
             attempt.cancelled = True
             self.queue.remove(attempt.dispatch.attempt_id)
-            self.end(attempt, attempt_registry.CANCELLED)
+            self.end(attempt, attempt_registry.cancelled(NOT_RUN))
             return NOT_RUN
         if attempt.phase is Phase.STARTING:
             attempt.cancelled = True
