Bound the heaps of the fair queue when items are cancelled

Cause: an item that is removed leaves its team's heap entry behind, and the entry stays until a pop reaches it. Cancels on a stalled endpoint grow the heap without bound.

Ruled out: removing entries at once, which costs O(n).

Change: a heap with more than twice as many entries as teams is rebuilt, which is O(1) for each push on average. A model test compares the served team with the lowest decayed usage.

Conclusion: state is bounded by the teams with usage or items.

--- a/packages/sidecar/src/verbenafall_sidecar/fair_queue.py
+++ b/packages/sidecar/src/verbenafall_sidecar/fair_queue.py
@@ -20,6 +20,7 @@
 NEAR_ZERO: Final = 0.01
 # Rescaling starts well before 2.0 ** exponent exceeds the range of a float.
 MAX_EXPONENT: Final = 500.0
+MIN_HEAP: Final = 64
 
 
 class Queued(NamedTuple, Generic[T]):
@@ -161,6 +162,14 @@
         team.stamp = self.stamp
         heap = self.active if team.waiting else self.idle
         heapq.heappush(heap, (team.usage, team.stamp, team.name))
+        if len(heap) > 2 * len(self.teams) + MIN_HEAP:
+            self.compact(heap)
+
+    def compact(self, heap: list[HeapEntry]) -> None:
+        """Drop void entries, which removed items leave behind."""
+        stamps = {team.stamp for team in self.teams.values()}
+        heap[:] = [entry for entry in heap if entry[1] in stamps]
+        heapq.heapify(heap)
 
     def forget_idle(self, now: datetime.timedelta) -> None:
         """Drop teams without items whose usage is near zero."""
--- a/tests/sidecar/test_pure_parts.py
+++ b/tests/sidecar/test_pure_parts.py
@@ -2,6 +2,8 @@
 
 import datetime
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from sidecar import helpers
@@ -123,6 +125,52 @@
         assert queue.pop(ZERO) is None
         assert queue.active_shares == 0
 
+    def test_cancelled_items_do_not_grow_the_heaps(self):
+        queue = fair_queue.create_fair_queue(ZERO)
+        self.fill(queue, {"busy": 1, "other": 1}, 2)
+        self.served(queue, 2)
+        for number in range(5000):
+            key = f"k{number}"
+            queue.push(key, "busy" if number % 2 else "x", 1, 1.0, key, ZERO)
+            queue.remove(key)
+        assert len(queue.active) + len(queue.idle) < 200
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(["push", "pop", "remove", "wait"]),
+                strategies.integers(0, 3),
+                strategies.integers(1, 40),
+            ),
+            max_size=60,
+        )
+    )
+    def test_serves_the_team_with_the_lowest_decayed_usage(self, actions):
+        queue = fair_queue.create_fair_queue(ZERO)
+        usage, waiting, now = dict.fromkeys(range(4), 0.0), [], ZERO
+        for number, (action, team, size) in enumerate(actions):
+            if action == "push":
+                queue.push(str(number), str(team), team + 1, size, number, now)
+                waiting.append((team, number, size))
+            elif action == "wait":
+                now += size * SECOND
+                usage = {
+                    t: u * 0.5 ** (size * SECOND / fair_queue.HALF_LIFE)
+                    for t, u in usage.items()
+                }
+            elif action == "remove" and waiting:
+                entry = waiting.pop(size % len(waiting))
+                assert queue.remove(str(entry[1])) == entry[1]
+            elif action == "pop" and waiting:
+                served = int(queue.pop(now).team)
+                lowest = min(usage[entry[0]] for entry in waiting)
+                # Teams near zero are forgotten.
+                assert usage[served] <= lowest + fair_queue.NEAR_ZERO + 1e-9
+                first = next(e for e in waiting if e[0] == served)
+                waiting.remove(first)
+                usage[served] += first[2] / (served + 1) ** 2
+            assert len(queue) == len(waiting)
+
 
 class TestRegistry:
     def test_keeps_what_ended_for_ten_minutes(self):
