Adapt the bundle poll interval to the number of processes

Ruled out: reading the instance list in the service, since its owner can pass the count on.

Change: set_process_count and a table test.

Conclusion: the gateway and the sidecar must call set_process_count when their instance list changes.

--- a/packages/core/src/verbenafall_core/bundles/service.py
+++ b/packages/core/src/verbenafall_core/bundles/service.py
@@ -24,6 +24,7 @@
 from verbenafall_core.object_store import port
 
 POLL_INTERVAL: Final = datetime.timedelta(seconds=2)
+MAX_POLLS_PER_SECOND: Final = 20
 CHECK_INTERVAL: Final = datetime.timedelta(milliseconds=250)
 FETCH_INTERVAL: Final = datetime.timedelta(seconds=1)
 MAX_WAITING_PUSHES: Final = 8
@@ -143,6 +144,10 @@
         self.poll_requested = True
         self.store_task.run_now()
 
+    def set_process_count(self, count: int) -> None:
+        """Adapt the poll interval to the number of processes."""
+        self.interval = regular_interval(count)
+
     def on_open(self, link: link_lib.Link) -> None:
         """Remember a link by its peer's name."""
         if link.peer is not None:
@@ -392,6 +397,12 @@
         self.reported_ready = ready
 
 
+def regular_interval(process_count: int) -> datetime.timedelta:
+    """Return the poll interval that bounds the reads of all processes."""
+    spread = datetime.timedelta(seconds=process_count / MAX_POLLS_PER_SECOND)
+    return max(POLL_INTERVAL, spread)
+
+
 def create_bundle_service(
     store: port.ObjectStore,
     public_keys: signing.PublicKeys,
--- a/tests/core/bundles/test_service.py
+++ b/tests/core/bundles/test_service.py
@@ -159,6 +159,21 @@
         assert process.service.takes_new_work()
 
 
+class TestPolling:
+    @pytest.mark.parametrize(
+        ("processes", "reads"), [(1, 45), (40, 45), (980, 3)]
+    )
+    def test_reads_less_often_in_a_large_fleet(self, process, processes, reads):
+        run_version(process, 1)
+        process.service.set_process_count(processes)
+        link = process.link("peer")
+        process.store.calls.clear()
+        for _ in range(100):
+            process.hear(link, 1)
+            process.run(1)
+        assert reads * 0.5 <= len(process.store.calls) <= reads * 1.5
+
+
 class TestThreads:
     def test_starts_reads_and_stops(self):
         process = Process()
