--- a/bench/expert_maps.py
+++ b/bench/expert_maps.py
@@ -64,7 +64,6 @@
 
     mean_skew: float
     moved: int
-    cost: float
     switches: int
     stragglers: frozenset[int]
 
@@ -189,9 +188,8 @@
             stragglers.update(
                 selection.find_stragglers(spec, current, shares, times)
             )
-    cost = spec.skew_weight * skew_sum + spec.move_weight * moved
     return Outcome(
-        skew_sum / DAY_MINUTES, moved, cost, switches, frozenset(stragglers)
+        skew_sum / DAY_MINUTES, moved, switches, frozenset(stragglers)
     )
 
 
@@ -208,6 +206,13 @@
     return times
 
 
+@functools.cache
+def find_best_cost(scale: Scale, weights: Weights) -> float:
+    """Return the cost of the best schedule in hindsight."""
+    day = create_day(scale, SEED)
+    return best_cost(group_spec(scale, weights, day), day)
+
+
 def best_cost(spec: model.GroupSpec, day: Day) -> float:
     """Return the least cost of any schedule, known in hindsight.
 
@@ -227,6 +232,20 @@
     return min(costs.values())
 
 
+@functools.cache
+def run_always_best(scale: Scale, faults: Faults) -> Outcome:
+    """Run the baseline that takes the best map now; weights play no part."""
+    day = create_day(scale, SEED)
+    spec = group_spec(scale, WEIGHTS[0], day)
+    return run_day(spec, day, faults, functools.partial(always_best, spec))
+
+
+def weighted(spec: model.GroupSpec, outcome: Outcome) -> float:
+    """Return the cost of a run under the weights of a group."""
+    skew_sum = outcome.mean_skew * DAY_MINUTES
+    return spec.skew_weight * skew_sum + spec.move_weight * outcome.moved
+
+
 def always_best(spec: model.GroupSpec, facts: selection.Facts) -> int:
     """Choose the map of least skew now, whatever it moves."""
     shares = load_history.load_shares(facts.history.load)
@@ -243,8 +262,9 @@
     selected = run_day(
         spec, day, faults, lambda facts: selection.select(spec, facts).version
     )
-    never = run_day(spec, day, faults, lambda facts: facts.current)
-    always = run_day(spec, day, faults, functools.partial(always_best, spec))
+    never_skew = sum(skews[day.maps[0].version] for skews in day.skews)
+    never = Outcome(never_skew / DAY_MINUTES, 0, 0, frozenset())
+    always = run_always_best(scale, faults)
     prefix = f"{weights.name}.{scale.ranks}_ranks.{faults.name}"
     report = functools.partial(print_pair, prefix)
     report(
@@ -260,14 +280,26 @@
     report(
         "moved_experts", "count", "always_best", selected.moved, always.moved
     )
-    report("weighted_cost", "cost", "never_move", selected.cost, never.cost)
-    report("weighted_cost", "cost", "always_best", selected.cost, always.cost)
+    report(
+        "weighted_cost",
+        "cost",
+        "never_move",
+        weighted(spec, selected),
+        weighted(spec, never),
+    )
+    report(
+        "weighted_cost",
+        "cost",
+        "always_best",
+        weighted(spec, selected),
+        weighted(spec, always),
+    )
     report(
         "weighted_cost",
         "cost",
         "hindsight",
-        selected.cost,
-        best_cost(spec, day),
+        weighted(spec, selected),
+        find_best_cost(scale, weights),
     )
     if faults.slow_rank is not None:
         found = selected.stragglers == {faults.slow_rank}
--- a/packages/sidecar/src/verbenafall_sidecar/group_member.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group_member.py
@@ -307,6 +307,7 @@
                 now=state.map_version,
             )
         self.add_load(before, state)
+        self.report_skew(state)
         with self.lock:
             record = self.stored.record if self.stored else None
             if state.map_version == 0 or state.armed_step:
@@ -342,6 +343,14 @@
         passed = switch.find_passed(record, own, others)
         return own._replace(passed_step=passed)
 
+    def report_skew(self, state: order_port.EngineState) -> None:
+        """Send the greatest over the mean step time of these ranks."""
+        total = sum(state.rank_step_ms)
+        if total > 0:
+            skew = max(state.rank_step_ms) * len(state.rank_step_ms) / total
+            name = f"group.{self.setup.group}.step_skew"
+            self.setup.metrics.gauge(name, skew)
+
     def add_load(
         self,
         before: order_port.EngineState | None,
--- a/tests/expert_maps/test_fault_table.py
+++ b/tests/expert_maps/test_fault_table.py
@@ -152,6 +152,10 @@
         assert run_cell(step, fault, fences) == expected
 
 
+def lose_arms(_index, order):
+    return "lost" if order.kind is switch.OrderKind.ARM else None
+
+
 class TestReplacedRank:
     @pytest.mark.parametrize("fences", [True, False])
     @pytest.mark.parametrize("lag", range(6))
@@ -166,6 +170,7 @@
             group.round(steps=0)
         assert all(engine.armed or engine.pending for engine in group.engines)
         group.replace_engine(VICTIM)
+        group.order_fault = lose_arms
         if restart:
             group.kill(VICTIM)
             group.boot(VICTIM)
