Serve one list of processes on the status page

Cause: bundle roll read the key processes from the status page, which served self and linked, so the roll-out never saw a prepared process.

Ruled out: reading both forms in the operator command, since nothing else uses the old one.

Change: /-/status returns processes and silent.

--- a/packages/gateway/src/verbenafall_gateway/admin_app.py
+++ b/packages/gateway/src/verbenafall_gateway/admin_app.py
@@ -62,11 +62,9 @@
     def serve_status(self, request_id: str) -> wrappers.Response:
         """Return own status and that of the linked sidecars."""
         collected = self.status.collect()
+        known = (self.status.own(0), *collected.replies)
         body = {
-            "self": status_lib.describe(self.status.own(0)),
-            "linked": [
-                status_lib.describe(reply) for reply in collected.replies
-            ],
+            "processes": [status_lib.describe(reply) for reply in known],
             "silent": list(collected.silent),
         }
         return answers.json_response(body, 200, request_id)
