Read the engine's expert load as a window, and rate the ranks that are known

Cause: engines report the tokens of recent steps, not a running count, so differences of two reports were wrong; and a sidecar knows the step times of its own ranks only, so stragglers were never rated in a group of many engines. Ruled out: taking differences with detection of resets; a falling window looks like a reset. Change: each report is added as it is; step times are passed by rank. Conclusion: the lease holder finds stragglers among its own ranks only.

--- a/packages/core/src/verbenafall_core/expert_maps/coordinator.py
+++ b/packages/core/src/verbenafall_core/expert_maps/coordinator.py
@@ -1,5 +1,6 @@
 """Steers the map of a group while this process holds the group's lease."""
 
+from collections.abc import Mapping
 import datetime
 from typing import Final
 from typing import NamedTuple
@@ -78,7 +79,7 @@
         spec: model.GroupSpec,
         stored: Stored,
         view: switch.View,
-        rank_step_ms: tuple[float, ...],
+        rank_step_ms: Mapping[int, float],
     ) -> Stored | None:
         """Write the next record if one is due; return what was written."""
         self.report_gap(view)
@@ -96,7 +97,7 @@
         self,
         spec: model.GroupSpec,
         record: record_lib.MapRecord,
-        rank_step_ms: tuple[float, ...],
+        rank_step_ms: Mapping[int, float],
     ) -> int:
         """Return the map to switch to, 0 for none; logs each decision."""
         now = self.clock.monotonic()
@@ -168,7 +169,7 @@
         self,
         spec: model.GroupSpec,
         current: int,
-        rank_step_ms: tuple[float, ...],
+        rank_step_ms: Mapping[int, float],
     ) -> None:
         """Log slow ranks when they change."""
         if self.history is None:
--- a/packages/core/src/verbenafall_core/expert_maps/selection.py
+++ b/packages/core/src/verbenafall_core/expert_maps/selection.py
@@ -5,6 +5,7 @@
 move weight. The skew weight is thus a price per minute.
 """
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import datetime
 import enum
@@ -145,30 +146,42 @@
     spec: model.GroupSpec,
     current: int,
     shares: Sequence[float],
-    rank_step_ms: Sequence[float],
+    rank_step_ms: Mapping[int, float],
 ) -> tuple[int, ...]:
     """Return the ranks that are slow at equal load.
 
     The time expected for a rank's load is a robust line through the times of
-    all ranks, so one slow rank does not shift what is expected.
+    all given ranks, so one slow rank does not shift what is expected.
+
+    Args:
+        spec: The group.
+        current: Map version in use.
+        shares: Share of the load per expert.
+        rank_step_ms: Mean step time per rank, for some or all ranks.
     """
     used = find_map(spec, current)
-    if used is None or len(rank_step_ms) != spec.ranks:
+    if used is None:
         return ()
     loads = [0.0] * spec.ranks
     for expert, rank in enumerate(used.placement):
         loads[rank] += shares[expert]
-    points = list(zip(loads, rank_step_ms, strict=True))
+    points = [
+        (rank, loads[rank], ms)
+        for rank, ms in sorted(rank_step_ms.items())
+        if 0 <= rank < spec.ranks
+    ]
+    if not points:
+        return ()
     slopes = [
-        (second[1] - first[1]) / (second[0] - first[0])
+        (second[2] - first[2]) / (second[1] - first[1])
         for first, second in itertools.combinations(points, 2)
-        if abs(second[0] - first[0]) > 1e-9
+        if abs(second[1] - first[1]) > 1e-9
     ]
     slope = max(0.0, statistics.median(slopes)) if slopes else 0.0
-    base = statistics.median(ms - slope * load for load, ms in points)
+    base = statistics.median(ms - slope * load for _, load, ms in points)
     return tuple(
         rank
-        for rank, (load, ms) in enumerate(points)
+        for rank, load, ms in points
         if ms > STRAGGLER_FACTOR * (base + slope * load) > 0
     )
 
--- a/packages/sidecar/src/verbenafall_sidecar/group_member.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group_member.py
@@ -306,7 +306,7 @@
                 before=before.map_version,
                 now=state.map_version,
             )
-        self.add_load(before, state)
+        self.add_load(state)
         self.report_skew(state)
         with self.lock:
             record = self.stored.record if self.stored else None
@@ -351,19 +351,12 @@
             name = f"group.{self.setup.group}.step_skew"
             self.setup.metrics.gauge(name, skew)
 
-    def add_load(
-        self,
-        before: order_port.EngineState | None,
-        state: order_port.EngineState,
-    ) -> None:
-        """Pass the load since the last state to the coordinator."""
-        if before is None or not state.expert_load:
-            return
-        added = load_history.count_since(before.expert_load, state.expert_load)
-        if sum(added) > 0:
+    def add_load(self, state: order_port.EngineState) -> None:
+        """Pass the load of the engine's recent steps to the coordinator."""
+        if sum(state.expert_load) > 0:
             now = self.setup.clock.monotonic()
-            report = load_history.LoadReport(now, added)
-            self.coordinator.add_load(report, len(added))
+            report = load_history.LoadReport(now, state.expert_load)
+            self.coordinator.add_load(report, len(state.expert_load))
 
     def obey(self, spec: model.GroupSpec) -> None:
         """Give the engine the orders that are due."""
@@ -482,8 +475,11 @@
         if stored is None or stored.record != view.record:
             return
         self.coordinator.observe(stored.record)
-        times = self.engine_state.rank_step_ms if self.engine_state else ()
-        written = self.coordinator.lead(spec, stored, view, times)
+        state = self.engine_state
+        times = (
+            zip(state.ranks, state.rank_step_ms, strict=False) if state else ()
+        )
+        written = self.coordinator.lead(spec, stored, view, dict(times))
         if written is not None:
             self.adopt(written)
 
--- a/packages/sidecar/src/verbenafall_sidecar/order_port.py
+++ b/packages/sidecar/src/verbenafall_sidecar/order_port.py
@@ -20,7 +20,7 @@
         step: Last step that ran.
         epoch: Epoch of the last order that was taken.
         rank_step_ms: Mean step time per rank of this engine.
-        expert_load: Running count of tokens per expert.
+        expert_load: Tokens per expert in recent steps, over all layers.
     """
 
     group: str
