Announce bundle versions at once and wait until they are in force

Cause: after a roll-out the gateways were ready up to 1.2 s before the sidecars had the bundle, because versions travelled with the next heartbeat and bundle roll ended at the accepting write. A second cause was found while adding the notice: LinkLoop.set_targets closed links inside its own lock and hung as soon as a target was removed.

Ruled out: a delay in the demonstration run, which would hide the refusals that callers of a real fleet would see.

Change: a process announces changed versions by a heartbeat at once; bundle roll waits until every live process runs the version; gateways do not route to sidecars without a bundle; targets are closed outside the lock; the group record is looked up at once at start; the object store stand-in ends waiting watches at its stop; poll intervals follow the instance list.

--- a/packages/core/src/verbenafall_core/bundles/roll.py
+++ b/packages/core/src/verbenafall_core/bundles/roll.py
@@ -29,7 +29,8 @@
 class RollEnd(enum.StrEnum):
     """How a roll-out ended.
 
-    ACCEPTED: The version is accepted.
+    ACCEPTED: The version is accepted; the message says whether it was seen
+        in force everywhere.
     LOST: Another version won or the number cannot be used.
     TOO_LARGE: The store cannot hold the bundle.
     REJECTED: A process refused the version; it stays pending.
@@ -191,10 +192,7 @@
         move = roll_plan.choose_move(state.head, self.version, taken)
         match move:
             case roll_plan.AlreadyAccepted():
-                self.fleet.notify()
-                return RollResult(
-                    RollEnd.ACCEPTED, f"version {self.version} is accepted"
-                )
+                return self.await_in_force()
             case roll_plan.Lost(message):
                 return RollResult(RollEnd.LOST, message)
             case roll_plan.SetPending(head):
@@ -203,6 +201,30 @@
             case roll_plan.AwaitPrepared():
                 return self.await_prepared(state)
 
+    def await_in_force(self) -> RollResult | bool:
+        """Wait until every live process runs the accepted version.
+
+        The version stays accepted in any case, so the end of the time is no
+        failure of the roll-out; the message then names who is behind.
+        """
+        accepted = f"version {self.version} is accepted"
+        view = self.fleet.read()
+        behind = roll_plan.find_behind(
+            self.version, view.instances or (), view.statuses
+        )
+        if view.instances is not None and not behind:
+            return RollResult(
+                RollEnd.ACCEPTED, f"{accepted} and in force everywhere"
+            )
+        missing = shorten(behind or view.problems)
+        self.report(f"accepted, not yet seen in force: {missing}")
+        if self.clock.monotonic() < self.deadline:
+            self.fleet.notify()
+            return False
+        return RollResult(
+            RollEnd.ACCEPTED, f"{accepted}; not seen in force: {missing}"
+        )
+
     def read_head(self) -> _HeadState | None:
         """Return the head; None when it cannot be read now."""
         read = self.store.read(records.HEAD_NAME)
--- a/packages/core/src/verbenafall_core/bundles/roll_plan.py
+++ b/packages/core/src/verbenafall_core/bundles/roll_plan.py
@@ -116,6 +116,25 @@
     return Preparation(tuple(prepared), tuple(waiting), tuple(rejected))
 
 
+def find_behind(
+    version: int,
+    instances: Iterable[instance_port.Instance],
+    statuses: Sequence[messages.StatusReply],
+) -> tuple[str, ...]:
+    """Return the live instances not known to run a version or a newer one."""
+    running = {
+        status.instance for status in statuses if status.in_force >= version
+    }
+    return tuple(
+        sorted(
+            instance.name
+            for instance in instances
+            if instance.state is instance_port.InstanceState.LIVE
+            and instance.name not in running
+        )
+    )
+
+
 def has_prepared(status: messages.StatusReply, version: int) -> bool:
     """Return whether a process holds a version, or runs it already."""
     return status.in_force >= version or status.pending == version
--- a/packages/core/src/verbenafall_core/bundles/service.py
+++ b/packages/core/src/verbenafall_core/bundles/service.py
@@ -1,6 +1,7 @@
 """Keeps the bundle of a process current, from the store and from peers."""
 
 import collections
+from collections.abc import Callable
 import datetime
 import random
 import threading
@@ -51,6 +52,9 @@
 
     One thread makes the store calls, another verifies the texts from peers,
     so that neither a slow store nor a long text delays the links.
+
+    Attributes:
+        announce: Sends a heartbeat to all peers now, None for none.
     """
 
     def __init__(
@@ -82,6 +86,8 @@
         self.poll_requested = False
         self.store_failing = False
         self.reported_ready: bool | None = None
+        self.announced = (0, 0)
+        self.announce: Callable[[], None] | None = None
         self.store_task = periodic.create_periodic_task(
             "bundle-store", CHECK_INTERVAL, self.run_store, generator
         )
@@ -351,6 +357,14 @@
             self.knowledge = adoption.apply(event, self.knowledge, now)
             self.settle()
 
+    def announce_versions(self) -> None:
+        """Tell the peers of changed versions without waiting a heartbeat."""
+        in_force, prepared, _ = self.heartbeat_fields()
+        if self.announced != (in_force, prepared):
+            self.announced = (in_force, prepared)
+            if self.announce is not None:
+                self.announce()
+
     def settle(self) -> None:
         """Put a version in force and ask for texts as far as due."""
         with self.lock:
@@ -363,6 +377,7 @@
             self.wanted = step.wanted
             if step.activated:
                 self.drop_old_texts()
+        self.announce_versions()
         if step.activated:
             event_log.emit(
                 event_catalogue.BUNDLE_IN_FORCE,
--- a/packages/core/src/verbenafall_core/link.py
+++ b/packages/core/src/verbenafall_core/link.py
@@ -197,15 +197,24 @@
     def set_targets(self, wanted: set[addresses.Address]) -> None:
         """Keep links to exactly these addresses; others are closed."""
         with self.lock:
-            removed = [a for a in self.targets if a not in wanted]
-            for address in removed:
-                link = self.targets.pop(address).link
-                if link is not None:
-                    link.close("the endpoint is no longer a target")
+            removed = [
+                self.targets.pop(address).link
+                for address in list(self.targets)
+                if address not in wanted
+            ]
             for address in wanted:
                 self.targets.setdefault(address, Target(address))
+        for link in removed:  # Closing takes the lock.
+            if link is not None:
+                link.close("the peer is no longer a target")
         self.wake()
 
+    def announce(self) -> None:
+        """Send a heartbeat on all open links now."""
+        beat = self.heartbeat()
+        for link in self.open_links():
+            link.send(beat)
+
     def open_links(self) -> list[Link]:
         """Return the links whose peers have said hello."""
         with self.lock:
--- a/packages/gateway/src/verbenafall_gateway/endpoint_view.py
+++ b/packages/gateway/src/verbenafall_gateway/endpoint_view.py
@@ -32,6 +32,7 @@
         self.reported_queue = 0
         self.draining = False
         self.leaving = False
+        self.has_bundle = True
 
 
 class EndpointView:
@@ -84,11 +85,12 @@
             known.leaving = report.leaving
 
     def on_heartbeat(self, link: LinkPort, beat: messages.Heartbeat) -> None:
-        """Take over whether a sidecar is draining."""
+        """Take over whether a sidecar is draining or has no bundle yet."""
         with self.lock:
             known = self.endpoints.get(link.address)
             if known is not None and known.link is link:
                 known.draining = beat.draining
+                known.has_bundle = beat.in_force > 0
 
     def set_routable(self, routable: frozenset[addresses.Address]) -> None:
         """Set the addresses that may get new work by the instance list.
@@ -124,7 +126,7 @@
         self, address: addresses.Address, endpoint: LinkedEndpoint
     ) -> bool:
         """Return whether an endpoint gets new work."""
-        if endpoint.draining or endpoint.leaving:
+        if endpoint.draining or endpoint.leaving or not endpoint.has_bundle:
             return False
         return self.routable is None or address in self.routable
 
--- a/packages/gateway/src/verbenafall_gateway/gateway.py
+++ b/packages/gateway/src/verbenafall_gateway/gateway.py
@@ -82,9 +82,11 @@
         "",
     )
     links = link.create_link_loop(hello, state.heartbeat, router, clock)
+    bundles.announce = links.announce
     instances = list_service.create_instance_list_service(
         list_adapter.create_http_instance_list(client, settings.instance_list)
     )
+    instances.subscribe(lambda listed: bundles.set_process_count(len(listed)))
     targets = link_targets.create_link_targets(
         settings.name,
         settings.data_centre,
--- a/packages/sidecar/src/verbenafall_sidecar/group_member.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group_member.py
@@ -198,6 +198,8 @@
 
     def watch(self) -> None:
         """Follow the record in the store until stopped."""
+        # The first call does not wait, so that a missing record is known.
+        self.watch_once(datetime.timedelta())
         while not self.stopping.is_set():
             if not self.watch_once(WATCH_WAIT):
                 self.stopping.wait(WATCH_RETRY.total_seconds())
--- a/packages/sidecar/src/verbenafall_sidecar/wiring.py
+++ b/packages/sidecar/src/verbenafall_sidecar/wiring.py
@@ -52,9 +52,14 @@
 ):
     """The bundle service."""
 
+    announce: Callable[[], None] | None
+
     def attach(self, link_router: link_router.LinkRouter) -> None:
         """Receive the bundle messages of links; call before they start."""
 
+    def set_process_count(self, count: int) -> None:
+        """Adapt the poll interval to the number of processes."""
+
 
 class GroupPart(kernel_lib.Service, Protocol):
     """The rank-group part."""
@@ -190,6 +195,10 @@
             self.hello, self.bundles, self.work_state, self.group_statuses
         )
         self.bundles.attach(self.router)
+        self.bundles.announce = self.links.announce
+        self.platform.watch_instances(
+            lambda instances: self.bundles.set_process_count(len(instances))
+        )
         self.router.subscribe(messages.Dispatch, self.dispatcher.on_dispatch)
         self.router.subscribe(messages.Cancel, self.dispatcher.on_cancel)
         self.router.subscribe(messages.StatusRequest, responder.on_request)
--- a/standins/src/verbenafall_standins/__main__.py
+++ b/standins/src/verbenafall_standins/__main__.py
@@ -116,10 +116,11 @@
 
 def serve_platform(arguments: argparse.Namespace) -> None:
     """Serve the platform services that have an address."""
+    store = object_store.create_object_store(
+        arguments.reads_per_second, arguments.writes_per_second
+    )
     handlers = {
-        "object_store": object_store.create_object_store(
-            arguments.reads_per_second, arguments.writes_per_second
-        ).handle,
+        "object_store": store.handle,
         "instance_list": instance_list.create_instance_list(
             datetime.timedelta(milliseconds=arguments.instance_lag_ms)
         ).handle,
@@ -134,7 +135,8 @@
             )
             for name, handler in handlers.items()
             if getattr(arguments, name) is not None
-        }
+        },
+        store.close,
     )
 
 
--- a/standins/src/verbenafall_standins/fakes/memory_store.py
+++ b/standins/src/verbenafall_standins/fakes/memory_store.py
@@ -60,6 +60,7 @@
         self.plan: FaultPlan = no_faults
         self.calls: list[Call] = []
         self.version = 0
+        self.closed = False
         self.changed = threading.Condition()
 
     def read(self, name: str) -> port.ObjectResult:
@@ -100,11 +101,17 @@
         call = Call("watch", name)
         with self.changed:
             self.changed.wait_for(
-                lambda: self._version_of(name) > known_version,
+                lambda: self.closed or self._version_of(name) > known_version,
                 wait.total_seconds(),
             )
         return self._serve(call, lambda: self._newer(name, known_version))
 
+    def close(self) -> None:
+        """End the watches that wait."""
+        with self.changed:
+            self.closed = True
+            self.changed.notify_all()
+
     def _serve(
         self,
         call: Call,
--- a/standins/src/verbenafall_standins/http_serving.py
+++ b/standins/src/verbenafall_standins/http_serving.py
@@ -130,8 +130,15 @@
     return Response(status=500)
 
 
-def serve_until_terminated(servers: dict[str, HttpStandin]) -> None:
-    """Start servers, print their addresses as JSON, stop on SIGTERM."""
+def serve_until_terminated(
+    servers: dict[str, HttpStandin], close: Callable[[], None] = lambda: None
+) -> None:
+    """Start servers, print their addresses as JSON, stop on SIGTERM.
+
+    Args:
+        servers: Servers by name.
+        close: Ends requests that wait, so that the stop need not.
+    """
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda _number, _frame: stopping.set())
@@ -141,6 +148,7 @@
     sys.stdout.write(json.dumps(bound) + "\n")
     sys.stdout.flush()
     stopping.wait()
+    close()
     stoppers = [
         threading.Thread(target=server.stop) for server in servers.values()
     ]
--- a/standins/src/verbenafall_standins/object_store.py
+++ b/standins/src/verbenafall_standins/object_store.py
@@ -155,6 +155,10 @@
             return self.serve_watch(request, name)
         return answer_object(self.store.read(name), 200, True)
 
+    def close(self) -> None:
+        """End the watches that wait."""
+        self.store.close()
+
     def serve_list(
         self, request: http_serving.Request
     ) -> http_serving.Response:
--- a/tests/core/test_link.py
+++ b/tests/core/test_link.py
@@ -92,6 +92,22 @@
         second = client_events.opened.get(timeout=WAIT_SECONDS)
         assert second is not link
 
+    def test_removed_target_is_closed_and_not_connected_again(self, pair):
+        # Closing inside the lock of the target table hung the caller.
+        server_events, client_events, link, _ = pair
+        link.loop.set_targets(set())
+        reason = client_events.closed.get(timeout=WAIT_SECONDS)
+        assert reason == "the peer is no longer a target"
+        server_events.closed.get(timeout=WAIT_SECONDS)
+        assert link.loop.targets == {}
+
+    def test_announced_heartbeat_does_not_wait_for_the_interval(self, pair):
+        server_events, _, link, _ = pair
+        beat = messages.Heartbeat(7, 0, True, False)
+        link.loop.heartbeat = lambda: beat
+        link.loop.announce()
+        assert next_of(server_events, messages.Heartbeat) == beat
+
     def test_slow_reader_is_closed_instead_of_growing_memory(self, pair):
         _, _, link, _ = pair
         blocked = threading.Event()
