End open requests of the stand-ins when they stop

Cause: cheroot waits for open requests without a limit. An engine stand-in with a stalled rank and an open stream did not end on SIGTERM.

Change: requests see that their server stops; the stop test also runs with a waiting watch and a stalled stream.

--- a/standins/src/verbenafall_standins/engines/http_app.py
+++ b/standins/src/verbenafall_standins/engines/http_app.py
@@ -90,25 +90,26 @@
             )
         return self.answer_whole(request, form)
 
-    def events(self, run: runs_lib.Run) -> Iterator[runs_lib.Emitted]:
-        """Return the events of a run; the last has a finish reason."""
-        while True:
+    def events(
+        self, request: http_serving.Request, run: runs_lib.Run
+    ) -> Iterator[runs_lib.Emitted]:
+        """Return the events of a run; the last ends or breaks it."""
+        while not http_serving.is_stopping(request):
             try:
                 emitted = run.events.get(timeout=EVENT_WAIT_SECONDS)
             except queue.Empty:
-                if not self.group.stopping.is_set():
-                    continue
-                emitted = runs_lib.Emitted(run.index, "", "", True)
+                continue
             yield emitted
             if emitted.finish_reason or emitted.broken:
                 return
+        yield runs_lib.Emitted(run.index, "", "", True)
 
     def stream(
         self, request: http_serving.Request, form: "AnswerForm"
     ) -> Iterator[bytes]:
         """Return the event-stream of a run."""
         try:
-            for emitted in self.events(form.run):
+            for emitted in self.events(request, form.run):
                 if emitted.broken:
                     http_serving.break_connection(request)
                     return
@@ -124,7 +125,7 @@
     ) -> http_serving.Response:
         """Return the answer of a run in one piece."""
         texts = []
-        for emitted in self.events(form.run):
+        for emitted in self.events(request, form.run):
             if emitted.broken:
                 return http_serving.break_connection(request)
             texts.append(emitted.text)
--- a/standins/src/verbenafall_standins/http_serving.py
+++ b/standins/src/verbenafall_standins/http_serving.py
@@ -18,6 +18,7 @@
 from verbenafall_core import addresses
 
 _CONNECTION: Final = "verbenafall.connection"
+_STOPPING: Final = "verbenafall.stopping"
 STOP_LIMIT: Final = datetime.timedelta(seconds=5)
 # cheroot closes idle connections above this number; each peer keeps several.
 IDLE_CONNECTIONS: Final = 1000
@@ -28,13 +29,14 @@
 
 
 class BreakableGateway(cheroot.wsgi.Gateway_10):
-    """A WSGI gateway that gives the application its connection."""
+    """A WSGI gateway that gives the application connection and server."""
 
     # cheroot's type stubs declare that get_environ returns nothing.
     def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
         """Return the WSGI environment of a request."""
         environ: dict[str, Any] = super().get_environ()  # type: ignore
         environ[_CONNECTION] = self.req.conn.socket
+        environ[_STOPPING] = self.req.server.stopping
         return environ
 
 
@@ -58,6 +60,8 @@
             shutdown_timeout=int(STOP_LIMIT.total_seconds()),
         )
         self.server.gateway = BreakableGateway
+        self.stopping = threading.Event()
+        self.server.stopping = self.stopping  # type: ignore[attr-defined]
         self.server.keep_alive_conn_limit = IDLE_CONNECTIONS
         self.server.prepare()
         host, port = self.server.bind_addr[:2]
@@ -74,7 +78,8 @@
         self.thread.start()
 
     def stop(self, limit: datetime.timedelta = STOP_LIMIT) -> None:
-        """Stop after the open requests."""
+        """Stop after the open requests, which see that the server stops."""
+        self.stopping.set()
         self.server.stop()
         self.thread.join(limit.total_seconds())
 
@@ -122,6 +127,15 @@
     return value
 
 
+def is_stopping(request: Request) -> bool:
+    """Return whether the server stops, so that a request must not wait.
+
+    cheroot waits for open requests without a limit.
+    """
+    stopping: threading.Event = request.environ[_STOPPING]
+    return stopping.is_set()
+
+
 def break_connection(request: Request) -> Response:
     """Close the connection of a request without an answer."""
     connection: socket.socket = request.environ[_CONNECTION]
--- a/tests/standins/test_plain_service.py
+++ b/tests/standins/test_plain_service.py
@@ -1,5 +1,7 @@
 """The plain service's faults, and the command line of the stand-ins."""
 
+import contextlib
+import http.client
 import json
 import os
 import signal
@@ -61,15 +63,41 @@
 }
 
 
+# Requests that stay open until the stand-in stops. cheroot waits for open
+# requests without a limit, so a stand-in that held one never ended.
+STALL = ("POST", "/-/faults", {"mode": "stall", "rank": 0})
+CHAT = {"messages": [{"role": "user", "content": "x"}], "stream": True}
+WAITING = {
+    "platform": (
+        "object_store",
+        [("GET", "/objects/a?watch_after=0&wait_ms=60000", None)],
+    ),
+    "engines": ("engine-0", [STALL, ("POST", "/v1/chat/completions", CHAT)]),
+}
+
+
+def send_without_reading(address, calls):
+    """Send calls on one connection; only the last is left unanswered."""
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=30)
+    for number, (method, path, body) in enumerate(calls, 1):
+        connection.request(method, path, body and json.dumps(body))
+        if number < len(calls):
+            connection.getresponse().read()
+    return connection
+
+
 class TestCommandLine:
     @pytest.mark.system
+    @pytest.mark.parametrize("waiting", [False, True])
     @pytest.mark.parametrize("command", COMMANDS)
-    def test_stops_cleanly_on_sigterm(self, command):
+    def test_stops_cleanly_on_sigterm(self, command, waiting):
         options, names = COMMANDS[command]
         arguments = [
             part for option in options for part in (option, "127.0.0.1:0")
         ]
         path = os.pathsep.join(entry for entry in sys.path if entry)
+        stack = contextlib.ExitStack()
         process = subprocess.Popen(
             [sys.executable, "-m", "verbenafall_standins", command]
             + [part for part in arguments if part],
@@ -78,9 +106,14 @@
         )
         try:
             bound = json.loads(process.stdout.readline())
+            if waiting and command in WAITING:
+                name, calls = WAITING[command]
+                connection = send_without_reading(bound[name], calls)
+                stack.callback(connection.close)
             process.send_signal(signal.SIGTERM)
             assert process.wait(30) == 0
         finally:
+            stack.close()
             process.kill()
             process.communicate()
         assert set(bound) == names
