Add the catalogue of log events and the table of metrics

Cause: operators had no page to look up event numbers and metric names.

Ruled out: a hand-written page, which drifts from the code.

Change: docs/events.md is printed from the catalogues by make docs, metrics stand in docs/operations.md; tests compare both with the code.

Conclusion: an event or metric without its row fails the tests.

--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,10 @@
 # An empty SETUP uses the tools in VENV as they are.
 SETUP ?= $(VENV)/.installed
 PYTHON := $(VENV)/bin/python
-SOURCES := packages standins tests bench
-export PYTHONPATH := packages/core/src:packages/gateway/src:packages/sidecar/src:standins/src
+SOURCES := packages standins tests bench tools
+export PYTHONPATH := packages/core/src:packages/gateway/src:packages/sidecar/src:standins/src:.
 
-.PHONY: setup format lint test check run bench faults clean
+.PHONY: setup format lint test check run bench faults docs clean
 
 setup: $(SETUP)
 
@@ -23,7 +23,7 @@
 lint: setup
 	$(PYTHON) -m ruff format --check $(SOURCES)
 	$(PYTHON) -m ruff check $(SOURCES)
-	$(PYTHON) -m mypy packages/core/src packages/gateway/src packages/sidecar/src standins/src
+	$(PYTHON) -m mypy packages/core/src packages/gateway/src packages/sidecar/src standins/src tools
 
 test: setup
 	$(PYTHON) -m pytest
@@ -33,5 +33,9 @@
 run: setup
 	$(PYTHON) -m verbenafall_standins.demo --directory run $(if $(KEEP),--keep)
 
+docs: setup
+	$(PYTHON) tools/events_page.py > docs/events.md.new
+	mv docs/events.md.new docs/events.md
+
 clean:
 	rm -rf $(VENV) build run .mypy_cache .ruff_cache .pytest_cache .hypothesis
