Propose expert maps from observed load and show examples in every help

Ruled out: reading the engines from the operator's machine, because the sidecar is the only path to an engine; the status that sidecars already report carries the load.

Change: GroupStatus carries the load per expert of its engine; the command sums it over a group and prints a balanced and an adapted map.

Conclusion: operators can prepare maps for the next bundle.

--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -212,13 +212,19 @@
 
 
 class GroupStatus(NamedTuple):
-    """What a sidecar knows of its rank group."""
+    """What a sidecar knows of its rank group.
+
+    Attributes:
+        expert_load: Tokens per expert in recent steps of its own engine,
+            empty when the engine has not been read.
+    """
 
     group: str
     epoch: int
     phase: str
     map_version: int
     step: int
+    expert_load: tuple[float, ...]
 
 
 class StatusReply(NamedTuple):
--- a/packages/gateway/src/verbenafall_gateway/main.py
+++ b/packages/gateway/src/verbenafall_gateway/main.py
@@ -9,6 +9,13 @@
 from verbenafall_gateway import operator_commands
 from verbenafall_gateway import serve_command
 
+EXAMPLES: Final = """\
+examples:
+  verbenafall-gateway serve --settings gateway.ini
+  verbenafall-gateway bundle status --settings operator.ini
+  verbenafall-gateway keys generate keys/
+"""
+
 
 class CommandModule(Protocol):
     """A module that adds commands to the command line."""
@@ -25,7 +32,12 @@
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
-    parser = argparse.ArgumentParser(prog="verbenafall-gateway")
+    parser = argparse.ArgumentParser(
+        prog="verbenafall-gateway",
+        description="Gateway process and operator commands.",
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
     subparsers = parser.add_subparsers(required=True, metavar="command")
     for module in COMMAND_MODULES:
         module.register(subparsers)
--- a/packages/gateway/src/verbenafall_gateway/operator_commands/bundle_commands.py
+++ b/packages/gateway/src/verbenafall_gateway/operator_commands/bundle_commands.py
@@ -23,6 +23,7 @@
 from verbenafall_core.object_store import port
 from verbenafall_gateway.operator_commands import exit_codes
 from verbenafall_gateway.operator_commands import http_fleet
+from verbenafall_gateway.operator_commands import map_proposals
 from verbenafall_gateway.operator_commands import operator_settings
 from verbenafall_gateway.operator_commands import output
 from verbenafall_gateway.operator_commands import signature_file
@@ -50,7 +51,10 @@
 def register(subparsers: Any) -> None:
     """Add the commands to the command line."""
     bundle = subparsers.add_parser(
-        "bundle", help="check, sign, roll out and follow bundles"
+        "bundle",
+        help="check, sign, roll out and follow bundles",
+        epilog="example:\n  verbenafall-gateway bundle check bundle.json",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     commands = bundle.add_subparsers(required=True, metavar="command")
     check = _add(
@@ -88,6 +92,22 @@
         run_status,
     )
     status.add_argument("--settings", type=pathlib.Path, required=True)
+    proposing = _add(
+        commands,
+        "propose-maps",
+        "print candidate expert maps from the load observed now",
+        "verbenafall-gateway bundle propose-maps bundle.json --settings"
+        " operator.ini",
+        run_propose,
+    )
+    proposing.add_argument("file", type=pathlib.Path, metavar="FILE")
+    proposing.add_argument("--settings", type=pathlib.Path, required=True)
+    proposing.add_argument(
+        "--swaps",
+        type=int,
+        default=map_proposals.DEFAULT_SWAPS,
+        help="swaps of experts that adapted maps may be away (default 4)",
+    )
 
 
 def _add(
@@ -179,6 +199,31 @@
     return exit_codes.DONE
 
 
+def run_propose(arguments: argparse.Namespace) -> int:
+    """Run "bundle propose-maps"; return the exit code."""
+    settings = _read_settings(arguments.settings)
+    if settings is None:
+        return exit_codes.BAD_USAGE
+    found = _read_bundle(arguments.file)
+    if found is None:
+        return exit_codes.FAULTY_INPUT
+    view = connect(settings).fleet.read()
+    output.faults(view.problems)
+    if view.instances is None:
+        return exit_codes.UNREACHABLE
+    proposals = map_proposals.propose(
+        found[1].groups, view.statuses, arguments.swaps
+    )
+    for proposal in proposals:
+        output.write(map_proposals.format_proposal(proposal))
+    unobserved = {g.name for g in found[1].groups} - {
+        proposal.group for proposal in proposals
+    }
+    for group in sorted(unobserved):
+        output.progress(f"{group}: no load has been observed")
+    return exit_codes.NOT_DONE if unobserved else exit_codes.DONE
+
+
 def connect(settings: operator_settings.OperatorSettings) -> Connections:
     """Create the adapters that the settings name."""
     client = http_client.create_http_client()
--- a/packages/gateway/src/verbenafall_gateway/operator_commands/key_commands.py
+++ b/packages/gateway/src/verbenafall_gateway/operator_commands/key_commands.py
@@ -23,7 +23,12 @@
 
 def register(subparsers: Any) -> None:
     """Add the command to the command line."""
-    keys = subparsers.add_parser("keys", help="make signing keys")
+    keys = subparsers.add_parser(
+        "keys",
+        help="make signing keys",
+        epilog="example:\n  verbenafall-gateway keys generate keys/",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
     commands = keys.add_subparsers(required=True, metavar="command")
     generate = commands.add_parser(
         "generate",
--- a/packages/gateway/src/verbenafall_gateway/serve_command.py
+++ b/packages/gateway/src/verbenafall_gateway/serve_command.py
@@ -23,10 +23,27 @@
 
 EXIT_CANNOT_LISTEN: Final = 1
 
+EXAMPLES: Final = """\
+examples:
+  verbenafall-gateway serve --settings gateway.ini --check
+  verbenafall-gateway serve --settings gateway.ini
+
+exit codes:
+  0  stopped as planned, or the settings are good (--check)
+  1  an address cannot be listened on
+  2  the settings have faults; all of them are printed
+"""
+
 
 def register(subparsers: Any) -> None:
     """Add the command to the command line."""
-    parser = subparsers.add_parser("serve", help="run the gateway")
+    parser = subparsers.add_parser(
+        "serve",
+        help="run the gateway",
+        description="Run a gateway until SIGTERM.",
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
     parser.add_argument(
         "--settings",
         type=pathlib.Path,
--- a/packages/sidecar/src/verbenafall_sidecar/group_member.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group_member.py
@@ -132,8 +132,12 @@
         """Return what is known of the group."""
         with self.lock:
             step = self.own.step if self.own else 0
+            engine = self.engine_state
+            load = engine.expert_load if engine else ()
             if self.stored is None:
-                return messages.GroupStatus(self.setup.group, 0, "", 0, step)
+                return messages.GroupStatus(
+                    self.setup.group, 0, "", 0, step, load
+                )
             record = self.stored.record
             return messages.GroupStatus(
                 self.setup.group,
@@ -141,6 +145,7 @@
                 record.phase,
                 record.map_version,
                 step,
+                load,
             )
 
     # Links.
--- a/tests/core/test_codec.py
+++ b/tests/core/test_codec.py
@@ -32,7 +32,7 @@
     messages.StatusReply(
         9, "i", "sidecar", "d", "s", 1, 2,
         (messages.RejectedBundle(3, "bad signature"),), True, "", False,
-        (messages.GroupStatus("g", 1, "stable", 2, 100),),
+        (messages.GroupStatus("g", 1, "stable", 2, 100, (0.5,)),),
     ),
     messages.GroupRecord("g", 4, b"{}"),
     messages.GroupMember("g", "i", (0, 1), 2, 3, (3, 4), 100, 0, 99),
--- a/tests/gateway/test_gateway_process.py
+++ b/tests/gateway/test_gateway_process.py
@@ -152,7 +152,7 @@
             False,
             "x",
             False,
-            (messages.GroupStatus("g", 1, "stable", 2, 3),),
+            (messages.GroupStatus("g", 1, "stable", 2, 3, (1.0,)),),
         )
         self.router.on_message(self, reply)
         return True
