Add the fault matrix with a first flow

Cause: faults at the steps of a flow were tested in hand-written tables, so a step or a fault could be missing without notice.

Change: tests/faults/matrix.py generates a cell for each step and fault of each flow. A cell is held, red, or not applicable with a reason. A cell whose fault was never injected is red, and a step without cells fails the run.

Adding a flow: write tests/faults/flow_<subject>.py with a tuple FLOWS of matrix.Flow. A flow names its steps, a function why_not(step, fault) that returns the reason why a fault does not apply (None when it does), and a function run(cell) that executes the cell and returns matrix.Report with the injected faults and one line for each failed check. pairs=True also runs pairs of faults. Modules are found by name; nothing else is edited.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,10 @@
 
 check: lint test
 
+# SEED selects the random choices; FLOW runs one flow only.
+faults: setup
+	PYTHONPATH=$(PYTHONPATH):tests $(PYTHON) -m faults --seed $(or $(SEED),1) $(if $(FLOW),--flow $(FLOW))
+
 run: setup
 	$(PYTHON) -m verbenafall_standins.demo --directory run $(if $(KEEP),--keep)
 
--- /dev/null
+++ b/tests/faults/__main__.py
@@ -0,0 +1,30 @@
+"""Prints the fault matrix; fails on red cells that are not listed."""
+
+import argparse
+import sys
+
+from loguru import logger
+
+from faults import matrix
+
+
+def main() -> int:
+    """Run the matrix and return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--flow", help="run only the flow of this name")
+    options = parser.parse_args()
+    logger.remove()
+    flows = matrix.find_flows()
+    if options.flow:
+        flows = tuple(flow for flow in flows if flow.name == options.flow)
+        if not flows:
+            parser.error(f"there is no flow {options.flow}")
+    summary = matrix.run_all(flows, options.seed)
+    known_red = matrix.read_known_red()
+    print("\n".join(matrix.describe(summary, known_red)))
+    unlisted = matrix.find_unlisted(summary, known_red)
+    return 1 if unlisted or summary.steps_without_cells else 0
+
+
+sys.exit(main())
--- /dev/null
+++ b/tests/faults/flow_claim.py
@@ -0,0 +1,53 @@
+"""Two starts of one key: at most one may call the endpoint."""
+
+from faults import matrix
+from verbenafall_core.claims import model
+from verbenafall_core.claims import service
+from verbenafall_standins.fakes import manual_clock
+from verbenafall_standins.fakes import memory_store
+
+Fault = matrix.Fault
+STORE_FAULTS = {
+    Fault.LOST_ANSWER: memory_store.Fault.LOST_ANSWER,
+    Fault.CUT_OUT: memory_store.Fault.LOST_CALL,
+    Fault.STORE_DOWN: memory_store.Fault.DOWN,
+}
+STEPS = ("first_create", "second_create")
+
+
+def run(cell: matrix.Cell) -> matrix.Report:
+    """Let two attempts claim one key, the second again without faults."""
+    store = memory_store.create_memory_store()
+    claims = service.create_claim_service(
+        store, manual_clock.create_manual_clock()
+    )
+    injected = set()
+    injection = cell.injections[0]
+    step = ""
+
+    def plan(call: memory_store.Call) -> memory_store.Fault | None:
+        lasts = injection.fault is Fault.STORE_DOWN and injection in injected
+        if lasts or (step, call.operation) == (injection.step, "create"):
+            injected.add(injection)
+            return STORE_FAULTS[injection.fault]
+        return None
+
+    store.plan = plan
+    results = []
+    for step in STEPS:
+        results.append(claims.start("t", "k", f"{step}.1", "d", "ep"))
+    store.plan = memory_store.no_faults
+    results.append(claims.start("t", "k", "third.1", "d", "ep"))
+    started = sum(isinstance(item, model.StartedClaim) for item in results)
+    violations = [f"{started} attempts may run"] if started > 1 else []
+    return matrix.Report(frozenset(injected), tuple(violations))
+
+
+def why_not(_step: str, fault: Fault) -> str | None:
+    """Name the faults that do not concern one store call."""
+    if fault in STORE_FAULTS:
+        return None
+    return "covered by the flows with processes, links and time"
+
+
+FLOWS = (matrix.Flow("claim", STEPS, run, why_not),)
--- /dev/null
+++ b/tests/faults/matrix.py
@@ -0,0 +1,225 @@
+"""Fault matrix: every fault at every step of every flow.
+
+A flow is added by a module flow_<subject>.py in this directory that has a
+tuple FLOWS of Flow. Its run function executes one cell and reports which
+faults were injected and which checks failed. A cell whose fault was never
+injected is red, because it shows nothing.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+import enum
+import importlib
+import itertools
+import pathlib
+import random
+from typing import NamedTuple
+
+DIRECTORY = pathlib.Path(__file__).parent
+KNOWN_RED = DIRECTORY.parent.parent / "KNOWN-RED.txt"
+SECOND_NOT_REACHED = "the first fault ends the flow before the second step"
+
+
+class Fault(enum.StrEnum):
+    """What happens at a step.
+
+    PAUSE is longer than the lease or deadline concerned. CUT_OUT and CUT_IN
+    lose everything that the acting process sends or gets from then on.
+    LOST_ANSWER loses the answer after the effect. STORE_DOWN lasts from the
+    step to the end of the flow unless the flow says otherwise.
+    """
+
+    KILL = "kill"
+    PAUSE = "pause"
+    CUT_OUT = "cut_out"
+    CUT_IN = "cut_in"
+    DELAY = "delay"
+    DUPLICATE = "duplicate"
+    REORDER = "reorder"
+    LOST_ANSWER = "lost_answer"
+    SLOW = "slow"
+    STORE_DOWN = "store_down"
+
+
+class Injection(NamedTuple):
+    """A fault at a step."""
+
+    step: str
+    fault: Fault
+
+
+class Cell(NamedTuple):
+    """One run of a flow with one fault, or with a pair of faults."""
+
+    flow: str
+    injections: tuple[Injection, ...]
+    seed: int
+
+    @property
+    def name(self) -> str:
+        """Return the name under which KNOWN-RED.txt lists the cell."""
+        parts = (f"{item.step}/{item.fault}" for item in self.injections)
+        return f"{self.flow}:{'+'.join(parts)}"
+
+    def generator(self) -> random.Random:
+        """Return the cell's own source of random numbers."""
+        return random.Random(f"{self.seed}/{self.name}")
+
+
+class Report(NamedTuple):
+    """Result of one run.
+
+    Attributes:
+        injected: The faults that happened.
+        violations: One line for each check that failed.
+    """
+
+    injected: frozenset[Injection]
+    violations: tuple[str, ...]
+
+
+class Flow(NamedTuple):
+    """A sequence of steps with the checks on its result.
+
+    Attributes:
+        run: Runs one cell from the start.
+        why_not: Returns why a fault does not apply to a step, else None.
+        pairs: Whether all pairs of applicable faults are run as well.
+    """
+
+    name: str
+    steps: tuple[str, ...]
+    run: Callable[[Cell], Report]
+    why_not: Callable[[str, Fault], str | None]
+    pairs: bool = False
+
+
+class State(enum.StrEnum):
+    """Verdict on a cell."""
+
+    HELD = "held"
+    RED = "red"
+    NOT_APPLICABLE = "not applicable"
+
+
+class Verdict(NamedTuple):
+    """A cell with its verdict; the reason is empty for a held cell."""
+
+    cell: Cell
+    state: State
+    reason: str
+
+
+class Summary(NamedTuple):
+    """Verdicts on all cells, and the faults of the matrix itself."""
+
+    seed: int
+    verdicts: list[Verdict]
+    steps_without_cells: list[str]
+
+    def count(self, flow: str, state: State) -> int:
+        """Return the number of cells of a flow with a verdict."""
+        return sum(
+            verdict.cell.flow == flow and verdict.state is state
+            for verdict in self.verdicts
+        )
+
+    def red(self) -> list[Verdict]:
+        """Return the red cells."""
+        return [v for v in self.verdicts if v.state is State.RED]
+
+
+def find_flows() -> tuple[Flow, ...]:
+    """Return the flows of all modules in this directory."""
+    found: list[Flow] = []
+    for path in sorted(DIRECTORY.glob("flow_*.py")):
+        found += importlib.import_module(f"faults.{path.stem}").FLOWS
+    names = [flow.name for flow in found]
+    if len(set(names)) != len(names):
+        raise ValueError(f"two flows have the same name: {names}")
+    return tuple(found)
+
+
+def run_all(flows: tuple[Flow, ...], seed: int) -> Summary:
+    """Run all cells of the flows."""
+    verdicts: list[Verdict] = []
+    empty: list[str] = []
+    for flow in flows:
+        own = list(run_flow(flow, seed))
+        verdicts += own
+        tested = {
+            verdict.cell.injections[0].step
+            for verdict in own
+            if verdict.state is not State.NOT_APPLICABLE
+        }
+        empty += [f"{flow.name}:{s}" for s in flow.steps if s not in tested]
+    return Summary(seed, verdicts, empty)
+
+
+def run_flow(flow: Flow, seed: int) -> Iterator[Verdict]:
+    """Run the single faults of a flow, then its pairs."""
+    applicable = []
+    for step, fault in itertools.product(flow.steps, Fault):
+        injection = Injection(step, fault)
+        cell = Cell(flow.name, (injection,), seed)
+        reason = flow.why_not(step, fault)
+        if reason is not None:
+            yield Verdict(cell, State.NOT_APPLICABLE, reason)
+            continue
+        applicable.append(injection)
+        yield judge(cell, flow.run(cell))
+    if not flow.pairs:
+        return
+    for pair in itertools.permutations(applicable, 2):
+        first, second = pair
+        if flow.steps.index(first.step) <= flow.steps.index(second.step):
+            cell = Cell(flow.name, pair, seed)
+            yield judge(cell, flow.run(cell))
+
+
+def judge(cell: Cell, report: Report) -> Verdict:
+    """Return the verdict on a cell that was run."""
+    if report.violations:
+        return Verdict(cell, State.RED, "; ".join(report.violations))
+    missing = [i for i in cell.injections if i not in report.injected]
+    if not missing:
+        return Verdict(cell, State.HELD, "")
+    if len(cell.injections) > 1:
+        return Verdict(cell, State.NOT_APPLICABLE, SECOND_NOT_REACHED)
+    return Verdict(cell, State.RED, "the fault was not injected")
+
+
+def read_known_red(path: pathlib.Path = KNOWN_RED) -> str:
+    """Return the text of the list of known failures."""
+    return path.read_text() if path.exists() else ""
+
+
+def find_unlisted(summary: Summary, known_red: str) -> list[Verdict]:
+    """Return the red cells whose names are not words of the list."""
+    listed = set(known_red.split())
+    return [v for v in summary.red() if v.cell.name not in listed]
+
+
+def describe(summary: Summary, known_red: str) -> list[str]:
+    """Return the lines of the report."""
+    row = "{:<26}{:>8}{:>8}{:>6}{:>16}"
+    lines = [row.format("flow", "cells", "held", "red", "not applicable")]
+    flows = list(dict.fromkeys(v.cell.flow for v in summary.verdicts))
+    for flow in flows:
+        held, red, skipped = (summary.count(flow, state) for state in State)
+        total = held + red + skipped
+        lines.append(row.format(flow, total, held, red, skipped))
+    reasons = collections.Counter(
+        verdict.reason
+        for verdict in summary.verdicts
+        if verdict.state is State.NOT_APPLICABLE
+    )
+    lines += [f"not applicable {n}: {why}" for why, n in reasons.most_common()]
+    unlisted = find_unlisted(summary, known_red)
+    for verdict in summary.red():
+        kind = "red" if verdict in unlisted else "known red"
+        lines.append(f"{kind} {verdict.cell.name}: {verdict.reason}")
+    lines += [f"step without cells {s}" for s in summary.steps_without_cells]
+    lines.append(f"seed {summary.seed}")
+    return lines
