Seal the key of an outcome query that answers not_run

Cause: GET /v1/outcomes/<key> voided an absent claim and answered not_run. A void is free to be taken over, so a dispatch still on its way from another gateway, or a later request with the same key, ran after that answer.

Ruled out: barring the attempts that are open, because the querying gateway does not know the attempts of other gateways; a flag on the void record, because a process that does not know the flag would take the record over, while an unknown state is refused as malformed.

Change: the query seals an absent or void claim (state 'sealed'). A sealed claim is never taken over. A request that meets it is refused with key_sealed, not_run, HTTP 409 and a message that asks for a new key. Voids that a gateway writes for its own lost attempt are as before. The hypothesis machine of the claims seals keys too. The matrix has the flows of requests, with the real RequestFlow, HTTP application, Dispatcher and ClaimService on simulated processes, links and time.

--- a/packages/core/src/verbenafall_core/claims/decisions.py
+++ b/packages/core/src/verbenafall_core/claims/decisions.py
@@ -52,10 +52,12 @@
     """Nothing is left to do."""
 
 
-StartEnd = Won | model.Replay | model.Held | model.Mismatch
+StartEnd = Won | model.Replay | model.Held | model.Mismatch | model.Sealed
 StartStep = Write | StartEnd
 SettleEnd = model.Voided | model.Replay | model.Held
 SettleStep = Write | SettleEnd
+SealEnd = model.Sealed | model.Replay | model.Held
+SealStep = Write | SealEnd
 FinishStep = Write | Complete
 
 
@@ -70,6 +72,13 @@
         return Won(stored)
     if claim.state is model.ClaimState.VOID:
         return next_step_from_void(start, stored, now)
+    return refuse_start(start, claim)
+
+
+def refuse_start(start: Start, claim: model.Claim) -> StartEnd:
+    """Return the result of a start whose key is not free."""
+    if claim.state is model.ClaimState.SEALED:
+        return model.Sealed()
     if claim.body_digest != start.body_digest:
         return model.Mismatch()
     if claim.answer is not None:
@@ -98,13 +107,30 @@
         return model.Replay(claim.answer)
     if claim.state is model.ClaimState.STARTED:
         return model.Held(claim.attempt_id)
-    if attempt_id in claim.voided:
+    sealed = claim.state is model.ClaimState.SEALED
+    if sealed or attempt_id in claim.voided:
         return model.Voided()
     if len(claim.voided) >= model.MAX_VOIDED:
         return model.Held(claim.attempt_id)
     return Write(void_claim(attempt_id, claim.voided, now), stored.version)
 
 
+def next_seal_step(
+    sealer: str, stored: Stored | None, now: datetime.datetime
+) -> SealStep:
+    """Decide how a seal goes on from what the store holds."""
+    if stored is None:
+        return Write(sealed_claim(sealer, now), None)
+    claim = stored.claim
+    if claim.answer is not None:
+        return model.Replay(claim.answer)
+    if claim.state is model.ClaimState.STARTED:
+        return model.Held(claim.attempt_id)
+    if claim.state is model.ClaimState.SEALED:
+        return model.Sealed()
+    return Write(sealed_claim(sealer, now), stored.version)
+
+
 def next_finish_step(
     token: str,
     answer: model.StoredAnswer,
@@ -178,6 +204,13 @@
     )
 
 
+def sealed_claim(sealer: str, now: datetime.datetime) -> model.Claim:
+    """Return a record that bars all attempts."""
+    return model.Claim(
+        model.ClaimState.SEALED, sealer, "", "", now, None, "", ()
+    )
+
+
 def bound_answer(answer: model.StoredAnswer) -> model.StoredAnswer:
     """Return an answer that fits in the record."""
     body = answer.body
--- a/packages/core/src/verbenafall_core/claims/model.py
+++ b/packages/core/src/verbenafall_core/claims/model.py
@@ -18,11 +18,13 @@
 
     STARTED: The attempt may have reached the endpoint.
     VOID: The attempt never ran and never will; the key is free.
+    SEALED: No attempt has run and none ever will; the key is used up.
     DONE: The attempt ran and its answer is known.
     """
 
     STARTED = "started"
     VOID = "void"
+    SEALED = "sealed"
     DONE = "done"
 
 
@@ -82,6 +84,10 @@
     """The key was used for another request."""
 
 
+class Sealed(NamedTuple):
+    """A client was told that the key was not run, so it never may run."""
+
+
 class Unavailable(NamedTuple):
     """The claim could not be made; this attempt will not run."""
 
@@ -92,8 +98,9 @@
     """No attempt has run up to now, and the given attempt never will."""
 
 
-StartResult = StartedClaim | Replay | Held | Mismatch | Unavailable
+StartResult = StartedClaim | Replay | Held | Mismatch | Sealed | Unavailable
 SettleResult = Voided | Replay | Held | Unavailable
+SealResult = Sealed | Replay | Held | Unavailable
 
 
 class Claims(Protocol):
@@ -122,6 +129,12 @@
         refused as held.
         """
 
+    def seal(self, team: str, key: str, sealer: str) -> SealResult:
+        """Find out what happened to a key, closing it when nobody has it.
+
+        The sealer's name is kept in the record.
+        """
+
 
 def object_name(team: str, key: str) -> str:
     """Return the store name of a claim."""
--- a/packages/core/src/verbenafall_core/claims/service.py
+++ b/packages/core/src/verbenafall_core/claims/service.py
@@ -158,6 +158,18 @@
             return model.Unavailable(step.message)
         return step
 
+    def seal(self, team: str, key: str, sealer: str) -> model.SealResult:
+        """Find out what happened to a key, closing it when nobody has it."""
+        name = model.object_name(team, key)
+
+        def decide(stored: decisions.Stored | None) -> decisions.SealStep:
+            return decisions.next_seal_step(sealer, stored, self.clock.now())
+
+        step: decisions.SealEnd | Unread = self.run(name, decide)
+        if isinstance(step, Unread):
+            return model.Unavailable(step.message)
+        return step
+
     def resolve(self) -> None:
         """Void started claims that given-up starts may have left behind.
 
--- a/packages/core/src/verbenafall_core/outcomes.py
+++ b/packages/core/src/verbenafall_core/outcomes.py
@@ -31,6 +31,7 @@
     DUPLICATE_ATTEMPT = "duplicate_attempt"
     ENDPOINT_FAILED = "endpoint_failed"
     ENDPOINT_REFUSED = "endpoint_refused"
+    KEY_SEALED = "key_sealed"
     LINK_LOST = "link_lost"
     NO_ENDPOINT = "no_endpoint"
     OVERLOADED = "overloaded"
--- a/packages/gateway/src/verbenafall_gateway/answers.py
+++ b/packages/gateway/src/verbenafall_gateway/answers.py
@@ -25,6 +25,7 @@
     outcomes.Reason.DUPLICATE_ATTEMPT: 503,
     outcomes.Reason.ENDPOINT_FAILED: 502,
     outcomes.Reason.ENDPOINT_REFUSED: 502,
+    outcomes.Reason.KEY_SEALED: 409,
     outcomes.Reason.LINK_LOST: 502,
     outcomes.Reason.NO_ENDPOINT: 503,
     outcomes.Reason.OVERLOADED: 503,
@@ -35,7 +36,11 @@
 
 # A repetition of these requests gets the same answer.
 _NO_RETRY: Final = frozenset(
-    {outcomes.Reason.BAD_REQUEST, outcomes.Reason.CLAIM_MISMATCH}
+    {
+        outcomes.Reason.BAD_REQUEST,
+        outcomes.Reason.CLAIM_MISMATCH,
+        outcomes.Reason.KEY_SEALED,
+    }
 )
 
 
--- a/packages/gateway/src/verbenafall_gateway/attempt_events.py
+++ b/packages/gateway/src/verbenafall_gateway/attempt_events.py
@@ -85,7 +85,7 @@
     return Broken(
         known_outcome(event.outcome, assembly),
         event.reason,
-        f"the endpoint's sidecar refused the request: {event.reason}",
+        describe_refusal(event.reason),
         to_delay(event.retry_after_ms),
         refused=True,
         open_at_sidecar=False,
@@ -161,6 +161,16 @@
     )
 
 
+def describe_refusal(reason: outcomes.Reason) -> str:
+    """Return the message for a refused attempt."""
+    if reason is outcomes.Reason.KEY_SEALED:
+        return (
+            "an outcome query has answered not_run for this idempotency key,"
+            " so it cannot run any more; use a new key"
+        )
+    return f"the endpoint's sidecar refused the request: {reason}"
+
+
 def known_outcome(
     reported: outcomes.Outcome, assembly: stream_assembly.Assembly
 ) -> outcomes.Outcome:
--- a/packages/gateway/src/verbenafall_gateway/http_app.py
+++ b/packages/gateway/src/verbenafall_gateway/http_app.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import datetime
+import functools
 import random
 from typing import Any
 from typing import Final
@@ -87,7 +88,7 @@
         self.generator = generator
         self.limits = team_limits.create_team_limits(max_open)
         self.indexes = bundle_index.create_index_cache()
-        self.urls = create_url_map()
+        self.urls = url_map()
         self.handlers: dict[str, Callable[..., wrappers.Response]] = {
             "chat": self.serve_chat,
             "models": self.serve_models,
@@ -278,8 +279,8 @@
         team = caller.team.name
         if self.flow.holds_key(team, key):
             return outcome_response(outcomes.Outcome.UNKNOWN, request_id)
-        result = self.claims.settle(team, key, f"{request_id}.query")
-        if isinstance(result, claims_model.Voided):
+        result = self.claims.seal(team, key, f"{request_id}.query")
+        if isinstance(result, claims_model.Sealed):
             return outcome_response(outcomes.Outcome.NOT_RUN, request_id)
         if isinstance(result, claims_model.Replay):
             return outcome_response(
@@ -399,8 +400,9 @@
         return outcomes.Refusal(outcome, reason, message, delay)
 
 
-def create_url_map() -> werkzeug_routing.Map:
-    """Return the paths and methods that are served.
+@functools.cache
+def url_map() -> werkzeug_routing.Map:
+    """Return the paths and methods that are served, the same for all.
 
     Slashes are not merged, since the paths of services go on unchanged.
     """
--- a/packages/gateway/src/verbenafall_gateway/retry_rules.py
+++ b/packages/gateway/src/verbenafall_gateway/retry_rules.py
@@ -18,6 +18,7 @@
         outcomes.Reason.CLAIM_HELD,
         outcomes.Reason.CLAIM_MISMATCH,
         outcomes.Reason.DEADLINE,
+        outcomes.Reason.KEY_SEALED,
         outcomes.Reason.STORE_UNAVAILABLE,
     }
 )
--- a/packages/sidecar/src/verbenafall_sidecar/dispatcher.py
+++ b/packages/sidecar/src/verbenafall_sidecar/dispatcher.py
@@ -682,6 +682,15 @@
     dispatcher.end_refused(attempt, Reason.CLAIM_MISMATCH, NOT_RUN)
 
 
+@apply_start.register
+def _(
+    _result: model.Sealed,
+    dispatcher: Dispatcher,
+    attempt: attempt_lib.Attempt,
+) -> None:
+    dispatcher.end_refused(attempt, Reason.KEY_SEALED, NOT_RUN)
+
+
 @apply_start.register
 def _(
     _result: model.Unavailable,
--- a/tests/core/test_claims_machine.py
+++ b/tests/core/test_claims_machine.py
@@ -37,6 +37,7 @@
             alone must still keep them from running twice.
         refused: Attempts that a claimer reported as not run.
         settled: Attempts that a gateway reported as not run.
+        sealed: Keys that an outcome query reported as not run.
         runs: Attempts that the endpoint ran, by key.
     """
 
@@ -52,6 +53,7 @@
         self.stray = set()
         self.refused = set()
         self.settled = set()
+        self.sealed = set()
         self.runs = {key: [] for key in KEYS}
         self.replays = []
         self.down = False
@@ -75,7 +77,8 @@
         self.unresolved[claimer].extend(claims.unresolved)
         if isinstance(result, model.Replay):
             self.replays.append((key, result.answer.body))
-        if isinstance(result, model.Mismatch | model.Unavailable):
+        refusals = model.Mismatch | model.Sealed | model.Unavailable
+        if isinstance(result, refusals):
             self.refused.add(attempt_id)
         if not isinstance(result, model.StartedClaim):
             return
@@ -98,6 +101,13 @@
         if isinstance(result, model.Replay):
             self.replays.append((key, result.answer.body))
 
+    def seal_one(self, _operation, claims, key):
+        result = claims.seal("team", key, "query")
+        if isinstance(result, model.Sealed):
+            self.sealed.add(key)
+        if isinstance(result, model.Replay):
+            self.replays.append((key, result.answer.body))
+
     def dispatch_to(self, attempt, claimer):
         if attempt[1] in self.seen[claimer]:
             return
@@ -135,6 +145,11 @@
         attempt = self.attempts[number % len(self.attempts)]
         self.begin(lambda o, c: self.settle_one(o, c, attempt))
 
+    @stateful.precondition(may_begin)
+    @stateful.rule(key=strategies.sampled_from(KEYS))
+    def seal(self, key):
+        self.begin(lambda o, c: self.seal_one(o, c, key))
+
     @stateful.precondition(may_begin)
     @stateful.rule(claimer=strategies.integers(0, CLAIMERS - 1))
     def resolve(self, claimer):
@@ -188,6 +203,7 @@
         ran = {run for runs in self.runs.values() for run in runs}
         assert not ran & self.settled
         assert not ran & (self.refused - self.stray)
+        assert not any(self.runs[key] for key in self.sealed)
 
     @stateful.invariant()
     def a_replay_is_the_answer_of_the_run(self):
--- /dev/null
+++ b/tests/faults/flow_requests.py
@@ -0,0 +1,358 @@
+"""Requests from client to endpoint: P1, P2 and P3 seen from outside."""
+
+from collections.abc import Callable
+import functools
+import json
+
+from faults import matrix
+from faults import request_world
+from faults import simulation
+from verbenafall_core import outcomes
+
+Fault = matrix.Fault
+World = request_world.World
+seconds = simulation.seconds
+RESERVE = f"/services/{request_world.RECORDS}/reservations"
+SEARCH = f"/services/{request_world.RECORDS}/search"
+CHAT = "/v1/chat/completions"
+OUTCOME = "/v1/outcomes/key-1"
+KEY = "key-1"
+GATEWAY_1, GATEWAY_2 = request_world.GATEWAYS
+SETTLED = seconds(45)
+NOT_RUN = outcomes.Outcome.NOT_RUN
+RAN = outcomes.Outcome.RAN
+
+ONE_DIRECTION = "only one direction of a message; see cut_out and cut_in"
+PROCESS_FAULTS = frozenset({Fault.KILL, Fault.PAUSE, Fault.STORE_DOWN})
+SENT_FAULTS = PROCESS_FAULTS | {
+    Fault.CUT_OUT,
+    Fault.CUT_IN,
+    Fault.DELAY,
+    Fault.DUPLICATE,
+    Fault.REORDER,
+}
+STORE_FAULTS = PROCESS_FAULTS | {
+    Fault.CUT_OUT,
+    Fault.CUT_IN,
+    Fault.DELAY,
+    Fault.LOST_ANSWER,
+    Fault.SLOW,
+}
+FAULTS_OF_STEP = {
+    "dispatch": SENT_FAULTS,
+    "dispatch_received": PROCESS_FAULTS,
+    "accepted": SENT_FAULTS,
+    "claim": STORE_FAULTS,
+    "call": STORE_FAULTS,
+    "token": PROCESS_FAULTS | {Fault.LOST_ANSWER, Fault.SLOW},
+    "answer": PROCESS_FAULTS | {Fault.LOST_ANSWER},
+    "record": STORE_FAULTS,
+    "chunk": SENT_FAULTS,
+    "end": SENT_FAULTS,
+    "end_received": PROCESS_FAULTS,
+    "settle": STORE_FAULTS - {Fault.DELAY},
+    "void": STORE_FAULTS,
+    "cancel": SENT_FAULTS,
+    "cancel_received": PROCESS_FAULTS,
+    "cancel_confirmed": SENT_FAULTS,
+}
+WHY_NOT = {
+    Fault.CUT_OUT: "the links are cut at the step that sends",
+    Fault.CUT_IN: "the links are cut at the step that sends",
+    Fault.DELAY: "the delay is injected at the step that sends",
+    Fault.DUPLICATE: "only messages on links are duplicated",
+    Fault.REORDER: "only messages on links are reordered",
+    Fault.LOST_ANSWER: "the step is no call with an answer",
+    Fault.SLOW: "the step is no call with an answer; see delay",
+}
+
+
+def why_not(step: str, fault: Fault) -> str | None:
+    """Name the faults that a step cannot have."""
+    return None if fault in FAULTS_OF_STEP[step] else WHY_NOT[fault]
+
+
+def find_second_runs(world: World) -> list[str]:
+    """Check that a key ran at most once (P1)."""
+    count = sum(run.key == KEY for run in world.runs)
+    return [f"the key ran {count} times"] if count > 1 else []
+
+
+def find_wrong_answers(world: World, text: str) -> list[str]:
+    """Check the plain answers of records calls (P3, and "ran" is true)."""
+    found = []
+    ran = any(run.key == KEY for run in world.runs)
+    for told in world.told:
+        if told.label == "outcome":
+            continue
+        if told.done and (told.text != text or not world.runs):
+            found.append(f"{told.label} got another answer: {told.text}")
+        if told.outcome == RAN and not (ran or world.runs_of(told.request_id)):
+            found.append(f"{told.label} was told ran, but nothing ran")
+    return found
+
+
+def find_wrong_outcomes(world: World) -> list[str]:
+    """Check what the outcome query said against all runs, later ones too."""
+    told = world.told_to("outcome")
+    if told is None or not told.done:
+        return []
+    outcome = json.loads(told.text)["outcome"]
+    ran = any(run.key == KEY for run in world.runs)
+    if outcome == NOT_RUN and ran:
+        return ["the outcome query said not_run, but the key ran"]
+    if outcome == RAN and not ran:
+        return ["the outcome query said ran, but nothing ran"]
+    return []
+
+
+def find_leaks(world: World) -> list[str]:
+    """Check that no process keeps an attempt open."""
+    found = []
+    for name, gateway in world.gateways.items():
+        if gateway.process.alive and gateway.parts.flow.attempts.attempts:
+            found.append(f"{name} has open attempts")
+        if gateway.process.alive and gateway.parts.flow.open_keys:
+            found.append(f"{name} holds keys")
+    for name, sidecar in world.sidecars.items():
+        if sidecar.dispatcher.attempts:
+            found.append(f"{name} has open attempts")
+    return found
+
+
+def reserve(world: World) -> list[str]:
+    """A client repeats a reservation by its key, before or after an answer."""
+    start = world.simulator.now()
+    world.call(GATEWAY_1, "first", "POST", RESERVE, b"x", key=KEY)
+    wait = seconds(world.generator.choice((0.01, 0.5, 4, 11)))
+    world.simulator.run(wait)
+    second = world.simulator.now()
+    world.call(GATEWAY_2, "second", "POST", RESERVE, b"x", key=KEY)
+    world.simulator.run(SETTLED)
+    world.call(GATEWAY_2, "outcome", "GET", OUTCOME)
+    world.simulator.run(seconds(5))
+    third = world.simulator.now()
+    world.call(GATEWAY_2, "third", "POST", RESERVE, b"x", key=KEY)
+    world.simulator.run(SETTLED)
+    calls = {
+        "first": (GATEWAY_1, start),
+        "second": (GATEWAY_2, second),
+        "third": (GATEWAY_2, third),
+    }
+    return [
+        *find_second_runs(world),
+        *find_wrong_answers(world, request_world.records_text("/reservations")),
+        *find_wrong_outcomes(world),
+        *request_world.find_false_refusals(world),
+        *request_world.find_late_answers(world, calls),
+        *find_leaks(world),
+    ]
+
+
+def query(world: World, wait: float) -> list[str]:
+    """An outcome query at another gateway while a reservation is open."""
+    start = world.simulator.now()
+    world.call(GATEWAY_1, "first", "POST", RESERVE, b"x", key=KEY)
+    world.simulator.run(seconds(wait))
+    asked = world.simulator.now()
+    world.call(GATEWAY_2, "outcome", "GET", OUTCOME)
+    world.simulator.run(SETTLED)
+    calls = {"first": (GATEWAY_1, start), "outcome": (GATEWAY_2, asked)}
+    return [
+        *find_second_runs(world),
+        *find_wrong_answers(world, request_world.records_text("/reservations")),
+        *find_wrong_outcomes(world),
+        *request_world.find_false_refusals(world),
+        *request_world.find_late_answers(world, calls),
+        *find_leaks(world),
+    ]
+
+
+def search(world: World) -> list[str]:
+    """An idempotent call of a records service."""
+    start = world.simulator.now()
+    world.call(GATEWAY_1, "first", "POST", SEARCH, b"x")
+    world.simulator.run(SETTLED)
+    return [
+        *find_wrong_answers(world, request_world.records_text("/search")),
+        *request_world.find_false_refusals(world),
+        *request_world.find_late_answers(world, {"first": (GATEWAY_1, start)}),
+        *find_leaks(world),
+    ]
+
+
+def find_broken_streams(world: World, prompts: tuple[str, ...]) -> list[str]:
+    """Check that a stream is a part of its own answer, and its end (P3)."""
+    found = []
+    for prompt in prompts:
+        told = world.told_to(prompt)
+        if told is None:
+            continue
+        whole = request_world.chat_text(prompt)
+        if not whole.startswith(told.text):
+            found.append(f"{prompt} got {told.text!r}")
+        if told.done and told.text != whole:
+            found.append(f"{prompt} ended cleanly after {told.text!r}")
+        if told.status and not told.done and not told.outcome:
+            found.append(f"{prompt} ended without an error and without an end")
+    return found
+
+
+def stream(world: World) -> list[str]:
+    """Two streams at a time, each with a text of its own."""
+    start = world.simulator.now()
+    prompts = ("left", "right")
+    for prompt in prompts:
+        body = request_world.chat_body(prompt)
+        world.call(GATEWAY_1, prompt, "POST", CHAT, body)
+    world.simulator.run(SETTLED)
+    calls = dict.fromkeys(prompts, (GATEWAY_1, start))
+    return [
+        *find_broken_streams(world, prompts),
+        *request_world.find_false_refusals(world),
+        *request_world.find_late_answers(world, calls),
+        *find_leaks(world),
+    ]
+
+
+def cancel(world: World) -> list[str]:
+    """A client that closes its stream, and a call cancelled at its deadline."""
+    body = request_world.chat_body("left")
+    world.call(GATEWAY_1, "left", "POST", CHAT, body, close_after=3)
+    world.simulator.run(SETTLED)
+    return [
+        *find_broken_streams(world, ("left",)),
+        *request_world.find_false_refusals(world),
+        *find_leaks(world),
+    ]
+
+
+def cancel_overtakes(world: World, path: str, key: str) -> list[str]:
+    """A cancel at the deadline that reaches the sidecar before its dispatch."""
+    start = world.simulator.now()
+    world.scripted.append(matrix.Injection("dispatch", Fault.REORDER))
+    world.call(GATEWAY_1, "first", "POST", path, b"x", key=key)
+    world.simulator.run(SETTLED)
+    return [
+        *find_second_runs(world),
+        *request_world.find_false_refusals(world),
+        *request_world.find_late_answers(world, {"first": (GATEWAY_1, start)}),
+        *find_leaks(world),
+    ]
+
+
+Scenario = Callable[[World], list[str]]
+Change = Callable[[World], None]
+
+
+def unchanged(_world: World) -> None:
+    """Leave the mechanisms as they are."""
+
+
+def execute(
+    service: str,
+    scenario: Scenario,
+    cell: matrix.Cell,
+    change: Change = unchanged,
+) -> matrix.Report:
+    """Run a scenario in a new world; a change replaces mechanisms."""
+    world = request_world.World(cell, service)
+    try:
+        change(world)
+        world.start()
+        violations = scenario(world)
+    finally:
+        world.simulator.close()
+    return matrix.Report(frozenset(world.injected), tuple(violations))
+
+
+class RequestFlow:
+    """Scenario of a flow, so that tests can run it with a change."""
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        scenario: Scenario,
+        steps: tuple[str, ...],
+        pairs: bool = False,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.scenario = scenario
+        self.steps = steps
+        self.pairs = pairs
+
+    def build(self, change: Change = unchanged) -> matrix.Flow:
+        run = functools.partial(
+            execute, self.service, self.scenario, change=change
+        )
+        return matrix.Flow(self.name, self.steps, run, why_not, self.pairs)
+
+
+ONCE_STEPS = (
+    "dispatch",
+    "dispatch_received",
+    "accepted",
+    "claim",
+    "call",
+    "answer",
+    "record",
+    "chunk",
+    "end",
+    "end_received",
+)
+CANCEL_STEPS = ("cancel", "cancel_received", "cancel_confirmed")
+RECORDS = request_world.RECORDS
+
+SCENARIOS = (
+    RequestFlow("reservation", RECORDS, reserve, ONCE_STEPS, pairs=True),
+    RequestFlow(
+        "search",
+        RECORDS,
+        search,
+        tuple(s for s in ONCE_STEPS if s not in ("claim", "record")),
+    ),
+    RequestFlow(
+        "stream",
+        request_world.CHAT,
+        stream,
+        (
+            "dispatch",
+            "dispatch_received",
+            "accepted",
+            "call",
+            "token",
+            "chunk",
+            "end",
+            "end_received",
+        ),
+    ),
+    RequestFlow("cancel_by_client", request_world.CHAT, cancel, CANCEL_STEPS),
+    RequestFlow(
+        "cancel_overtakes_search",
+        RECORDS,
+        lambda world: cancel_overtakes(world, SEARCH, ""),
+        (*CANCEL_STEPS, "dispatch_received"),
+    ),
+    RequestFlow(
+        "cancel_overtakes_reserve",
+        RECORDS,
+        lambda world: cancel_overtakes(world, RESERVE, KEY),
+        (*CANCEL_STEPS, "dispatch_received"),
+    ),
+    RequestFlow(
+        "outcome_before_claim",
+        RECORDS,
+        lambda world: query(world, 0.0005),
+        ("dispatch", "dispatch_received", "settle", "void"),
+    ),
+    RequestFlow(
+        "outcome_after_claim",
+        RECORDS,
+        lambda world: query(world, 0.005),
+        ("dispatch", "claim", "call", "answer", "record", "settle"),
+    ),
+)
+
+FLOWS = tuple(scenario.build() for scenario in SCENARIOS)
--- a/tests/gateway/gateway_fakes.py
+++ b/tests/gateway/gateway_fakes.py
@@ -95,13 +95,16 @@
 
 class FakeClaims:
     def __init__(self, result=None):
-        self.result = result or claims_model.Voided()
+        self.result = claims_model.Voided() if result is None else result
         self.settled = []
 
     def settle(self, team, key, attempt_id):
         self.settled.append((team, key, attempt_id))
         return self.result
 
+    def seal(self, team, key, sealer):
+        return self.settle(team, key, sealer)
+
 
 class Close(NamedTuple):
     reason: str
--- a/tests/gateway/test_http_app.py
+++ b/tests/gateway/test_http_app.py
@@ -165,12 +165,13 @@
     (Reason.DEADLINE, NOT_RUN, 504, True),
     (Reason.CLAIM_HELD, UNKNOWN, 409, True),
     (Reason.CLAIM_MISMATCH, NOT_RUN, 422, False),
+    (Reason.KEY_SEALED, NOT_RUN, 409, False),
     (Reason.STORE_UNAVAILABLE, NOT_RUN, 503, True),
 ]
 
 # Result of settling a key, status, outcome.
 SETTLED = [
-    (claims_model.Voided(), 200, "not_run"),
+    (claims_model.Sealed(), 200, "not_run"),
     (claims_model.Held("a"), 200, "unknown"),
     (claims_model.Replay(claims_model.StoredAnswer(201, (), b"")), 200, "ran"),
     (claims_model.Unavailable("down"), 503, "unknown"),
@@ -252,6 +253,13 @@
         assert body.get("error", body)["outcome"] == outcome
         assert [item[:2] for item in claims.settled] == [("desk", "a/b c")]
 
+    def test_sealed_key_is_refused_with_the_way_out(self):
+        """Guards against clients that repeat a sealed key for ever."""
+        gateway, _ = create("mostrador-app", refuse(Reason.KEY_SEALED))
+        headers = {"Idempotency-Key": "k"}
+        error = call(gateway, RESERVE, headers=headers).json["error"]
+        assert "use a new key" in error["message"]
+
     @pytest.mark.parametrize("phase", list(service_state.Phase)[::2])
     def test_refused_query_tells_nothing(self, phase):
         """Guards against not_run of a query taken for that of its key."""
--- a/tests/gateway/test_routing.py
+++ b/tests/gateway/test_routing.py
@@ -168,6 +168,7 @@
     (False, NOT_RUN, Reason.LINK_LOST, False, 0, 100, RETRY),
     (False, UNKNOWN, Reason.CLAIM_HELD, True, 0, 100, GIVE_UP),
     (False, NOT_RUN, Reason.CLAIM_MISMATCH, True, 0, 100, GIVE_UP),
+    (False, NOT_RUN, Reason.KEY_SEALED, True, 0, 100, GIVE_UP),
     (False, NOT_RUN, Reason.STORE_UNAVAILABLE, True, 0, 100, GIVE_UP),
     (True, NOT_RUN, Reason.DEADLINE, True, 0, 100, GIVE_UP),
     (True, NOT_RUN, Reason.OVERLOADED, True, 2, 100, GIVE_UP),
--- a/tests/sidecar/test_dispatcher.py
+++ b/tests/sidecar/test_dispatcher.py
@@ -74,6 +74,7 @@
     ("started", False, ("Refused", NOT_RUN, Reason.CLAIM_MISMATCH)),
     ("done", False, ("Refused", NOT_RUN, Reason.CLAIM_MISMATCH)),
     ("voided", True, ("Refused", UNKNOWN, Reason.CLAIM_HELD)),
+    ("sealed", True, ("Refused", NOT_RUN, Reason.KEY_SEALED)),
 ]
 
 # Change of the dispatch and of the sidecar's state; reason of the refusal.
@@ -150,6 +151,8 @@
         digest = model.digest_request(ONCE.method, ONCE.path, ONCE.body)
         if state == "voided":
             rig.claims.settle("team", "key", "r.1")
+        elif state == "sealed":
+            rig.claims.seal("team", "key", "q.query")
         else:
             started = rig.claims.start(
                 "team", "key", "other.1", digest if same else "other", "ep"
