Refuse a chat attempt that the engine answers with 4xx

Cause: the sidecar sent the body of an engine's 4xx answer as a chunk, and the gateway passed each chunk of a chat on as a token. A stream then began with status 200 and the engine's error text as its content. An unexpected status such as 302 took the same way.

Ruled out: a check of the status in the gateway, because the chunk comes before the End that carries the status.

Change: the sidecar refuses such an attempt with bad_request and not_run, and voids its claim if it has one. Refused has a new field, detail, with the engine's message in one line of up to 500 characters; the client gets it in error.message with HTTP 400. 429 and 5xx stay failed attempts, and so is any other status than 200.

Conclusion: Refused grew by one field; a gateway without it closes the link on a refusal, so gateways and sidecars are released together.

--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -95,6 +95,7 @@
 
     Attributes:
         retry_after_ms: When to come back, 0 for no advice.
+        detail: The endpoint's own message, empty when there is none.
     """
 
     request_id: str
@@ -102,6 +103,7 @@
     reason: outcomes.Reason
     outcome: outcomes.Outcome
     retry_after_ms: int
+    detail: str = ""
 
 
 class Chunk(NamedTuple):
--- a/packages/gateway/src/verbenafall_gateway/attempt_events.py
+++ b/packages/gateway/src/verbenafall_gateway/attempt_events.py
@@ -85,7 +85,7 @@
     return Broken(
         known_outcome(event.outcome, assembly),
         event.reason,
-        describe_refusal(event.reason),
+        describe_refusal(event),
         to_delay(event.retry_after_ms),
         refused=True,
         open_at_sidecar=False,
@@ -161,14 +161,16 @@
     )
 
 
-def describe_refusal(reason: outcomes.Reason) -> str:
+def describe_refusal(event: messages.Refused) -> str:
     """Return the message for a refused attempt."""
-    if reason is outcomes.Reason.KEY_SEALED:
+    if event.detail:
+        return f"the endpoint refused the request: {event.detail}"
+    if event.reason is outcomes.Reason.KEY_SEALED:
         return (
             "an outcome query has answered not_run for this idempotency key,"
             " so it cannot run any more; use a new key"
         )
-    return f"the endpoint's sidecar refused the request: {reason}"
+    return f"the endpoint's sidecar refused the request: {event.reason}"
 
 
 def known_outcome(
--- a/packages/sidecar/src/verbenafall_sidecar/attempt.py
+++ b/packages/sidecar/src/verbenafall_sidecar/attempt.py
@@ -97,9 +97,11 @@
         reason: outcomes.Reason,
         outcome: outcomes.Outcome,
         retry_after: datetime.timedelta,
+        detail: str = "",
     ) -> None:
         """Report that the attempt was not started."""
-        self.send(refused(self.dispatch, reason, outcome, retry_after))
+        message = refused(self.dispatch, reason, outcome, retry_after)
+        self.send(message._replace(detail=detail))
 
     def send_failed(
         self, reason: outcomes.Reason, retry_after: datetime.timedelta
--- a/packages/sidecar/src/verbenafall_sidecar/dispatcher.py
+++ b/packages/sidecar/src/verbenafall_sidecar/dispatcher.py
@@ -26,6 +26,7 @@
 from verbenafall_sidecar import attempt as attempt_lib
 from verbenafall_sidecar import attempt_registry
 from verbenafall_sidecar import endpoint_port
+from verbenafall_sidecar import engine_errors
 from verbenafall_sidecar import event_catalogue
 from verbenafall_sidecar import fair_queue
 from verbenafall_sidecar import service_view
@@ -40,8 +41,6 @@
 COST_BYTES: Final = 4096
 MAX_CALL_THREADS: Final = 4
 MAX_CLAIM_THREADS: Final = 32
-STATUS_TOO_MANY: Final = 429
-STATUS_SERVER_ERROR: Final = 500
 
 NOT_RUN: Final = outcomes.Outcome.NOT_RUN
 UNKNOWN: Final = outcomes.Outcome.UNKNOWN
@@ -55,8 +54,7 @@
 
     Attributes:
         endpoint_name: Named in claims.
-        is_engine: A refusal by the endpoint for its load is worth another
-            attempt on another endpoint.
+        is_engine: An error status of the endpoint is no answer of a model.
     """
 
     service: str
@@ -481,8 +479,8 @@
         self, attempt: attempt_lib.Attempt, end: endpoint_port.CallEnd
     ) -> None:
         """Handle a complete answer of the endpoint."""
-        if self.configuration.is_engine and is_load_refusal(end.status):
-            self.end_failed(attempt, Reason.ENDPOINT_FAILED)
+        if self.configuration.is_engine and end.status != engine_errors.OK:
+            self.finish_error(attempt, end)
         elif attempt.claim is None:
             self.end_answered(attempt, end)
         else:
@@ -491,6 +489,20 @@
             record = functools.partial(self.record, end=end)
             self.submit(self.claim_pool, attempt, record)
 
+    def finish_error(
+        self, attempt: attempt_lib.Attempt, end: endpoint_port.CallEnd
+    ) -> None:
+        """Handle an engine's error answer, which has no tokens."""
+        if not engine_errors.is_bad_request(end.status):
+            self.end_failed(attempt, Reason.ENDPOINT_FAILED)
+            return
+        unsent = functools.partial(
+            self.end_unsent,
+            reason=Reason.BAD_REQUEST,
+            detail=engine_errors.read_message(end.body),
+        )
+        self.submit(self.pool_of(attempt), attempt, unsent)
+
     def record(
         self, attempt: attempt_lib.Attempt, end: endpoint_port.CallEnd
     ) -> None:
@@ -523,23 +535,28 @@
         return self.call_pool if attempt.claim is None else self.claim_pool
 
     def end_unsent(
-        self, attempt: attempt_lib.Attempt, reason: outcomes.Reason
+        self,
+        attempt: attempt_lib.Attempt,
+        reason: outcomes.Reason,
+        detail: str = "",
     ) -> None:
-        """End an attempt that provably did not reach the endpoint."""
+        """End an attempt that the endpoint provably did not process."""
         if attempt.claim is not None:
             self.claims.abandon(attempt.claim)
-        self.end_refused(attempt, reason, NOT_RUN)
+        self.end_refused(attempt, reason, NOT_RUN, detail)
 
     def end_refused(
         self,
         attempt: attempt_lib.Attempt,
         reason: outcomes.Reason,
         outcome: outcomes.Outcome,
+        detail: str = "",
     ) -> None:
         """End an attempt that was not started."""
+        wait = self.spread(RETRY_SOON)
         with self.lock:
             if self.end(attempt, attempt_registry.finished(outcome), reason):
-                attempt.send_refused(reason, outcome, self.spread(RETRY_SOON))
+                attempt.send_refused(reason, outcome, wait, detail)
                 self.send_load(attempt.link, self.snapshot())
 
     def end_failed(
@@ -700,11 +717,6 @@
     dispatcher.end_refused(attempt, Reason.STORE_UNAVAILABLE, NOT_RUN)
 
 
-def is_load_refusal(status: int) -> bool:
-    """Return whether an engine's status is worth an attempt elsewhere."""
-    return status == STATUS_TOO_MANY or status >= STATUS_SERVER_ERROR
-
-
 def create_dispatcher(
     configuration: Configuration,
     endpoint: endpoint_port.Endpoint,
--- a/tests/gateway/test_http_app.py
+++ b/tests/gateway/test_http_app.py
@@ -303,6 +303,22 @@
         assert response.status_code == 503
         assert response.json["error"]["outcome"] == "not_run"
 
+    @pytest.mark.parametrize("stream", [True, False])
+    def test_bad_request_of_the_engine(self, stream):
+        """Guards against an engine's error text that looks like an answer."""
+
+        def refuse_with_detail(message):
+            refused = fakes.refused(message, Reason.BAD_REQUEST)
+            return [refused._replace(detail="too many tokens")]
+
+        gateway, link = create("asistente-llm", refuse_with_detail)
+        response = call(gateway, CHAT, {**GOOD, "stream": stream})
+        error = response.json["error"]
+        assert response.status_code == 400
+        assert (error["outcome"], error["code"]) == ("not_run", "bad_request")
+        assert "too many tokens" in error["message"]
+        assert len(link.of_kind(messages.Dispatch)) == 1
+
     @pytest.mark.parametrize("status", [400, 500])
     def test_broken_stream_ends_with_an_error_and_without_done(self, status):
         """Guards against a truncated stream that looks complete."""
