--- a/tests/faults/test_matrix.py
+++ b/tests/faults/test_matrix.py
@@ -14,6 +14,8 @@
 
 
 class TestMatrix:
+    # The pairs of one flow take most of the time that the matrix may take.
+    @pytest.mark.timeout(300)
     @pytest.mark.parametrize("flow", matrix.find_flows(), ids=lambda f: f.name)
     def test_no_cell_is_red(self, flow):
         """Guards against a fault at some step that breaks a property."""
