Add flows of a reservation whose sidecar pauses at its claim

Cause: the void that a gateway writes for its own lost attempt was reached only by pairs of faults, and no cell failed when a start took over a void of its own attempt.

Change: two flows pause the sidecar before its claim past the end of the link but not past the deadline, one with a retry by the gateway and one without. Pauses elsewhere now are drawn from 6 s and 14 s. A mutation lets voided attempts start.

--- a/tests/faults/flow_requests.py
+++ b/tests/faults/flow_requests.py
@@ -120,12 +120,13 @@
     return found
 
 
-def reserve(world: World) -> list[str]:
+def reserve(
+    world: World, waits: tuple[float, ...] = (0.01, 0.5, 4, 11)
+) -> list[str]:
     """A client repeats a reservation by its key, before or after an answer."""
     start = world.simulator.now()
     world.call(GATEWAY_1, "first", "POST", RESERVE, b"x", key=KEY)
-    wait = seconds(world.generator.choice((0.01, 0.5, 4, 11)))
-    world.simulator.run(wait)
+    world.simulator.run(seconds(world.generator.choice(waits)))
     second = world.simulator.now()
     world.call(GATEWAY_2, "second", "POST", RESERVE, b"x", key=KEY)
     world.simulator.run(SETTLED)
@@ -149,6 +150,38 @@
     ]
 
 
+def pause_at_claim(world: World) -> None:
+    """Pause the first sidecar at its claim, from before the link's end.
+
+    It goes on before the deadline, so only the claim can stop it.
+    """
+    world.pauses = (min(request_world.PAUSES),)
+    world.scripted.append(matrix.Injection("claim", Fault.PAUSE))
+
+
+def reserve_again(world: World) -> list[str]:
+    """The gateway voids its lost attempt and tries another endpoint."""
+    pause_at_claim(world)
+    return reserve(world, waits=(20,))
+
+
+def reserve_once(world: World) -> list[str]:
+    """The gateway voids its lost attempt and has no budget for another."""
+    pause_at_claim(world)
+    for gateway in world.gateways.values():
+        gateway.parts.flow.budget.try_take = lambda: False
+    start = world.simulator.now()
+    world.call(GATEWAY_1, "first", "POST", RESERVE, b"x", key=KEY)
+    world.simulator.run(SETTLED)
+    return [
+        *find_second_runs(world),
+        *find_wrong_answers(world, request_world.records_text("/reservations")),
+        *request_world.find_false_refusals(world),
+        *request_world.find_late_answers(world, {"first": (GATEWAY_1, start)}),
+        *find_leaks(world),
+    ]
+
+
 def query(world: World, wait: float) -> list[str]:
     """An outcome query at another gateway while a reservation is open."""
     start = world.simulator.now()
@@ -266,8 +299,8 @@
     return matrix.Report(frozenset(world.injected), tuple(violations))
 
 
-class RequestFlow:
-    """Scenario of a flow, so that tests can run it with a change."""
+class Scene:
+    """A flow that tests can also run with a changed mechanism."""
 
     def __init__(
         self,
@@ -305,15 +338,22 @@
 CANCEL_STEPS = ("cancel", "cancel_received", "cancel_confirmed")
 RECORDS = request_world.RECORDS
 
-SCENARIOS = (
-    RequestFlow("reservation", RECORDS, reserve, ONCE_STEPS, pairs=True),
-    RequestFlow(
+SCENES = (
+    Scene("reservation", RECORDS, reserve, ONCE_STEPS, pairs=True),
+    Scene(
+        "reservation_again",
+        RECORDS,
+        reserve_again,
+        ("settle", "void", "call", "answer", "record", "end"),
+    ),
+    Scene("reservation_once", RECORDS, reserve_once, ("settle", "void")),
+    Scene(
         "search",
         RECORDS,
         search,
         tuple(s for s in ONCE_STEPS if s not in ("claim", "record")),
     ),
-    RequestFlow(
+    Scene(
         "stream",
         request_world.CHAT,
         stream,
@@ -329,26 +369,26 @@
             "end_received",
         ),
     ),
-    RequestFlow("cancel_by_client", request_world.CHAT, cancel, CANCEL_STEPS),
-    RequestFlow(
+    Scene("cancel_by_client", request_world.CHAT, cancel, CANCEL_STEPS),
+    Scene(
         "cancel_overtakes_search",
         RECORDS,
         lambda world: cancel_overtakes(world, SEARCH, ""),
         (*CANCEL_STEPS, "dispatch_received"),
     ),
-    RequestFlow(
+    Scene(
         "cancel_overtakes_reserve",
         RECORDS,
         lambda world: cancel_overtakes(world, RESERVE, KEY),
         (*CANCEL_STEPS, "dispatch_received"),
     ),
-    RequestFlow(
+    Scene(
         "outcome_before_claim",
         RECORDS,
         lambda world: query(world, 0.0005),
         ("dispatch", "dispatch_received", "settle", "void"),
     ),
-    RequestFlow(
+    Scene(
         "outcome_after_claim",
         RECORDS,
         lambda world: query(world, 0.005),
@@ -356,4 +396,4 @@
     ),
 )
 
-FLOWS = tuple(scenario.build() for scenario in SCENARIOS)
+FLOWS = tuple(scenario.build() for scenario in SCENES)
--- a/tests/faults/request_world.py
+++ b/tests/faults/request_world.py
@@ -33,8 +33,8 @@
 RESTART_TIME = seconds(1)
 OUTAGE = seconds(8)
 DEADLINE = seconds(10)
-# Past the deadline, the link's timeout and the outage.
-PAUSE = seconds(14)
+# Past the link's timeout only, and past the deadline and the outage as well.
+PAUSES = (6, 14)
 DELAYS = (0.5, 2.8, 12.0)
 SLOW_CALL = seconds(2.5)
 SLOW_ENDPOINT = seconds(12)
@@ -383,6 +383,7 @@
         self.told: list[Told] = []
         self.refused: list[str] = []
         self.halted: set[str] = set()
+        self.pauses: tuple[float, ...] = PAUSES
         # Part of the scenario itself, not counted as injected.
         self.scripted: list[matrix.Injection] = []
         self.tokens = 0
@@ -539,7 +540,8 @@
             self.simulator.sleep(rest)
 
     def pause(self, process) -> None:
-        process.paused_until = self.simulator.now() + PAUSE
+        length = seconds(self.generator.choice(self.pauses))
+        process.paused_until = self.simulator.now() + length
         for side in process.sides:
             self.simulator.at(
                 LINK_TIMEOUT,
--- a/tests/faults/test_mutations.py
+++ b/tests/faults/test_mutations.py
@@ -72,6 +72,17 @@
     world.create_registry = lambda: ForgetfulRegistry(100)
 
 
+def let_voided_attempts_start(_world, monkeypatch):
+    """Let a start take over a void that was written for its own attempt."""
+    original = decisions.next_step_from_void
+
+    def next_step(start, stored, now):
+        claim = stored.claim._replace(voided=())
+        return original(start, stored._replace(claim=claim), now)
+
+    monkeypatch.setattr(decisions, "next_step_from_void", next_step)
+
+
 def take_sealed_keys_over(_world, monkeypatch):
     """Let a start treat a sealed claim as a void one."""
     original = decisions.next_start_step
@@ -157,6 +168,7 @@
     Row("P1", no_claims, "reservation", "the key ran"),
     Row("P2", cancel_without_memory, "cancel_overtakes_search", "not_run"),
     Row("P2", take_sealed_keys_over, "outcome_before_claim", "not_run"),
+    Row("P2", let_voided_attempts_start, "reservation_once", "not_run"),
     Row("P2", unknown_as_not_run, "search", "not_run"),
     Row("P2", unknown_as_not_run, "reservation", "not_run"),
     Row("P3", accept_gaps, "stream", "left"),
@@ -169,20 +181,18 @@
 
 def run_mutated(row, monkeypatch):
     """Yield the verdicts on the single faults of a flow."""
-    scenario = next(
-        item for item in flow_requests.SCENARIOS if item.name == row.flow
-    )
+    scene = next(item for item in flow_requests.SCENES if item.name == row.flow)
 
     def run(cell):
         with monkeypatch.context() as patch:
             return flow_requests.execute(
-                scenario.service,
-                scenario.scenario,
+                scene.service,
+                scene.scenario,
                 cell,
                 lambda world: row.mutate(world, patch),
             )
 
-    flow = scenario.build()._replace(pairs=False, run=run)
+    flow = scene.build()._replace(pairs=False, run=run)
     return matrix.run_flow(flow, seed=1)
 
 
