--- a/tests/faults/flow_requests.py
+++ b/tests/faults/flow_requests.py
@@ -18,7 +18,8 @@
 OUTCOME = "/v1/outcomes/key-1"
 KEY = "key-1"
 GATEWAY_1, GATEWAY_2 = request_world.GATEWAYS
-SETTLED = seconds(45)
+# Longer than a pause, a deadline and the time for a late record together.
+SETTLED = seconds(60)
 NOT_RUN = outcomes.Outcome.NOT_RUN
 RAN = outcomes.Outcome.RAN
 
--- a/tests/faults/request_world.py
+++ b/tests/faults/request_world.py
@@ -46,9 +46,9 @@
 CHAT = gateway_fakes.CHAT_SERVICE.name
 RECORDS = gateway_fakes.RECORDS_SERVICE.name
 TOKENS = 5
-DISPATCH = "dispatch"
+
 STEP_OF_MESSAGE = {
-    messages.Dispatch: DISPATCH,
+    messages.Dispatch: "dispatch",
     messages.Cancel: "cancel",
     messages.Accepted: "accepted",
     messages.Chunk: "chunk",
@@ -381,7 +381,6 @@
         self.injected: set[matrix.Injection] = set()
         self.runs: list[Run] = []
         self.told: list[Told] = []
-        self.refused: list[str] = []
         self.halted: set[str] = set()
         self.pauses: tuple[float, ...] = PAUSES
         # Part of the scenario itself, not counted as injected.
