Share load and step times in rank groups, and restart engine stand-ins

Cause: GroupMember carried no load, so the lease holder selected maps from its own engine's load and rated only its own ranks.

Ruled out: load in each message (a switch sends at every poll of 100 ms, which exceeds 3 KB a second), and adding up each poll's window, as a load that is polled ten times as often would count ten times.

Change: GroupMember carries the decayed load per expert and the step time per rank every 5 s and is empty of them otherwise. The member keeps a decayed mean whose weights follow time; the coordinator gets the sum over the group and rates all ranks heard of within 15 s. Fault mode `restart` replaces an engine in place.

Before, three engines with load on one expert each gave the holder one expert's load; after, the shares are those of the group.

Conclusion: selection and straggler rating see the whole group.

--- a/packages/core/src/verbenafall_core/expert_maps/coordinator.py
+++ b/packages/core/src/verbenafall_core/expert_maps/coordinator.py
@@ -1,6 +1,5 @@
 """Steers the map of a group while this process holds the group's lease."""
 
-from collections.abc import Mapping
 import datetime
 from typing import Final
 from typing import NamedTuple
@@ -50,7 +49,6 @@
         self.group = group
         self.store = store
         self.clock = clock
-        self.history: load_history.LoadHistory | None = None
         self.seen: record_lib.MapRecord | None = None
         self.changed_at = clock.monotonic()
         self.switched_at = clock.monotonic()
@@ -59,12 +57,6 @@
         self.straggling: tuple[int, ...] = ()
         self.gap: switch.Coverage | None = None
 
-    def add_load(self, report: load_history.LoadReport, experts: int) -> None:
-        """Take a load report, late or repeated."""
-        if self.history is None or len(self.history.load) != experts:
-            self.history = load_history.empty_history(experts)
-        self.history = load_history.add_report(self.history, report)
-
     def observe(self, record: record_lib.MapRecord) -> None:
         """Take note of the newest record and of when it changed."""
         now = self.clock.monotonic()
@@ -79,14 +71,14 @@
         spec: model.GroupSpec,
         stored: Stored,
         view: switch.View,
-        rank_step_ms: Mapping[int, float],
+        load: load_history.GroupLoad,
     ) -> Stored | None:
         """Write the next record if one is due; return what was written."""
         self.report_gap(view)
         allowed = frozenset(item.version for item in spec.maps)
         wanted = 0
         if stored.record.phase is record_lib.Phase.STABLE:
-            wanted = self.select(spec, stored.record, rank_step_ms)
+            wanted = self.select(spec, stored.record, load)
         overdue = self.clock.monotonic() - self.changed_at > PREPARE_LIMIT
         record = switch.decide_write(view, wanted, allowed, overdue)
         if record is None or self.clock.monotonic() < self.next_write:
@@ -97,19 +89,18 @@
         self,
         spec: model.GroupSpec,
         record: record_lib.MapRecord,
-        rank_step_ms: Mapping[int, float],
+        load: load_history.GroupLoad,
     ) -> int:
         """Return the map to switch to, 0 for none; logs each decision."""
         now = self.clock.monotonic()
         if now < self.next_selection:
             return 0
         self.next_selection = now + SELECTION_INTERVAL
-        history = self.history or load_history.empty_history(spec.experts)
         facts = selection.Facts(
-            record.map_version, history, now, self.switched_at
+            record.map_version, load.history, now, self.switched_at
         )
         choice = selection.select(spec, facts)
-        self.report_stragglers(spec, record.map_version, rank_step_ms)
+        self.report_stragglers(spec, record.map_version, load)
         event_log.emit(
             event_catalogue.MAP_DECISION,
             group=self.group,
@@ -122,7 +113,7 @@
             candidate_skew=choice.candidate_skew,
             moved=choice.moved,
             in_use_s=(now - self.switched_at).total_seconds(),
-            load_age_s=load_age_seconds(history, now),
+            load_age_s=load_age_seconds(load.history, now),
         )
         return 0 if choice.version == record.map_version else choice.version
 
@@ -169,13 +160,15 @@
         self,
         spec: model.GroupSpec,
         current: int,
-        rank_step_ms: Mapping[int, float],
+        load: load_history.GroupLoad,
     ) -> None:
         """Log slow ranks when they change."""
-        if self.history is None:
+        if load.history.as_of is None:
             return
-        shares = load_history.load_shares(self.history.load)
-        found = selection.find_stragglers(spec, current, shares, rank_step_ms)
+        shares = load_history.load_shares(load.history.load)
+        found = selection.find_stragglers(
+            spec, current, shares, load.rank_step_ms
+        )
         if found and found != self.straggling:
             event_log.emit(
                 event_catalogue.STRAGGLER,
--- a/packages/core/src/verbenafall_core/expert_maps/load_history.py
+++ b/packages/core/src/verbenafall_core/expert_maps/load_history.py
@@ -1,5 +1,6 @@
 """Load per expert from lagging reports, decayed with their age; pure."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import datetime
 from typing import Final
@@ -31,6 +32,18 @@
     load: tuple[float, ...]
 
 
+class GroupLoad(NamedTuple):
+    """Load of a group as far as it is known.
+
+    Attributes:
+        history: Load per expert, summed over the engines.
+        rank_step_ms: Mean step time of the ranks that were heard of.
+    """
+
+    history: LoadHistory
+    rank_step_ms: Mapping[int, float]
+
+
 def empty_history(experts: int) -> LoadHistory:
     """Return a history without reports."""
     return LoadHistory(None, (0.0,) * experts)
@@ -56,6 +69,45 @@
     return LoadHistory(newest, load)
 
 
+def average(history: LoadHistory, report: LoadReport) -> LoadHistory:
+    """Blend a newer report into the decayed mean of an engine's reports.
+
+    The weight of a report follows the time since the one before, so a load
+    counts alike in a group that is polled often and in one that is not.
+    """
+    if history.as_of is None or len(report.tokens) != len(history.load):
+        return LoadHistory(report.as_of, tuple(report.tokens))
+    old = decay(report.as_of - history.as_of)
+    load = tuple(
+        before * old + added * (1 - old)
+        for before, added in zip(history.load, report.tokens, strict=True)
+    )
+    return LoadHistory(report.as_of, load)
+
+
+def sum_histories(
+    histories: Sequence[LoadHistory], experts: int
+) -> LoadHistory:
+    """Return the load of a group, each part decayed to the newest time.
+
+    A history of another number of experts is ignored.
+    """
+    parts = [
+        (part.as_of, part.load)
+        for part in histories
+        if part.as_of is not None and len(part.load) == experts
+    ]
+    if not parts:
+        return empty_history(experts)
+    newest = max(as_of for as_of, _ in parts)
+    total = [0.0] * experts
+    for as_of, load in parts:
+        weight = decay(newest - as_of)
+        for expert, tokens in enumerate(load):
+            total[expert] += tokens * weight
+    return LoadHistory(newest, tuple(total))
+
+
 def decay(age: datetime.timedelta) -> float:
     """Return the weight of a report of that age."""
     return float(0.5 ** (age / HALF_LIFE))
--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -267,6 +267,9 @@
         armed_step: Step before which the ranks hold, 0 for none.
         passed_step: Boundary step that passed before it was armed, or 0.
         step: Step that the ranks have reached.
+        expert_load: Decayed tokens per expert; empty in most messages.
+        rank_step_us: Mean step time of each of the ranks; empty with
+            expert_load.
     """
 
     group: str
@@ -278,6 +281,8 @@
     armed_step: int
     passed_step: int
     step: int
+    expert_load: tuple[int, ...] = ()
+    rank_step_us: tuple[int, ...] = ()
 
 
 Message = (
--- a/standins/src/verbenafall_standins/engines/group.py
+++ b/standins/src/verbenafall_standins/engines/group.py
@@ -68,15 +68,17 @@
         expert_window: Tokens per expert of each recent step.
     """
 
-    def __init__(self, options: GroupOptions, number: int) -> None:
-        """Create an idle engine on map version 1."""
+    def __init__(
+        self, options: GroupOptions, number: int, joins: bool = False
+    ) -> None:
+        """Create an idle engine on map version 1, or 0 if it joins."""
         first = number * options.ranks_per_engine
         ranks = range(first, first + options.ranks_per_engine)
         all_ranks = options.engines * options.ranks_per_engine
         self.ranks = ranks_lib.EngineRanks(
             ranks,
             options.fences,
-            default_placement(options.experts, all_ranks),
+            None if joins else default_placement(options.experts, all_ranks),
         )
         self.times = ranks_lib.RankTimes(len(ranks))
         self.runs = runs_lib.RunQueue(options.slots, options.cache_blocks)
@@ -248,6 +250,14 @@
                 self.changed.notify_all()
             return refusal
 
+    def restart(self, number: int) -> None:
+        """Replace an engine by one that joins; its streams break."""
+        with self.changed:
+            for run in self.engines[number].runs.open_runs():
+                run.end("", broken=True)
+            self.engines[number] = Engine(self.options, number, joins=True)
+            self.changed.notify_all()
+
     def reported_load(self, engine: Engine) -> Load | None:
         """Return the newest load that is older than the lag."""
         limit = self.clock.monotonic() - self.options.load_lag_ms * MS
--- a/standins/src/verbenafall_standins/engines/http_app.py
+++ b/standins/src/verbenafall_standins/engines/http_app.py
@@ -30,9 +30,14 @@
     def __init__(self, group: group_lib.Group, number: int) -> None:
         """Create the application of an engine."""
         self.group = group
-        self.engine = group.engines[number]
+        self.number = number
         self.open_limit = open_limit(group.options)
 
+    @property
+    def engine(self) -> group_lib.Engine:
+        """Return the engine that runs now."""
+        return self.group.engines[self.number]
+
     def handle(self, request: http_serving.Request) -> http_serving.Response:
         """Answer a request."""
         if request.path.startswith("/v1/kv/"):
@@ -78,9 +83,10 @@
         body = http_serving.read_json(request)
         run = create_run(request.headers.get("X-Request-Id", ""), body)
         with self.group.changed:
-            if len(self.engine.runs.open_runs()) >= self.open_limit:
+            engine = self.engine
+            if len(engine.runs.open_runs()) >= self.open_limit:
                 raise werkzeug.exceptions.ServiceUnavailable("queue is full")
-            self.engine.runs.submit(run)
+            engine.runs.submit(run)
             if run.index >= run.last:
                 run.end("length")
         form = AnswerForm(run, body, int(self.group.clock.now().timestamp()))
@@ -228,6 +234,9 @@
     def set_fault(self, body: dict[str, Any]) -> http_serving.Response:
         """Set a fault of this engine."""
         engine, delay_ms = self.engine, float(body.get("delay_ms", 0))
+        if body.get("mode") == "restart":
+            self.group.restart(self.number)
+            return http_serving.json_answer(body)
         with self.group.changed:
             match body.get("mode"):
                 case "up":
--- a/standins/src/verbenafall_standins/engines/ranks.py
+++ b/standins/src/verbenafall_standins/engines/ranks.py
@@ -4,6 +4,8 @@
 from typing import Final
 from typing import NamedTuple
 
+START_STEP: Final = 0
+
 
 class OrderKind(enum.StrEnum):
     """What an order asks for."""
@@ -47,6 +49,8 @@
     """The ranks of one engine.
 
     Attributes:
+        map_version: Map in use; 0 holds all steps until START_STEP is
+            released.
         placements: Placement of each prepared map version.
         armed: Step before which the ranks hold.
         released: Step from which the ranks run on another map.
@@ -54,13 +58,18 @@
     """
 
     def __init__(
-        self, ranks: range, fences: bool, placement: tuple[int, ...]
+        self,
+        ranks: range,
+        fences: bool,
+        placement: tuple[int, ...] | None,
     ) -> None:
-        """Create ranks that run on map version 1."""
+        """Create ranks that run on map version 1, or without a map."""
         self.ranks = ranks
         self.fences = fences
-        self.placements: dict[int, tuple[int, ...]] = {1: placement}
-        self.map_version = 1
+        self.placements: dict[int, tuple[int, ...]] = {}
+        if placement is not None:
+            self.placements[1] = placement
+        self.map_version = 0 if placement is None else 1
         self.armed: Boundary | None = None
         self.released: Boundary | None = None
         self.epoch = 0
@@ -78,7 +87,9 @@
         """Return how many experts an order makes these ranks load."""
         if order.map_version in self.placements:
             return 0
-        current = self.placements[self.map_version]
+        # Ranks without a map have no expert yet.
+        nothing = (-1,) * len(order.placement)
+        current = self.placements.get(self.map_version, nothing)
         return sum(
             rank in self.ranks and current[expert] != rank
             for expert, rank in enumerate(order.placement)
@@ -93,6 +104,8 @@
                 self.prepare(order)
             case OrderKind.ARM if order.step > last_step:
                 self.armed, self.released = boundary, None
+            case OrderKind.RELEASE if order.step == START_STEP:
+                self.map_version = self.map_version or order.map_version
             case OrderKind.RELEASE if order.step > last_step:
                 self.armed, self.released = None, boundary
             case OrderKind.DISARM:
@@ -104,7 +117,8 @@
 
     def holds(self, step: int) -> bool:
         """Return whether the ranks stop before a step."""
-        return self.armed is not None and self.armed.step <= step
+        armed = self.armed is not None and self.armed.step <= step
+        return armed or self.map_version == 0
 
     def enter(self, step: int) -> None:
         """Begin a step, on another map if that was ordered."""
--- a/tests/core/test_codec.py
+++ b/tests/core/test_codec.py
@@ -35,7 +35,9 @@
         (messages.GroupStatus("g", 1, "stable", 2, 100),),
     ),
     messages.GroupRecord("g", 4, b"{}"),
-    messages.GroupMember("g", "i", (0, 1), 2, 3, (3, 4), 100, 0, 99),
+    messages.GroupMember(
+        "g", "i", (0, 1), 2, 3, (3, 4), 100, 0, 99, (7, 8), (5,)
+    ),
 ]  # fmt: skip
 
 BAD_ITEMS = [
--- a/tests/expert_maps/group_model.py
+++ b/tests/expert_maps/group_model.py
@@ -31,6 +31,7 @@
         self.prepared = {map_version} - {0}
         self.armed = self.epoch = 0
         self.pending = None
+        self.step_ms, self.load = (), ()
 
     def state(self):
         return order_port.EngineState(
@@ -41,8 +42,8 @@
             self.armed,
             self.group.step,
             self.epoch,
-            (),
-            (),
+            self.step_ms,
+            self.load,
         )
 
     def take(self, order):
--- /dev/null
+++ b/tests/expert_maps/test_group_load.py
@@ -0,0 +1,107 @@
+"""Load and step times of all engines of a group reach the lease holder."""
+
+import group_model
+import pytest
+
+from verbenafall_core import codec
+from verbenafall_core import messages
+from verbenafall_core.expert_maps import load_history
+from verbenafall_core.expert_maps import selection
+from verbenafall_sidecar import group_member
+
+SECOND = group_model.SECOND
+# 64 experts and 8 ranks behind a sidecar, each value at its largest.
+LARGEST = messages.GroupMember(
+    "group-of-128", "i" * 32, tuple(range(120, 128)), 2**40, 2**31,
+    (2**31, 2**31), 2**40, 2**40, 2**40,
+    (group_member.MAX_LOAD_VALUE,) * 64, (group_member.MAX_LOAD_VALUE,) * 8,
+)  # fmt: skip
+
+
+def settled_group(loads, times):
+    group = group_model.Group()
+    for engine, load, ms in zip(group.engines, loads, times, strict=True):
+        engine.load, engine.step_ms = load, (ms,)
+    for _ in range(12):
+        group.round()
+    return group
+
+
+def load_of(group, index=0):
+    member = group.members[index]
+    return member.group_load(member.setup.find_group())
+
+
+class TestGroupLoad:
+    def test_holder_sums_the_load_of_all_engines(self):
+        """The holder's own engine alone would give 1 of 3 experts all load."""
+        loads = [(9, 0, 0), (0, 6, 0), (0, 0, 3)]
+        group = settled_group(loads, (10.0, 10.0, 10.0))
+        shares = load_history.load_shares(load_of(group).history.load)
+        assert shares == pytest.approx((1 / 2, 1 / 3, 1 / 6), rel=0.01)
+
+    @pytest.mark.parametrize("slow", range(3))
+    def test_each_rank_is_rated(self, slow):
+        """A straggler behind another engine must not go unnoticed."""
+        times = [10.0] * 3
+        times[slow] = 30.0
+        group = settled_group([(5, 5, 5)] * 3, times)
+        load = load_of(group)
+        spec = group.members[0].setup.find_group()
+        shares = load_history.load_shares(load.history.load)
+        assert selection.find_stragglers(
+            spec, 1, shares, load.rank_step_ms
+        ) == (slow,)
+
+    def test_lost_engine_is_not_rated(self):
+        """A rank that is gone must not be called slow for its last times."""
+        group = settled_group([(5, 5, 5)] * 3, (10.0, 10.0, 30.0))
+        group.kill(2)
+        group.close(0, 2)
+        group.clock.advance(group_member.STEP_TIME_AGE + SECOND)
+        group.poll(0)
+        assert 2 not in load_of(group).rank_step_ms
+
+    def test_load_of_another_form_is_ignored(self):
+        """A peer on another bundle must not shift experts."""
+        group = settled_group([(9, 0, 0), (5,), (0, 0, 3)], (1.0,) * 3)
+        assert load_of(group).history.load == pytest.approx((9, 0, 3), 0.01)
+
+
+class TestLoadMessages:
+    def test_sent_at_the_interval_only(self):
+        """Load in each message of a switch would exceed the node's rate."""
+        group = settled_group([(9, 1, 1)] * 3, (10.0,) * 3)
+        sent = []
+        pair = group.links[frozenset((0, 1))]
+        link = next(one for one in pair if one.source == 0)
+        send = link.send
+        link.send = lambda message: sent.append(message) or send(message)
+        group.wanted = 2
+        polls = 10
+        group.clock.advance(SECOND * 5)
+        group.members[0].poll()
+        for _ in range(polls):
+            group.clock.advance(SECOND / 10)
+            group.members[0].poll()
+        states = [m for m in sent if isinstance(m, messages.GroupMember)]
+        assert len(states) >= polls
+        assert [bool(state.expert_load) for state in states].count(True) == 1
+
+    def test_size_is_bounded(self):
+        """15 peers every 5 s stay within half of 3 KB a second."""
+        assert len(codec.encode(LARGEST)) * 15 / 5 < 1500 + 1
+
+    def test_poll_interval_does_not_weigh(self):
+        """A load seen ten times a second must not count ten times."""
+        histories = []
+        for polls in (1, 10):
+            history = load_history.empty_history(0)
+            for second in range(60):
+                load = (8.0, 0.0) if second < 30 else (0.0, 8.0)
+                for poll in range(polls):
+                    at = SECOND * (second + poll / polls)
+                    report = load_history.LoadReport(at, load)
+                    history = load_history.average(history, report)
+            histories.append(history.load)
+        assert histories[0] == pytest.approx(histories[1], rel=0.1)
--- a/tests/standins/test_engines_http.py
+++ b/tests/standins/test_engines_http.py
@@ -218,3 +218,19 @@
         request.environ, lambda status, headers: statuses.append(status)
     )
     assert statuses[0].startswith("503")
+
+
+class TestRestart:
+    def test_engine_joins_when_it_is_started(self):
+        """Guards against a stand-in that still serves the replaced engine."""
+        orders = [("prepare", PLACEMENT), ("release", [])]
+        with running(OPTIONS) as engine:
+            engine.stream(max_tokens=1)
+            engine.post("/-/faults", {"mode": "restart"})
+            state = engine.get("/v1/state")
+            assert (state["map_version"], state["prepared"]) == (0, [])
+            for kind, placement in orders:
+                order = {"epoch": 1, "kind": kind, "map_version": 1}
+                engine.post("/v1/orders", order | {"placement": placement})
+            assert engine.get("/v1/state")["map_version"] == 1
+            assert engine.stream(max_tokens=1)[-1] == "data: [DONE]"
--- a/tests/standins/test_rank_group.py
+++ b/tests/standins/test_rank_group.py
@@ -125,6 +125,67 @@
         assert group.engines[0].times.mean_ms == [20, 20]
 
 
+# Orders to engine 0 after it was replaced at step 3, as (kind, step, map);
+# then the step at which the group holds when asked to run to 9, and the maps.
+JOINS = {
+    "nothing ordered": ([], 3, [0, 1]),
+    "prepared only": ([("prepare", 0, 1)], 3, [0, 1]),
+    "started": ([("prepare", 0, 1), ("release", 0, 1)], 9, [1, 1]),
+    "released from a later step only": (
+        [("prepare", 0, 1), ("release", 6, 1)],
+        3,
+        [0, 1],
+    ),
+    "armed before the start": (
+        [("prepare", 0, 1), ("arm", 6, 1), ("release", 0, 1)],
+        5,
+        [1, 1],
+    ),
+    "started twice on different maps": (
+        [
+            ("prepare", 0, 1),
+            ("prepare", 0, 2),
+            ("release", 0, 1),
+            ("release", 0, 2),
+        ],
+        9,
+        [1, 1],
+    ),
+}
+
+
+class TestRestartedEngine:
+    """An engine that joins by itself would hide a missing start order."""
+
+    @pytest.mark.parametrize("label", JOINS)
+    def test_holds_until_started(self, label):
+        orders, last, maps = JOINS[label]
+        group = create_group()
+        run_steps(group, 3)
+        group.restart(0)
+        for kind, step, version in orders:
+            assert order(group, 0, kind, step, version=version) is None
+        run_steps(group, 9)
+        assert group.step == last
+        assert [e.ranks.map_version for e in group.engines] == maps
+        assert group.mixed == 0
+
+    def test_has_no_weights(self):
+        group = create_group()
+        group.restart(0)
+        refusal = order(group, 0, "release", 0, version=1)
+        assert refusal == ranks.OrderRefusal("not_prepared", 0)
+        prepare = ranks.Order(1, ranks.OrderKind.PREPARE, 1, (0, 0, 1, 3), 0)
+        assert group.engines[0].ranks.moved_experts(prepare) == 3
+
+    def test_open_streams_break(self):
+        group = create_group()
+        run = create_run("a", last=9)
+        group.engines[0].runs.submit(run)
+        group.restart(0)
+        assert run.ended
+
+
 ORDERS = [
     # fences, epochs of the orders given, refusal of the last
     (True, [3, 3], None),
