Show the epoch check and the confirmed record red by mutations

Cause: no test turned red when order_gate passed old epochs, or when an unconfirmed record started a rank.

Ruled out: a scenario with a fencing engine for the gate, as a replaced engine that took an arm order refuses the old epoch by itself.

Change: two scenarios. A paused sidecar's start order arrives after two more switches at a rank that was replaced again; a paused peer's record from before the boundary arrives at a restarted sidecar whose rank others count on. A third table restarts the whole group at step 0 at each point of a switch.

Conclusion: both rules are needed and are now tested.

--- /dev/null
+++ b/tests/expert_maps/test_restarts.py
@@ -0,0 +1,164 @@
+"""Restarted sidecars, late orders of old ones, and restarted groups."""
+
+import group_model
+import pytest
+
+from verbenafall_core.expert_maps import record as record_lib
+from verbenafall_core.expert_maps import switch
+from verbenafall_sidecar import group_member
+from verbenafall_sidecar import order_gate
+from verbenafall_standins.fakes import memory_store
+
+VICTIM = 1
+Phase = record_lib.Phase
+
+
+def stable_group(fences):
+    group = group_model.Group(fences)
+    for _ in range(3):
+        group.round()
+    return group
+
+
+def run_until(group, phase, steps=1):
+    for _ in range(30):
+        group.round(steps)
+        if group.record().phase is phase:
+            return
+    raise AssertionError(f"the group does not become {phase}")
+
+
+def is_start(order):
+    return switch.step_of_order(order) is switch.Step.START
+
+
+def pass_all_known(gate, _order):
+    """Judge as a gate that does not compare epochs."""
+    known = gate.epoch > 0
+    return (
+        order_gate.Verdict.PASSED
+        if known
+        else order_gate.Verdict.RECORD_UNKNOWN
+    )
+
+
+def run_late_start(fences):
+    """Run a start order of a paused sidecar after two more switches.
+
+    A sidecar is paused while it starts its rank on map 1. Its successor
+    starts the rank, and the group switches to map 2. While it switches back
+    to map 1 the rank is replaced again and has the weights of map 1. Now the
+    old sidecar goes on and has learned the newest record.
+    """
+    group = stable_group(fences)
+    group.replace_engine(VICTIM)
+    old = group.members[VICTIM]
+    decided = []
+    give = old.give
+
+    def pause_at_start(spec, order):
+        if not is_start(order):
+            return give(spec, order)
+        decided.append((spec, order))
+        return False
+
+    old.give = pause_at_start
+    group.poll(VICTIM)
+    group.kill(VICTIM)
+    group.boot(VICTIM)
+    for other in (0, 2):
+        group.close(VICTIM, other)
+        group.connect(VICTIM, other)
+    for wanted in (2, 1):
+        run_until(group, Phase.STABLE)
+        group.wanted = wanted
+        run_until(group, Phase.SWITCHING)
+        group.wanted = 0
+    group.replace_engine(VICTIM)
+    group.order_fault = lambda _, order: "lost" if is_start(order) else None
+    group.watch(VICTIM)
+    group.poll(VICTIM)
+    group.order_fault = lambda _index, _order: None
+    old.watch_once(group_model.SECOND * 0)
+    give(*decided[0])
+    group.run_steps(2)
+    return group
+
+
+def run_late_record(fences):
+    """Restart sidecar and rank that others count on, then pass a late record.
+
+    The other ranks are released. The restarted sidecar reaches neither the
+    store nor the others, and a paused peer passes on the record from before
+    the boundary was fixed.
+    """
+    group = stable_group(fences)
+    group.wanted = 2
+    run_until(group, Phase.PREPARING, steps=0)
+    late = group.members[0].record_message(group.members[0].stored)
+    for _ in range(6):
+        group.round(steps=0)
+    assert all(engine.pending for engine in group.engines)
+    group.kill(VICTIM)
+    group.replace_engine(VICTIM)
+    group.cuts = {frozenset((0, 1)), frozenset((1, 2))}
+    group.store.plan = lambda _: memory_store.Fault.DOWN
+    group.boot(VICTIM)
+    group.members[VICTIM].on_record(None, late)
+    for _ in range(3):
+        group.poll(VICTIM)
+        group.run_steps(4)
+    return group
+
+
+def always_confirmed(monkeypatch):
+    view = group_member.GroupMemberService.view
+
+    def confirm(member, spec):
+        found = view(member, spec)
+        return found and found._replace(confirmed=True)
+
+    monkeypatch.setattr(group_member.GroupMemberService, "view", confirm)
+
+
+@pytest.mark.parametrize("fences", [True, False])
+class TestRestartedSidecar:
+    def test_late_start_order_is_held(self, fences):
+        """Guards against a rank that is started on a map that was left."""
+        group = run_late_start(fences)
+        group.assert_one_map()
+        group.assert_recovers()
+
+    def test_late_record_starts_no_rank(self, fences):
+        """Guards against a rank that runs on unarmed while others count."""
+        group = run_late_record(fences)
+        group.assert_one_map()
+        group.assert_recovers()
+
+
+class TestMutations:
+    def test_gate_without_epochs_is_seen(self, monkeypatch):
+        monkeypatch.setattr(order_gate, "judge", pass_all_known)
+        assert run_late_start(fences=False).mixed
+
+    @pytest.mark.parametrize("fences", [True, False])
+    def test_unconfirmed_start_is_seen(self, monkeypatch, fences):
+        always_confirmed(monkeypatch)
+        assert run_late_record(fences).mixed
+
+
+class TestRestartedGroup:
+    @pytest.mark.parametrize("fences", [True, False])
+    @pytest.mark.parametrize("rounds", range(8))
+    def test_whole_group_counts_from_zero(self, fences, rounds):
+        """The old boundary stays; until then all run on the old map."""
+        group = stable_group(fences)
+        group.run_steps(40)
+        group.wanted = 2
+        for _ in range(rounds):
+            group.round()
+        group.wanted = 0
+        group.step = 0
+        for index in range(group.size):
+            group.replace_engine(index)
+        group.assert_recovers()
