Log lasting conditions once, and start ranks on maps a bundle dropped

A rank that was replaced after a bundle had dropped the map in use got no prepare order, because its placement was looked up in the bundle only; the group then held until a bundle listed the map again, and the switch to an allowed map could not begin.

Ruled out: starting such a rank on the target, which would run a step on two maps; placements in the group record, which changes the stored form for a case that lasts as long as one switch.

Change: event_log.ChangeLog writes a condition when it changes. A pure module compares the engine's state with the record and the orders that it took. The member keeps the placements that the record names.

--- a/packages/core/src/verbenafall_core/event_log.py
+++ b/packages/core/src/verbenafall_core/event_log.py
@@ -1,5 +1,6 @@
 """Numbered log events, written through loguru as one line each."""
 
+from collections.abc import Hashable
 import sys
 from typing import Any
 from typing import Final
@@ -58,6 +59,31 @@
     loguru.logger.bind(event=event.number).log(event.level, "{}", line)
 
 
+class ChangeLog:
+    """Writes a line for a condition when it changes, not while it lasts."""
+
+    def __init__(self) -> None:
+        """Create a log that knows no condition."""
+        self.last: dict[int, Hashable] = {}
+
+    def emit(self, event: Event, condition: Hashable, **fields: Any) -> None:
+        """Write a line unless the condition is the last one, or None."""
+        if condition is None:
+            self.clear(event)
+        elif self.last.get(event.number) != condition:
+            self.last[event.number] = condition
+            emit(event, **fields)
+
+    def clear(self, event: Event) -> None:
+        """Note that the condition has ended."""
+        self.last.pop(event.number, None)
+
+
+def create_change_log() -> ChangeLog:
+    """Create a log that knows no condition."""
+    return ChangeLog()
+
+
 def configure(level: str, instance: str) -> None:
     """Send log lines to standard error, each with the instance name."""
     loguru.logger.remove()
--- a/packages/core/src/verbenafall_core/expert_maps/event_catalogue.py
+++ b/packages/core/src/verbenafall_core/expert_maps/event_catalogue.py
@@ -42,21 +42,23 @@
     5007,
     "map_order_held",
     "WARNING",
-    "An order of an old epoch was held back from an engine that does not"
-    " fence orders itself.",
+    "An order was held back from an engine: its epoch is old, the group"
+    " record is not known, or no bundle seen here has its map.",
 )
 ENGINE_DIFFERS = event_log.define(
     5008,
     "engine_state_differs",
     "WARNING",
-    "An engine's map state changed back from what it was ordered; the order"
-    " is repeated. Expected after a rank was replaced.",
+    "An engine's map state differs from what it was ordered; the order is"
+    " repeated. Logged once for each difference. Expected after a rank was"
+    " replaced.",
 )
 ENGINE_UNREACHABLE = event_log.define(
     5009,
     "engine_state_unreadable",
     "WARNING",
-    "The state of an engine could not be read.",
+    "The state of an engine could not be read; logged when it begins and"
+    " when the cause changes.",
 )
 RANKS_UNCLAIMED = event_log.define(
     5010,
--- a/packages/sidecar/src/verbenafall_sidecar/group_member.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group_member.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import datetime
 import threading
@@ -24,6 +25,7 @@
 from verbenafall_core import periodic
 from verbenafall_core.bundles import model
 from verbenafall_core.expert_maps import coordinator as coordinator_lib
+from verbenafall_core.expert_maps import difference
 from verbenafall_core.expert_maps import event_catalogue
 from verbenafall_core.expert_maps import load_history
 from verbenafall_core.expert_maps import record as record_lib
@@ -101,6 +103,9 @@
         released_step: Boundary step for which the engine took a release in
             this switch, 0 for none. Until that step an engine does not show
             that it was released.
+        taken: Last order of each kind that the engine took.
+        maps: Known maps by version.
+        changes: Logs conditions that last for many polls once.
     """
 
     def __init__(self, setup: Setup) -> None:
@@ -115,6 +120,9 @@
         self.engine_state: order_port.EngineState | None = None
         self.gate = order_gate.closed_gate()
         self.released_step = 0
+        self.taken: dict[switch.OrderKind, switch.Order] = {}
+        self.maps: dict[int, model.MapSpec] = {}
+        self.changes = event_log.create_change_log()
         self.polled: coordinator_lib.Stored | None = None
         self.sent: messages.GroupMember | None = None
         self.own_load = load_history.empty_history(0)
@@ -295,19 +303,35 @@
     def poll(self) -> None:
         """Read the engine's state and do what is due."""
         spec = self.setup.find_group()
-        if spec is None or not self.read_engine():
+        if spec is None:
+            return
+        self.learn_maps(spec)
+        if not self.read_engine():
             return
         self.obey(spec)
         self.share()
         if self.setup.holds_lease():
             self.lead(spec)
 
+    def learn_maps(self, spec: model.GroupSpec) -> None:
+        """Keep the allowed maps, and those that the record names.
+
+        A rank that is replaced while the group leaves a map that the bundle
+        no longer allows has to be started on that map.
+        """
+        with self.lock:
+            record = self.stored.record if self.stored else None
+        named = (record.map_version, record.target_version) if record else ()
+        kept = {v: self.maps[v] for v in named if v in self.maps}
+        self.maps = kept | {item.version: item for item in spec.maps}
+
     def read_engine(self) -> bool:
         """Read the engine's state; return whether it is known."""
         result = self.setup.engine.read_state()
         if isinstance(result, returns.result.Failure):
-            event_log.emit(
+            self.changes.emit(
                 event_catalogue.ENGINE_UNREACHABLE,
+                result.failure().kind,
                 group=self.setup.group,
                 kind=result.failure().kind,
                 problem=result.failure().message,
@@ -315,6 +339,7 @@
             with self.lock:
                 self.own = None
             return False
+        self.changes.clear(event_catalogue.ENGINE_UNREACHABLE)
         self.take_state(result.unwrap())
         return True
 
@@ -322,13 +347,8 @@
         """Turn the engine's state into the state that peers are told."""
         before, self.engine_state = self.engine_state, state
         if before is not None and state.map_version == 0 < before.map_version:
-            event_log.emit(
-                event_catalogue.ENGINE_DIFFERS,
-                group=self.setup.group,
-                step=state.step,
-                before=before.map_version,
-                now=state.map_version,
-            )
+            # The engine was replaced and took none of the earlier orders.
+            self.taken.clear()
         self.add_load(state)
         self.report_skew(state)
         with self.lock:
@@ -348,9 +368,25 @@
                 step=state.step,
             )
             if record is not None:
+                self.report_differences(record, own)
                 own = self.complete(record, own, others)
             self.own = own
 
+    def report_differences(
+        self, record: record_lib.MapRecord, own: messages.GroupMember
+    ) -> None:
+        """Log where the engine differs from its orders, once each time."""
+        found = difference.find_differences(record, own, self.taken)
+        self.changes.emit(
+            event_catalogue.ENGINE_DIFFERS,
+            found or None,
+            group=self.setup.group,
+            differences=",".join(found),
+            step=own.step,
+            map_version=own.map_version,
+            armed_step=own.armed_step,
+        )
+
     def complete(
         self,
         record: record_lib.MapRecord,
@@ -433,7 +469,7 @@
             order = switch.decide_order(view)
             if order is None or self.is_taken(order):
                 return
-            if not self.give(spec, order):
+            if not self.give(order):
                 return
 
     def is_taken(self, order: switch.Order) -> bool:
@@ -446,14 +482,15 @@
             and state.armed_step == 0
         )
 
-    def give(self, spec: model.GroupSpec, order: switch.Order) -> bool:
+    def give(self, order: switch.Order) -> bool:
         """Give one order through the gate; return whether it was taken."""
-        placement = find_placement(spec, order)
+        placement = find_placement(self.maps, order)
         verdict = order_gate.judge(self.gate, order)
         if verdict is not order_gate.Verdict.PASSED or placement is None:
             reason = "map_not_in_bundle" if placement is None else verdict
-            event_log.emit(
+            self.changes.emit(
                 event_catalogue.ORDER_HELD,
+                (reason, order),
                 group=self.setup.group,
                 reason=reason,
                 **order._asdict(),
@@ -463,6 +500,8 @@
         if isinstance(result, returns.result.Failure):
             self.note_failure(order, result.failure())
             return False
+        self.changes.clear(event_catalogue.ORDER_HELD)
+        self.changes.clear(event_catalogue.ORDER_FAILED)
         event_log.emit(
             event_catalogue.ORDER_SENT,
             group=self.setup.group,
@@ -470,6 +509,7 @@
         )
         if order.kind is switch.OrderKind.RELEASE and order.step:
             self.released_step = order.step
+        self.taken[order.kind] = order
         self.take_state(result.unwrap())
         return True
 
@@ -478,8 +518,9 @@
     ) -> None:
         """Log a failed order and wait as long as the engine asks."""
         self.next_order = self.setup.clock.monotonic() + failure.retry_after
-        event_log.emit(
+        self.changes.emit(
             event_catalogue.ORDER_FAILED,
+            (failure.kind, order),
             group=self.setup.group,
             cause=failure.kind,
             problem=failure.message,
@@ -575,15 +616,13 @@
 
 
 def find_placement(
-    spec: model.GroupSpec, order: switch.Order
+    maps: Mapping[int, model.MapSpec], order: switch.Order
 ) -> tuple[int, ...] | None:
     """Return the placement that an order carries, None when not known."""
     if order.kind is not switch.OrderKind.PREPARE:
         return ()
-    return next(
-        (m.placement for m in spec.maps if m.version == order.map_version),
-        None,
-    )
+    known = maps.get(order.map_version)
+    return known.placement if known else None
 
 
 def create_group_member(setup: Setup) -> GroupMemberService:
--- a/tests/expert_maps/group_model.py
+++ b/tests/expert_maps/group_model.py
@@ -94,6 +94,8 @@
         self.group, self.index = group, index
 
     def read_state(self):
+        if self.index in self.group.unreachable:
+            return fail(order_port.FailureKind.UNCERTAIN)
         return returns.result.Success(self.group.engines[self.index].state())
 
     def send_order(self, order, placement):
@@ -139,11 +141,12 @@
         self.clock = manual_clock.create_manual_clock()
         self.store = memory_store.create_memory_store()
         self.step, self.mixed = 0, []
+        self.maps = MAPS
         self.engines = [Engine(self, i, fences, 1) for i in range(size)]
         self.late_orders, self.late_writes, self.mail = [], [], []
         self.order_fault = self.write_fault = lambda index, what: None
         self.holders, self.paused, self.wanted = {0}, set(), 0
-        self.cuts = set()
+        self.cuts, self.unreachable = set(), set()
         self.links = collections.defaultdict(list)
         self.members = [None] * size
         self.births = [0] * size
@@ -152,15 +155,12 @@
 
     def boot(self, index):
         """Start a sidecar process without memory; links come up at once."""
-        spec = model.GroupSpec(
-            "g", "s", self.size, 3, MAPS, 1, 1, 10 * SECOND, 10
-        )
         self.births[index] += 1
         self.members[index] = group_member.create_group_member(
             group_member.Setup(
                 "g",
                 f"i{index}",
-                lambda: spec,
+                self.find_group,
                 EnginePort(self, index),
                 LateStore(self, index),
                 link_router.create_link_router(),
@@ -176,6 +176,11 @@
             if other != index:
                 self.connect(index, other)
 
+    def find_group(self):
+        return model.GroupSpec(
+            "g", "s", self.size, 3, self.maps, 1, 1, 10 * SECOND, 10
+        )
+
     def connect(self, first, second):
         pair = frozenset((first, second))
         if pair in self.cuts or None in (
--- a/tests/expert_maps/test_restarts.py
+++ b/tests/expert_maps/test_restarts.py
@@ -56,10 +56,10 @@
     decided = []
     give = old.give
 
-    def pause_at_start(spec, order):
+    def pause_at_start(order):
         if not is_start(order):
-            return give(spec, order)
-        decided.append((spec, order))
+            return give(order)
+        decided.append(order)
         return False
 
     old.give = pause_at_start
@@ -80,7 +80,7 @@
     group.poll(VICTIM)
     group.order_fault = lambda _index, _order: None
     old.watch_once(group_model.SECOND * 0)
-    give(*decided[0])
+    give(decided[0])
     group.run_steps(2)
     return group
 
