Move the fault table of the map switch into the fault matrix

The pairs run for the five faults with lasting effects; the first ends after five turns, as the group would otherwise not reach the second step.

--- /dev/null
+++ b/tests/expert_maps/test_replaced_rank.py
@@ -0,0 +1,41 @@
+"""A rank that is replaced while the others count on its arming."""
+
+import group_model
+import pytest
+
+from verbenafall_core.expert_maps import switch
+
+VICTIM = 1
+
+
+def lose_arms(_index, order):
+    return "lost" if order.kind is switch.OrderKind.ARM else None
+
+
+class TestReplacedRank:
+    @pytest.mark.parametrize("fences", [True, False])
+    @pytest.mark.parametrize("lag", range(6))
+    @pytest.mark.parametrize("restart", [True, False])
+    def test_is_armed_before_it_starts(self, fences, lag, restart):
+        """Others may count on the arming of the rank that it replaced."""
+        group = group_model.Group(fences)
+        for _ in range(3):
+            group.round()
+        group.wanted = 2
+        for _ in range(6):
+            group.round(steps=0)
+        assert all(engine.armed or engine.pending for engine in group.engines)
+        group.replace_engine(VICTIM)
+        group.order_fault = lose_arms
+        if restart:
+            group.kill(VICTIM)
+            group.boot(VICTIM)
+        for _ in range(lag):
+            group.poll(VICTIM)
+            group.deliver_all()
+            group.run_steps(1)
+        for index in (0, 2):
+            group.poll(index)
+        group.run_steps(10)
+        group.assert_one_map()
+        group.assert_recovers()
--- /dev/null
+++ b/tests/faults/flow_map_switch.py
@@ -0,0 +1,286 @@
+"""A map switch (P4): every step runs on one map in all ranks."""
+
+import contextlib
+import functools
+from typing import NamedTuple
+from unittest import mock
+
+import loguru
+
+from expert_maps import group_model
+from faults import matrix
+from verbenafall_core.expert_maps import record as record_lib
+from verbenafall_core.expert_maps import switch
+from verbenafall_standins.fakes import memory_store
+
+Fault = matrix.Fault
+HOLDER, VICTIM, SECOND_VICTIM = 0, 1, 2
+STEPS = tuple(step.value for step in switch.Step)
+TURNS = 25
+# Turns after which the first of two faults ends, so that the group goes on
+# to the step of the second one.
+REPAIR_TURNS = 5
+
+
+def kill(group, index):
+    group.kill(index)
+
+
+def pause(group, index):
+    """Paused past the lease: another holder leads meanwhile."""
+    group.paused.add(index)
+    group.holders = {2} | ({index} & {HOLDER})
+
+
+def cut(group, index):
+    for other in range(group.size):
+        if other != index:
+            group.cuts.add(frozenset((index, other)))
+            group.close(index, other)
+
+
+def replace_rank(group, index):
+    group.replace_engine(index)
+
+
+def store_down(group, index):
+    group.store.plan = lambda _: memory_store.Fault.DOWN
+
+
+def reorder(group, index):
+    group.mail.reverse()
+
+
+def nothing(group, index):
+    """The call itself carries the fault."""
+
+
+class Variant(NamedTuple):
+    """What a fault means in a flow.
+
+    Attributes:
+        call: What happens to the call of the step.
+        act: What happens beside it.
+        maps: Map that the group runs on while the fault lasts, 0 when it
+            holds: one digit a step, in the order of switch.Step.
+    """
+
+    call: str | None
+    act: object
+    maps: str
+
+
+FAULTS = {
+    Fault.KILL: Variant("lost_answer", kill, "1100221"),
+    Fault.PAUSE: Variant("late", pause, "1100020"),
+    Fault.CUT_OUT: Variant("lost", cut, "1110021"),
+    Fault.CUT_IN: Variant("lost_answer", cut, "1100021"),
+    Fault.DELAY: Variant("late", nothing, "2222222"),
+    Fault.DUPLICATE: Variant("duplicate", nothing, "2222222"),
+    Fault.REORDER: Variant("late", reorder, "2222222"),
+    Fault.LOST_ANSWER: Variant("lost_answer", nothing, "2222222"),
+    Fault.SLOW: Variant("slow", nothing, "2222222"),
+    Fault.STORE_DOWN: Variant(None, store_down, "1112221"),
+}
+KILLED_BEFORE = {Fault.KILL: Variant("lost", kill, "1110020")}
+RANK_REPLACED = {Fault.KILL: Variant(None, replace_rank, "2222222")}
+LINKS_CUT = {Fault.CUT_OUT: Variant(None, cut, "1100021")}
+PAIRED = (
+    Fault.KILL,
+    Fault.PAUSE,
+    Fault.CUT_OUT,
+    Fault.DELAY,
+    Fault.STORE_DOWN,
+)
+WRITES = {
+    record_lib.Phase.PREPARING: switch.Step.PREPARING,
+    record_lib.Phase.SWITCHING: switch.Step.SWITCHING,
+    record_lib.Phase.STABLE: switch.Step.STABLE,
+}
+
+
+class Injector:
+    """Makes the first call of a step fail in a given way."""
+
+    def __init__(self, group, step, variant, victim):
+        self.group, self.step, self.variant = group, step, variant
+        self.victim = victim
+        self.hits = self.slow_calls = 0
+
+    def on_order(self, index, order):
+        if index != self.victim:
+            return None
+        return self.hit(index, switch.step_of_order(order))
+
+    def on_write(self, index, value):
+        record = record_lib.decode(value).unwrap()
+        return self.hit(index, WRITES[record.phase])
+
+    def hit(self, index, step):
+        if step is None or step.value != self.step:
+            return None
+        if self.variant.call == "slow":
+            self.hits = 1
+            self.slow_calls += 1
+            return "lost" if self.slow_calls <= 3 else None
+        if self.hits:
+            return None
+        self.hits = 1
+        self.variant.act(self.group, index)
+        return self.variant.call
+
+
+def ask(injectors, method, *arguments):
+    """Return the fault of the first injector that has one now.
+
+    A later fault waits until the one before it has happened.
+    """
+    for injector in injectors:
+        fault = getattr(injector, method)(*arguments)
+        if fault or not injector.hits:
+            return fault
+    return None
+
+
+@contextlib.contextmanager
+def small_margin():
+    """Let boundaries pass before all ranks are armed, as in a fast group."""
+    loguru.logger.disable("verbenafall_core")
+    try:
+        with mock.patch.object(switch, "MARGIN_STEPS", 3):
+            yield
+    finally:
+        loguru.logger.enable("verbenafall_core")
+
+
+def run(cell, variants, fences):
+    """Run a switch with the faults of a cell."""
+    with small_margin():
+        return run_switch(cell, variants, fences)
+
+
+def run_switch(cell, variants, fences):
+    group = group_model.Group(fences)
+    for _ in range(3):
+        group.round()
+    group.wanted = 2
+    victims = (VICTIM, SECOND_VICTIM)
+    injectors = [
+        Injector(group, injection.step, variants[injection.fault], victim)
+        for injection, victim in zip(cell.injections, victims, strict=False)
+    ]
+    group.order_fault = functools.partial(ask, injectors, "on_order")
+    group.write_fault = functools.partial(ask, injectors, "on_write")
+    starts = [i for i in injectors if i.step == switch.Step.START.value]
+    for injector in starts:
+        group.replace_engine(injector.victim)
+    run_turns(group, injectors)
+    before = group.step
+    group.run_steps(1)
+    seen = group.engines[0].map_version if group.step > before else 0
+    violations = []
+    if len(injectors) == 1:
+        violations = check_map(injectors[0], seen)
+    violations += check_recovery(group)
+    injected = zip(cell.injections, injectors, strict=True)
+    return matrix.Report(
+        frozenset(item for item, injector in injected if injector.hits),
+        tuple(violations),
+    )
+
+
+def run_turns(group, injectors):
+    """Run the sidecars; the first of two faults ends after some turns."""
+    repair_at = TURNS
+    for turn in range(TURNS + REPAIR_TURNS * (len(injectors) - 1)):
+        for index in range(group.size):
+            if index in group.live():
+                group.watch(index)
+                group.poll(index)
+            group.deliver_all()
+            group.run_steps(1)
+        if turn == TURNS - 10:
+            group.wanted = 0
+        if len(injectors) > 1 and injectors[0].hits:
+            repair_at = min(repair_at, turn + REPAIR_TURNS)
+            if turn == repair_at:
+                repair(group)
+
+
+def repair(group):
+    """End the first fault; late calls stay under way."""
+    group.store.plan = memory_store.no_faults
+    group.paused.clear()
+    group.cuts.clear()
+    for index in range(group.size):
+        if group.members[index] is None:
+            group.boot(index)
+    for first in range(group.size):
+        for second in range(first):
+            group.close(first, second)
+            group.connect(first, second)
+
+
+def check_map(injector, seen):
+    """Check how far the switch got while the fault lasted."""
+    digit = injector.variant.maps[STEPS.index(injector.step)]
+    if digit == str(seen):
+        return []
+    return [f"the group runs on map {seen} and not {digit}"]
+
+
+def check_recovery(group):
+    """Check the steps that ran, and that the group goes on by itself."""
+    try:
+        group.assert_one_map()
+        group.assert_recovers()
+    except AssertionError:
+        if group.mixed:
+            return [f"steps on two maps: {group.mixed[:3]}"]
+        return [f"the group does not recover: {group.record()}"]
+    return []
+
+
+def why_not(variants, reason, _step, fault):
+    """Name the faults of the other flows."""
+    return None if fault in variants else reason
+
+
+def create_flows(name, variants, reason, pairs=False):
+    """Return a flow for engines that fence and one for those that do not."""
+    return tuple(
+        matrix.Flow(
+            f"{name}_{suffix}",
+            STEPS,
+            functools.partial(run, variants=variants, fences=fences),
+            functools.partial(why_not, variants, reason),
+            pairs,
+        )
+        for suffix, fences in (("fenced", True), ("unfenced", False))
+    )
+
+
+FLOWS = (
+    *create_flows("map_switch", FAULTS, ""),
+    *create_flows(
+        "map_switch_killed_before_call",
+        KILLED_BEFORE,
+        "the same as in the flow map_switch",
+    ),
+    *create_flows(
+        "map_switch_rank_replaced",
+        RANK_REPLACED,
+        "the same as in the flow map_switch",
+    ),
+    *create_flows(
+        "map_switch_links_cut",
+        LINKS_CUT,
+        "the same as in the flow map_switch",
+    ),
+    *create_flows(
+        "map_switch_pairs",
+        {fault: FAULTS[fault] for fault in PAIRED},
+        "pairs are run for the faults with lasting effects",
+        pairs=True,
+    ),
+)
