--- a/tests/faults/flow_leaving.py
+++ b/tests/faults/flow_leaving.py
@@ -61,7 +61,7 @@
         self.counted_from = LEAVES_AT
         self.late_mail = []
         self.cut_until = self.paused_until = datetime.timedelta()
-        self.dead = self.failing = False
+        self.dead = self.failing = self.restarted = False
         self.links = {
             name: FakeLink(name, number)
             for number, name in enumerate((LEAVING, STAYING), 1)
@@ -217,6 +217,7 @@
         """Disturb a poll; return whether it goes on."""
         if fault is Fault.KILL:
             self.restart()
+            self.restarted = True
             self.instances.poll()
         if fault is Fault.PAUSE:
             self.paused_until = self.now + PAUSE
@@ -270,7 +271,8 @@
 
     def check_open_work(self, attempt):
         """Check that the link of an open attempt is kept."""
-        if self.view.busy_addresses() and attempt.address not in self.targeted:
+        lost = self.restarted or LEAVING not in self.open
+        if not lost and attempt.address not in self.targeted:
             return ["the link of an open attempt is closed"]
         return []
 
