Spread the first store calls of processes that start together

Cause: each process read the bundle head and text, its lease and its group record at once. 980 processes that restart together made 3,790 reads in the busiest second; the store takes 2,000 a second for all callers.

Ruled out: a fixed spread of 4 s for every fleet, which delays the start of a small one; the number of processes is known from the instance list.

Change: the first read of the head waits for a random share of the number of processes / 250 a second, at most 4 s; the first call on a lease for up to 3 s, the first watch of a group record for up to 2 s. Watches and their repetition after a failure are jittered by a quarter.

--- a/packages/core/src/verbenafall_core/bundles/service.py
+++ b/packages/core/src/verbenafall_core/bundles/service.py
@@ -26,9 +26,14 @@
 
 POLL_INTERVAL: Final = datetime.timedelta(seconds=2)
 MAX_POLLS_PER_SECOND: Final = 20
+# A start takes two to five calls, and the store takes 2,000 reads a second.
+MAX_STARTS_PER_SECOND: Final = 250
+# Spread of the starts while the number of processes is not known.
+START_SPREAD: Final = datetime.timedelta(seconds=4)
 CHECK_INTERVAL: Final = datetime.timedelta(milliseconds=250)
 FETCH_INTERVAL: Final = datetime.timedelta(seconds=1)
 MAX_WAITING_PUSHES: Final = 8
+NO_SPREAD: Final = datetime.timedelta()
 NO_BUNDLE: Final = "no_bundle"
 
 
@@ -64,6 +69,7 @@
         clock: clock_lib.Clock,
         poll_interval: datetime.timedelta,
         generator: random.Random,
+        start_spread: datetime.timedelta,
     ) -> None:
         """Create a service that is not yet running."""
         self.store = store
@@ -83,6 +89,9 @@
         self.fetches: dict[int, Fetch] = {}
         self.last_poll: datetime.timedelta | None = None
         self.jitter = 1.0
+        self.created_at = clock.monotonic()
+        self.start_spread = start_spread
+        self.start_share = generator.uniform(0, 1) if start_spread else 0.0
         self.poll_requested = False
         self.store_failing = False
         self.reported_ready: bool | None = None
@@ -96,7 +105,7 @@
         )
 
     def start(self) -> None:
-        """Start both threads; the head is read at once."""
+        """Start both threads; the head is read within the start spread."""
         self.store_task.start()
         self.text_task.start()
 
@@ -151,8 +160,10 @@
         self.store_task.run_now()
 
     def set_process_count(self, count: int) -> None:
-        """Adapt the poll interval to the number of processes."""
+        """Adapt the intervals to the number of processes."""
         self.interval = regular_interval(count)
+        spread = datetime.timedelta(seconds=count / MAX_STARTS_PER_SECOND)
+        self.start_spread = min(self.start_spread, spread)
 
     def on_open(self, link: link_lib.Link) -> None:
         """Remember a link by its peer's name."""
@@ -244,8 +255,11 @@
     def poll_is_due(self) -> bool:
         """Return whether the head should be read now."""
         now = self.clock.monotonic()
-        if self.poll_requested or self.last_poll is None:
+        if self.poll_requested:
             return True
+        if self.last_poll is None:
+            delay = self.start_share * self.start_spread
+            return now - self.created_at >= delay
         interval = adoption.poll_interval(self.knowledge, now, self.interval)
         return now - self.last_poll >= interval * self.jitter
 
@@ -424,6 +438,7 @@
     clock: clock_lib.Clock,
     poll_interval: datetime.timedelta = POLL_INTERVAL,
     generator: random.Random | None = None,
+    start_spread: datetime.timedelta = NO_SPREAD,
 ) -> BundleService:
     """Create a service that is not yet running.
 
@@ -433,7 +448,14 @@
         clock: Source of time.
         poll_interval: Mean time between reads of the head.
         generator: Source of jitter and of the choice among peers.
+        start_spread: Time over which the first reads of processes that
+            start together are spread.
     """
     return BundleService(
-        store, public_keys, clock, poll_interval, generator or random.Random()
+        store,
+        public_keys,
+        clock,
+        poll_interval,
+        generator or random.Random(),
+        start_spread,
     )
--- a/packages/core/src/verbenafall_core/leases.py
+++ b/packages/core/src/verbenafall_core/leases.py
@@ -171,7 +171,12 @@
         self.released = False
         self.lock = threading.Lock()
         self.task = periodic.create_periodic_task(
-            f"lease-{name}", RENEW_INTERVAL, self.run_once, generator
+            f"lease-{name}",
+            RENEW_INTERVAL,
+            self.run_once,
+            generator,
+            # Processes that start together must not all call at once.
+            first_delay=generator.uniform(0, 1) * RENEW_INTERVAL,
         )
 
     def start(self) -> None:
--- a/packages/core/src/verbenafall_core/periodic.py
+++ b/packages/core/src/verbenafall_core/periodic.py
@@ -10,6 +10,7 @@
 from verbenafall_core import event_log
 
 JITTER: Final = 0.25
+NO_DELAY: Final = datetime.timedelta()
 
 
 class PeriodicTask:
@@ -21,18 +22,20 @@
         interval: datetime.timedelta,
         function: Callable[[], None],
         generator: random.Random,
+        first_delay: datetime.timedelta,
     ) -> None:
         """Create a task that is not yet running."""
         self.name = name
         self.interval = interval
         self.function = function
         self.generator = generator
+        self.first_delay = first_delay
         self.wake = threading.Event()
         self.stopped = False
         self.thread = threading.Thread(target=self.run, name=name, daemon=True)
 
     def start(self) -> None:
-        """Start the thread; the first call happens at once."""
+        """Start the thread; the first call comes after the first delay."""
         self.thread.start()
 
     def stop(self, limit: datetime.timedelta) -> None:
@@ -48,6 +51,8 @@
 
     def run(self) -> None:
         """Call the function until stopped."""
+        if self.first_delay:
+            self.wake.wait(self.first_delay.total_seconds())
         while not self.stopped:
             self.wake.clear()
             try:
@@ -72,6 +77,9 @@
     interval: datetime.timedelta,
     function: Callable[[], None],
     generator: random.Random | None = None,
+    first_delay: datetime.timedelta = NO_DELAY,
 ) -> PeriodicTask:
     """Create a task that is not yet running."""
-    return PeriodicTask(name, interval, function, generator or random.Random())
+    return PeriodicTask(
+        name, interval, function, generator or random.Random(), first_delay
+    )
--- a/packages/gateway/src/verbenafall_gateway/gateway.py
+++ b/packages/gateway/src/verbenafall_gateway/gateway.py
@@ -61,7 +61,9 @@
         clock,
         metrics,
     )
-    bundles = bundle_service.create_bundle_service(store, public_keys, clock)
+    bundles = bundle_service.create_bundle_service(
+        store, public_keys, clock, start_spread=bundle_service.START_SPREAD
+    )
     claims = claim_service.create_claim_service(store, clock)
     state = service_state.create_service_state(bundles)
     view = endpoint_view.create_endpoint_view()
--- a/packages/sidecar/src/verbenafall_sidecar/group_member.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group_member.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import datetime
+import random
 import threading
 from typing import Final
 from typing import NamedTuple
@@ -45,6 +46,8 @@
 MAX_LOAD_VALUE: Final = 2**32 - 1
 WATCH_WAIT: Final = datetime.timedelta(seconds=30)
 WATCH_RETRY: Final = datetime.timedelta(seconds=1)
+# Spreads the first calls of sidecars that start together.
+WATCH_START_SPREAD: Final = datetime.timedelta(seconds=2)
 MAX_ORDERS_PER_POLL: Final = 4
 SIDECAR_ROLE: Final = "sidecar"
 
@@ -134,6 +137,8 @@
         self.coordinator = coordinator_lib.create_coordinator(
             setup.group, setup.store, setup.clock
         )
+        self.generator = random.Random()
+        self.first_watch = self.generator.uniform(0, 1) * WATCH_START_SPREAD
         self.stopping = threading.Event()
         self.watcher = threading.Thread(
             target=self.watch, name="group-watch", daemon=True
@@ -227,11 +232,17 @@
 
     def watch(self) -> None:
         """Follow the record in the store until stopped."""
+        self.stopping.wait(self.first_watch.total_seconds())
         # The first call does not wait, so that a missing record is known.
         self.watch_once(datetime.timedelta())
         while not self.stopping.is_set():
-            if not self.watch_once(WATCH_WAIT):
-                self.stopping.wait(WATCH_RETRY.total_seconds())
+            if not self.watch_once(self.spread(WATCH_WAIT)):
+                self.stopping.wait(self.spread(WATCH_RETRY).total_seconds())
+
+    def spread(self, duration: datetime.timedelta) -> datetime.timedelta:
+        """Return a duration, jittered by a quarter."""
+        jitter = periodic.JITTER
+        return duration * self.generator.uniform(1 - jitter, 1 + jitter)
 
     def watch_once(self, wait: datetime.timedelta) -> bool:
         """Wait for a newer record; return whether one came."""
--- a/packages/sidecar/src/verbenafall_sidecar/platform_services.py
+++ b/packages/sidecar/src/verbenafall_sidecar/platform_services.py
@@ -43,7 +43,9 @@
             client, settings.instance_list_url
         )
     )
-    bundles = bundle_service.create_bundle_service(store, keys.unwrap(), clock)
+    bundles = bundle_service.create_bundle_service(
+        store, keys.unwrap(), clock, start_spread=bundle_service.START_SPREAD
+    )
 
     def create_lease(name: str) -> wiring.Lease:
         return leases.create_lease_service(
