--- a/packages/sidecar/src/verbenafall_sidecar/group_member.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group_member.py
@@ -6,8 +6,10 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import datetime
+import random
 import threading
 from typing import Final
 from typing import NamedTuple
@@ -24,9 +26,11 @@
 from verbenafall_core import periodic
 from verbenafall_core.bundles import model
 from verbenafall_core.expert_maps import coordinator as coordinator_lib
+from verbenafall_core.expert_maps import difference
 from verbenafall_core.expert_maps import event_catalogue
 from verbenafall_core.expert_maps import load_history
 from verbenafall_core.expert_maps import record as record_lib
+from verbenafall_core.expert_maps import selection
 from verbenafall_core.expert_maps import switch
 from verbenafall_core.object_store import port as store_port
 from verbenafall_sidecar import order_gate
@@ -36,8 +40,14 @@
 STABLE_POLL_INTERVAL: Final = datetime.timedelta(seconds=1)
 # In a stable group the state is sent on changes and otherwise this often.
 STABLE_SEND_INTERVAL: Final = datetime.timedelta(seconds=5)
+# Three messages; older step times say nothing of the rank as it is now.
+STEP_TIME_AGE: Final = 3 * STABLE_SEND_INTERVAL
+# Bounds the size of a message: five bytes a value in msgpack.
+MAX_LOAD_VALUE: Final = 2**32 - 1
 WATCH_WAIT: Final = datetime.timedelta(seconds=30)
 WATCH_RETRY: Final = datetime.timedelta(seconds=1)
+# Spreads the first calls of sidecars that start together.
+WATCH_START_SPREAD: Final = datetime.timedelta(seconds=2)
 MAX_ORDERS_PER_POLL: Final = 4
 SIDECAR_ROLE: Final = "sidecar"
 
@@ -63,6 +73,18 @@
     metrics: metrics_lib.Metrics
 
 
+class MemberLoad(NamedTuple):
+    """Load that a sidecar reported.
+
+    Attributes:
+        history: Tokens per expert, as of the arrival of the report.
+        rank_step_us: Mean step time by rank.
+    """
+
+    history: load_history.LoadHistory
+    rank_step_us: dict[int, int]
+
+
 class Peer:
     """An open link to another sidecar, and what was heard over it."""
 
@@ -84,6 +106,9 @@
         released_step: Boundary step for which the engine took a release in
             this switch, 0 for none. Until that step an engine does not show
             that it was released.
+        taken: Last order of each kind that the engine took.
+        maps: Known maps by version.
+        changes: Logs conditions that last for many polls once.
     """
 
     def __init__(self, setup: Setup) -> None:
@@ -98,14 +123,22 @@
         self.engine_state: order_port.EngineState | None = None
         self.gate = order_gate.closed_gate()
         self.released_step = 0
+        self.taken: dict[switch.OrderKind, switch.Order] = {}
+        self.maps: dict[int, model.MapSpec] = {}
+        self.changes = event_log.create_change_log()
         self.polled: coordinator_lib.Stored | None = None
         self.sent: messages.GroupMember | None = None
+        self.own_load = load_history.empty_history(0)
+        self.loads: dict[str, MemberLoad] = {}
         self.next_send = setup.clock.monotonic()
+        self.next_load = setup.clock.monotonic()
         self.next_poll = setup.clock.monotonic()
         self.next_order = setup.clock.monotonic()
         self.coordinator = coordinator_lib.create_coordinator(
             setup.group, setup.store, setup.clock
         )
+        self.generator = random.Random()
+        self.first_watch = self.generator.uniform(0, 1) * WATCH_START_SPREAD
         self.stopping = threading.Event()
         self.watcher = threading.Thread(
             target=self.watch, name="group-watch", daemon=True
@@ -163,7 +196,7 @@
         if stored is not None:
             link.send(self.record_message(stored))
         if own is not None:
-            link.send(own)
+            link.send(self.with_load(own))
 
     def on_close(self, link: link_lib.Link, _reason: str) -> None:
         """Forget a peer; its ranks are unclaimed until it is back."""
@@ -188,6 +221,7 @@
                 if peer.instance == message.instance:
                     if peer.link is link:
                         peer.member = message
+                        self.keep_load(message)
                     return
 
     def broadcast(
@@ -203,11 +237,17 @@
 
     def watch(self) -> None:
         """Follow the record in the store until stopped."""
+        self.stopping.wait(self.first_watch.total_seconds())
         # The first call does not wait, so that a missing record is known.
         self.watch_once(datetime.timedelta())
         while not self.stopping.is_set():
-            if not self.watch_once(WATCH_WAIT):
-                self.stopping.wait(WATCH_RETRY.total_seconds())
+            if not self.watch_once(self.spread(WATCH_WAIT)):
+                self.stopping.wait(self.spread(WATCH_RETRY).total_seconds())
+
+    def spread(self, duration: datetime.timedelta) -> datetime.timedelta:
+        """Return a duration, jittered by a quarter."""
+        jitter = periodic.JITTER
+        return duration * self.generator.uniform(1 - jitter, 1 + jitter)
 
     def watch_once(self, wait: datetime.timedelta) -> bool:
         """Wait for a newer record; return whether one came."""
@@ -279,19 +319,35 @@
     def poll(self) -> None:
         """Read the engine's state and do what is due."""
         spec = self.setup.find_group()
-        if spec is None or not self.read_engine():
+        if spec is None:
+            return
+        self.learn_maps(spec)
+        if not self.read_engine():
             return
         self.obey(spec)
         self.share()
         if self.setup.holds_lease():
             self.lead(spec)
 
+    def learn_maps(self, spec: model.GroupSpec) -> None:
+        """Keep the allowed maps, and those that the record names.
+
+        A rank that is replaced while the group leaves a map that the bundle
+        no longer allows has to be started on that map.
+        """
+        with self.lock:
+            record = self.stored.record if self.stored else None
+        named = (record.map_version, record.target_version) if record else ()
+        kept = {v: self.maps[v] for v in named if v in self.maps}
+        self.maps = kept | {item.version: item for item in spec.maps}
+
     def read_engine(self) -> bool:
         """Read the engine's state; return whether it is known."""
         result = self.setup.engine.read_state()
         if isinstance(result, returns.result.Failure):
-            event_log.emit(
+            self.changes.emit(
                 event_catalogue.ENGINE_UNREACHABLE,
+                result.failure().kind,
                 group=self.setup.group,
                 kind=result.failure().kind,
                 problem=result.failure().message,
@@ -299,6 +355,7 @@
             with self.lock:
                 self.own = None
             return False
+        self.changes.clear(event_catalogue.ENGINE_UNREACHABLE)
         self.take_state(result.unwrap())
         return True
 
@@ -306,13 +363,8 @@
         """Turn the engine's state into the state that peers are told."""
         before, self.engine_state = self.engine_state, state
         if before is not None and state.map_version == 0 < before.map_version:
-            event_log.emit(
-                event_catalogue.ENGINE_DIFFERS,
-                group=self.setup.group,
-                step=state.step,
-                before=before.map_version,
-                now=state.map_version,
-            )
+            # The engine was replaced and took none of the earlier orders.
+            self.taken.clear()
         self.add_load(state)
         self.report_skew(state)
         with self.lock:
@@ -332,9 +384,25 @@
                 step=state.step,
             )
             if record is not None:
+                self.report_differences(record, own)
                 own = self.complete(record, own, others)
             self.own = own
 
+    def report_differences(
+        self, record: record_lib.MapRecord, own: messages.GroupMember
+    ) -> None:
+        """Log where the engine differs from its orders, once each time."""
+        found = difference.find_differences(record, own, self.taken)
+        self.changes.emit(
+            event_catalogue.ENGINE_DIFFERS,
+            found or None,
+            group=self.setup.group,
+            differences=",".join(found),
+            step=own.step,
+            map_version=own.map_version,
+            armed_step=own.armed_step,
+        )
+
     def complete(
         self,
         record: record_lib.MapRecord,
@@ -359,11 +427,54 @@
             self.setup.metrics.gauge(name, skew)
 
     def add_load(self, state: order_port.EngineState) -> None:
-        """Pass the load of the engine's recent steps to the coordinator."""
+        """Add the load of the engine's recent steps to the own mean."""
         if sum(state.expert_load) > 0:
             now = self.setup.clock.monotonic()
             report = load_history.LoadReport(now, state.expert_load)
-            self.coordinator.add_load(report, len(state.expert_load))
+            self.own_load = load_history.average(self.own_load, report)
+
+    def with_load(self, own: messages.GroupMember) -> messages.GroupMember:
+        """Add the load of the own engine to its state."""
+        state = self.engine_state
+        times = state.rank_step_ms if state else ()
+        return own._replace(
+            expert_load=tuple(map(limit_value, self.own_load.load)),
+            rank_step_us=tuple(limit_value(1000 * ms) for ms in times),
+        )
+
+    def keep_load(self, member: messages.GroupMember) -> None:
+        """Keep the load of a message, if any; called with the lock held."""
+        if not member.expert_load and not member.rank_step_us:
+            return
+        now = self.setup.clock.monotonic()
+        load = tuple(map(float, member.expert_load))
+        times = zip(member.ranks, member.rank_step_us, strict=False)
+        self.loads[member.instance] = MemberLoad(
+            load_history.LoadHistory(now, load), dict(times)
+        )
+
+    def group_load(self, spec: model.GroupSpec) -> load_history.GroupLoad:
+        """Return the load of all engines that were heard of lately."""
+        now = self.setup.clock.monotonic()
+        with self.lock:
+            if self.own is not None:
+                self.keep_load(self.with_load(self.own))
+            self.loads = {
+                instance: load
+                for instance, load in self.loads.items()
+                if age_of(load, now) <= selection.MAX_LOAD_AGE
+            }
+            loads = list(self.loads.values())
+        parts = [load.history for load in loads if any(load.history.load)]
+        return load_history.GroupLoad(
+            load_history.sum_histories(parts, spec.experts),
+            {
+                rank: us / 1000
+                for load in loads
+                if age_of(load, now) <= STEP_TIME_AGE
+                for rank, us in load.rank_step_us.items()
+            },
+        )
 
     def obey(self, spec: model.GroupSpec) -> None:
         """Give the engine the orders that are due."""
@@ -374,7 +485,7 @@
             order = switch.decide_order(view)
             if order is None or self.is_taken(order):
                 return
-            if not self.give(spec, order):
+            if not self.give(order):
                 return
 
     def is_taken(self, order: switch.Order) -> bool:
@@ -387,14 +498,15 @@
             and state.armed_step == 0
         )
 
-    def give(self, spec: model.GroupSpec, order: switch.Order) -> bool:
+    def give(self, order: switch.Order) -> bool:
         """Give one order through the gate; return whether it was taken."""
-        placement = find_placement(spec, order)
+        placement = find_placement(self.maps, order)
         verdict = order_gate.judge(self.gate, order)
         if verdict is not order_gate.Verdict.PASSED or placement is None:
             reason = "map_not_in_bundle" if placement is None else verdict
-            event_log.emit(
+            self.changes.emit(
                 event_catalogue.ORDER_HELD,
+                (reason, order),
                 group=self.setup.group,
                 reason=reason,
                 **order._asdict(),
@@ -404,6 +516,8 @@
         if isinstance(result, returns.result.Failure):
             self.note_failure(order, result.failure())
             return False
+        self.changes.clear(event_catalogue.ORDER_HELD)
+        self.changes.clear(event_catalogue.ORDER_FAILED)
         event_log.emit(
             event_catalogue.ORDER_SENT,
             group=self.setup.group,
@@ -411,6 +525,7 @@
         )
         if order.kind is switch.OrderKind.RELEASE and order.step:
             self.released_step = order.step
+        self.taken[order.kind] = order
         self.take_state(result.unwrap())
         return True
 
@@ -419,8 +534,9 @@
     ) -> None:
         """Log a failed order and wait as long as the engine asks."""
         self.next_order = self.setup.clock.monotonic() + failure.retry_after
-        event_log.emit(
+        self.changes.emit(
             event_catalogue.ORDER_FAILED,
+            (failure.kind, order),
             group=self.setup.group,
             cause=failure.kind,
             problem=failure.message,
@@ -440,6 +556,9 @@
             return
         self.sent = own
         self.next_send = now + STABLE_SEND_INTERVAL
+        if now >= self.next_load:
+            self.next_load = now + STABLE_SEND_INTERVAL
+            own = self.with_load(own)
         self.broadcast(own)
 
     # Decisions.
@@ -482,11 +601,8 @@
         if stored is None or stored.record != view.record:
             return
         self.coordinator.observe(stored.record)
-        state = self.engine_state
-        times = (
-            zip(state.ranks, state.rank_step_ms, strict=False) if state else ()
-        )
-        written = self.coordinator.lead(spec, stored, view, dict(times))
+        load = self.group_load(spec)
+        written = self.coordinator.lead(spec, stored, view, load)
         if written is not None:
             self.adopt(written)
 
@@ -505,16 +621,24 @@
                 self.adopt(written)
 
 
+def limit_value(value: float) -> int:
+    """Return a value as it is sent."""
+    return max(0, min(MAX_LOAD_VALUE, round(value)))
+
+
+def age_of(load: MemberLoad, now: datetime.timedelta) -> datetime.timedelta:
+    """Return the time since a load was reported."""
+    return now - (load.history.as_of or now)
+
+
 def find_placement(
-    spec: model.GroupSpec, order: switch.Order
+    maps: Mapping[int, model.MapSpec], order: switch.Order
 ) -> tuple[int, ...] | None:
     """Return the placement that an order carries, None when not known."""
     if order.kind is not switch.OrderKind.PREPARE:
         return ()
-    return next(
-        (m.placement for m in spec.maps if m.version == order.map_version),
-        None,
-    )
+    known = maps.get(order.map_version)
+    return known.placement if known else None
 
 
 def create_group_member(setup: Setup) -> GroupMemberService:
