Charge usage by plain shares, and refuse what cannot finish in time

Cause: bench/team_shares.py shows that cost divided by squared shares does not give usage in proportion to shares, and bench/admission.py that most answers that come too late were admitted although wait and service together did not fit.

Change: the fair queue divides the cost by the shares. A dispatch that has to wait is admitted only if the mean service time fits as well.

Tests: the table of shares and the state machine of usage now expect plain shares; the admission row of a full engine expects a refusal at a deadline of wait plus service and admission just above it.

--- /dev/null
+++ b/bench/team_shares.py
@@ -0,0 +1,333 @@
+"""Measures fair sharing between teams against other queues.
+
+One endpoint serves a queue that is always offered more than it can serve.
+Prints one JSON line per figure; a share of 1 is the unit of all shares.
+"""
+
+import collections
+from collections.abc import Callable
+import datetime
+import heapq
+import itertools
+import random
+import time
+import tracemalloc
+from typing import Final
+from typing import NamedTuple
+from typing import Protocol
+
+import json_lines
+from verbenafall_sidecar import fair_queue
+
+SEED: Final = 20260104
+SLOTS: Final = 8
+SERVICE_SECONDS: Final = 0.5
+CAPACITY: Final = SLOTS / SERVICE_SECONDS
+SHARES: Final = {"large-a": 8, "large-b": 4, "large-c": 2, "large-d": 1}
+MANY_TEAMS: Final = 16_000
+SMALL_TEAMS: Final = 200
+FLOOD_SECONDS: Final = 300
+QUANTUM: Final = 1.0
+
+
+class Item(NamedTuple):
+    """A queued request."""
+
+    team: str
+    arrived: float
+    cost: float
+
+
+class Queue(Protocol):
+    """What all queues can do; a share counts from a team's last push."""
+
+    def push(self, item: Item, shares: int, now: float) -> None:
+        """Add an item."""
+
+    def pop(self, now: float) -> Item | None:
+        """Take the next item."""
+
+
+class DecayedUsage:
+    """The product's queue."""
+
+    def __init__(self, exponent: int) -> None:
+        """Create an empty queue that charges cost / shares**exponent."""
+        self.exponent = exponent
+        self.numbers = itertools.count()
+        self.queue: fair_queue.FairQueue[Item] = fair_queue.create_fair_queue(
+            datetime.timedelta()
+        )
+
+    def push(self, item: Item, shares: int, now: float) -> None:
+        """Add an item."""
+        # The product divides by the plain shares.
+        cost = item.cost / shares ** (self.exponent - 1)
+        self.queue.push(
+            str(next(self.numbers)),
+            item.team,
+            shares,
+            cost,
+            item,
+            datetime.timedelta(seconds=now),
+        )
+
+    def pop(self, now: float) -> Item | None:
+        """Take the next item."""
+        queued = self.queue.pop(datetime.timedelta(seconds=now))
+        return queued.item if queued else None
+
+
+class FirstInFirstOut:
+    """Serves items in the order of arrival."""
+
+    def __init__(self) -> None:
+        """Create an empty queue."""
+        self.items: collections.deque[Item] = collections.deque()
+
+    def push(self, item: Item, _shares: int, _now: float) -> None:
+        """Add an item."""
+        self.items.append(item)
+
+    def pop(self, _now: float) -> Item | None:
+        """Take the next item."""
+        return self.items.popleft() if self.items else None
+
+
+class DeficitRoundRobin:
+    """Serves teams in turn, each by a quantum that grows with its shares."""
+
+    def __init__(self, weighted: bool) -> None:
+        """Create an empty queue; without weights all teams are equal."""
+        self.weighted = weighted
+        self.items: dict[str, collections.deque[Item]] = {}
+        self.quanta: dict[str, float] = {}
+        self.deficit: dict[str, float] = {}
+        self.turns: collections.deque[str] = collections.deque()
+
+    def push(self, item: Item, shares: int, _now: float) -> None:
+        """Add an item."""
+        self.quanta[item.team] = QUANTUM * (shares if self.weighted else 1)
+        if item.team not in self.items:
+            self.items[item.team] = collections.deque()
+            self.deficit[item.team] = self.quanta[item.team]
+            self.turns.append(item.team)
+        self.items[item.team].append(item)
+
+    def pop(self, _now: float) -> Item | None:
+        """Take the next item."""
+        while self.turns:
+            team = self.turns[0]
+            if self.deficit[team] < self.items[team][0].cost:
+                self.turns.rotate(-1)
+                self.deficit[self.turns[-1]] += self.quanta[team]
+                continue
+            item = self.items[team].popleft()
+            self.deficit[team] -= item.cost
+            if not self.items[team]:
+                self.turns.popleft()
+                del self.items[team], self.deficit[team], self.quanta[team]
+            return item
+        return None
+
+
+class StartTimeFairQueue:
+    """Serves the item with the smallest virtual start time."""
+
+    def __init__(self) -> None:
+        """Create an empty queue."""
+        self.virtual = 0.0
+        self.finish: dict[str, float] = {}
+        self.heap: list[tuple[float, int, Item]] = []
+        self.numbers = itertools.count()
+
+    def push(self, item: Item, shares: int, _now: float) -> None:
+        """Add an item."""
+        start = max(self.virtual, self.finish.get(item.team, 0.0))
+        self.finish[item.team] = start + item.cost / shares
+        heapq.heappush(self.heap, (start, next(self.numbers), item))
+
+    def pop(self, _now: float) -> Item | None:
+        """Take the next item."""
+        if not self.heap:
+            # All finish times lie before a new item's start.
+            self.finish.clear()
+            return None
+        self.virtual, _, item = heapq.heappop(self.heap)
+        return item
+
+
+CHOSEN: Final = "decay_plain_shares"
+QUEUES: Final[dict[str, Callable[[], Queue]]] = {
+    "decay_squared_shares": lambda: DecayedUsage(2),
+    "decay_plain_shares": lambda: DecayedUsage(1),
+    "start_time_fair": StartTimeFairQueue,
+    "deficit_round_robin": lambda: DeficitRoundRobin(weighted=True),
+    "equal_round_robin": lambda: DeficitRoundRobin(weighted=False),
+    "first_in_first_out": FirstInFirstOut,
+}
+
+
+def measure_proportion(create: Callable[[], Queue], seconds: int) -> float:
+    """Return the largest relative error of usage against shares.
+
+    All teams always have items. 0 is usage in proportion to shares.
+    """
+    queue, generator = create(), random.Random(SEED)
+    usage = dict.fromkeys(SHARES, 0.0)
+
+    def offer(team: str, now: float) -> None:
+        item = Item(team, now, generator.uniform(0.5, 1.5))
+        queue.push(item, SHARES[team], now)
+
+    for _ in range(64):
+        for team in SHARES:
+            offer(team, 0.0)
+    for number in range(int(seconds * CAPACITY)):
+        now = number / CAPACITY
+        item = queue.pop(now)
+        if item is not None:
+            usage[item.team] += item.cost
+            offer(item.team, now)
+    total, shares = sum(usage.values()), sum(SHARES.values())
+    return max(
+        abs(usage[team] / total * shares / share - 1)
+        for team, share in SHARES.items()
+    )
+
+
+def measure_flood(create: Callable[[], Queue], back_after: int) -> float:
+    """Return a small team's 95th percentile of waiting during a flood.
+
+    Small teams offer half of the capacity together, with a share each. A
+    large team with eight shares offers twice the capacity after a quiet time.
+    Its queue is bounded, as by admission.
+    """
+    queue, generator = create(), random.Random(SEED)
+    waits: list[float] = []
+    arrivals = [
+        (now, f"small-{generator.randrange(SMALL_TEAMS)}")
+        for now in poisson_times(generator, CAPACITY / 2, FLOOD_SECONDS)
+    ] + [
+        (now, "large")
+        for now in poisson_times(generator, CAPACITY * 2, FLOOD_SECONDS)
+        if now >= back_after
+    ]
+    arrivals.sort()
+    free = [0.0] * SLOTS
+    queued: collections.Counter[str] = collections.Counter()
+
+    def serve_until(limit: float) -> None:
+        while queued.total() and free[0] < limit:
+            now = free[0]
+            item = queue.pop(now)
+            if item is None:
+                return
+            queued[item.team] -= 1
+            if item.team != "large" and now > back_after:
+                waits.append(now - item.arrived)
+            heapq.heapreplace(free, now + SERVICE_SECONDS * item.cost)
+
+    for now, team in arrivals:
+        serve_until(now)
+        while free[0] < now:
+            heapq.heapreplace(free, now)
+        if team == "large" and queued[team] >= 128:
+            continue
+        cost = generator.uniform(0.5, 1.5)
+        queue.push(Item(team, now, cost), 8 if team == "large" else 1, now)
+        queued[team] += 1
+    return sorted(waits)[int(0.95 * len(waits))]
+
+
+def measure_bursts(create: Callable[[], Queue]) -> float:
+    """Return the 95th percentile of waiting of a team that sends in bursts.
+
+    It has half of the shares and offers 0.9 of the capacity for 5 s in every
+    30 s. The other team always has items.
+    """
+    queue, generator = create(), random.Random(SEED)
+    waits: list[float] = []
+    arrivals = collections.deque(
+        now
+        for now in poisson_times(generator, 0.9 * CAPACITY, FLOOD_SECONDS)
+        if now % 30 < 5
+    )
+    for _ in range(64):
+        queue.push(Item("steady", 0.0, 1.0), 1, 0.0)
+    for number in range(int(FLOOD_SECONDS * CAPACITY)):
+        now = number / CAPACITY
+        while arrivals and arrivals[0] <= now:
+            queue.push(Item("bursts", arrivals.popleft(), 1.0), 1, now)
+        item = queue.pop(now)
+        if item is not None and item.team == "steady":
+            queue.push(Item("steady", now, 1.0), 1, now)
+        elif item is not None:
+            waits.append(now - item.arrived)
+    return sorted(waits)[int(0.95 * len(waits))]
+
+
+def poisson_times(
+    generator: random.Random, rate: float, seconds: int
+) -> list[float]:
+    """Return the times of arrivals."""
+    times, now = [], 0.0
+    while now < seconds:
+        now += generator.expovariate(rate)
+        times.append(now)
+    return times
+
+
+def measure_decisions(create: Callable[[], Queue]) -> float:
+    """Return microseconds for one push and one pop with many teams queued."""
+    queue = create()
+    items = [Item(f"team-{n}", 0.0, 1.0) for n in range(MANY_TEAMS)]
+    for item in items:
+        queue.push(item, 1, 0.0)
+    started = time.perf_counter()
+    for number, item in enumerate(items):
+        queue.push(item, 1, number / CAPACITY)
+        queue.pop(number / CAPACITY)
+    return (time.perf_counter() - started) / MANY_TEAMS * 1e6
+
+
+def measure_state(create: Callable[[], Queue]) -> float:
+    """Return bytes of state a team when many teams have one item queued."""
+    items = [Item(f"team-{n}", 0.0, 1.0) for n in range(MANY_TEAMS)]
+    tracemalloc.start()
+    queue = create()
+    for item in items:
+        queue.push(item, 1, 0.0)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return size / MANY_TEAMS
+
+
+def main() -> None:
+    """Print all figures."""
+    figures: list[tuple[str, str, Callable[[Callable[[], Queue]], float]]] = [
+        ("usage_error", "ratio", lambda q: measure_proportion(q, 300)),
+        ("usage_error_10s", "ratio", lambda q: measure_proportion(q, 10)),
+        ("small_team_p95_wait", "s", lambda q: measure_flood(q, 100)),
+        ("burst_p95_wait", "s", measure_bursts),
+        ("push_and_pop", "us", measure_decisions),
+        ("state", "bytes/team", measure_state),
+    ]
+    for name, unit, measure in figures:
+        found = {queue: measure(QUEUES[queue]) for queue in QUEUES}
+        for queue in QUEUES:
+            if queue != CHOSEN:
+                json_lines.print_figure(
+                    json_lines.create_figure(
+                        f"team_shares.{name}",
+                        found[CHOSEN],
+                        unit,
+                        queue,
+                        found[queue],
+                        SEED,
+                    )
+                )
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/sidecar/src/verbenafall_sidecar/admission.py
+++ b/packages/sidecar/src/verbenafall_sidecar/admission.py
@@ -69,10 +69,16 @@
 
 
 def decide(load: Load, remaining: datetime.timedelta) -> Decision:
-    """Decide on a dispatch from the load and the time to its deadline."""
+    """Decide on a dispatch from the load and the time to its deadline.
+
+    A dispatch that has to wait is refused when the wait and the mean service
+    time do not fit: its slot would go to an answer that comes too late. With
+    a free slot the mean decides nothing, as a short request may still fit.
+    """
     drain_time = estimate_drain_time(load)
     wait = estimate_wait(load)
-    if remaining <= datetime.timedelta() or wait >= remaining:
+    needed = wait + load.service_time if wait else wait
+    if needed >= remaining:
         reason = (
             outcomes.Reason.OVERLOADED if wait else outcomes.Reason.DEADLINE
         )
--- a/packages/sidecar/src/verbenafall_sidecar/fair_queue.py
+++ b/packages/sidecar/src/verbenafall_sidecar/fair_queue.py
@@ -1,9 +1,10 @@
 """Fair sharing between teams by usage that decays over time.
 
-Serving an item charges its cost divided by the square of the team's shares.
-The queue serves the team with the lowest decayed usage. All usages decay by
-the same factor, so their order does not change with time: usages are stored
-multiplied by a common scale that grows instead, and heaps stay valid.
+Serving an item charges its cost divided by the team's shares, so that usage
+is in proportion to shares while all teams have items. The queue serves the
+team with the lowest decayed usage. All usages decay by the same factor, so
+their order does not change with time: usages are stored multiplied by a common
+scale that grows instead, and heaps stay valid.
 """
 
 import collections
@@ -107,7 +108,7 @@
             del self.team_of[key]
             # Reading the scale can change the stored usages.
             scale = self.scale(now)
-            team.usage += waiting.cost / team.shares**2 * scale
+            team.usage += waiting.cost / team.shares * scale
             self.settle(team)
             return Queued(name, waiting.item)
         return None
--- a/tests/sidecar/test_pure_parts.py
+++ b/tests/sidecar/test_pure_parts.py
@@ -21,8 +21,13 @@
 # Change of the load, remaining seconds; reason of a refusal or None.
 ADMISSION = [
     ({"in_flight": 0}, 1, None),
-    ({}, 1, None),
     ({"in_flight": 0}, 0, "deadline"),
+    # Without a free slot the wait and the service must fit.
+    ({}, 1, "overloaded"),
+    ({}, 1.125, "overloaded"),
+    ({}, 1.126, None),
+    # A mean over all requests says little of one that can start now.
+    ({"in_flight": 7}, 0.01, None),
     ({"queued": 80, "active_shares": 1, "team_queued": 80}, 5, "overloaded"),
     ({"queued": 100, "active_shares": 1}, 60, "overloaded"),
     ({"queued": 60, "active_shares": 2, "team_queued": 55}, 60, "team_limit"),
@@ -75,12 +80,11 @@
         ("shares", "rounds", "expected"),
         [
             ({"a": 1, "b": 1}, 40, {"a": 20, "b": 20}),
-            # Cost divided by squared shares: twice the shares, four times
-            # the service.
-            ({"a": 1, "b": 2}, 40, {"a": 8, "b": 32}),
+            ({"a": 1, "b": 3}, 40, {"a": 10, "b": 30}),
         ],
     )
-    def test_teams_are_served_by_squared_shares(self, shares, rounds, expected):
+    def test_teams_are_served_by_shares(self, shares, rounds, expected):
+        """Guards against usage out of proportion to shares."""
         queue = fair_queue.create_fair_queue(ZERO)
         self.fill(queue, shares, 50)
         served = self.served(queue, rounds)
@@ -168,7 +172,7 @@
                 assert usage[served] <= lowest + fair_queue.NEAR_ZERO + 1e-9
                 first = next(e for e in waiting if e[0] == served)
                 waiting.remove(first)
-                usage[served] += first[2] / (served + 1) ** 2
+                usage[served] += first[2] / (served + 1)
             assert len(queue) == len(waiting)
 
 
