--- a/Makefile
+++ b/Makefile
@@ -33,5 +33,9 @@
 run: setup
 	$(PYTHON) -m verbenafall_standins.demo --directory run $(if $(KEEP),--keep)
 
+# Prints one JSON line per figure and nothing else on standard output.
+bench: setup
+	@set -e; for file in $$(grep -l '^def main' bench/*.py); do $(PYTHON) $$file; done
+
 clean:
 	rm -rf $(VENV) build run .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- a/packages/gateway/src/verbenafall_gateway/gateway_settings.py
+++ b/packages/gateway/src/verbenafall_gateway/gateway_settings.py
@@ -18,7 +18,8 @@
 
     Attributes:
         client_threads: Client requests served at once.
-        links_per_service: Endpoints linked with, for each service.
+        links_per_service: Endpoints linked with on average, for each
+            service; more when there are few gateways.
         stop_limit: Time in which a planned stop ends.
     """
 
--- a/packages/gateway/src/verbenafall_gateway/link_targets.py
+++ b/packages/gateway/src/verbenafall_gateway/link_targets.py
@@ -50,6 +50,7 @@
         self.links = links
         self.view = view
         self.chosen: frozenset[addresses.Address] = frozenset()
+        self.chosen_from: tuple[port.Instance, ...] | None = None
         self.empty = False
         self.task = periodic.create_periodic_task(
             "link-targets", INTERVAL, self.apply, generator
@@ -70,17 +71,21 @@
         its endpoint is leaving or gone from the list: closing it would
         truncate their answers.
         """
-        chosen = subsetting.choose_targets(
-            self.gateway,
-            self.data_centre,
-            self.source.instances,
-            self.links_per_service,
-        )
-        if not self.source.instances and self.chosen:
+        instances = self.source.instances
+        if not instances and self.chosen:
             self.report_empty()
             return
         self.empty = False
-        self.chosen = chosen
+        # The choice hashes every pair of a near gateway and an endpoint.
+        if instances != self.chosen_from:
+            self.chosen = subsetting.choose_targets(
+                self.gateway,
+                self.data_centre,
+                instances,
+                self.links_per_service,
+            )
+            self.chosen_from = instances
+        chosen = self.chosen
         # Routing must stop before the busy links are looked up, or an
         # attempt could begin on a link that is about to be closed.
         self.view.set_routable(chosen)
--- a/packages/gateway/src/verbenafall_gateway/routing.py
+++ b/packages/gateway/src/verbenafall_gateway/routing.py
@@ -83,14 +83,13 @@
         return None
     limit = load_limit(candidates)
     if affinity:
+        # All overflow of a prompt goes the same way, where its prefix is
+        # cached as well. The least loaded endpoint is always within the bound.
         preferred = max(
-            candidates,
+            (endpoint for endpoint in candidates if endpoint.load < limit),
             key=lambda endpoint: rendezvous.score(affinity, endpoint.instance),
         )
-        if preferred.load < limit:
-            return Choice(
-                preferred, RouteReason.AFFINITY, len(candidates), limit
-            )
+        return Choice(preferred, RouteReason.AFFINITY, len(candidates), limit)
     local = [
         endpoint
         for endpoint in candidates
