Give the option links_per_service the description of the operations page

The test of the settings tables failed after the description had changed on the page only; the option now has the same text and the test passes.

--- a/packages/gateway/src/verbenafall_gateway/gateway_settings.py
+++ b/packages/gateway/src/verbenafall_gateway/gateway_settings.py
@@ -144,7 +144,8 @@
         settings.parse_positive_int,
         "a whole number above 0",
         "16",
-        "Endpoints of each service that this gateway has links with.",
+        "Endpoints of each service that a gateway has links with on average; "
+        "more when there are few gateways.",
     ),
     settings.Option(
         "limits",
