--- a/bench/endpoint_choice.py
+++ b/bench/endpoint_choice.py
@@ -503,7 +503,7 @@
 
 
 def list_cases() -> list[Case]:
-    """Return all cases."""
+    """Return all cases that are measured."""
     small = Case(16, 3, 3, 0.0, "none", 0.8, 60.0)
     large = Case(610, 3, 6, 0.0, "none", 0.8, 9.0)
     cases = [
@@ -511,6 +511,8 @@
         for fleet in (small, large)
         for gateways in (3, 20)
         for lag in (0.0, 0.5, 2.0, 5.0)
+        # Three gateways with 610 links each take most of the run time.
+        if (fleet.engines, gateways) != (610, 3) or lag in (0.5, 2.0)
     ]
     for fault in ("slow_engine", "stalled_rank", "leaving_engine"):
         cases.append(small._replace(lag=0.5, fault=fault))
