--- a/Makefile
+++ b/Makefile
@@ -41,5 +41,9 @@
 	$(PYTHON) tools/events_page.py > docs/events.md.new
 	mv docs/events.md.new docs/events.md
 
+# Prints one JSON line per figure and nothing else on standard output.
+bench: setup
+	@set -e; for file in $$(grep -l '^def main' bench/*.py); do $(PYTHON) $$file; done
+
 clean:
 	rm -rf $(VENV) build run .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- a/packages/gateway/src/verbenafall_gateway/gateway_settings.py
+++ b/packages/gateway/src/verbenafall_gateway/gateway_settings.py
@@ -18,7 +18,8 @@
 
     Attributes:
         client_threads: Client requests served at once.
-        links_per_service: Endpoints linked with, for each service.
+        links_per_service: Endpoints linked with on average, for each
+            service; more when there are few gateways.
         stop_limit: Time in which a planned stop ends.
     """
 
@@ -143,7 +144,8 @@
         settings.parse_positive_int,
         "a whole number above 0",
         "16",
-        "Endpoints of each service that this gateway has links with.",
+        "Endpoints of each service that a gateway has links with on average; "
+        "more when there are few gateways.",
     ),
     settings.Option(
         "limits",
