Leave a map that a new bundle forbids without waiting for the next selection

Cause: the lease holder selects a map every 60 s, and a bundle that forbids the map in use was looked at only then.

Ruled out: a shorter interval for all selections, since each one writes a decision to the log and its inputs change slowly.

Change: the coordinator selects at once while the map in use is not allowed. A group without any allowed map keeps the interval.

Measured: the new test in tests/expert_maps/test_coordinator.py fails before the change (0 instead of 2) and passes after it; tests/expert_maps and tests/standins pass (284).

--- a/packages/core/src/verbenafall_core/expert_maps/coordinator.py
+++ b/packages/core/src/verbenafall_core/expert_maps/coordinator.py
@@ -101,7 +101,9 @@
     ) -> int:
         """Return the map to switch to, 0 for none; logs each decision."""
         now = self.clock.monotonic()
-        if now < self.next_selection:
+        # A new bundle can forbid the map in use between two selections.
+        forbidden = selection.find_map(spec, record.map_version) is None
+        if now < self.next_selection and not (forbidden and spec.maps):
             return 0
         self.next_selection = now + SELECTION_INTERVAL
         history = self.history or load_history.empty_history(spec.experts)
