Add system tests of killed, paused and stopped processes

Cause: tests with real processes covered only one gateway's planned stop.

Tests wait for states of the processes, the store and the endpoints. A demonstration fleet can have another plan, and its bundle lists only the teams whose services are in the plan.

--- a/standins/src/verbenafall_standins/demo/files.py
+++ b/standins/src/verbenafall_standins/demo/files.py
@@ -25,7 +25,11 @@
         "services": [
             create_service(name, name in engines) for name in services
         ],
-        "teams": [create_team(name) for name in plan_lib.CALLERS],
+        "teams": [
+            create_team(name)
+            for name, caller in plan_lib.CALLERS.items()
+            if {caller.model_service, caller.records_service} <= {*services}
+        ],
         "groups": [
             create_group(name, plan.engines_of(name)) for name in plan.groups()
         ],
--- a/standins/src/verbenafall_standins/demo/fleet.py
+++ b/standins/src/verbenafall_standins/demo/fleet.py
@@ -37,11 +37,13 @@
         return [*self.standins, *self.sidecars, *self.gateways]
 
 
-def create_fleet(directory: pathlib.Path) -> Fleet:
-    """Create a fleet without processes."""
+def create_fleet(
+    directory: pathlib.Path, plan: plan_lib.Plan | None = None
+) -> Fleet:
+    """Create a fleet without processes, by default the reduced deployment."""
     shutil.rmtree(directory, ignore_errors=True)
     directory.mkdir(parents=True)
-    return Fleet(plan_lib.create_plan(), directory, [], [], [])
+    return Fleet(plan or plan_lib.create_plan(), directory, [], [], [])
 
 
 def gateway_command(*arguments: str) -> list[str]:
--- /dev/null
+++ b/tests/system/system_fleet.py
@@ -0,0 +1,354 @@
+"""A small fleet of real processes for the system tests."""
+
+import concurrent.futures
+import contextlib
+import hashlib
+import http.client
+import json
+import random
+import signal
+import subprocess
+import urllib.parse
+
+from verbenafall_core.bundles import signing
+from verbenafall_standins.demo import client
+from verbenafall_standins.demo import files
+from verbenafall_standins.demo import fleet as fleet_lib
+from verbenafall_standins.demo import plan as plan_lib
+from verbenafall_standins.demo import processes
+from verbenafall_standins.demo import workload
+from verbenafall_standins.engines import tokens
+
+# A failed test ends here; a passing one waits only for its event.
+WAIT_SECONDS = 40
+SEED = 7
+CALLER = plan_lib.DESK
+TEAM = "desk"
+ENGINES = 3
+GROUP = "asistente-llm-group"
+RECORDS = "mostrador-app-0"
+
+
+def create_plan():
+    """Return two gateways, one group of three engines, one records service."""
+    ports = plan_lib.Ports()
+    gateways = tuple(
+        plan_lib.GatewayPlan(
+            f"gateway-{number}",
+            plan_lib.DATA_CENTRES[number],
+            ports.next_address(),
+            ports.next_address(),
+        )
+        for number in range(2)
+    )
+    plan = plan_lib.Plan(
+        ports.next_address(),
+        ports.next_address(),
+        ports.next_address(),
+        gateways,
+        (
+            *plan_lib.plan_engines(CALLER.model_service, ENGINES, ports),
+            plan_lib.plan_records(CALLER.records_service, ports),
+        ),
+    )
+    ports.release()
+    return plan
+
+
+def chat_requests(count, token_count, stream=True, seed=SEED):
+    """Return chat requests with their expected answers."""
+    generator = random.Random(seed)
+    requests = []
+    for _ in range(count):
+        prompt = f"quote {generator.getrandbits(64):x}"
+        text = tokens.prompt_text([{"role": "user", "content": prompt}])
+        expected = tokens.answer_text(tokens.prompt_digest(text), token_count)
+        requests.append(
+            workload.ChatRequest(CALLER, prompt, token_count, stream, expected)
+        )
+    return requests
+
+
+def reservation(key):
+    return workload.RecordsRequest(
+        CALLER, "POST", "/reservations", key, f"item {key}"
+    )
+
+
+class SystemFleet:
+    """The processes, and the faults and states that tests need."""
+
+    def __init__(self, fleet, keys):
+        self.fleet = fleet
+        self.plan = fleet.plan
+        self.keys = keys
+        self.pool = concurrent.futures.ThreadPoolExecutor(32)
+
+    # Processes.
+
+    def running(self, name):
+        for group in (self.fleet.gateways, self.fleet.sidecars):
+            for one in group:
+                if one.name == name:
+                    return one
+        raise KeyError(name)
+
+    def planned(self, name):
+        found = (*self.plan.gateways, *self.plan.sidecars)
+        return next(one for one in found if one.name == name)
+
+    def send_signal(self, name, number):
+        self.running(name).popen.send_signal(number)
+
+    def kill(self, name):
+        self.send_signal(name, signal.SIGKILL)
+        self.running(name).popen.wait(WAIT_SECONDS)
+
+    def exit_code(self, name):
+        return self.running(name).popen.wait(WAIT_SECONDS)
+
+    def start(self, name):
+        """Start a process again that has ended."""
+        is_gateway = any(one.name == name for one in self.plan.gateways)
+        command = (
+            fleet_lib.gateway_command
+            if is_gateway
+            else fleet_lib.sidecar_command
+        )
+        group = self.fleet.gateways if is_gateway else self.fleet.sidecars
+        position = group.index(self.running(name))
+        path = self.fleet.directory / f"{name}.ini"
+        group[position] = processes.start_process(
+            name, command("serve", f"--settings={path}"), self.fleet.directory
+        )
+
+    def wait(self, description, condition):
+        processes.wait_until(description, WAIT_SECONDS, condition, ())
+
+    def log(self, name):
+        path = self.fleet.directory / f"{name}.log"
+        return path.read_text(errors="replace")
+
+    def log_lines(self, name, event):
+        return [
+            line for line in self.log(name).splitlines() if f" {event} " in line
+        ]
+
+    # States.
+
+    def statuses(self, gateway):
+        """Return the processes on a gateway's status page by name."""
+        page = fleet_lib.read_json(gateway.admin, "/-/status")
+        return {one["instance"]: one for one in page["processes"]}
+
+    def is_settled(self):
+        """Return whether all is linked, ready and on the accepted bundle."""
+        head = self.object("bundles/head")
+        for gateway in self.plan.gateways:
+            try:
+                found = self.statuses(gateway)
+            except (OSError, http.client.HTTPException):
+                return False
+            expected = {gateway.name, *(one.name for one in self.plan.sidecars)}
+            if not expected <= found.keys():
+                return False
+            for name in expected:
+                one = found[name]
+                if not one["ready"] or one["draining"]:
+                    return False
+                if one["in_force"] != head["accepted"]:
+                    return False
+        record = self.object(f"groups/{GROUP}")
+        return record is not None and record["phase"] == "stable"
+
+    def settle(self):
+        """Start what has ended, take faults back, wait until all is well."""
+        for group in (self.fleet.gateways, self.fleet.sidecars):
+            for one in list(group):
+                if one.popen.poll() is None:
+                    one.popen.send_signal(signal.SIGCONT)
+                else:
+                    self.start(one.name)
+        self.set_store_fault("up")
+        self.set_instances({})
+        for one in self.plan.sidecars:
+            self.set_endpoint_fault(one.name, "up")
+        self.wait("a settled fleet", self.is_settled)
+
+    def object(self, name):
+        """Return a JSON object of the store, None when it is absent."""
+        path = f"/objects/{urllib.parse.quote(name, safe='/')}"
+        with contextlib.suppress(OSError):
+            return fleet_lib.read_json(self.plan.object_store, path)
+        return None
+
+    def claim(self, key):
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        return self.object(f"claims/{TEAM}/{digest}")
+
+    def claim_state(self, key):
+        claim = self.claim(key)
+        return claim and claim["state"]
+
+    def runs(self, name):
+        return fleet_lib.read_json(self.planned(name).endpoint, "/-/runs")
+
+    def run_keys(self):
+        """Return the keys that the records service processed, in order."""
+        return [run["key"] for run in self.runs(RECORDS)]
+
+    def open_runs(self, name, tokens_seen=1):
+        """Return an engine's open runs that have produced tokens."""
+        return [
+            run
+            for run in self.runs(name)
+            if not run["finished"] and run["tokens"] >= tokens_seen
+        ]
+
+    def in_flight(self, name):
+        state = fleet_lib.read_json(self.planned(name).endpoint, "/v1/state")
+        return state["in_flight"]
+
+    def engines(self):
+        return [one.name for one in self.plan.sidecars if one.group]
+
+    def lease_holder(self):
+        """Return the name of the sidecar that holds the group's lease."""
+        lease = self.object(f"leases/group/{GROUP}") or {"holder": ""}
+        names = [n for n in self.engines() if lease["holder"].startswith(n)]
+        return names[0] if names else ""
+
+    # Faults.
+
+    def set_store_fault(self, mode, count=0, prefix=""):
+        fleet_lib.send_json(
+            self.plan.object_store,
+            "POST",
+            "/-/faults",
+            {"mode": mode, "count": count, "prefix": prefix},
+        )
+
+    def set_endpoint_fault(self, name, mode, **fields):
+        fleet_lib.send_json(
+            self.planned(name).endpoint,
+            "POST",
+            "/-/faults",
+            {"mode": mode, **fields},
+        )
+
+    def set_instances(self, states):
+        """Publish the instance list with other states than live."""
+        listed = files.create_instance_list(self.plan)
+        for entry in listed:
+            entry["state"] = states.get(entry["name"], "live")
+        fleet_lib.send_json(
+            self.plan.instance_list, "PUT", "/-/instances", listed
+        )
+
+    # Requests.
+
+    def send(self, request, gateway=0):
+        """Send a request on a thread; return the future of its report."""
+        address = self.plan.gateways[gateway].client
+        return self.pool.submit(client.send_request, address, request)
+
+    def send_all(self, requests, gateway=None):
+        """Send requests to one gateway or in turn to all."""
+        return [
+            self.send(request, number % 2 if gateway is None else gateway)
+            for number, request in enumerate(requests)
+        ]
+
+    def outcome(self, key, gateway=0):
+        """Ask for the outcome of a key; return status and body."""
+        status, _, body = self.call(
+            "GET", f"/v1/outcomes/{key}", gateway=gateway
+        )
+        return status, body
+
+    def call(self, method, path, body=b"", headers=None, gateway=0):
+        """Make a call; return status, headers and the JSON body."""
+        connection = http.client.HTTPConnection(
+            *self.plan.gateways[gateway].client, timeout=WAIT_SECONDS
+        )
+        fields = {"Authorization": f"Bearer {CALLER.credential}"}
+        try:
+            connection.request(method, path, body, fields | (headers or {}))
+            response = connection.getresponse()
+            return (
+                response.status,
+                dict(response.getheaders()),
+                json.loads(response.read() or b"null"),
+            )
+        finally:
+            connection.close()
+
+    # Bundles.
+
+    def bundle(self, version, **changes):
+        """Return the bundle document of the fleet under a version."""
+        document = files.create_bundle(self.plan) | {"version": version}
+        return document | changes
+
+    def sign(self, name, document):
+        path = files.write_bundle(self.fleet.directory / name, document)
+        private = self.keys / signing.PRIVATE_NAME
+        fleet_lib.run_command(
+            fleet_lib.gateway_command(
+                "bundle", "sign", str(path), f"--key={private}"
+            )
+        )
+        return path
+
+    def begin_roll(self, path):
+        operator = self.fleet.directory / "operator.ini"
+        return subprocess.Popen(
+            fleet_lib.gateway_command(
+                "bundle", "roll", str(path), f"--settings={operator}"
+            ),
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
+
+    def accepted(self):
+        return self.object("bundles/head")["accepted"]
+
+    def stop(self):
+        """Stop all; return how each process ended."""
+        self.pool.shutdown(wait=False, cancel_futures=True)
+        stopped = []
+        for group in (
+            self.fleet.gateways,
+            self.fleet.sidecars,
+            self.fleet.standins,
+        ):
+            for one in group:
+                if one.popen.poll() is None:
+                    one.popen.send_signal(signal.SIGCONT)
+            stopped.extend(processes.stop_processes(group, WAIT_SECONDS))
+        return stopped
+
+
+def start_fleet(directory):
+    """Start a fleet on its first bundle."""
+    fleet = fleet_lib.create_fleet(directory, create_plan())
+    try:
+        fleet_lib.start_standins(fleet)
+        keys = fleet_lib.start_system(fleet)
+        fleet_lib.roll_bundle(fleet, keys)
+    except BaseException:
+        for group in (fleet.gateways, fleet.sidecars, fleet.standins):
+            processes.stop_processes(group, WAIT_SECONDS)
+        raise
+    return SystemFleet(fleet, keys)
+
+
+def whole(futures):
+    """Return the verdicts of requests that are not whole answers."""
+    reports = [future.result(WAIT_SECONDS) for future in futures]
+    return [
+        (report.verdict, report.detail)
+        for report in reports
+        if report.verdict is not client.Verdict.WHOLE
+    ]
