Cancel a plain chat request whose client has closed its connection

Cause: a plain answer is sent only when it is complete, so the server did not write, and did not notice a lost client, until the engine had finished. The engine worked to the end of the answer or to the deadline for nobody.

Ruled out: a thread that watches all open connections, since cheroot's own selector does not watch a connection while its request is served, and a check at each token needs no further state.

Change: the HTTP server gives the application a function that tells whether the client has closed its connection (poll and a peeking read, neither of which waits). The plain chat response calls it at each token and closes the flow, which cancels the attempt. The check is not made before the first token. A client that only closes its sending side counts as gone, as the two cannot be told apart; its answer then says outcome ran, reason cancelled.

--- a/packages/gateway/src/verbenafall_gateway/chat.py
+++ b/packages/gateway/src/verbenafall_gateway/chat.py
@@ -1,5 +1,6 @@
 """Chat requests: answers in the common chat completions form."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import datetime
 import json
@@ -17,6 +18,12 @@
 EVENT_STREAM_TYPE: Final = "text/event-stream"
 DONE_EVENT: Final = b"data: [DONE]\n\n"
 HTTP_OK: Final = 200
+CLIENT_CLOSED: Final = outcomes.Refusal(
+    outcomes.Outcome.RAN,
+    outcomes.Reason.CANCELLED,
+    "the client closed its connection before the answer was complete",
+    request_flow.DEFAULT_RETRY_AFTER,
+)
 
 
 class ChatAnswer(NamedTuple):
@@ -28,13 +35,25 @@
 
 
 def plain_response(
-    answer: ChatAnswer, flow: request_flow.Flow
+    answer: ChatAnswer,
+    flow: request_flow.Flow,
+    is_client_gone: Callable[[], bool],
 ) -> wrappers.Response:
-    """Return the response of a request without streaming."""
+    """Return the response of a request without streaming.
+
+    Nothing is sent before the answer is complete, so a client that closes
+    its connection is noticed only by a check at each token. Closing the flow
+    then cancels the attempt at the engine.
+    """
     parts: list[str] = []
     for event in flow:
         if isinstance(event, request_flow.Delta):
             parts.append(decode_token(event.data))
+            if is_client_gone():
+                flow.close()
+                return answers.refusal_response(
+                    CLIENT_CLOSED, answer.request_id
+                )
         elif isinstance(event, outcomes.Refusal):
             return answers.refusal_response(event, answer.request_id)
         elif isinstance(event, attempt_events.Complete):
--- a/packages/gateway/src/verbenafall_gateway/http_app.py
+++ b/packages/gateway/src/verbenafall_gateway/http_app.py
@@ -27,6 +27,7 @@
 from verbenafall_gateway import bundle_index
 from verbenafall_gateway import chat
 from verbenafall_gateway import event_catalogue
+from verbenafall_gateway import http_server
 from verbenafall_gateway import records
 from verbenafall_gateway import request_flow
 from verbenafall_gateway import routing
@@ -209,7 +210,9 @@
         return self.run(
             caller.team,
             flow_request,
-            lambda flow: chat.plain_response(answer, flow),
+            lambda flow: chat.plain_response(
+                answer, flow, client_check(request)
+            ),
         )
 
     def serve_records(
@@ -421,6 +424,14 @@
     )
 
 
+def client_check(request: wrappers.Request) -> Callable[[], bool]:
+    """Return a function that tells whether the client is gone."""
+    check: Callable[[], bool] = request.environ.get(
+        http_server.CLIENT_GONE, lambda: False
+    )
+    return check
+
+
 def require(result: returns.result.Result[T, answers.Fault]) -> T:
     """Return a checked value.
 
--- a/packages/gateway/src/verbenafall_gateway/http_server.py
+++ b/packages/gateway/src/verbenafall_gateway/http_server.py
@@ -5,6 +5,7 @@
 import datetime
 import json
 import logging
+import select
 import socket
 import threading
 from typing import Any
@@ -34,6 +35,9 @@
 MAX_HEADER_BYTES: Final = 64 * 1024
 BACKLOG: Final = 1024
 KEPT_CONNECTIONS: Final = 4096
+# Key of the WSGI environment: a function that returns whether the client has
+# closed its connection.
+CLIENT_GONE: Final = "verbenafall.client_gone"
 
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -200,6 +204,35 @@
         self.rfile = DeadlineReader(sock, server.clock)
 
 
+class ClientWatchGateway(wsgi.Gateway_10):
+    """A WSGI gateway that lets the application notice a lost client."""
+
+    # cheroot's type stubs declare that get_environ returns nothing.
+    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
+        """Return the WSGI environment of a request."""
+        environ: dict[str, Any] = super().get_environ()  # type: ignore
+        connection = self.req.conn.socket
+        environ[CLIENT_GONE] = lambda: is_closed_by_peer(connection)
+        return environ
+
+
+def is_closed_by_peer(connection: socket.socket) -> bool:
+    """Return whether a peer has closed a connection; does not wait.
+
+    A peer that has only closed its sending side counts as gone, since the
+    two cannot be told apart.
+    """
+    poller = select.poll()
+    try:
+        poller.register(connection, select.POLLIN)
+        if not poller.poll(0):
+            return False
+        # Data that waits is the client's next request.
+        return not connection.recv(1, socket.MSG_PEEK)
+    except (OSError, ValueError):
+        return True
+
+
 class GatewayHttpServer(wsgi.Server):
     """cheroot's server with the gateway's connections."""
 
@@ -283,6 +316,7 @@
         request_queue_size=BACKLOG,
         timeout=int(SOCKET_LIMIT.total_seconds()),
     )
+    server.gateway = ClientWatchGateway
     server.clock = clock
     server.activity = activity
     return HttpServer(server)
--- a/tests/gateway/test_chat_over_links.py
+++ b/tests/gateway/test_chat_over_links.py
@@ -1,6 +1,8 @@
 """Chat over HTTP and a real link, called by an unmodified openai client."""
 
 from concurrent import futures
+import http.client
+import json
 import threading
 
 import openai
@@ -136,3 +138,41 @@
             assert read_stream(client) == ("".join(TOKENS), "stop")
             assert cancelled.wait(30)
         assert gateway.app.limits.total == 0
+
+    def test_closed_connection_cancels_a_plain_attempt(self):
+        """Guards against engines that finish answers nobody waits for."""
+        gateway = fakes.create_gateway()
+        dispatches, cancelled = [], threading.Event()
+        dispatched = threading.Event()
+
+        def go_on_with_the_first_at_the_second(message):
+            if isinstance(message, messages.Cancel):
+                assert message.attempt_id == dispatches[0].attempt_id
+                cancelled.set()
+                return []
+            dispatches.append(message)
+            dispatched.set()
+            if len(dispatches) == 1:
+                return []
+            more = [fakes.chunk(dispatches[0], n, "Two ") for n in range(9)]
+            return more + serve_answer(message)
+
+        with fakes.linked_sidecar(
+            gateway, go_on_with_the_first_at_the_second
+        ) as address:
+            connection = http.client.HTTPConnection(*address)
+            body = json.dumps({"model": "quote-model", "messages": MESSAGES})
+            headers = {
+                "Authorization": f"Bearer {fakes.CREDENTIAL}",
+                "Content-Type": "application/json",
+                # Longer than the test waits: at the deadline the attempt
+                # is cancelled in any case.
+                "X-Deadline-Ms": "120000",
+            }
+            connection.request("POST", "/v1/chat/completions", body, headers)
+            assert dispatched.wait(30)
+            connection.close()
+            with create_client(address) as client:
+                assert read_stream(client) == ("".join(TOKENS), "stop")
+            assert cancelled.wait(30)
+        assert gateway.app.limits.total == 0
