Add contract tests of the engine port and the plain service port

Cause: only the object store and the instance list had a contract table.

Change: the tables in tests/sidecar/test_endpoint_contract.py run against the HTTP adapters on the stand-ins, and against the adapters that VERBENAFALL_CONTRACT_ENGINE and VERBENAFALL_CONTRACT_PLAIN_SERVICE name. What only a stand-in can show (its runs and its faults) runs against the stand-ins alone.

No other adapter was tried.

--- a/tests/adapters.py
+++ b/tests/adapters.py
@@ -9,13 +9,20 @@
 
 import returns.result
 
+from verbenafall_core import clock as clock_lib
 from verbenafall_core import http_client
 from verbenafall_core.instance_list import http_adapter as list_adapter
 from verbenafall_core.instance_list import port as list_port
 from verbenafall_core.object_store import http_adapter as store_adapter
+from verbenafall_sidecar import engine_http
+from verbenafall_sidecar import service_http
+from verbenafall_sidecar import transfers
 from verbenafall_standins import http_serving
 from verbenafall_standins import instance_list
 from verbenafall_standins import object_store
+from verbenafall_standins import plain_service
+from verbenafall_standins.engines import group as group_lib
+from verbenafall_standins.engines import http_app
 from verbenafall_standins.fakes import memory_store
 
 CALL_LIMIT = datetime.timedelta(seconds=10)
@@ -98,6 +105,63 @@
         yield create_named(kind)
 
 
+class EndpointUnderTest(NamedTuple):
+    """An adapter to an endpoint, and the URL of the stand-in behind it."""
+
+    adapter: object
+    url: str | None
+
+
+def named_endpoints(variable):
+    """Return the HTTP adapter and the one named by the environment."""
+    return ["http", *([variable] if variable in os.environ else [])]
+
+
+@contextlib.contextmanager
+def transfer_loop():
+    loop = transfers.create_transfer_loop(clock_lib.system_clock())
+    loop.start()
+    try:
+        yield loop
+    finally:
+        loop.stop(CALL_LIMIT)
+
+
+@contextlib.contextmanager
+def open_engine(kind):
+    """Yield an engine under test; a step of the stand-in takes 2 ms."""
+    if kind != "http":
+        yield EndpointUnderTest(create_named(kind), None)
+        return
+    group = group_lib.create_group(group_lib.GroupOptions(step_ms=2, experts=8))
+    server = http_app.create_engine_server(group, 0)
+    group.start()
+    server.start()
+    try:
+        with transfer_loop() as loop:
+            client = http_client.create_http_client()
+            yield EndpointUnderTest(
+                engine_http.create_http_engine(server.url, loop, client),
+                server.url,
+            )
+    finally:
+        server.stop()
+        group.stop()
+
+
+@contextlib.contextmanager
+def open_plain_service(kind):
+    """Yield a plain service under test."""
+    if kind != "http":
+        yield EndpointUnderTest(create_named(kind), None)
+        return
+    service = plain_service.create_plain_service()
+    with serving(service.handle) as url, transfer_loop() as loop:
+        yield EndpointUnderTest(
+            service_http.create_http_plain_service(url, loop), url
+        )
+
+
 def publish(client, url, instances):
     entries = [
         entry._asdict() | {"address": str(entry.address)} for entry in instances
--- /dev/null
+++ b/tests/sidecar/test_endpoint_contract.py
@@ -0,0 +1,261 @@
+"""The engine port and the plain service port, against every adapter."""
+
+import datetime
+import json
+import queue
+import uuid
+
+import pytest
+import returns.pipeline
+
+import adapters
+from sidecar import helpers
+from verbenafall_core import http_client
+from verbenafall_sidecar import endpoint_port
+from verbenafall_sidecar import engine_http
+from verbenafall_sidecar import service_http
+
+ENGINE_VARIABLE = "VERBENAFALL_CONTRACT_ENGINE"
+SERVICE_VARIABLE = "VERBENAFALL_CONTRACT_PLAIN_SERVICE"
+WAIT_SECONDS = 20
+LIMIT = datetime.timedelta(seconds=10)
+SHORT_LIMIT = datetime.timedelta(milliseconds=200)
+TOKENS = 12
+# More than the engine produces before it is cancelled.
+ENDLESS = 8000
+MESSAGES = [{"role": "user", "content": "Draft a quote for two mixers"}]
+
+# Resume index of a second run of the same request.
+RESUMES = [0, 1, TOKENS - 1, TOKENS]
+
+# Fields of the body that replace good ones, and the status they give.
+BAD_BODIES = [
+    ({"messages": []}, 400),
+    ({"messages": "no list"}, 400),
+    ({"max_tokens": -1}, 400),
+]
+
+# Method, path, body, whether the call is idempotent.
+CALLS = [
+    ("GET", "/stock/1?unit=a%20b", b"", True),
+    ("POST", "/reservations", b'{"item": 1}', False),
+    ("PUT", "/stock/1", bytes(range(256)), True),
+    ("DELETE", "/stock/1", b"", True),
+]
+
+# Fault of the stand-in, runs that it leaves behind.
+BROKEN = [("break_before", 0), ("break_after", 1)]
+
+
+class Sink:
+    """Records what an adapter hands over."""
+
+    def __init__(self):
+        self.chunks = []
+        self.first = queue.Queue()
+        self.ends = queue.Queue()
+
+    def on_chunk(self, data):
+        self.chunks.append(data)
+        self.first.put(data)
+
+    def on_end(self, end):
+        self.ends.put(end)
+
+    def on_failure(self, failure):
+        self.ends.put(failure)
+
+    def wait(self):
+        """Return the end, of which there must be only one."""
+        end = self.ends.get(timeout=WAIT_SECONDS)
+        assert self.ends.empty()
+        return end
+
+
+def chat_dispatch(token_count=TOKENS, index=0, text="", **fields):
+    body = {"model": "m", "messages": MESSAGES, "max_tokens": token_count}
+    return helpers.DISPATCH._replace(
+        request_id=uuid.uuid4().hex,
+        attempt_id=uuid.uuid4().hex,
+        path="/v1/chat/completions",
+        body=json.dumps(body | fields).encode(),
+        resume_index=index,
+        resume_text=text,
+    )
+
+
+def run(endpoint, dispatch, limit=LIMIT):
+    sink = Sink()
+    endpoint.adapter.begin(dispatch, limit, sink)
+    return sink.wait(), sink.chunks
+
+
+def call_standin(endpoint, method, path, body=None):
+    client = http_client.create_http_client()
+    _, data = adapters.send(client, method, endpoint.url + path, body)
+    return json.loads(data)
+
+
+@pytest.fixture(
+    scope="module", params=adapters.named_endpoints(ENGINE_VARIABLE)
+)
+def engine(request):
+    with adapters.open_engine(request.param) as found:
+        yield found
+
+
+@pytest.fixture(
+    scope="module", params=adapters.named_endpoints(SERVICE_VARIABLE)
+)
+def service(request):
+    with adapters.open_plain_service(request.param) as found:
+        yield found
+
+
+@pytest.fixture
+def standin_service():
+    """The plain service whose faults and runs the test controls."""
+    with adapters.open_plain_service("http") as found:
+        yield found
+
+
+class TestEngineContract:
+    def test_each_chunk_is_one_token(self, engine):
+        """Guards against counts that make a resume start elsewhere."""
+        end, chunks = run(engine, chat_dispatch())
+        assert (end.status, end.finish_reason) == (200, "length")
+        assert len(chunks) == TOKENS
+        assert end.body == b""
+
+    @pytest.mark.parametrize("index", RESUMES)
+    def test_resume_gives_the_rest(self, engine, index):
+        """Guards against tokens repeated or left out by a resume."""
+        _, whole = run(engine, chat_dispatch())
+        text = b"".join(whole[:index]).decode()
+        end, rest = run(engine, chat_dispatch(TOKENS, index, text))
+        assert end.status == 200
+        assert rest == whole[index:]
+
+    @pytest.mark.parametrize(("fields", "status"), BAD_BODIES)
+    def test_refusal_of_the_engine_is_an_end(self, engine, fields, status):
+        """Guards against retries of what the engine refuses."""
+        end, chunks = run(engine, chat_dispatch(**fields))
+        assert end.status == status
+        assert chunks == []
+        assert end.body
+
+    def test_cancel_ends_with_one_failure(self, engine):
+        """Guards against a call that goes on, or ends twice."""
+        sink = Sink()
+        call = engine.adapter.begin(chat_dispatch(ENDLESS), LIMIT, sink)
+        sink.first.get(timeout=WAIT_SECONDS)
+        call.cancel()
+        end = sink.wait()
+        assert isinstance(end, endpoint_port.CallFailure)
+        assert end.sent
+
+    def test_limit_ends_with_a_failure(self, engine):
+        """Guards against a call that outlives its deadline."""
+        end, _ = run(engine, chat_dispatch(ENDLESS), SHORT_LIMIT)
+        assert isinstance(end, endpoint_port.CallFailure)
+        assert end.sent
+
+    def test_load_and_probe(self, engine):
+        """Guards against a load report that cannot be read."""
+        result = engine.adapter.read_load(LIMIT)
+        assert returns.pipeline.is_successful(result)
+        assert result.unwrap().in_flight >= 0
+        assert engine.adapter.probe() is None
+
+    def test_no_engine(self):
+        """Guards against a refused connection that counts as a run."""
+        with adapters.open_engine("http") as found:
+            url = found.url
+        with adapters.transfer_loop() as loop:
+            absent = adapters.EndpointUnderTest(
+                engine_http.create_http_engine(
+                    url, loop, http_client.create_http_client()
+                ),
+                url,
+            )
+            assert not run(absent, chat_dispatch())[0].sent
+            assert not absent.adapter.probe().sent
+            load = absent.adapter.read_load(LIMIT)
+            assert not returns.pipeline.is_successful(load)
+
+    def test_broken_stream_is_a_failure(self):
+        """Guards against a truncated stream that counts as an answer."""
+        with adapters.open_engine("http") as found:
+            sink = Sink()
+            found.adapter.begin(chat_dispatch(ENDLESS), LIMIT, sink)
+            sink.first.get(timeout=WAIT_SECONDS)
+            fault = {"mode": "break_streams"}
+            call_standin(found, "POST", "/-/faults", fault)
+            end = sink.wait()
+        assert isinstance(end, endpoint_port.CallFailure)
+        assert end.sent
+
+
+class TestPlainServiceContract:
+    @pytest.mark.parametrize(("method", "path", "body", "idempotent"), CALLS)
+    def test_answer_comes_whole(self, service, method, path, body, idempotent):
+        """Guards against an answer that is handed over in parts."""
+        key = "" if idempotent else uuid.uuid4().hex
+        dispatch = helpers.DISPATCH._replace(
+            request_id=uuid.uuid4().hex,
+            method=method,
+            path=path,
+            body=body,
+            idempotent=idempotent,
+            idempotency_key=key,
+        )
+        end, chunks = run(service, dispatch)
+        assert end.status == 200
+        assert chunks == []
+        assert end.finish_reason == ""
+        if service.url is None:
+            return
+        answer = json.loads(end.body)
+        assert answer["request_id"] == dispatch.request_id
+        assert (answer["method"], answer["key"]) == (method, key)
+        assert answer["path"] == path.partition("?")[0]
+        assert answer["body"] == body.decode("utf-8", "replace")
+
+    def test_probe_is_no_work(self, service):
+        """Guards against a probe that the service processes."""
+        assert service.adapter.probe() is None
+        if service.url is not None:
+            before = call_standin(service, "GET", "/-/runs")
+            service.adapter.probe()
+            assert call_standin(service, "GET", "/-/runs") == before
+
+    @pytest.mark.parametrize(("mode", "runs"), BROKEN)
+    def test_broken_call_may_have_run(self, standin_service, mode, runs):
+        """Guards against a repeated call, or one denied after it ran."""
+        call_standin(standin_service, "POST", "/-/faults", {"mode": mode})
+        end, _ = run(standin_service, helpers.ONCE)
+        assert isinstance(end, endpoint_port.CallFailure)
+        assert end.sent
+        found = call_standin(standin_service, "GET", "/-/runs")
+        assert len(found) == runs
+
+    def test_cancel_ends_with_one_failure(self, standin_service):
+        """Guards against a call that goes on, or ends twice."""
+        fault = {"mode": "slow", "delay_ms": 1000}
+        call_standin(standin_service, "POST", "/-/faults", fault)
+        sink = Sink()
+        adapter = standin_service.adapter
+        call = adapter.begin(helpers.ONCE, LIMIT, sink)
+        call.cancel()
+        assert isinstance(sink.wait(), endpoint_port.CallFailure)
+
+    def test_no_service(self):
+        """Guards against a refused connection that counts as a run."""
+        with adapters.open_plain_service("http") as found:
+            url = found.url
+        with adapters.transfer_loop() as loop:
+            absent = adapters.EndpointUnderTest(
+                service_http.create_http_plain_service(url, loop), url
+            )
+            assert not run(absent, helpers.ONCE)[0].sent
+            assert not absent.adapter.probe().sent
