--- /dev/null
+++ b/tests/system/test_store_outage.py
@@ -0,0 +1,120 @@
+"""The object store in an outage, and with lost calls and answers."""
+
+import json
+
+import pytest
+
+from system import system_fleet
+from verbenafall_standins.demo import client
+from verbenafall_standins.demo import fleet as fleet_lib
+from verbenafall_standins.demo import workload
+
+pytestmark = pytest.mark.system
+
+WAIT = system_fleet.WAIT_SECONDS
+RECORDS = system_fleet.RECORDS
+CALLER = system_fleet.CALLER
+Verdict = client.Verdict
+SLOW_MS = 300
+CLAIMS = "claims/"
+
+# Fault of the store, number of faulty calls, whether it begins only after the
+# claim was made, and what the client may get.
+LOST = [
+    ("lose_answer", 1, False, {Verdict.WHOLE}),
+    ("lose_answer", 3, False, {Verdict.WHOLE, Verdict.NOT_RUN}),
+    ("lose_call", 1, False, {Verdict.WHOLE, Verdict.NOT_RUN}),
+    ("lose_call", 3, False, {Verdict.NOT_RUN}),
+    ("lose_answer", 1, True, {Verdict.WHOLE}),
+    ("lose_call", 1, True, {Verdict.WHOLE}),
+]
+
+
+def reserve(fleet, key, gateway=0):
+    """Send a reservation; return status, headers and error."""
+    path = f"/services/{CALLER.records_service}/reservations"
+    body = json.dumps({"item": f"item {key}"})
+    status, headers, answer = fleet.call(
+        "POST", path, body, {"Idempotency-Key": key}, gateway
+    )
+    return status, headers, answer.get("error")
+
+
+def lookup(number):
+    path = f"/stock/{number}"
+    return workload.RecordsRequest(CALLER, "GET", path, "", path)
+
+
+class TestOutage:
+    def test_outage_and_restarts_in_it(self, fleet):
+        """Guards against serving that needs the store, and false refusals."""
+        engine = fleet.engines()[1]
+        accepted = fleet.accepted()
+        fleet.set_store_fault("down")
+        # The reason would be the deadline if the refusal had been held back.
+        status, headers, error = reserve(fleet, "outage-1")
+        assert (status, error["outcome"]) == (503, "not_run")
+        assert error["code"] == "store_unavailable"
+        assert int(headers["Retry-After"]) >= 1
+        for name in ("gateway-1", engine, RECORDS):
+            fleet.kill(name)
+            fleet.start(name)
+
+        def restarted():
+            try:
+                found = fleet.statuses(fleet.plan.gateways[1])
+            except OSError:
+                return False
+            return all(
+                name in found
+                and found[name]["ready"]
+                and found[name]["in_force"] == accepted
+                for name in ("gateway-1", engine, RECORDS)
+            )
+
+        fleet.wait("the restarted processes on a peer's bundle", restarted)
+        work = system_fleet.chat_requests(8, 12) + [lookup(n) for n in range(4)]
+        assert system_fleet.whole(fleet.send_all(work, gateway=1)) == []
+        status, _, error = reserve(fleet, "outage-1", gateway=1)
+        assert (status, error["outcome"]) == (503, "not_run")
+        assert "outage-1" not in fleet.run_keys()
+        fleet.settle()
+        after = fleet.send(system_fleet.reservation("outage-1"))
+        assert after.result(WAIT).verdict is Verdict.WHOLE
+        assert fleet.run_keys().count("outage-1") == 1
+
+
+class TestLostClaims:
+    @pytest.mark.parametrize(("mode", "count", "after_claim", "allowed"), LOST)
+    def test_answer_agrees_with_the_run(
+        self, fleet, mode, count, after_claim, allowed
+    ):
+        """Guards against a run that is denied, or that happens twice."""
+        key = f"{mode}-{count}-{after_claim}"
+        request = system_fleet.reservation(key)
+        if after_claim:
+            fleet.set_endpoint_fault(RECORDS, "slow", delay_ms=SLOW_MS)
+            sent = fleet.send(request)
+            fleet.wait("the claim", lambda: fleet.claim_state(key))
+            fleet.set_store_fault(mode, count, CLAIMS)
+        else:
+            fleet.set_store_fault(mode, count, CLAIMS)
+            sent = fleet.send(request)
+        verdict = sent.result(WAIT).verdict
+        assert verdict in allowed
+        fleet.set_store_fault("up")
+        ran = verdict is Verdict.WHOLE
+        assert fleet.run_keys().count(key) == ran
+        again = fleet.send(request, gateway=1).result(WAIT).verdict
+        if ran:
+            # The record of the answer may be lost; the run never is.
+            assert again in (Verdict.WHOLE, Verdict.UNKNOWN)
+        fleet.wait(
+            "one run or none",
+            lambda: (
+                fleet.run_keys().count(key) == 1
+                or fleet.claim_state(key) == "void"
+            ),
+        )
+        assert fleet.run_keys().count(key) <= 1
+        assert fleet_lib.is_ready(fleet.plan.gateways[0].client)
