Pass the group's load to the coordinator test, and filter the event page

Ruled out: resetting the registry between tests, which would unload events.

Change: the test passes a GroupLoad; the page holds the events of catalogue modules only, and its test compares the exact number.

--- a/tests/core/test_events_page.py
+++ b/tests/core/test_events_page.py
@@ -39,7 +39,7 @@
             path.read_text().count("event_log.define(")
             for path in (ROOT / "packages").rglob("event_catalogue.py")
         )
-        assert len(events_page.load_catalogues()) >= defined > 0
+        assert len(events_page.load_catalogues()) == defined > 0
 
 
 class TestMetricsTable:
--- a/tests/expert_maps/test_coordinator.py
+++ b/tests/expert_maps/test_coordinator.py
@@ -4,6 +4,7 @@
 
 from verbenafall_core.bundles import model
 from verbenafall_core.expert_maps import coordinator
+from verbenafall_core.expert_maps import load_history
 from verbenafall_core.expert_maps import record as record_lib
 from verbenafall_standins.fakes import manual_clock
 from verbenafall_standins.fakes import memory_store
@@ -21,5 +22,6 @@
             manual_clock.create_manual_clock(),
         )
         record = record_lib.first_record(1)
-        assert created.select(SPEC, record, {}) == 0
-        assert created.select(SPEC._replace(maps=MAPS[1:]), record, {}) == 2
+        load = load_history.GroupLoad(load_history.empty_history(4), {})
+        assert created.select(SPEC, record, load) == 0
+        assert created.select(SPEC._replace(maps=MAPS[1:]), record, load) == 2
--- a/tools/events_page.py
+++ b/tools/events_page.py
@@ -25,13 +25,19 @@
 
 
 def load_catalogues() -> list[event_log.Event]:
-    """Import all catalogue modules; return their events by number."""
+    """Return the events of all catalogue modules by number."""
+    events: list[event_log.Event] = []
     for name in PACKAGES:
         package = importlib.import_module(name)
         for module in pkgutil.walk_packages(package.__path__, name + "."):
             if module.name.endswith("." + CATALOGUE_MODULE):
-                importlib.import_module(module.name)
-    return event_log.catalogue()
+                members = vars(importlib.import_module(module.name)).values()
+                events.extend(
+                    member
+                    for member in members
+                    if isinstance(member, event_log.Event)
+                )
+    return sorted(events)
 
 
 def format_page(events: Iterable[event_log.Event]) -> str:
