--- a/tests/faults/flow_requests.py
+++ b/tests/faults/flow_requests.py
@@ -5,19 +5,19 @@
 import json
 
 from faults import matrix
-from faults import request_world
+from faults import request_fleet
 from faults import simulation
 from verbenafall_core import outcomes
 
 Fault = matrix.Fault
-World = request_world.World
+Fleet = request_fleet.Fleet
 seconds = simulation.seconds
-RESERVE = f"/services/{request_world.RECORDS}/reservations"
-SEARCH = f"/services/{request_world.RECORDS}/search"
+RESERVE = f"/services/{request_fleet.RECORDS}/reservations"
+SEARCH = f"/services/{request_fleet.RECORDS}/search"
 CHAT = "/v1/chat/completions"
 OUTCOME = "/v1/outcomes/key-1"
 KEY = "key-1"
-GATEWAY_1, GATEWAY_2 = request_world.GATEWAYS
+GATEWAY_1, GATEWAY_2 = request_fleet.GATEWAYS
 # Longer than a pause, a deadline and the time for a late record together.
 SETTLED = seconds(60)
 NOT_RUN = outcomes.Outcome.NOT_RUN
@@ -73,33 +73,33 @@
     return None if fault in FAULTS_OF_STEP[step] else WHY_NOT[fault]
 
 
-def find_second_runs(world: World) -> list[str]:
+def find_second_runs(fleet: Fleet) -> list[str]:
     """Check that a key ran at most once (P1)."""
-    count = sum(run.key == KEY for run in world.runs)
+    count = sum(run.key == KEY for run in fleet.runs)
     return [f"the key ran {count} times"] if count > 1 else []
 
 
-def find_wrong_answers(world: World, text: str) -> list[str]:
+def find_wrong_answers(fleet: Fleet, text: str) -> list[str]:
     """Check the plain answers of records calls (P3, and "ran" is true)."""
     found = []
-    ran = any(run.key == KEY for run in world.runs)
-    for told in world.told:
+    ran = any(run.key == KEY for run in fleet.runs)
+    for told in fleet.told:
         if told.label == "outcome":
             continue
-        if told.done and (told.text != text or not world.runs):
+        if told.done and (told.text != text or not fleet.runs):
             found.append(f"{told.label} got another answer: {told.text}")
-        if told.outcome == RAN and not (ran or world.runs_of(told.request_id)):
+        if told.outcome == RAN and not (ran or fleet.runs_of(told.request_id)):
             found.append(f"{told.label} was told ran, but nothing ran")
     return found
 
 
-def find_wrong_outcomes(world: World) -> list[str]:
+def find_wrong_outcomes(fleet: Fleet) -> list[str]:
     """Check what the outcome query said against all runs, later ones too."""
-    told = world.told_to("outcome")
+    told = fleet.told_to("outcome")
     if told is None or not told.done:
         return []
     outcome = json.loads(told.text)["outcome"]
-    ran = any(run.key == KEY for run in world.runs)
+    ran = any(run.key == KEY for run in fleet.runs)
     if outcome == NOT_RUN and ran:
         return ["the outcome query said not_run, but the key ran"]
     if outcome == RAN and not ran:
@@ -107,122 +107,122 @@
     return []
 
 
-def find_leaks(world: World) -> list[str]:
+def find_leaks(fleet: Fleet) -> list[str]:
     """Check that no process keeps an attempt open."""
     found = []
-    for name, gateway in world.gateways.items():
+    for name, gateway in fleet.gateways.items():
         if gateway.process.alive and gateway.parts.flow.attempts.attempts:
             found.append(f"{name} has open attempts")
         if gateway.process.alive and gateway.parts.flow.open_keys:
             found.append(f"{name} holds keys")
-    for name, sidecar in world.sidecars.items():
+    for name, sidecar in fleet.sidecars.items():
         if sidecar.dispatcher.attempts:
             found.append(f"{name} has open attempts")
     return found
 
 
 def reserve(
-    world: World, waits: tuple[float, ...] = (0.01, 0.5, 4, 11)
+    fleet: Fleet, waits: tuple[float, ...] = (0.01, 0.5, 4, 11)
 ) -> list[str]:
     """A client repeats a reservation by its key, before or after an answer."""
-    start = world.simulator.now()
-    world.call(GATEWAY_1, "first", "POST", RESERVE, b"x", key=KEY)
-    world.simulator.run(seconds(world.generator.choice(waits)))
-    second = world.simulator.now()
-    world.call(GATEWAY_2, "second", "POST", RESERVE, b"x", key=KEY)
-    world.simulator.run(SETTLED)
-    world.call(GATEWAY_2, "outcome", "GET", OUTCOME)
-    world.simulator.run(seconds(5))
-    third = world.simulator.now()
-    world.call(GATEWAY_2, "third", "POST", RESERVE, b"x", key=KEY)
-    world.simulator.run(SETTLED)
+    start = fleet.simulator.now()
+    fleet.call(GATEWAY_1, "first", "POST", RESERVE, b"x", key=KEY)
+    fleet.simulator.run(seconds(fleet.generator.choice(waits)))
+    second = fleet.simulator.now()
+    fleet.call(GATEWAY_2, "second", "POST", RESERVE, b"x", key=KEY)
+    fleet.simulator.run(SETTLED)
+    fleet.call(GATEWAY_2, "outcome", "GET", OUTCOME)
+    fleet.simulator.run(seconds(5))
+    third = fleet.simulator.now()
+    fleet.call(GATEWAY_2, "third", "POST", RESERVE, b"x", key=KEY)
+    fleet.simulator.run(SETTLED)
     calls = {
         "first": (GATEWAY_1, start),
         "second": (GATEWAY_2, second),
         "third": (GATEWAY_2, third),
     }
     return [
-        *find_second_runs(world),
-        *find_wrong_answers(world, request_world.records_text("/reservations")),
-        *find_wrong_outcomes(world),
-        *request_world.find_false_refusals(world),
-        *request_world.find_late_answers(world, calls),
-        *find_leaks(world),
+        *find_second_runs(fleet),
+        *find_wrong_answers(fleet, request_fleet.records_text("/reservations")),
+        *find_wrong_outcomes(fleet),
+        *request_fleet.find_false_refusals(fleet),
+        *request_fleet.find_late_answers(fleet, calls),
+        *find_leaks(fleet),
     ]
 
 
-def pause_at_claim(world: World) -> None:
+def pause_at_claim(fleet: Fleet) -> None:
     """Pause the first sidecar at its claim, from before the link's end.
 
     It goes on before the deadline, so only the claim can stop it.
     """
-    world.pauses = (min(request_world.PAUSES),)
-    world.scripted.append(matrix.Injection("claim", Fault.PAUSE))
+    fleet.pauses = (min(request_fleet.PAUSES),)
+    fleet.scripted.append(matrix.Injection("claim", Fault.PAUSE))
 
 
-def reserve_again(world: World) -> list[str]:
+def reserve_again(fleet: Fleet) -> list[str]:
     """The gateway voids its lost attempt and tries another endpoint."""
-    pause_at_claim(world)
-    return reserve(world, waits=(20,))
+    pause_at_claim(fleet)
+    return reserve(fleet, waits=(20,))
 
 
-def reserve_once(world: World) -> list[str]:
+def reserve_once(fleet: Fleet) -> list[str]:
     """The gateway voids its lost attempt and has no budget for another."""
-    pause_at_claim(world)
-    for gateway in world.gateways.values():
+    pause_at_claim(fleet)
+    for gateway in fleet.gateways.values():
         gateway.parts.flow.budget.try_take = lambda: False
-    start = world.simulator.now()
-    world.call(GATEWAY_1, "first", "POST", RESERVE, b"x", key=KEY)
-    world.simulator.run(SETTLED)
+    start = fleet.simulator.now()
+    fleet.call(GATEWAY_1, "first", "POST", RESERVE, b"x", key=KEY)
+    fleet.simulator.run(SETTLED)
     return [
-        *find_second_runs(world),
-        *find_wrong_answers(world, request_world.records_text("/reservations")),
-        *request_world.find_false_refusals(world),
-        *request_world.find_late_answers(world, {"first": (GATEWAY_1, start)}),
-        *find_leaks(world),
+        *find_second_runs(fleet),
+        *find_wrong_answers(fleet, request_fleet.records_text("/reservations")),
+        *request_fleet.find_false_refusals(fleet),
+        *request_fleet.find_late_answers(fleet, {"first": (GATEWAY_1, start)}),
+        *find_leaks(fleet),
     ]
 
 
-def query(world: World, wait: float) -> list[str]:
+def query(fleet: Fleet, wait: float) -> list[str]:
     """An outcome query at another gateway while a reservation is open."""
-    start = world.simulator.now()
-    world.call(GATEWAY_1, "first", "POST", RESERVE, b"x", key=KEY)
-    world.simulator.run(seconds(wait))
-    asked = world.simulator.now()
-    world.call(GATEWAY_2, "outcome", "GET", OUTCOME)
-    world.simulator.run(SETTLED)
+    start = fleet.simulator.now()
+    fleet.call(GATEWAY_1, "first", "POST", RESERVE, b"x", key=KEY)
+    fleet.simulator.run(seconds(wait))
+    asked = fleet.simulator.now()
+    fleet.call(GATEWAY_2, "outcome", "GET", OUTCOME)
+    fleet.simulator.run(SETTLED)
     calls = {"first": (GATEWAY_1, start), "outcome": (GATEWAY_2, asked)}
     return [
-        *find_second_runs(world),
-        *find_wrong_answers(world, request_world.records_text("/reservations")),
-        *find_wrong_outcomes(world),
-        *request_world.find_false_refusals(world),
-        *request_world.find_late_answers(world, calls),
-        *find_leaks(world),
+        *find_second_runs(fleet),
+        *find_wrong_answers(fleet, request_fleet.records_text("/reservations")),
+        *find_wrong_outcomes(fleet),
+        *request_fleet.find_false_refusals(fleet),
+        *request_fleet.find_late_answers(fleet, calls),
+        *find_leaks(fleet),
     ]
 
 
-def search(world: World) -> list[str]:
+def search(fleet: Fleet) -> list[str]:
     """An idempotent call of a records service."""
-    start = world.simulator.now()
-    world.call(GATEWAY_1, "first", "POST", SEARCH, b"x")
-    world.simulator.run(SETTLED)
+    start = fleet.simulator.now()
+    fleet.call(GATEWAY_1, "first", "POST", SEARCH, b"x")
+    fleet.simulator.run(SETTLED)
     return [
-        *find_wrong_answers(world, request_world.records_text("/search")),
-        *request_world.find_false_refusals(world),
-        *request_world.find_late_answers(world, {"first": (GATEWAY_1, start)}),
-        *find_leaks(world),
+        *find_wrong_answers(fleet, request_fleet.records_text("/search")),
+        *request_fleet.find_false_refusals(fleet),
+        *request_fleet.find_late_answers(fleet, {"first": (GATEWAY_1, start)}),
+        *find_leaks(fleet),
     ]
 
 
-def find_broken_streams(world: World, prompts: tuple[str, ...]) -> list[str]:
+def find_broken_streams(fleet: Fleet, prompts: tuple[str, ...]) -> list[str]:
     """Check that a stream is a part of its own answer, and its end (P3)."""
     found = []
     for prompt in prompts:
-        told = world.told_to(prompt)
+        told = fleet.told_to(prompt)
         if told is None:
             continue
-        whole = request_world.chat_text(prompt)
+        whole = request_fleet.chat_text(prompt)
         if not whole.startswith(told.text):
             found.append(f"{prompt} got {told.text!r}")
         if told.done and told.text != whole:
@@ -232,54 +232,54 @@
     return found
 
 
-def stream(world: World) -> list[str]:
+def stream(fleet: Fleet) -> list[str]:
     """Two streams at a time, each with a text of its own."""
-    start = world.simulator.now()
+    start = fleet.simulator.now()
     prompts = ("left", "right")
     for prompt in prompts:
-        body = request_world.chat_body(prompt)
-        world.call(GATEWAY_1, prompt, "POST", CHAT, body)
-    world.simulator.run(SETTLED)
+        body = request_fleet.chat_body(prompt)
+        fleet.call(GATEWAY_1, prompt, "POST", CHAT, body)
+    fleet.simulator.run(SETTLED)
     calls = dict.fromkeys(prompts, (GATEWAY_1, start))
     return [
-        *find_broken_streams(world, prompts),
-        *request_world.find_false_refusals(world),
-        *request_world.find_late_answers(world, calls),
-        *find_leaks(world),
+        *find_broken_streams(fleet, prompts),
+        *request_fleet.find_false_refusals(fleet),
+        *request_fleet.find_late_answers(fleet, calls),
+        *find_leaks(fleet),
     ]
 
 
-def cancel(world: World) -> list[str]:
+def cancel(fleet: Fleet) -> list[str]:
     """A client that closes its stream, and a call cancelled at its deadline."""
-    body = request_world.chat_body("left")
-    world.call(GATEWAY_1, "left", "POST", CHAT, body, close_after=3)
-    world.simulator.run(SETTLED)
+    body = request_fleet.chat_body("left")
+    fleet.call(GATEWAY_1, "left", "POST", CHAT, body, close_after=3)
+    fleet.simulator.run(SETTLED)
     return [
-        *find_broken_streams(world, ("left",)),
-        *request_world.find_false_refusals(world),
-        *find_leaks(world),
+        *find_broken_streams(fleet, ("left",)),
+        *request_fleet.find_false_refusals(fleet),
+        *find_leaks(fleet),
     ]
 
 
-def cancel_overtakes(world: World, path: str, key: str) -> list[str]:
+def cancel_overtakes(fleet: Fleet, path: str, key: str) -> list[str]:
     """A cancel at the deadline that reaches the sidecar before its dispatch."""
-    start = world.simulator.now()
-    world.scripted.append(matrix.Injection("dispatch", Fault.REORDER))
-    world.call(GATEWAY_1, "first", "POST", path, b"x", key=key)
-    world.simulator.run(SETTLED)
+    start = fleet.simulator.now()
+    fleet.scripted.append(matrix.Injection("dispatch", Fault.REORDER))
+    fleet.call(GATEWAY_1, "first", "POST", path, b"x", key=key)
+    fleet.simulator.run(SETTLED)
     return [
-        *find_second_runs(world),
-        *request_world.find_false_refusals(world),
-        *request_world.find_late_answers(world, {"first": (GATEWAY_1, start)}),
-        *find_leaks(world),
+        *find_second_runs(fleet),
+        *request_fleet.find_false_refusals(fleet),
+        *request_fleet.find_late_answers(fleet, {"first": (GATEWAY_1, start)}),
+        *find_leaks(fleet),
     ]
 
 
-Scenario = Callable[[World], list[str]]
-Change = Callable[[World], None]
+Scenario = Callable[[Fleet], list[str]]
+Change = Callable[[Fleet], None]
 
 
-def unchanged(_world: World) -> None:
+def unchanged(_fleet: Fleet) -> None:
     """Leave the mechanisms as they are."""
 
 
@@ -289,18 +289,18 @@
     cell: matrix.Cell,
     change: Change = unchanged,
 ) -> matrix.Report:
-    """Run a scenario in a new world; a change replaces mechanisms."""
-    world = request_world.World(cell, service)
+    """Run a scenario in a new fleet; a change replaces mechanisms."""
+    fleet = request_fleet.Fleet(cell, service)
     try:
-        change(world)
-        world.start()
-        violations = scenario(world)
+        change(fleet)
+        fleet.start()
+        violations = scenario(fleet)
     finally:
-        world.simulator.close()
-    return matrix.Report(frozenset(world.injected), tuple(violations))
+        fleet.simulator.close()
+    return matrix.Report(frozenset(fleet.injected), tuple(violations))
 
 
-class Scene:
+class FlowSpec:
     """A flow that tests can also run with a changed mechanism."""
 
     def __init__(
@@ -337,26 +337,26 @@
     "end_received",
 )
 CANCEL_STEPS = ("cancel", "cancel_received", "cancel_confirmed")
-RECORDS = request_world.RECORDS
+RECORDS = request_fleet.RECORDS
 
-SCENES = (
-    Scene("reservation", RECORDS, reserve, ONCE_STEPS, pairs=True),
-    Scene(
+FLOW_SPECS = (
+    FlowSpec("reservation", RECORDS, reserve, ONCE_STEPS, pairs=True),
+    FlowSpec(
         "reservation_again",
         RECORDS,
         reserve_again,
         ("settle", "void", "call", "answer", "record", "end"),
     ),
-    Scene("reservation_once", RECORDS, reserve_once, ("settle", "void")),
-    Scene(
+    FlowSpec("reservation_once", RECORDS, reserve_once, ("settle", "void")),
+    FlowSpec(
         "search",
         RECORDS,
         search,
         tuple(s for s in ONCE_STEPS if s not in ("claim", "record")),
     ),
-    Scene(
+    FlowSpec(
         "stream",
-        request_world.CHAT,
+        request_fleet.CHAT,
         stream,
         (
             "dispatch",
@@ -370,31 +370,31 @@
             "end_received",
         ),
     ),
-    Scene("cancel_by_client", request_world.CHAT, cancel, CANCEL_STEPS),
-    Scene(
+    FlowSpec("cancel_by_client", request_fleet.CHAT, cancel, CANCEL_STEPS),
+    FlowSpec(
         "cancel_overtakes_search",
         RECORDS,
-        lambda world: cancel_overtakes(world, SEARCH, ""),
+        lambda fleet: cancel_overtakes(fleet, SEARCH, ""),
         (*CANCEL_STEPS, "dispatch_received"),
     ),
-    Scene(
+    FlowSpec(
         "cancel_overtakes_reserve",
         RECORDS,
-        lambda world: cancel_overtakes(world, RESERVE, KEY),
+        lambda fleet: cancel_overtakes(fleet, RESERVE, KEY),
         (*CANCEL_STEPS, "dispatch_received"),
     ),
-    Scene(
+    FlowSpec(
         "outcome_before_claim",
         RECORDS,
-        lambda world: query(world, 0.0005),
+        lambda fleet: query(fleet, 0.0005),
         ("dispatch", "dispatch_received", "settle", "void"),
     ),
-    Scene(
+    FlowSpec(
         "outcome_after_claim",
         RECORDS,
-        lambda world: query(world, 0.005),
+        lambda fleet: query(fleet, 0.005),
         ("dispatch", "claim", "call", "answer", "record", "settle"),
     ),
 )
 
-FLOWS = tuple(scenario.build() for scenario in SCENES)
+FLOWS = tuple(scenario.build() for scenario in FLOW_SPECS)
--- a/tests/faults/request_world.py
+++ b/tests/faults/request_fleet.py
@@ -95,11 +95,11 @@
     at: datetime.timedelta
 
 
-class Side:
+class LinkEnd:
     """One end of a link."""
 
-    def __init__(self, world, process, peer, address, receive, on_close):
-        self.world = world
+    def __init__(self, fleet, process, peer, address, receive, on_close):
+        self.fleet = fleet
         self.process = process
         self.peer = peer
         self.address = address
@@ -114,21 +114,21 @@
     def send(self, message):
         if self.closed or not self.process.alive:
             return False
-        faults = self.world.strike(step_of_message(message), self.process)
+        faults = self.fleet.inject(step_of_message(message), self.process)
         if not self.process.alive:
             return False
         if Fault.CUT_OUT in faults:
-            self.world.cut(self, self)
+            self.fleet.cut(self, self)
         if Fault.CUT_IN in faults:
-            self.world.cut(self, self.other)
+            self.fleet.cut(self, self.other)
         if Fault.DELAY in faults:
-            self.extra = seconds(self.world.generator.choice(DELAYS))
+            self.extra = seconds(self.fleet.generator.choice(DELAYS))
         if Fault.REORDER in faults:
             self.held.append(message)
             return True
         self.transmit(message, self.extra)
         if Fault.DUPLICATE in faults:
-            late = self.world.generator.choice((0.0, *DELAYS))
+            late = self.fleet.generator.choice((0.0, *DELAYS))
             self.transmit(message, self.extra + seconds(late))
         held, self.held = self.held, []
         for late_message in held:
@@ -138,7 +138,7 @@
     def transmit(self, message, delay):
         if self.cut:
             return
-        self.world.simulator.at(
+        self.fleet.simulator.at(
             LATENCY + delay,
             self.other.process,
             lambda: self.other.deliver(message),
@@ -148,9 +148,9 @@
         if self.closed:
             return
         step = step_of_message(message)
-        self.world.strike(f"{step}_received", self.process)
-        if self.process.paused_until > self.world.simulator.now():
-            self.world.simulator.at_front(
+        self.fleet.inject(f"{step}_received", self.process)
+        if self.process.paused_until > self.fleet.simulator.now():
+            self.fleet.simulator.at_front(
                 self.process, lambda: self.receive(message)
             )
         elif self.process.alive:
@@ -163,7 +163,7 @@
         self.closed = True
         self.on_close(self, reason)
         delay = LINK_TIMEOUT if self.cut else LATENCY
-        self.world.simulator.at(
+        self.fleet.simulator.at(
             delay, self.other.process, lambda: self.other.close("closed")
         )
 
@@ -171,23 +171,23 @@
 class Endpoint:
     """Runs what it is sent, at any time, and outlives its sidecar."""
 
-    def __init__(self, world, name):
-        self.world = world
+    def __init__(self, fleet, name):
+        self.fleet = fleet
         self.name = name
         self.process = simulation.Process(f"engine of {name}")
         self.cancelled = set()
 
     def begin(self, dispatch, limit, sink, sidecar):
-        faults = self.world.strike("call", sidecar)
-        self.world.hold_task(sidecar)
-        simulator = self.world.simulator
+        faults = self.fleet.inject("call", sidecar)
+        self.fleet.hold_task(sidecar)
+        simulator = self.fleet.simulator
         call = Call(self, dispatch, sink, sidecar)
         if Fault.CUT_OUT in faults:
             call.fail(False)
             return call
         delay = LATENCY
         if Fault.DELAY in faults:
-            delay += seconds(self.world.generator.choice(DELAYS))
+            delay += seconds(self.fleet.generator.choice(DELAYS))
         simulator.at(limit, sidecar, lambda: call.fail(True))
         simulator.at(
             delay, self.process, lambda: self.process_call(call, faults)
@@ -199,7 +199,7 @@
         if dispatch.attempt_id in self.cancelled:
             return
         run = Run(self.name, dispatch.attempt_id, dispatch.idempotency_key)
-        self.world.runs.append(run)
+        self.fleet.runs.append(run)
         if Fault.LOST_ANSWER in faults:
             call.later(SERVICE_TIME, lambda: call.fail(True))
         elif Fault.CUT_IN not in faults:
@@ -225,7 +225,7 @@
 
     def __init__(self, endpoint, dispatch, sink, sidecar):
         self.endpoint = endpoint
-        self.world = endpoint.world
+        self.fleet = endpoint.fleet
         self.dispatch = dispatch
         self.sink = sink
         self.sidecar = sidecar
@@ -233,7 +233,7 @@
 
     def cancel(self):
         """Tell the engine, and end the call."""
-        simulator = self.world.simulator
+        simulator = self.fleet.simulator
         attempt_id = self.dispatch.attempt_id
         simulator.at(
             LATENCY,
@@ -243,7 +243,7 @@
         self.later(LATENCY, lambda: self.fail(True))
 
     def later(self, delay, action):
-        self.world.simulator.at(delay, self.sidecar, action)
+        self.fleet.simulator.at(delay, self.sidecar, action)
 
     def fail(self, sent):
         if not self.ended:
@@ -260,13 +260,13 @@
         self.later(service_time, lambda: self.token(self.dispatch.resume_index))
 
     def finish(self, end):
-        faults = self.world.strike("answer", self.sidecar)
+        faults = self.fleet.inject("answer", self.sidecar)
         if Fault.LOST_ANSWER in faults:
             self.fail(True)
         elif not self.sidecar.alive or self.ended:
             return
-        elif self.sidecar.paused_until > self.world.simulator.now():
-            self.world.simulator.at_front(
+        elif self.sidecar.paused_until > self.fleet.simulator.now():
+            self.fleet.simulator.at_front(
                 self.sidecar, lambda: self.finish(end)
             )
         else:
@@ -276,7 +276,7 @@
     def token(self, number):
         if self.ended or self.dispatch.attempt_id in self.endpoint.cancelled:
             return
-        faults = self.world.strike("token", self.sidecar)
+        faults = self.fleet.inject("token", self.sidecar)
         if not self.sidecar.alive:
             return
         if Fault.LOST_ANSWER in faults:
@@ -294,28 +294,28 @@
 class Store:
     """The shared store as one process calls it, with faults."""
 
-    def __init__(self, world, process):
-        self.world = world
+    def __init__(self, fleet, process):
+        self.fleet = fleet
         self.process = process
 
     def call(self, name, *arguments):
         is_sidecar = self.process.name in SIDECARS
         steps = SIDECAR_STEPS if is_sidecar else GATEWAY_STEPS
-        faults = self.world.strike(steps.get(name), self.process)
-        self.world.hold_task(self.process)
+        faults = self.fleet.inject(steps.get(name), self.process)
+        self.fleet.hold_task(self.process)
         slow_before = False
         if Fault.SLOW in faults:
-            slow_before = self.world.generator.random() < 0.5
+            slow_before = self.fleet.generator.random() < 0.5
         if slow_before:
-            self.world.simulator.sleep(SLOW_CALL)
+            self.fleet.simulator.sleep(SLOW_CALL)
         result = self.apply(name, arguments, faults)
         if Fault.SLOW in faults and not slow_before:
-            self.world.simulator.sleep(SLOW_CALL)
+            self.fleet.simulator.sleep(SLOW_CALL)
         return result
 
     def apply(self, name, arguments, faults):
-        store = self.world.store
-        down = self.world.store_down_until > self.world.simulator.now()
+        store = self.fleet.store
+        down = self.fleet.store_down_until > self.fleet.simulator.now()
         fault = None
         if down:
             fault = memory_store.Fault.DOWN
@@ -333,11 +333,11 @@
             store.plan = memory_store.no_faults
 
     def apply_late(self, name, arguments):
-        delay = seconds(self.world.generator.choice(DELAYS))
-        self.world.simulator.at(
+        delay = seconds(self.fleet.generator.choice(DELAYS))
+        self.fleet.simulator.at(
             delay,
-            self.world.outside,
-            lambda: getattr(self.world.store, name)(*arguments),
+            self.fleet.outside,
+            lambda: getattr(self.fleet.store, name)(*arguments),
         )
 
     def read(self, name):
@@ -367,7 +367,7 @@
     parts: gateway_fakes.Gateway
 
 
-class World:
+class Fleet:
     """All processes of one cell."""
 
     def __init__(self, cell: matrix.Cell, service: str) -> None:
@@ -477,7 +477,7 @@
                 lambda: self.connect(gateway, sidecar),
             )
 
-        near = Side(
+        near = LinkEnd(
             self,
             gateway.process,
             hello,
@@ -485,7 +485,7 @@
             lambda message: router.on_message(near, message),
             close_at_gateway,
         )
-        far = Side(
+        far = LinkEnd(
             self,
             sidecar.process,
             None,
@@ -504,7 +504,7 @@
         elif isinstance(message, messages.Cancel):
             sidecar.dispatcher.on_cancel(side, message)
 
-    def strike(self, step, process) -> set[Fault]:
+    def inject(self, step, process) -> set[Fault]:
         """Inject the faults of a step the first time it is reached.
 
         Faults of the process and the store happen here; those of the message
@@ -695,31 +695,31 @@
     ).encode()
 
 
-def find_false_refusals(world: World) -> list[str]:
+def find_false_refusals(fleet: Fleet) -> list[str]:
     """Check that nothing ran for which a client was told not_run (P2)."""
     return [
         f"{told.label} was told not_run but ran"
-        for told in world.told
+        for told in fleet.told
         if told.outcome == outcomes.Outcome.NOT_RUN
-        and world.runs_of(told.request_id)
+        and fleet.runs_of(told.request_id)
     ]
 
 
 def find_late_answers(
-    world: World, calls: dict[str, tuple[str, datetime.timedelta]]
+    fleet: Fleet, calls: dict[str, tuple[str, datetime.timedelta]]
 ) -> list[str]:
     """Check that calls got an answer in time.
 
     Args:
-        world: The world after its run.
+        fleet: The fleet after its run.
         calls: Gateway and start of each call by label. Calls of a gateway
             that was itself killed or paused are not judged.
     """
     found = []
     for label, (gateway, started) in calls.items():
-        if gateway in world.halted:
+        if gateway in fleet.halted:
             continue
-        told = world.told_to(label)
+        told = fleet.told_to(label)
         if told is None:
             found.append(f"{label} got no answer")
         elif told.at > started + DEADLINE:
--- a/tests/faults/test_mutations.py
+++ b/tests/faults/test_mutations.py
@@ -6,7 +6,7 @@
 
 from faults import flow_requests
 from faults import matrix
-from faults import request_world
+from faults import request_fleet
 from verbenafall_core import outcomes
 from verbenafall_core.claims import decisions
 from verbenafall_core.claims import model
@@ -24,26 +24,26 @@
 class UnconditionalStore(NamedTuple):
     """Creates claims without the condition that they are absent."""
 
-    store: request_world.Store
+    store: request_fleet.Store
 
     def read(self, name):
         return self.store.read(name)
 
     def create(self, name, value):
-        self.store.world.store.objects.pop(name, None)
+        self.store.fleet.store.objects.pop(name, None)
         return self.store.create(name, value)
 
     def update(self, name, value, version):
         return self.store.update(name, value, version)
 
 
-def claims_without_condition(world, _monkeypatch):
+def claims_without_condition(fleet, _monkeypatch):
     def create(store, clock, new_token):
         return claim_service.create_claim_service(
             UnconditionalStore(store), clock, new_token
         )
 
-    world.create_claims = create
+    fleet.create_claims = create
 
 
 class NoClaims(claim_service.ClaimService):
@@ -55,8 +55,8 @@
         return model.StartedClaim(model.object_name(team, key), 1, claim)
 
 
-def no_claims(world, _monkeypatch):
-    world.create_claims = NoClaims
+def no_claims(fleet, _monkeypatch):
+    fleet.create_claims = NoClaims
 
 
 class ForgetfulRegistry(attempt_registry.AttemptRegistry):
@@ -68,11 +68,11 @@
         )
 
 
-def cancel_without_memory(world, _monkeypatch):
-    world.create_registry = lambda: ForgetfulRegistry(100)
+def cancel_without_memory(fleet, _monkeypatch):
+    fleet.create_registry = lambda: ForgetfulRegistry(100)
 
 
-def let_voided_attempts_start(_world, monkeypatch):
+def let_voided_attempts_start(_fleet, monkeypatch):
     """Let a start take over a void that was written for its own attempt."""
     original = decisions.next_step_from_void
 
@@ -83,7 +83,7 @@
     monkeypatch.setattr(decisions, "next_step_from_void", next_step)
 
 
-def take_sealed_keys_over(_world, monkeypatch):
+def take_sealed_keys_over(_fleet, monkeypatch):
     """Let a start treat a sealed claim as a void one."""
     original = decisions.next_start_step
 
@@ -96,7 +96,7 @@
     monkeypatch.setattr(decisions, "next_start_step", next_start_step)
 
 
-def unknown_as_not_run(_world, monkeypatch):
+def unknown_as_not_run(_fleet, monkeypatch):
     """Report an attempt as not run when nothing was heard of it."""
     original = attempt_events.known_outcome
 
@@ -107,7 +107,7 @@
     monkeypatch.setattr(attempt_events, "known_outcome", known_outcome)
 
 
-def accept_gaps(_world, monkeypatch):
+def accept_gaps(_fleet, monkeypatch):
     def take_chunk(assembly, chunk):
         grown = assembly._replace(
             next_sequence=chunk.sequence + 1,
@@ -118,7 +118,7 @@
     monkeypatch.setattr(stream_assembly, "take_chunk", take_chunk)
 
 
-def cross_answers(world, monkeypatch):
+def cross_answers(fleet, monkeypatch):
     """Hand each message to the attempt that was opened first."""
 
     def receive(attempts, _link, message):
@@ -126,16 +126,16 @@
             next(iter(attempts.attempts.values())).events.put(message)
 
     monkeypatch.setattr(open_attempts.OpenAttempts, "receive", receive)
-    accept_gaps(world, monkeypatch)
+    accept_gaps(fleet, monkeypatch)
 
 
-def accept_any_end(_world, monkeypatch):
+def accept_any_end(_fleet, monkeypatch):
     monkeypatch.setattr(
         stream_assembly, "is_complete", lambda _assembly, _end: True
     )
 
 
-def resume_from_the_start(_world, monkeypatch):
+def resume_from_the_start(_fleet, monkeypatch):
     """Resume a stream as if the client had no tokens."""
     original = stream_assembly.begin
     monkeypatch.setattr(
@@ -181,18 +181,20 @@
 
 def run_mutated(row, monkeypatch):
     """Yield the verdicts on the single faults of a flow."""
-    scene = next(item for item in flow_requests.SCENES if item.name == row.flow)
+    spec = next(
+        item for item in flow_requests.FLOW_SPECS if item.name == row.flow
+    )
 
     def run(cell):
         with monkeypatch.context() as patch:
             return flow_requests.execute(
-                scene.service,
-                scene.scenario,
+                spec.service,
+                spec.scenario,
                 cell,
-                lambda world: row.mutate(world, patch),
+                lambda fleet: row.mutate(fleet, patch),
             )
 
-    flow = scene.build()._replace(pairs=False, run=run)
+    flow = spec.build()._replace(pairs=False, run=run)
     return matrix.run_flow(flow, seed=1)
 
 
--- a/tests/faults/test_request_world.py
+++ b/tests/faults/test_request_fleet.py
@@ -1,10 +1,10 @@
-"""The world of the request flows: runs without faults, and repeats."""
+"""The fleet of the request flows: runs without faults, and repeats."""
 
 import pytest
 
 from faults import flow_requests
 from faults import matrix
-from faults import request_world
+from faults import request_fleet
 
 # Flow; status and outcome that each client is told without faults.
 TOLD = [
@@ -23,19 +23,19 @@
 
 def observe(name, *injections):
     """Run a flow; return the findings, what was told and what ran."""
-    scene = next(s for s in flow_requests.SCENES if s.name == name)
+    spec = next(s for s in flow_requests.FLOW_SPECS if s.name == name)
     cell = matrix.Cell(name, injections, 1)
-    world = request_world.World(cell, scene.service)
+    fleet = request_fleet.Fleet(cell, spec.service)
     try:
-        world.start()
-        found = scene.scenario(world)
+        fleet.start()
+        found = spec.scenario(fleet)
     finally:
-        world.simulator.close()
-    told = [item._replace(request_id="") for item in world.told]
-    return found, told, [(run.endpoint, run.key) for run in world.runs]
+        fleet.simulator.close()
+    told = [item._replace(request_id="") for item in fleet.told]
+    return found, told, [(run.endpoint, run.key) for run in fleet.runs]
 
 
-class TestWorld:
+class TestFleet:
     @pytest.mark.parametrize(("name", "expected"), TOLD)
     def test_without_faults(self, name, expected):
         """Guards against cells that hold because nothing works."""
@@ -47,7 +47,7 @@
     def test_every_flow_is_listed(self):
         """Guards against a flow whose run without faults is not checked."""
         assert [name for name, _ in TOLD] == [
-            scene.name for scene in flow_requests.SCENES
+            spec.name for spec in flow_requests.FLOW_SPECS
         ]
 
     @pytest.mark.parametrize("step", ["dispatch", "call", "end"])
