Run pairs of faults in more flows of non-idempotent requests

reservation_once, cancel_overtakes_reserve and outcome_before_claim run pairs as well. A test sends an engine's 422 over real HTTP and a real link.

--- a/tests/faults/flow_requests.py
+++ b/tests/faults/flow_requests.py
@@ -347,7 +347,13 @@
         reserve_again,
         ("settle", "void", "call", "answer", "record", "end"),
     ),
-    FlowSpec("reservation_once", RECORDS, reserve_once, ("settle", "void")),
+    FlowSpec(
+        "reservation_once",
+        RECORDS,
+        reserve_once,
+        ("settle", "void"),
+        pairs=True,
+    ),
     FlowSpec(
         "search",
         RECORDS,
@@ -382,12 +388,14 @@
         RECORDS,
         lambda fleet: cancel_overtakes(fleet, RESERVE, KEY),
         (*CANCEL_STEPS, "dispatch_received"),
+        pairs=True,
     ),
     FlowSpec(
         "outcome_before_claim",
         RECORDS,
         lambda fleet: query(fleet, 0.0005),
         ("dispatch", "dispatch_received", "settle", "void"),
+        pairs=True,
     ),
     FlowSpec(
         "outcome_after_claim",
--- a/tests/sidecar/test_thin_path.py
+++ b/tests/sidecar/test_thin_path.py
@@ -17,6 +17,7 @@
 from verbenafall_core import link_router
 from verbenafall_core import messages
 from verbenafall_core import metrics
+from verbenafall_core import outcomes
 from verbenafall_core.claims import service as claim_service
 from verbenafall_sidecar import attempt_registry
 from verbenafall_sidecar import dispatcher as dispatcher_lib
@@ -35,13 +36,15 @@
 
     def do_POST(self):
         body = self.rfile.read(int(self.headers["Content-Length"]))
-        if self.path == "/v1/chat/completions":
-            self.stream(json.loads(body))
+        if self.path != "/v1/chat/completions":
+            self.reply(201, b"echo:" + body)
+        elif b"bad" in body:
+            self.reply(422, b'{"error": {"message": "too many tokens"}}')
         else:
-            self.reply(b"echo:" + body)
+            self.stream(json.loads(body))
 
-    def reply(self, body):
-        self.send_response(201)
+    def reply(self, status, body):
+        self.send_response(status)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
@@ -176,6 +179,18 @@
         assert isinstance(failed, messages.Failed)
         assert failed.chunks_sent == len(TOKENS)
 
+    def test_bad_request_of_an_engine_over_http(self, open_path):
+        # Guards against an error body that is read as a stream or a token.
+        link, received = open_path("engine")
+        link.send(CHAT._replace(body=b'{"bad": true}'))
+        accepted, refused = collect(received)
+        assert isinstance(accepted, messages.Accepted)
+        assert (refused.reason, refused.outcome, refused.detail) == (
+            outcomes.Reason.BAD_REQUEST,
+            helpers.NOT_RUN,
+            "too many tokens",
+        )
+
     @pytest.mark.parametrize("dispatch", [helpers.DISPATCH, helpers.ONCE])
     def test_plain_call_returns_the_answer(self, open_path, dispatch):
         link, received = open_path("service")
