Send heartbeats on busy links too

Cause: a link sent its heartbeat only after a second without any other message. Between busy processes no heartbeat flowed, so bundle versions did not spread over these links, and a peer did not count as heard. A gateway that restarted during a store outage found no bundle for 40 s while its status was read every 50 ms; by the same rule, processes under load would stop taking new work as unconfirmed 5 s after the start of a store outage.

Ruled out: the store's adapter and the fetch of texts from peers. The gateway's log shows open links, no refused text and no request for one, and the bundle from the store 4 ms after the outage ended.

The cost is one small message a second on busy links.

Measured: the new test in tests/core/test_link.py fails before the change (no heartbeat among 500 messages in 10 s) and passes after it.

--- a/packages/core/src/verbenafall_core/link.py
+++ b/packages/core/src/verbenafall_core/link.py
@@ -74,7 +74,7 @@
         self.connected = not outgoing
         now = loop.clock.monotonic()
         self.last_received = now
-        self.last_sent = now
+        self.last_heartbeat = now
 
     def send(self, message: messages.Message) -> bool:
         """Queue a message.
@@ -396,7 +396,6 @@
             if link.partial:
                 sent = link.sock.send(link.partial)
                 link.partial = link.partial[sent:]
-                link.last_sent = self.clock.monotonic()
         except BlockingIOError:
             pass
         except OSError as error:
@@ -417,9 +416,11 @@
             if now - link.last_received > DEAD_AFTER:
                 self.drop(link, f"silent for {DEAD_AFTER.total_seconds():g} s")
             elif link.peer is not None and (
-                now - link.last_sent >= HEARTBEAT_INTERVAL
+                now - link.last_heartbeat >= HEARTBEAT_INTERVAL
             ):
-                link.last_sent = now
+                # Other messages do not replace a heartbeat: it carries the
+                # bundle versions, and peers count contact by it.
+                link.last_heartbeat = now
                 link.send(self.heartbeat())
         with self.lock:
             due = [
--- a/tests/core/test_link.py
+++ b/tests/core/test_link.py
@@ -80,6 +80,19 @@
         next_of(server_events, messages.Heartbeat)
         next_of(client_events, messages.Heartbeat)
 
+    def test_heartbeats_flow_besides_other_messages(self, pair):
+        """Guards against busy links that carry no bundle versions."""
+        server_events, _, link, _ = pair
+        next_of(server_events, messages.Heartbeat)
+        found = None
+        for _ in range(WAIT_SECONDS * 50):
+            link.send(CHUNK)
+            found = server_events.received.get(timeout=WAIT_SECONDS)
+            if isinstance(found, messages.Heartbeat):
+                break
+            threading.Event().wait(0.02)
+        assert isinstance(found, messages.Heartbeat)
+
     def test_send_on_a_closed_link_says_that_nothing_was_queued(self, pair):
         _, client_events, link, _ = pair
         link.close("test")
