Keep streams open through the whole map switch in its system test

Cause: the streams began before the roll, so on a slow machine they could end before the switch, and the test would show nothing.

Change: some streams begin at each poll until the group is stable again. The test waits for the switch before it waits for the roll, so that a short switch is not missed.

--- a/tests/system/test_bundles_and_maps.py
+++ b/tests/system/test_bundles_and_maps.py
@@ -107,23 +107,25 @@
             ]
         path = fleet.sign("maps.json", document)
         fleet.wait("a lease holder", fleet.lease_holder)
-        streams = fleet.send_all(system_fleet.chat_requests(9, 250))
+        requests = iter(system_fleet.chat_requests(4000, 60))
+        streams = []
+
+        def is_in(phase):
+            # Some streams begin at each poll, so that streams are open in
+            # every part of the switch.
+            if sum(not stream.done() for stream in streams) < 6:
+                streams.extend(fleet.send_all([next(requests), next(requests)]))
+            return fleet.object(GROUP_RECORD)["phase"] == phase
+
         rolling = fleet.begin_roll(path)
-        printed = rolling.communicate(timeout=WAIT)[0]
-        assert rolling.returncode == 0, printed
-        fleet.wait(
-            "a switch",
-            lambda: fleet.object(GROUP_RECORD)["phase"] == "switching",
-        )
+        fleet.wait("a switch", lambda: is_in("switching"))
         holder = fleet.lease_holder()
         fleet.kill(holder)
         fleet.start(holder)
-        later = fleet.send_all(system_fleet.chat_requests(6, 20, seed=9))
-        assert system_fleet.whole(streams + later) == []
-        fleet.wait(
-            "a stable group",
-            lambda: fleet.object(GROUP_RECORD)["phase"] == "stable",
-        )
+        printed = rolling.communicate(timeout=WAIT)[0]
+        assert rolling.returncode == 0, printed
+        fleet.wait("a stable group", lambda: is_in("stable"))
+        assert system_fleet.whole(streams) == []
         after = fleet.object(GROUP_RECORD)
         assert after["map_version"] != before["map_version"]
         assert after["epoch"] > before["epoch"]
