--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 import os
 import pathlib
+import resource
 import tempfile
 import threading
 import time
@@ -146,12 +147,21 @@
     pids = (fleet.gateway_pid(), fleet.sidecar_pids()[0])
     cpu = [bench_fleet.cpu_seconds(pid) for pid in pids]
     calls = bench_fleet.read_store_calls(fleet)
+    operator = resource.getrusage(resource.RUSAGE_CHILDREN)
     began = time.monotonic()
     roller = threading.Thread(target=bench_fleet.roll, args=(fleet, bundle))
     roller.start()
     wait_for(lambda: in_force_everywhere(fleet, bundle["version"]))
     seconds = time.monotonic() - began
     roller.join()
+    used = resource.getrusage(resource.RUSAGE_CHILDREN)
+    emit(
+        f"{label}.operator.cpu",
+        used.ru_utime + used.ru_stime - operator.ru_utime - operator.ru_stime,
+        "s",
+    )
+    # Linux gives the largest of all commands so far, in KiB.
+    emit(f"{label}.operator.memory", used.ru_maxrss / 1024, "MiB")
     emit(f"{label}.in_force_everywhere", seconds, "s", "limit", 7.0)
     after = bench_fleet.read_store_calls(fleet)
     for kind in ("reads", "writes", "watches"):
@@ -159,8 +169,8 @@
     for role, pid, before in zip(
         ("gateway", "sidecar"), pids, cpu, strict=True
     ):
-        used = bench_fleet.cpu_seconds(pid) - before
-        emit(f"{label}.{role}.cpu", used, "s")
+        seconds = bench_fleet.cpu_seconds(pid) - before
+        emit(f"{label}.{role}.cpu", seconds, "s")
 
 
 def create_shape(sidecars: int) -> bench_fleet.Shape:
