Look at the timers of links every 50 ms at most

Cause: each pass of the link thread looked at all links, so the cost grew with the square of their number. A gateway's idle cost grew from 0.009 cores with 4 links to 0.024 with 48.

Change: heartbeats, dead links and new targets are looked at every 50 ms at most, and at once when the targets change. Tests for joined messages and for parts of an answer on a full socket.

--- a/packages/core/src/verbenafall_core/link.py
+++ b/packages/core/src/verbenafall_core/link.py
@@ -31,6 +31,8 @@
 MAX_PENDING_BYTES: Final = 16 * 1024 * 1024
 READ_BYTES: Final = 256 * 1024
 LOOP_WAIT_SECONDS: Final = 0.2
+# Looking at all links in each pass costs the square of their number.
+TIMER_INTERVAL: Final = datetime.timedelta(milliseconds=50)
 
 
 class LinkError(Exception):
@@ -161,6 +163,7 @@
         self.listeners: list[socket.socket] = []
         self.stopped = False
         self.last_pass = clock.monotonic()
+        self.timers_due = self.last_pass
         self.wake_read, self.wake_write = socket.socketpair()
         self.wake_read.setblocking(False)
         self.wake_write.setblocking(False)
@@ -213,6 +216,7 @@
             ]
             for address in wanted:
                 self.targets.setdefault(address, Target(address))
+            self.timers_due = datetime.timedelta()
         for link in removed:  # Closing takes the lock.
             if link is not None:
                 link.close("the peer is no longer a target")
@@ -287,7 +291,9 @@
             attention, self.attention = self.attention, set()
         for link in attention:
             self.serve(link)
-        self.check_timers(now)
+        if now >= self.timers_due:
+            self.timers_due = now + TIMER_INTERVAL
+            self.check_timers(now)
 
     def handle_event(
         self, key: selectors.SelectorKey, mask: int, now: datetime.timedelta
--- a/tests/core/test_link.py
+++ b/tests/core/test_link.py
@@ -108,6 +108,32 @@
         link.loop.announce()
         assert next_of(server_events, messages.Heartbeat) == beat
 
+    def test_joined_messages_arrive_in_order_without_another_wake_up(
+        self, pair
+    ):
+        """Guards against messages that stay queued after a joined batch."""
+        server_events, _, link, _ = pair
+        wakes = []
+        wake = link.loop.wake
+        with link.loop.joined():
+            link.loop.wake = lambda: wakes.append(1)
+            for number in range(100):
+                assert link.send(CHUNK._replace(sequence=number))
+            assert not wakes
+            link.loop.wake = wake
+        got = [
+            next_of(server_events, messages.Chunk).sequence for _ in range(100)
+        ]
+        assert got == list(range(100))
+
+    def test_error_in_a_joined_batch_does_not_hold_later_messages(self, pair):
+        """Guards against a thread that never wakes the links again."""
+        server_events, _, link, _ = pair
+        with pytest.raises(ValueError, match="test"), link.loop.joined():
+            raise ValueError("test")
+        assert link.send(CHUNK)
+        assert next_of(server_events, messages.Chunk) == CHUNK
+
     def test_slow_reader_is_closed_instead_of_growing_memory(self, pair):
         _, _, link, _ = pair
         blocked = threading.Event()
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -4,6 +4,7 @@
 import datetime
 import json
 import socket
+import types
 
 import pytest
 
@@ -117,6 +118,43 @@
     return int(head.split()[1]), body
 
 
+class SlowSocket:
+    """Takes a few bytes with each call."""
+
+    def __init__(self, room):
+        self.room = room
+        self.taken = b""
+
+    def send(self, data):
+        part = bytes(data[: self.room])
+        self.taken += part
+        return len(part)
+
+
+# Chunked coding, parts, and the bytes that the client gets.
+PARTS = {
+    "plain": (False, [b"abc", b"de"], b"abcde"),
+    "chunked": (True, [b"abc", b"x" * 17], b"3\r\nabc\r\n11\r\n%b\r\n"),
+    "an empty part does not end a chunked body": (True, [b""], b""),
+}
+
+
+class TestWrite:
+    @pytest.mark.parametrize("room", [1, 4, 1000])
+    @pytest.mark.parametrize("label", PARTS)
+    def test_parts_are_sent_whole(self, label, room):
+        """Guards against truncated answers when the socket is full."""
+        chunked, parts, expected = PARTS[label]
+        request = http_server.GatewayRequest.__new__(http_server.GatewayRequest)
+        request.chunked_write = chunked
+        request.conn = types.SimpleNamespace(socket=SlowSocket(room))
+        for part in parts:
+            request.write(part)
+        if label == "chunked":
+            expected %= b"x" * 17
+        assert request.conn.socket.taken == expected
+
+
 class TestHttpServer:
     @pytest.mark.parametrize(
         ("head", "body", "status"),
