Take the lease's holder in system tests from the holding process

Cause: the store names a killed holder until its lease expires. The test of paused processes could take the restarted process for the holder and then wait for a loss of a lease that it never had.

Change: a process counts as holder only if it has logged that it took the lease since its start, and the test counts losses from before the pause. The test of paused processes runs before the tests that kill processes.

--- a/tests/system/system_fleet.py
+++ b/tests/system/system_fleet.py
@@ -1,5 +1,6 @@
 """A small fleet of real processes for the system tests."""
 
+import collections
 import concurrent.futures
 import contextlib
 import hashlib
@@ -27,6 +28,7 @@
 ENGINES = 3
 GROUP = "asistente-llm-group"
 RECORDS = "mostrador-app-0"
+LEASE_MARKS = ("lease_taken", "lease_lost", "lease_released")
 
 
 def create_plan():
@@ -82,6 +84,7 @@
         self.fleet = fleet
         self.plan = fleet.plan
         self.keys = keys
+        self.starts = collections.Counter()
         self.pool = concurrent.futures.ThreadPoolExecutor(32)
 
     # Processes.
@@ -118,6 +121,8 @@
         group = self.fleet.gateways if is_gateway else self.fleet.sidecars
         position = group.index(self.running(name))
         path = self.fleet.directory / f"{name}.ini"
+        # Where the log of the new process begins.
+        self.starts[name] = len(self.log(name))
         group[position] = processes.start_process(
             name, command("serve", f"--settings={path}"), self.fleet.directory
         )
@@ -213,10 +218,22 @@
         return [one.name for one in self.plan.sidecars if one.group]
 
     def lease_holder(self):
-        """Return the name of the sidecar that holds the group's lease."""
+        """Return the name of the sidecar that holds the group's lease.
+
+        The store names a killed holder until its lease has expired, so the
+        process itself must have taken the lease since its start.
+        """
         lease = self.object(f"leases/group/{GROUP}") or {"holder": ""}
-        names = [n for n in self.engines() if lease["holder"].startswith(n)]
-        return names[0] if names else ""
+        for name in self.engines():
+            if lease["holder"].startswith(f"{name}/"):
+                marks = [
+                    event
+                    for line in self.log(name)[self.starts[name] :].splitlines()
+                    for event in LEASE_MARKS
+                    if f" {event} " in line
+                ]
+                return name if marks[-1:] == ["lease_taken"] else ""
+        return ""
 
     # Faults.
 
--- a/tests/system/test_processes.py
+++ b/tests/system/test_processes.py
@@ -41,52 +41,6 @@
     assert rows["bad exit codes"] == "0"
 
 
-class TestKilledSidecar:
-    def test_streams_resume_at_the_exact_token(self, fleet):
-        """Guards against lost, repeated or truncated tokens."""
-        victim = fleet.engines()[0]
-        streams = fleet.send_all(system_fleet.chat_requests(9, LONG_STREAM))
-        fleet.wait(
-            "open streams on the victim",
-            lambda: len(fleet.open_runs(victim, tokens_seen=5)) >= 2,
-        )
-        fleet.kill(victim)
-        assert system_fleet.whole(streams) == []
-        resumed = [
-            line
-            for gateway in fleet.plan.gateways
-            for line in fleet.log_lines(gateway.name, "route_chosen")
-            if "resume_index=0 " not in line
-        ]
-        assert len(resumed) >= 2
-
-    def test_reservations_run_at_most_once(self, fleet):
-        """Guards against a second run, and against a false not_run."""
-        keys = [f"kill-{number}" for number in range(4)]
-        first = fleet.send(system_fleet.reservation("kill-done"))
-        assert first.result(WAIT).verdict is Verdict.WHOLE
-        fleet.set_endpoint_fault(RECORDS, "slow", delay_ms=SLOW_MS)
-        open_ones = fleet.send_all(map(system_fleet.reservation, keys))
-        fleet.wait(
-            "started claims",
-            lambda: {fleet.claim_state(key) for key in keys} == {"started"},
-        )
-        fleet.kill(RECORDS)
-        assert verdicts(open_ones) == [Verdict.UNKNOWN] * len(keys)
-        fleet.settle()
-        again = fleet.send_all(map(system_fleet.reservation, keys))
-        assert verdicts(again) == [Verdict.UNKNOWN] * len(keys)
-        fleet.wait(
-            "the ends of the runs that the endpoint had begun",
-            lambda: set(keys) <= set(fleet.run_keys()),
-        )
-        ran = fleet.run_keys()
-        assert [ran.count(key) for key in keys] == [1] * len(keys)
-        assert fleet.outcome(keys[0])[1]["outcome"] == "unknown"
-        assert fleet.outcome("kill-done", gateway=1)[1]["outcome"] == "ran"
-        assert fleet.outcome("kill-never-sent")[1]["outcome"] == "not_run"
-
-
 class TestPaused:
     def test_paused_past_lease_and_link_limits(self, fleet):
         """Guards against a paused process that acts on what it believes.
@@ -113,6 +67,7 @@
             ),
         )
         opened = len(fleet.log_lines(RECORDS, "link_opened"))
+        lost = len(fleet.log_lines(holder, "lease_lost"))
         paused = (RECORDS, holder, "gateway-1")
         for name in paused:
             fleet.send_signal(name, signal.SIGSTOP)
@@ -133,7 +88,8 @@
             lambda: len(fleet.log_lines(RECORDS, "link_opened")) > opened,
         )
         fleet.wait(
-            "a lost lease", lambda: fleet.log_lines(holder, "lease_lost")
+            "a lost lease",
+            lambda: len(fleet.log_lines(holder, "lease_lost")) > lost,
         )
         fleet.settle()
         for key in ("pause-begun", "pause-gateway"):
@@ -150,6 +106,52 @@
         assert fleet.outcome("pause-buffered")[1]["outcome"] == "not_run"
 
 
+class TestKilledSidecar:
+    def test_streams_resume_at_the_exact_token(self, fleet):
+        """Guards against lost, repeated or truncated tokens."""
+        victim = fleet.engines()[0]
+        streams = fleet.send_all(system_fleet.chat_requests(9, LONG_STREAM))
+        fleet.wait(
+            "open streams on the victim",
+            lambda: len(fleet.open_runs(victim, tokens_seen=5)) >= 2,
+        )
+        fleet.kill(victim)
+        assert system_fleet.whole(streams) == []
+        resumed = [
+            line
+            for gateway in fleet.plan.gateways
+            for line in fleet.log_lines(gateway.name, "route_chosen")
+            if "resume_index=0 " not in line
+        ]
+        assert len(resumed) >= 2
+
+    def test_reservations_run_at_most_once(self, fleet):
+        """Guards against a second run, and against a false not_run."""
+        keys = [f"kill-{number}" for number in range(4)]
+        first = fleet.send(system_fleet.reservation("kill-done"))
+        assert first.result(WAIT).verdict is Verdict.WHOLE
+        fleet.set_endpoint_fault(RECORDS, "slow", delay_ms=SLOW_MS)
+        open_ones = fleet.send_all(map(system_fleet.reservation, keys))
+        fleet.wait(
+            "started claims",
+            lambda: {fleet.claim_state(key) for key in keys} == {"started"},
+        )
+        fleet.kill(RECORDS)
+        assert verdicts(open_ones) == [Verdict.UNKNOWN] * len(keys)
+        fleet.settle()
+        again = fleet.send_all(map(system_fleet.reservation, keys))
+        assert verdicts(again) == [Verdict.UNKNOWN] * len(keys)
+        fleet.wait(
+            "the ends of the runs that the endpoint had begun",
+            lambda: set(keys) <= set(fleet.run_keys()),
+        )
+        ran = fleet.run_keys()
+        assert [ran.count(key) for key in keys] == [1] * len(keys)
+        assert fleet.outcome(keys[0])[1]["outcome"] == "unknown"
+        assert fleet.outcome("kill-done", gateway=1)[1]["outcome"] == "ran"
+        assert fleet.outcome("kill-never-sent")[1]["outcome"] == "not_run"
+
+
 class TestPlannedStop:
     def test_gateway_finishes_open_streams(self, fleet):
         """Guards against truncated answers and a late readiness change."""
