--- a/packages/sidecar/src/verbenafall_sidecar/group_member.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group_member.py
@@ -184,7 +184,7 @@
     # Links.
 
     def on_open(self, link: link_lib.Link) -> None:
-        """Drop what an earlier link of the peer sent, and send the own state."""
+        """Drop what an earlier link of the peer sent; send the own state."""
         if link.peer is None or link.peer.role != SIDECAR_ROLE:
             return
         with self.lock:
