Define the settings that programs have in common once

Cause: the gateway, the sidecar and the operator commands each defined the instance, platform, key, metrics and log settings, with other wording and other checks: only the gateway refused a missing key file while reading.

Ruled out: one settings class for all programs, as each has its own keys.

Change: verbenafall_core.common_options; key files are checked in the same way everywhere. The test of the examples makes the key file that the example settings name, because the operator commands now demand it.

Conclusion: a setting reads the same on every settings page.

--- /dev/null
+++ b/packages/core/src/verbenafall_core/common_options.py
@@ -0,0 +1,98 @@
+"""Settings that several programs have in common."""
+
+import pathlib
+from typing import Final
+
+import returns.result
+
+from verbenafall_core import settings
+
+LOG_LEVELS: Final = ("DEBUG", "INFO", "WARNING", "ERROR")
+NAME_FORM: Final = "lower-case letters, digits and hyphens"
+ADDRESS_FORM: Final = "IP:port"
+URL_FORM: Final = "http://IP:port"
+COUNT_FORM: Final = "a whole number above 0"
+DURATION_FORM: Final = 'a duration such as "120 s"'
+
+
+def parse_file(text: str) -> returns.result.Result[pathlib.Path, str]:
+    """Read the path of an existing file."""
+    path = pathlib.Path(text)
+    if not path.is_file():
+        return returns.result.Failure(f"{text!r} is no file")
+    return returns.result.Success(path)
+
+
+def parse_files(
+    text: str,
+) -> returns.result.Result[tuple[pathlib.Path, ...], str]:
+    """Read at least one path of an existing file."""
+    if not text.strip():
+        return returns.result.Failure("no file is named")
+    return settings.parse_list(parse_file)(text)
+
+
+INSTANCE_NAME: Final = settings.Option(
+    "instance",
+    "name",
+    settings.parse_name,
+    NAME_FORM,
+    None,
+    "Name of this instance in the instance list.",
+)
+DATA_CENTRE: Final = settings.Option(
+    "instance",
+    "data_centre",
+    settings.parse_name,
+    NAME_FORM,
+    None,
+    "Data centre of this instance.",
+)
+OBJECT_STORE: Final = settings.Option(
+    "platform",
+    "object_store",
+    settings.parse_url,
+    URL_FORM,
+    None,
+    "Object store.",
+)
+INSTANCE_LIST: Final = settings.Option(
+    "platform",
+    "instance_list",
+    settings.parse_url,
+    URL_FORM,
+    None,
+    "Instance list.",
+)
+PUBLIC_KEYS: Final = settings.Option(
+    "bundles",
+    "public_keys",
+    parse_files,
+    "paths of readable PEM files",
+    None,
+    "Files with the keys of which one must have signed a bundle.",
+)
+STATSD: Final = settings.Option(
+    "metrics",
+    "statsd",
+    settings.parse_optional_address,
+    f"{ADDRESS_FORM} or nothing",
+    "",
+    "Address of a statsd server; without one nothing is sent.",
+)
+LOG_LEVEL: Final = settings.Option(
+    "log",
+    "level",
+    settings.parse_choice(*LOG_LEVELS),
+    f"one of {', '.join(LOG_LEVELS)}",
+    "INFO",
+    "Least level of the events that are written.",
+)
+STOP_LIMIT: Final = settings.Option(
+    "limits",
+    "stop_limit",
+    settings.parse_duration,
+    DURATION_FORM,
+    "120 s",
+    "Time in which a planned stop finishes open requests.",
+)
--- a/packages/gateway/src/verbenafall_gateway/gateway_settings.py
+++ b/packages/gateway/src/verbenafall_gateway/gateway_settings.py
@@ -8,10 +8,9 @@
 import returns.result
 
 from verbenafall_core import addresses
+from verbenafall_core import common_options
 from verbenafall_core import settings
 
-LOG_LEVELS: Final = ("DEBUG", "INFO", "WARNING", "ERROR")
-
 
 class GatewaySettings(NamedTuple):
     """Checked settings.
@@ -42,43 +41,14 @@
 ]
 
 
-def _parse_file(text: str) -> returns.result.Result[pathlib.Path, str]:
-    path = pathlib.Path(text)
-    if not path.is_file():
-        return returns.result.Failure(f"{text!r} is no file")
-    return returns.result.Success(path)
-
-
-def _parse_files(
-    text: str,
-) -> returns.result.Result[tuple[pathlib.Path, ...], str]:
-    if not text.strip():
-        return returns.result.Failure("no file is named")
-    return settings.parse_list(_parse_file)(text)
-
-
 OPTIONS: Final = (
-    settings.Option(
-        "instance",
-        "name",
-        settings.parse_name,
-        "lower-case letters, digits and hyphens",
-        None,
-        "Name of this instance in the instance list.",
-    ),
-    settings.Option(
-        "instance",
-        "data_centre",
-        settings.parse_name,
-        "lower-case letters, digits and hyphens",
-        None,
-        "Data centre of this instance.",
-    ),
+    common_options.INSTANCE_NAME,
+    common_options.DATA_CENTRE,
     settings.Option(
         "listen",
         "client",
         addresses.parse_address,
-        "IP:port",
+        common_options.ADDRESS_FORM,
         None,
         "Address for clients.",
     ),
@@ -86,55 +56,20 @@
         "listen",
         "admin",
         addresses.parse_address,
-        "IP:port",
+        common_options.ADDRESS_FORM,
         None,
         "Address for readiness, status and notices; as in the instance list.",
     ),
-    settings.Option(
-        "platform",
-        "object_store",
-        settings.parse_url,
-        "http://IP:port",
-        None,
-        "Object store.",
-    ),
-    settings.Option(
-        "platform",
-        "instance_list",
-        settings.parse_url,
-        "http://IP:port",
-        None,
-        "Instance list.",
-    ),
-    settings.Option(
-        "bundles",
-        "public_keys",
-        _parse_files,
-        "paths of readable PEM files",
-        None,
-        "Files with the keys of which one must have signed a bundle.",
-    ),
-    settings.Option(
-        "metrics",
-        "statsd",
-        settings.parse_optional_address,
-        "IP:port or nothing",
-        "",
-        "Address of a statsd server; without one nothing is sent.",
-    ),
-    settings.Option(
-        "log",
-        "level",
-        settings.parse_choice(*LOG_LEVELS),
-        f"one of {', '.join(LOG_LEVELS)}",
-        "INFO",
-        "Least level of the events that are written.",
-    ),
+    common_options.OBJECT_STORE,
+    common_options.INSTANCE_LIST,
+    common_options.PUBLIC_KEYS,
+    common_options.STATSD,
+    common_options.LOG_LEVEL,
     settings.Option(
         "limits",
         "client_threads",
         settings.parse_positive_int,
-        "a whole number above 0",
+        common_options.COUNT_FORM,
         "256",
         "Client requests served at once; more are refused.",
     ),
@@ -142,19 +77,12 @@
         "limits",
         "links_per_service",
         settings.parse_positive_int,
-        "a whole number above 0",
+        common_options.COUNT_FORM,
         "16",
         "Endpoints of each service that a gateway has links with on average; "
         "more when there are few gateways.",
     ),
-    settings.Option(
-        "limits",
-        "stop_limit",
-        settings.parse_duration,
-        'a duration such as "120 s"',
-        "120 s",
-        "Time in which a planned stop finishes open requests.",
-    ),
+    common_options.STOP_LIMIT,
 )
 
 
--- a/packages/gateway/src/verbenafall_gateway/operator_commands/operator_settings.py
+++ b/packages/gateway/src/verbenafall_gateway/operator_commands/operator_settings.py
@@ -7,6 +7,7 @@
 
 import returns.result
 
+from verbenafall_core import common_options
 from verbenafall_core import settings
 
 
@@ -28,35 +29,14 @@
 ]
 
 OPTIONS: Final = (
-    settings.Option(
-        "platform",
-        "object_store",
-        settings.parse_url,
-        "http://IP:port",
-        None,
-        "Object store.",
-    ),
-    settings.Option(
-        "platform",
-        "instance_list",
-        settings.parse_url,
-        "http://IP:port",
-        None,
-        "Instance list.",
-    ),
-    settings.Option(
-        "bundles",
-        "public_keys",
-        settings.parse_list(settings.parse_text),
-        "paths of PEM files, relative to the working directory",
-        None,
-        "Files with the keys of which one must have signed a bundle.",
-    ),
+    common_options.OBJECT_STORE,
+    common_options.INSTANCE_LIST,
+    common_options.PUBLIC_KEYS,
     settings.Option(
         "limits",
         "roll",
         settings.parse_duration,
-        'a duration such as "120 s"',
+        common_options.DURATION_FORM,
         "120 s",
         "Time until `bundle roll` gives up waiting.",
     ),
@@ -72,8 +52,6 @@
     return OperatorSettings(
         object_store=values["platform", "object_store"],
         instance_list=values["platform", "instance_list"],
-        public_keys=tuple(
-            pathlib.Path(name) for name in values["bundles", "public_keys"]
-        ),
+        public_keys=values["bundles", "public_keys"],
         roll_limit=values["limits", "roll"],
     )
--- a/packages/sidecar/src/verbenafall_sidecar/sidecar_settings.py
+++ b/packages/sidecar/src/verbenafall_sidecar/sidecar_settings.py
@@ -10,6 +10,7 @@
 import returns.result
 
 from verbenafall_core import addresses
+from verbenafall_core import common_options
 from verbenafall_core import settings
 
 ENGINE: Final = "engine"
@@ -36,13 +37,6 @@
     return settings.parse_name(text) if text else returns.result.Success("")
 
 
-_ADDRESS: Final = "IP:port"
-_URL: Final = "http://IP:port"
-_NUMBER: Final = "a whole number above 0"
-_NAME: Final = "lower-case letters, digits and hyphens"
-_LEVELS: Final = ("DEBUG", "INFO", "WARNING", "ERROR")
-
-
 def _option(
     section: str,
     key: str,
@@ -55,28 +49,20 @@
 
 
 OPTIONS: Final = (
-    _option(
-        "instance", "name", settings.parse_name, _NAME, "Name of the instance."
-    ),
-    _option(
-        "instance",
-        "data_centre",
-        settings.parse_name,
-        _NAME,
-        "Data centre of the instance.",
-    ),
+    common_options.INSTANCE_NAME,
+    common_options.DATA_CENTRE,
     _option(
         "listen",
         "links",
         addresses.parse_address,
-        _ADDRESS,
+        common_options.ADDRESS_FORM,
         "Address for links from gateways and other sidecars.",
     ),
     _option(
         "endpoint",
         "service",
         settings.parse_name,
-        _NAME,
+        common_options.NAME_FORM,
         "Service of the endpoint.",
     ),
     _option(
@@ -87,50 +73,22 @@
         "Kind of the endpoint.",
     ),
     _option(
-        "endpoint", "url", settings.parse_url, _URL, "Where the endpoint is."
-    ),
-    _option(
-        "platform",
-        "object_store",
-        settings.parse_url,
-        _URL,
-        "Where the object store is.",
-    ),
-    _option(
-        "platform",
-        "instance_list",
+        "endpoint",
+        "url",
         settings.parse_url,
-        _URL,
-        "Where the instance list is.",
-    ),
-    _option(
-        "bundles",
-        "public_keys",
-        settings.parse_list(settings.parse_text),
-        "paths of readable PEM files",
-        "Files with the keys of which one must have signed a bundle.",
-    ),
-    _option(
-        "metrics",
-        "statsd",
-        settings.parse_optional_address,
-        _ADDRESS,
-        "Address of the statsd server, empty for none.",
-        "",
-    ),
-    _option(
-        "log",
-        "level",
-        settings.parse_choice(*_LEVELS),
-        f"one of {', '.join(_LEVELS)}",
-        "Least severe level of log lines.",
-        "INFO",
+        common_options.URL_FORM,
+        "Where the endpoint is.",
     ),
+    common_options.OBJECT_STORE,
+    common_options.INSTANCE_LIST,
+    common_options.PUBLIC_KEYS,
+    common_options.STATSD,
+    common_options.LOG_LEVEL,
     _option(
         "group",
         "name",
         parse_optional_name,
-        _NAME,
+        common_options.NAME_FORM,
         "Rank group of the endpoint, empty for none.",
         "",
     ),
@@ -146,7 +104,7 @@
         "limits",
         "slots",
         settings.parse_positive_int,
-        _NUMBER,
+        common_options.COUNT_FORM,
         "Attempts that run at once while no bundle says how many.",
         "8",
     ),
@@ -154,18 +112,11 @@
         "limits",
         "max_queue",
         settings.parse_positive_int,
-        _NUMBER,
+        common_options.COUNT_FORM,
         "Attempts that wait at most.",
         "1000",
     ),
-    _option(
-        "limits",
-        "stop_limit",
-        settings.parse_duration,
-        'like "120 s"',
-        "Time for open attempts at a shutdown.",
-        "120 s",
-    ),
+    common_options.STOP_LIMIT,
 )
 
 
@@ -217,19 +168,12 @@
         fault("group", "ranks", "does not fit the name", "both or neither")
     if group and values["endpoint", "kind"] != ENGINE:
         fault("group", "name", "only engines have ranks", "no group")
-    keys = tuple(map(pathlib.Path, values["bundles", "public_keys"]))
-    missing = [str(key) for key in keys if not key.is_file()]
-    if missing or not keys:
-        problem = f"no file {', '.join(missing)}" if missing else "empty"
-        fault("bundles", "public_keys", problem, "readable PEM files")
     if faults:
         return returns.result.Failure(tuple(faults))
-    return returns.result.Success(build(values, keys))
+    return returns.result.Success(build(values))
 
 
-def build(
-    values: settings.Values, keys: tuple[pathlib.Path, ...]
-) -> SidecarSettings:
+def build(values: settings.Values) -> SidecarSettings:
     """Return checked values by name."""
     return SidecarSettings(
         values["instance", "name"],
@@ -240,7 +184,7 @@
         values["endpoint", "url"],
         values["platform", "object_store"],
         values["platform", "instance_list"],
-        keys,
+        values["bundles", "public_keys"],
         values["metrics", "statsd"],
         values["log", "level"],
         values["group", "name"],
--- a/tests/gateway/test_operator_commands.py
+++ b/tests/gateway/test_operator_commands.py
@@ -163,7 +163,9 @@
         assert "here" in capsys.readouterr().err
 
     @pytest.mark.parametrize("name", ["rumbo", "trip-permissions"])
-    def test_examples_pass(self, name, capsys):
+    def test_examples_pass(self, name, capsys, tmp_path, monkeypatch):
+        monkeypatch.chdir(tmp_path)
+        signing.generate_key_files(tmp_path / "keys").unwrap()
         directory = ROOT / "examples" / name
         assert run("bundle", "check", directory / "bundle.json") == 0
         assert "2 services, 10 teams, 1 groups" in capsys.readouterr().out
