Share the wake-up of the two selector threads

Cause: the link loop and the transfer loop each had the same socket pair that interrupts a selector.

Ruled out: os.eventfd, which saves one socket but is Linux only.

Change: verbenafall_core.wakeup, used by both.

Conclusion: one place decides what a failed wake-up means.

--- a/packages/core/src/verbenafall_core/link.py
+++ b/packages/core/src/verbenafall_core/link.py
@@ -23,6 +23,7 @@
 from verbenafall_core import event_catalogue
 from verbenafall_core import event_log
 from verbenafall_core import messages
+from verbenafall_core import wakeup
 
 HEARTBEAT_INTERVAL: Final = datetime.timedelta(seconds=1)
 DEAD_AFTER: Final = datetime.timedelta(seconds=3)
@@ -164,10 +165,7 @@
         self.stopped = False
         self.last_pass = clock.monotonic()
         self.timers_due = self.last_pass
-        self.wake_read, self.wake_write = socket.socketpair()
-        self.wake_read.setblocking(False)
-        self.wake_write.setblocking(False)
-        self.selector.register(self.wake_read, selectors.EVENT_READ)
+        self.wakeup = wakeup.create_wakeup(self.selector)
         self.thread = threading.Thread(
             target=self.run, name="links", daemon=True
         )
@@ -264,10 +262,7 @@
 
     def wake(self) -> None:
         """Interrupt the wait of the I/O thread."""
-        try:
-            self.wake_write.send(b"\0")
-        except (BlockingIOError, OSError):
-            return  # A wake-up is already waiting, or the loop has ended.
+        self.wakeup.wake()
 
     def run(self) -> None:
         """Do I/O until stopped."""
@@ -299,8 +294,8 @@
         self, key: selectors.SelectorKey, mask: int, now: datetime.timedelta
     ) -> None:
         """Handle one ready socket."""
-        if key.fileobj is self.wake_read:
-            self.drain_wakeups()
+        if key.fileobj is self.wakeup.reader:
+            self.wakeup.drain()
         elif key.data is None:
             self.accept(key.fileobj)  # type: ignore[arg-type]
         else:
@@ -310,14 +305,6 @@
             if mask & selectors.EVENT_WRITE and not link.closed:
                 self.write(link)
 
-    def drain_wakeups(self) -> None:
-        """Discard the bytes that woke the thread."""
-        try:
-            while self.wake_read.recv(4096):
-                pass
-        except BlockingIOError:
-            return
-
     def accept(self, listener: socket.socket) -> None:
         """Take a new incoming connection."""
         try:
@@ -509,8 +496,7 @@
         for listener in self.listeners:
             listener.close()
         self.selector.close()
-        self.wake_read.close()
-        self.wake_write.close()
+        self.wakeup.close()
 
     def flush(self, link: Link) -> None:
         """Write the queued bytes of a blocking socket."""
--- a/packages/sidecar/src/verbenafall_sidecar/transfers.py
+++ b/packages/sidecar/src/verbenafall_sidecar/transfers.py
@@ -10,7 +10,6 @@
 import contextlib
 import datetime
 import selectors
-import socket
 import threading
 from typing import Final
 from typing import NamedTuple
@@ -22,6 +21,7 @@
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import event_log
 from verbenafall_core import http_client
+from verbenafall_core import wakeup
 from verbenafall_sidecar import event_catalogue
 
 IDLE_WAIT: Final = datetime.timedelta(seconds=1)
@@ -115,10 +115,7 @@
         self.transfers: dict[pycurl.Curl, Transfer] = {}
         self.due: datetime.timedelta | None = None
         self.stopped = False
-        self.wake_read, self.wake_write = socket.socketpair()
-        self.wake_read.setblocking(False)
-        self.wake_write.setblocking(False)
-        self.selector.register(self.wake_read, selectors.EVENT_READ)
+        self.wakeup = wakeup.create_wakeup(self.selector)
         self.thread = threading.Thread(
             target=self.run, name="transfers", daemon=True
         )
@@ -148,10 +145,7 @@
 
     def wake(self) -> None:
         """Interrupt the wait of the transfer thread."""
-        try:
-            self.wake_write.send(b"\0")
-        except (BlockingIOError, OSError):
-            return  # A wake-up is already waiting, or the loop has ended.
+        self.wakeup.wake()
 
     def run(self) -> None:
         """Carry transfers until stopped."""
@@ -162,8 +156,7 @@
         self.run_commands()
         self.multi.close()
         self.selector.close()
-        self.wake_read.close()
-        self.wake_write.close()
+        self.wakeup.close()
 
     def run_pass(self) -> None:
         """Wait for the next event and handle what is due."""
@@ -174,8 +167,8 @@
     def handle(self, events: list[tuple[selectors.SelectorKey, int]]) -> None:
         """Handle socket events, libcurl's timer and commands."""
         for key, mask in events:
-            if key.fileobj is self.wake_read:
-                self.drain_wakeups()
+            if key.fileobj is self.wakeup.reader:
+                self.wakeup.drain()
             else:
                 self.multi.socket_action(key.fd, to_curl_mask(mask))
         if self.due is not None and self.due <= self.clock.monotonic():
@@ -193,14 +186,6 @@
         left = self.due - self.clock.monotonic()
         return max(0.0, min(left, IDLE_WAIT).total_seconds())
 
-    def drain_wakeups(self) -> None:
-        """Discard the bytes that woke the thread."""
-        try:
-            while self.wake_read.recv(4096):
-                pass
-        except BlockingIOError:
-            return
-
     def run_commands(self) -> None:
         """Run the functions posted by other threads."""
         while self.commands:
