Measure roll-outs over 3, 30 and 100 processes, and name the benchmarks

Roll-outs had been measured at 5, 17 and 49 processes only.

A complete make bench was not run again.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 # An empty SETUP uses the tools in VENV as they are.
 SETUP ?= $(VENV)/.installed
 PYTHON := $(VENV)/bin/python
+BENCHMARKS := admission control_cost endpoint_choice expert_maps path_cost team_shares
 SOURCES := packages standins tests bench tools
 export PYTHONPATH := packages/core/src:packages/gateway/src:packages/sidecar/src:standins/src:.
 
@@ -44,7 +45,7 @@
 
 # Prints one JSON line per figure and nothing else on standard output.
 bench: setup
-	@set -e; for file in $$(grep -l '^def main' bench/*.py); do $(PYTHON) $$file; done
+	@set -e; for name in $(BENCHMARKS); do $(PYTHON) bench/$$name.py; done
 
 clean:
 	rm -rf $(VENV) build run .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -23,10 +23,13 @@
 
 SEED: Final = 20260302
 SIDECARS: Final = (4, 16, 48)
+# With the gateway these are 3, 30 and 100 processes.
+ROLLOUT_SIDECARS: Final = (2, 29, 99)
 TEAMS: Final = (100, 1600, 16_000)
 MODELS: Final = (1, 7, 21)
 INSTANCES: Final = (20, 250, 980)
 GROUPS: Final = (4, 8, 16)
+PARTS: Final = ("bundles", "groups", "sidecars", "rollouts")
 IDLE_SECONDS: Final = 5.0
 SETTLE_SECONDS: Final = 1.0
 POLL_SECONDS: Final = 0.02
@@ -194,6 +197,13 @@
         measure_roll(fleet, bundle, f"{label}.roll")
 
 
+def measure_rollout(sidecars: int) -> None:
+    """Measure a roll-out to a fleet of one size."""
+    with bench_fleet.running_fleet(create_shape(sidecars)) as fleet:
+        bundle = bench_fleet.create_bundle(2, 16)
+        measure_roll(fleet, bundle, f"processes_{1 + sidecars}.roll")
+
+
 def measure_bundles() -> None:
     """Measure the growth with teams and models, on a small fleet."""
     with bench_fleet.running_fleet(create_shape(2)) as fleet:
@@ -261,8 +271,8 @@
     parser.add_argument(
         "--parts",
         nargs="*",
-        choices=("bundles", "groups", "sidecars"),
-        default=("bundles", "groups", "sidecars"),
+        choices=PARTS,
+        default=PARTS,
     )
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as directory:
@@ -280,6 +290,9 @@
     if "sidecars" in parts:
         for sidecars in SIDECARS:
             measure_sidecars(sidecars)
+    if "rollouts" in parts:
+        for sidecars in ROLLOUT_SIDECARS:
+            measure_rollout(sidecars)
 
 
 if __name__ == "__main__":
