Tell ended runs from open ones in the engine stand-in

Cause: the stand-in's run list had no field for runs that ended without a full answer, so SystemFleet.open_runs took runs that earlier tests had cancelled or broken off for open ones. The wait for an open run then ended at once, and whether the request had reached an engine by then depended on timing.

Ruled out: a run that ended early on its own (1000 tokens take longer than the test) and a lost request (the gateway's log had its dispatch).

Change: the list has the field "ended"; open_runs uses it. Other system tests that wait for open streams get the same, stricter, condition. The test checks that its own cancelled run is not listed as open.

--- a/standins/src/verbenafall_standins/engines/http_app.py
+++ b/standins/src/verbenafall_standins/engines/http_app.py
@@ -209,6 +209,7 @@
                 {
                     "request_id": run.request_id,
                     "tokens": run.produced,
+                    "ended": run.ended,
                     "finished": run.finished,
                 }
                 for run in self.engine.runs.history
--- a/tests/standins/test_engines_http.py
+++ b/tests/standins/test_engines_http.py
@@ -130,11 +130,13 @@
 
 class TestOpenStreams:
     def test_cancel(self, engine, open_stream):
+        assert not run_of(engine, "long")["ended"]
         status, data = engine.post("/v1/cancel", {"request_id": "long"})
         assert (status, json.loads(data)["cancelled"]) == (200, True)
         assert open_stream.read().endswith(b"data: [DONE]\n\n")
         run = run_of(engine, "long")
-        assert not run["finished"]
+        # A list that shows a cancelled run as open misleads system tests.
+        assert (run["ended"], run["finished"]) == (True, False)
         assert run["tokens"] == json.loads(data)["tokens"]
 
     def test_broken_stream_is_seen_as_broken(self, engine, open_stream):
--- a/tests/system/system_fleet.py
+++ b/tests/system/system_fleet.py
@@ -207,7 +207,7 @@
         return [
             run
             for run in self.runs(name)
-            if not run["finished"] and run["tokens"] >= tokens_seen
+            if not run["ended"] and run["tokens"] >= tokens_seen
         ]
 
     def in_flight(self, name):
--- a/tests/system/test_clients.py
+++ b/tests/system/test_clients.py
@@ -148,6 +148,8 @@
         fleet.wait("an idle engine", lambda: not fleet.in_flight(engine))
         run = fleet.runs(engine)[-1]
         assert not run["finished"]
+        # Tests that wait for open runs must not see the cancelled one.
+        assert fleet.open_runs(engine) == []
         # At the deadline the run would be cancelled in any case, with 504.
         fleet.wait(
             "the end of the request",
