Read the instance list conditionally

Cause: each process read the whole list every second, 114,561 B at 980 entries, where a node may spend 3 KB a second on control.

Ruled out: a slower poll, because a leaving endpoint must get no new work after 3 s by the list alone; a list filtered by service, because gateways need the other gateways too and the platform's interface has no filter.

Change: the adapter sends the ETag of the last good list and keeps that list on 304. A malformed list is asked for whole again. Without an ETag every read is a whole one, as before. The stand-in answers conditional reads. control_cost.py prints the bytes of both kinds of read.

The test of poll intervals ran only two intervals of a fleet of 980, so its result hung on the order of random draws; it now runs 41.

Conclusion: the poll no longer grows with the fleet; changes of the list still cost a whole read each.

--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import resource
+import socket
 import tempfile
 import threading
 import time
@@ -18,6 +19,7 @@
 
 import bench_fleet
 import json_lines
+from verbenafall_core import addresses
 from verbenafall_standins.demo import files
 from verbenafall_standins.demo import fleet as fleet_lib
 
@@ -247,8 +249,33 @@
     fleet_lib.send_json(plan.instance_list, "PUT", "/-/instances", entries)
     measure_idle(fleet, f"instances_{instances}")
     # Read last, as the list takes effect after the platform's lag.
-    answer = fleet_lib.call(plan.instance_list, "GET", "/instances", b"")
-    emit(f"instances_{instances}.answer", len(answer), "B")
+    whole, etag = exchange_list(plan.instance_list, "")
+    unchanged, _ = exchange_list(plan.instance_list, etag)
+    emit(f"instances_{instances}.whole_read", whole, "B")
+    emit(
+        f"instances_{instances}.unchanged_read",
+        unchanged,
+        "B",
+        "whole read",
+        whole,
+    )
+
+
+def exchange_list(address: addresses.Address, etag: str) -> tuple[int, str]:
+    """Read the instance list; return the HTTP bytes both ways and the tag."""
+    lines = [f"If-None-Match: {etag}"] if etag else []
+    head = ["GET /instances HTTP/1.1", f"Host: {address}", *lines]
+    request = "\r\n".join([*head, "Connection: close", "", ""]).encode()
+    with socket.create_connection(address, timeout=LIMIT_SECONDS) as connection:
+        connection.sendall(request)
+        answer = b"".join(iter(lambda: connection.recv(65536), b""))
+    headers = answer.partition(b"\r\n\r\n")[0].decode().lower()
+    tags = [
+        line.partition(":")[2].strip()
+        for line in headers.splitlines()
+        if line.startswith("etag:")
+    ]
+    return len(request) + len(answer), tags[0] if tags else ""
 
 
 def measure_group(sidecars: int) -> None:
--- a/standins/src/verbenafall_standins/instance_list.py
+++ b/standins/src/verbenafall_standins/instance_list.py
@@ -30,7 +30,7 @@
         """Answer a request."""
         match request.method, request.path:
             case "GET", "/instances":
-                return self.read()
+                return self.read(request)
             case "PUT", "/-/instances":
                 return self.replace(json.loads(request.get_data()))
             case "POST", "/-/faults":
@@ -39,15 +39,17 @@
                 return http_serving.json_answer(body)
         raise werkzeug.exceptions.NotFound
 
-    def read(self) -> http_serving.Response:
-        """Return the list as of the lag."""
+    def read(self, request: http_serving.Request) -> http_serving.Response:
+        """Return the list as of the lag, or that the caller has it."""
         if self.down:
             return http_serving.json_answer({"error": "outage"}, 503)
         now = self.clock.monotonic()
         with self.lock:
             while self.pending and self.pending[0][0] <= now:
                 self.visible = self.pending.pop(0)[1]
-            return http_serving.json_answer(self.visible)
+            answer = http_serving.json_answer(self.visible)
+        answer.add_etag()
+        return answer.make_conditional(request)
 
     def replace(self, instances: list[Any]) -> http_serving.Response:
         """Replace the list once the lag has passed."""
--- a/tests/core/bundles/test_service.py
+++ b/tests/core/bundles/test_service.py
@@ -161,14 +161,17 @@
 
 class TestPolling:
     @pytest.mark.parametrize(
-        ("processes", "reads"), [(1, 45), (40, 45), (980, 3)]
+        ("processes", "seconds", "reads"),
+        [(1, 100, 45), (40, 100, 45), (980, 2000, 41)],
     )
-    def test_reads_less_often_in_a_large_fleet(self, process, processes, reads):
+    def test_reads_less_often_in_a_large_fleet(
+        self, process, processes, seconds, reads
+    ):
         run_version(process, 1)
         process.service.set_process_count(processes)
         link = process.link("peer")
         process.store.calls.clear()
-        for _ in range(100):
+        for _ in range(seconds):
             process.hear(link, 1)
             process.run(1)
         assert reads * 0.5 <= len(process.store.calls) <= reads * 1.5
--- a/tests/core/test_instance_list.py
+++ b/tests/core/test_instance_list.py
@@ -134,6 +134,98 @@
                 assert [one.name for one in result.unwrap()] == names
 
 
+def answer(status, body=b"", etag=""):
+    headers = (("etag", etag),) if etag else ()
+    return http_client.HttpAnswer(status, headers, body)
+
+
+# Answers in order, the tag that each read sends, and the names it returns.
+CONDITIONAL = {
+    "unchanged": (
+        [answer(200, to_body("a"), '"1"'), answer(304), answer(304)],
+        ["", '"1"', '"1"'],
+        [["a"], ["a"], ["a"]],
+    ),
+    "changed after unchanged": (
+        [
+            answer(200, to_body("a"), '"1"'),
+            answer(304),
+            answer(200, to_body("b"), '"2"'),
+            answer(304),
+        ],
+        ["", '"1"', '"1"', '"2"'],
+        [["a"], ["a"], ["b"], ["b"]],
+    ),
+    "malformed list with a tag": (
+        [
+            answer(200, to_body("a"), '"1"'),
+            answer(200, b"[", '"2"'),
+            answer(200, to_body("a"), '"2"'),
+        ],
+        ["", '"1"', ""],
+        [["a"], None, ["a"]],
+    ),
+    "tag is no longer sent": (
+        [answer(200, to_body("a"), '"1"'), answer(200, to_body("a"))] * 2,
+        ["", '"1"', "", '"1"'],
+        [["a"]] * 4,
+    ),
+    "not modified without a condition": ([answer(304)], [""], [None]),
+    "outage between": (
+        [answer(200, to_body("a"), '"1"'), answer(503), answer(304)],
+        ["", '"1"', '"1"'],
+        [["a"], None, ["a"]],
+    ),
+}
+
+
+class AnsweringClient:
+    def __init__(self, answers):
+        self.answers = list(answers)
+        self.tags = []
+
+    def call(self, request):
+        self.tags.append(dict(request.headers).get("If-None-Match", ""))
+        return returns.result.Success(self.answers.pop(0))
+
+
+class TestConditionalReads:
+    @pytest.mark.parametrize("label", CONDITIONAL)
+    def test_reads(self, label):
+        """Guards against a stale list, and against whole reads of the same."""
+        answers, tags, expected = CONDITIONAL[label]
+        client = AnsweringClient(answers)
+        adapter = http_adapter.create_http_instance_list(client, "http://x")
+        for names in expected:
+            result = adapter.read()
+            if names is None:
+                assert not returns.pipeline.is_successful(result)
+            else:
+                assert [one.name for one in result.unwrap()] == names
+        assert client.tags == tags
+
+    def test_unchanged_list_is_read_without_a_body(self):
+        """Guards against 115 kB a second for each process at full size."""
+        standin = instance_list.create_instance_list(datetime.timedelta())
+        with adapters.serving(standin.handle) as url:
+            client = http_client.create_http_client()
+            adapters.publish(client, url, (GATEWAY,))
+            adapter = http_adapter.create_http_instance_list(client, url)
+            sizes = []
+            call = client.call
+            client.call = lambda request: record_size(call(request), sizes)
+            assert [adapter.read().unwrap() for _ in range(3)] == [
+                (GATEWAY,)
+            ] * 3
+        assert sizes[0] > 0
+        assert sizes[1:] == [0, 0]
+
+
+def record_size(result, sizes):
+    sizes.append(len(result.unwrap().body))
+    return result
+
+
 FAILED = returns.result.Failure(port.ListFailure("down"))
 # Reads in order, and the lists that a subscriber is told.
 POLLS = {
