Ignore a copy of a dispatch whose attempt is open

Cause: a sidecar answered a second copy of a dispatch with a refusal that named the open attempt with outcome "unknown". The gateway took it for the end of that attempt, so the client lost an answer that was under way.

Ruled out: refusing only towards the copy, since a refusal names no copy; a sequence number per dispatch, because the attempt id already tells copies.

Change: a copy on the link that the open attempt came on is counted (dispatch.repeated), written to the log (3015) and otherwise ignored.

--- a/packages/sidecar/src/verbenafall_sidecar/dispatcher.py
+++ b/packages/sidecar/src/verbenafall_sidecar/dispatcher.py
@@ -25,6 +25,7 @@
 from verbenafall_sidecar import admission
 from verbenafall_sidecar import attempt as attempt_lib
 from verbenafall_sidecar import attempt_registry
+from verbenafall_sidecar import claim_results
 from verbenafall_sidecar import endpoint_port
 from verbenafall_sidecar import engine_errors
 from verbenafall_sidecar import event_catalogue
@@ -170,7 +171,9 @@
         now = self.clock.monotonic()
         with self.lock:
             known = self.registry.find(dispatch.attempt_id, now)
-            if known is not None:
+            if self.is_open_on(link, dispatch.attempt_id):
+                self.ignore_repeat(dispatch)
+            elif known is not None:
                 self.refuse_known(link, dispatch, known)
             elif not self.registry.has_room(now):
                 self.reply_refused(
@@ -210,6 +213,24 @@
                 self.queue.remove(attempt.dispatch.attempt_id)
                 self.end_refused(attempt, Reason.DEADLINE, NOT_RUN)
 
+    def is_open_on(self, link: link_lib.Link, attempt_id: str) -> bool:
+        """Return whether an attempt that came on this link is open."""
+        attempt = self.attempts.get(attempt_id)
+        return attempt is not None and attempt.link is link
+
+    def ignore_repeat(self, dispatch: messages.Dispatch) -> None:
+        """Note a copy of a dispatch whose attempt is open.
+
+        A refusal would name the same attempt, so the gateway would give up
+        the one that runs.
+        """
+        self.metrics.count("dispatch.repeated")
+        event_log.emit(
+            event_catalogue.DISPATCH_REPEATED,
+            attempt=dispatch.attempt_id,
+            team=dispatch.team,
+        )
+
     def refuse_known(
         self,
         link: link_lib.Link,
@@ -438,7 +459,7 @@
             model.digest_request(dispatch.method, dispatch.path, dispatch.body),
             self.configuration.endpoint_name,
         )
-        apply_start(result, self, attempt)
+        claim_results.apply(result, self, attempt)
 
     def call(self, attempt: attempt_lib.Attempt) -> None:
         """Call the endpoint unless it is too late."""
@@ -645,78 +666,6 @@
         self.dispatcher.fail_call(self.attempt, failure)
 
 
-@functools.singledispatch
-def apply_start(
-    result: model.StartResult,
-    _dispatcher: Dispatcher,
-    _attempt: attempt_lib.Attempt,
-) -> None:
-    """Go on with an attempt after the claim of its key."""
-    raise TypeError(f"no rule for {type(result).__name__}")
-
-
-@apply_start.register
-def _(
-    result: model.StartedClaim,
-    dispatcher: Dispatcher,
-    attempt: attempt_lib.Attempt,
-) -> None:
-    attempt.claim = result
-    dispatcher.call(attempt)
-
-
-@apply_start.register
-def _(
-    result: model.Replay,
-    dispatcher: Dispatcher,
-    attempt: attempt_lib.Attempt,
-) -> None:
-    answer = result.answer
-    if answer.body is None:
-        dispatcher.end_refused(attempt, Reason.CLAIM_HELD, RAN)
-        return
-    dispatcher.end_answered(
-        attempt,
-        endpoint_port.CallEnd(answer.status, answer.headers, answer.body, ""),
-    )
-
-
-@apply_start.register
-def _(
-    _result: model.Held,
-    dispatcher: Dispatcher,
-    attempt: attempt_lib.Attempt,
-) -> None:
-    dispatcher.end_refused(attempt, Reason.CLAIM_HELD, UNKNOWN)
-
-
-@apply_start.register
-def _(
-    _result: model.Mismatch,
-    dispatcher: Dispatcher,
-    attempt: attempt_lib.Attempt,
-) -> None:
-    dispatcher.end_refused(attempt, Reason.CLAIM_MISMATCH, NOT_RUN)
-
-
-@apply_start.register
-def _(
-    _result: model.Sealed,
-    dispatcher: Dispatcher,
-    attempt: attempt_lib.Attempt,
-) -> None:
-    dispatcher.end_refused(attempt, Reason.KEY_SEALED, NOT_RUN)
-
-
-@apply_start.register
-def _(
-    _result: model.Unavailable,
-    dispatcher: Dispatcher,
-    attempt: attempt_lib.Attempt,
-) -> None:
-    dispatcher.end_refused(attempt, Reason.STORE_UNAVAILABLE, NOT_RUN)
-
-
 def create_dispatcher(
     configuration: Configuration,
     endpoint: endpoint_port.Endpoint,
--- a/packages/sidecar/src/verbenafall_sidecar/event_catalogue.py
+++ b/packages/sidecar/src/verbenafall_sidecar/event_catalogue.py
@@ -45,6 +45,13 @@
     "ERROR",
     "A programming error ended an attempt; report it with this line.",
 )
+DISPATCH_REPEATED = event_log.define(
+    3015,
+    "dispatch_repeated",
+    "WARNING",
+    "A copy of a dispatch whose attempt is open was ignored. Gateways send"
+    " each dispatch once; report it with the lines of the attempt.",
+)
 ENDPOINT_UP = event_log.define(
     3020, "endpoint_up", "INFO", "The endpoint can be reached."
 )
