Move the load of a rank group into a module of its own

Ruled out: splitting the record's watch off as well, because adopting a record changes the gate, the peers and the poller under one lock.

Change: group_loads holds the own mean, the members' reports and the total; group_member calls it with its lock held. No behaviour changes; the sums are now made under the lock.

--- a/packages/sidecar/src/verbenafall_sidecar/group_member.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group_member.py
@@ -30,20 +30,16 @@
 from verbenafall_core.expert_maps import event_catalogue
 from verbenafall_core.expert_maps import load_history
 from verbenafall_core.expert_maps import record as record_lib
-from verbenafall_core.expert_maps import selection
 from verbenafall_core.expert_maps import switch
 from verbenafall_core.object_store import port as store_port
+from verbenafall_sidecar import group_loads
 from verbenafall_sidecar import order_gate
 from verbenafall_sidecar import order_port
 
 SWITCH_POLL_INTERVAL: Final = datetime.timedelta(milliseconds=100)
 STABLE_POLL_INTERVAL: Final = datetime.timedelta(seconds=1)
 # In a stable group the state is sent on changes and otherwise this often.
-STABLE_SEND_INTERVAL: Final = datetime.timedelta(seconds=5)
-# Three messages; older step times say nothing of the rank as it is now.
-STEP_TIME_AGE: Final = 3 * STABLE_SEND_INTERVAL
-# Bounds the size of a message: five bytes a value in msgpack.
-MAX_LOAD_VALUE: Final = 2**32 - 1
+STABLE_SEND_INTERVAL: Final = group_loads.SEND_INTERVAL
 WATCH_WAIT: Final = datetime.timedelta(seconds=30)
 WATCH_RETRY: Final = datetime.timedelta(seconds=1)
 # Spreads the first calls of sidecars that start together.
@@ -73,18 +69,6 @@
     metrics: metrics_lib.Metrics
 
 
-class MemberLoad(NamedTuple):
-    """Load that a sidecar reported.
-
-    Attributes:
-        history: Tokens per expert, as of the arrival of the report.
-        rank_step_us: Mean step time by rank.
-    """
-
-    history: load_history.LoadHistory
-    rank_step_us: dict[int, int]
-
-
 class Peer:
     """An open link to another sidecar, and what was heard over it."""
 
@@ -128,8 +112,7 @@
         self.changes = event_log.create_change_log()
         self.polled: coordinator_lib.Stored | None = None
         self.sent: messages.GroupMember | None = None
-        self.own_load = load_history.empty_history(0)
-        self.loads: dict[str, MemberLoad] = {}
+        self.loads = group_loads.create_group_loads(setup.clock)
         self.next_send = setup.clock.monotonic()
         self.next_load = setup.clock.monotonic()
         self.next_poll = setup.clock.monotonic()
@@ -196,7 +179,7 @@
         if stored is not None:
             link.send(self.record_message(stored))
         if own is not None:
-            link.send(self.with_load(own))
+            link.send(self.describe(own))
 
     def on_close(self, link: link_lib.Link, _reason: str) -> None:
         """Forget a peer; its ranks are unclaimed until it is back."""
@@ -221,7 +204,7 @@
                 if peer.instance == message.instance:
                     if peer.link is link:
                         peer.member = message
-                        self.keep_load(message)
+                        self.loads.keep(message)
                     return
 
     def broadcast(
@@ -365,7 +348,7 @@
         if before is not None and state.map_version == 0 < before.map_version:
             # The engine was replaced and took none of the earlier orders.
             self.taken.clear()
-        self.add_load(state)
+        self.loads.add_own(state)
         self.report_skew(state)
         with self.lock:
             record = self.stored.record if self.stored else None
@@ -426,55 +409,16 @@
             name = f"group.{self.setup.group}.step_skew"
             self.setup.metrics.gauge(name, skew)
 
-    def add_load(self, state: order_port.EngineState) -> None:
-        """Add the load of the engine's recent steps to the own mean."""
-        if sum(state.expert_load) > 0:
-            now = self.setup.clock.monotonic()
-            report = load_history.LoadReport(now, state.expert_load)
-            self.own_load = load_history.average(self.own_load, report)
-
-    def with_load(self, own: messages.GroupMember) -> messages.GroupMember:
-        """Add the load of the own engine to its state."""
-        state = self.engine_state
-        times = state.rank_step_ms if state else ()
-        return own._replace(
-            expert_load=tuple(map(limit_value, self.own_load.load)),
-            rank_step_us=tuple(limit_value(1000 * ms) for ms in times),
-        )
-
-    def keep_load(self, member: messages.GroupMember) -> None:
-        """Keep the load of a message, if any; called with the lock held."""
-        if not member.expert_load and not member.rank_step_us:
-            return
-        now = self.setup.clock.monotonic()
-        load = tuple(map(float, member.expert_load))
-        times = zip(member.ranks, member.rank_step_us, strict=False)
-        self.loads[member.instance] = MemberLoad(
-            load_history.LoadHistory(now, load), dict(times)
-        )
-
     def group_load(self, spec: model.GroupSpec) -> load_history.GroupLoad:
         """Return the load of all engines that were heard of lately."""
-        now = self.setup.clock.monotonic()
         with self.lock:
             if self.own is not None:
-                self.keep_load(self.with_load(self.own))
-            self.loads = {
-                instance: load
-                for instance, load in self.loads.items()
-                if age_of(load, now) <= selection.MAX_LOAD_AGE
-            }
-            loads = list(self.loads.values())
-        parts = [load.history for load in loads if any(load.history.load)]
-        return load_history.GroupLoad(
-            load_history.sum_histories(parts, spec.experts),
-            {
-                rank: us / 1000
-                for load in loads
-                if age_of(load, now) <= STEP_TIME_AGE
-                for rank, us in load.rank_step_us.items()
-            },
-        )
+                self.loads.keep(self.describe(self.own))
+            return self.loads.total(spec.experts)
+
+    def describe(self, own: messages.GroupMember) -> messages.GroupMember:
+        """Return the own message with the load of the own engine."""
+        return self.loads.describe(own, self.engine_state)
 
     def obey(self, spec: model.GroupSpec) -> None:
         """Give the engine the orders that are due."""
@@ -558,7 +502,7 @@
         self.next_send = now + STABLE_SEND_INTERVAL
         if now >= self.next_load:
             self.next_load = now + STABLE_SEND_INTERVAL
-            own = self.with_load(own)
+            own = self.describe(own)
         self.broadcast(own)
 
     # Decisions.
@@ -621,16 +565,6 @@
                 self.adopt(written)
 
 
-def limit_value(value: float) -> int:
-    """Return a value as it is sent."""
-    return max(0, min(MAX_LOAD_VALUE, round(value)))
-
-
-def age_of(load: MemberLoad, now: datetime.timedelta) -> datetime.timedelta:
-    """Return the time since a load was reported."""
-    return now - (load.history.as_of or now)
-
-
 def find_placement(
     maps: Mapping[int, model.MapSpec], order: switch.Order
 ) -> tuple[int, ...] | None:
--- a/tests/expert_maps/test_group_load.py
+++ b/tests/expert_maps/test_group_load.py
@@ -7,14 +7,14 @@
 from verbenafall_core import messages
 from verbenafall_core.expert_maps import load_history
 from verbenafall_core.expert_maps import selection
-from verbenafall_sidecar import group_member
+from verbenafall_sidecar import group_loads
 
 SECOND = group_model.SECOND
 # 64 experts and 8 ranks behind a sidecar, each value at its largest.
 LARGEST = messages.GroupMember(
     "group-of-128", "i" * 32, tuple(range(120, 128)), 2**40, 2**31,
     (2**31, 2**31), 2**40, 2**40, 2**40,
-    (group_member.MAX_LOAD_VALUE,) * 64, (group_member.MAX_LOAD_VALUE,) * 8,
+    (group_loads.MAX_LOAD_VALUE,) * 64, (group_loads.MAX_LOAD_VALUE,) * 8,
 )  # fmt: skip
 
 
@@ -58,7 +58,7 @@
         group = settled_group([(5, 5, 5)] * 3, (10.0, 10.0, 30.0))
         group.kill(2)
         group.close(0, 2)
-        group.clock.advance(group_member.STEP_TIME_AGE + SECOND)
+        group.clock.advance(group_loads.STEP_TIME_AGE + SECOND)
         group.poll(0)
         assert 2 not in load_of(group).rank_step_ms
 
