Carry the engine's count of prompt tokens to the gateway

Cause: answers have no usage figures, which clients of the chat interface expect. The gateway knows the number of tokens that it delivered, also over several attempts, but only the engine knows the tokens of the prompt.

Ruled out: passing on the engine's whole usage object, since its completion tokens are those of the last attempt only.

Change: the sidecar asks the engine for usage and sends prompt_tokens in End, 0 when the engine tells none. An unusable count is taken for none and does not fail the answer. The stand-in engine sends the usual usage event. The gateway does not use the field yet.

--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -127,6 +127,7 @@
         byte_count: Bytes of data in these chunks.
         status: HTTP status of the endpoint.
         finish_reason: Why a model stopped, empty for plain services.
+        prompt_tokens: Tokens of the prompt, 0 when the endpoint tells none.
     """
 
     request_id: str
@@ -136,6 +137,7 @@
     status: int
     headers: Headers
     finish_reason: str
+    prompt_tokens: int = 0
 
 
 class Failed(NamedTuple):
--- a/packages/sidecar/src/verbenafall_sidecar/attempt.py
+++ b/packages/sidecar/src/verbenafall_sidecar/attempt.py
@@ -89,6 +89,7 @@
                 end.status,
                 end.headers,
                 end.finish_reason,
+                end.prompt_tokens,
             )
         )
 
--- a/packages/sidecar/src/verbenafall_sidecar/endpoint_port.py
+++ b/packages/sidecar/src/verbenafall_sidecar/endpoint_port.py
@@ -13,12 +13,14 @@
     Attributes:
         body: Bytes that were not handed over as chunks before.
         finish_reason: Why a model stopped, empty for plain answers.
+        prompt_tokens: Tokens of the prompt, 0 when the endpoint tells none.
     """
 
     status: int
     headers: messages.Headers
     body: bytes
     finish_reason: str
+    prompt_tokens: int = 0
 
 
 class CallFailure(NamedTuple):
--- a/packages/sidecar/src/verbenafall_sidecar/engine_http.py
+++ b/packages/sidecar/src/verbenafall_sidecar/engine_http.py
@@ -41,11 +41,18 @@
     finish_reason: str | None
 
 
+class UsageFields(TypedDict, total=False):
+    """Token counts of an answer."""
+
+    prompt_tokens: int | None
+
+
 class ChatEvent(TypedDict, total=False):
     """The fields of a stream event that are used here."""
 
     choices: list[Choice]
     token_index: int
+    usage: UsageFields | None
 
 
 class Token(NamedTuple):
@@ -61,6 +68,12 @@
     reason: str
 
 
+class Usage(NamedTuple):
+    """Tokens of the prompt, as the engine counts them."""
+
+    prompt_tokens: int
+
+
 class StreamEnd(NamedTuple):
     """The engine has sent everything."""
 
@@ -71,7 +84,7 @@
     message: str
 
 
-StreamItem = Token | Finish | StreamEnd | Malformed
+StreamItem = Token | Finish | Usage | StreamEnd | Malformed
 
 
 class CompleteEvents(Iterator[bytes]):
@@ -132,7 +145,7 @@
         return Malformed(f"bad event: {error}")
     choices = event.get("choices") or []
     if not choices:
-        return None
+        return read_usage(event.get("usage") or {})
     reason = choices[0].get("finish_reason")
     if reason:
         return Finish(reason)
@@ -142,6 +155,12 @@
     return Token(event["token_index"], text)
 
 
+def read_usage(fields: UsageFields) -> Usage | None:
+    """Return the count of the prompt's tokens, if there is a usable one."""
+    count = fields.get("prompt_tokens") or 0
+    return Usage(count) if count > 0 else None
+
+
 class ChatSink:
     """Turns an event stream into chunks, one for each token."""
 
@@ -152,6 +171,7 @@
         self.splitter = EventSplitter()
         self.plain = b""
         self.finish_reason = ""
+        self.prompt_tokens = 0
         self.ended = False
         self.problem = ""
 
@@ -179,6 +199,8 @@
             self.ended = True
         elif isinstance(item, Finish):
             self.finish_reason = item.reason
+        elif isinstance(item, Usage):
+            self.prompt_tokens = item.prompt_tokens
         elif item.number != self.next_index or self.finish_reason:
             self.problem = f"token {item.number} follows {self.next_index - 1}"
         else:
@@ -206,7 +228,11 @@
             self.fail(True, "the stream ended early")
         else:
             end = endpoint_port.CallEnd(
-                head.status, headers, b"", self.finish_reason
+                head.status,
+                headers,
+                b"",
+                self.finish_reason,
+                self.prompt_tokens,
             )
             self.sink.on_end(end)
 
@@ -327,6 +353,8 @@
     if not isinstance(body, dict):
         raise ValueError("the body is no JSON object")
     body["stream"] = True
+    # The client's own options concern the gateway's stream.
+    body["stream_options"] = {"include_usage": True}
     body["priority"] = dispatch.priority
     if dispatch.resume_index:
         body["resume"] = {
--- a/standins/src/verbenafall_standins/engines/http_app.py
+++ b/standins/src/verbenafall_standins/engines/http_app.py
@@ -120,6 +120,8 @@
                     http_serving.break_connection(request)
                     return
                 yield form.event(emitted)
+            if form.include_usage:
+                yield form.usage_event()
             yield b"data: [DONE]\n\n"
         finally:
             # The client may have closed the stream before its end.
@@ -279,6 +281,8 @@
             "created": created,
             "model": str(body.get("model", "")),
         }
+        options = body.get("stream_options") or {}
+        self.include_usage = bool(options.get("include_usage"))
 
     def event(self, emitted: runs_lib.Emitted) -> bytes:
         """Return one event of the event-stream."""
@@ -295,9 +299,26 @@
             event["token_index"] = emitted.token_index
         return f"data: {json.dumps(event)}\n\n".encode()
 
+    def usage_event(self) -> bytes:
+        """Return the event with the token counts, after the last choice."""
+        event = self.common | {
+            "object": "chat.completion.chunk",
+            "choices": [],
+            "usage": self.usage(),
+        }
+        return f"data: {json.dumps(event)}\n\n".encode()
+
+    def usage(self) -> dict[str, int]:
+        """Return the token counts; words stand for the prompt's tokens."""
+        prompt_tokens = len(self.run.prompt.split())
+        return {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": self.run.produced,
+            "total_tokens": prompt_tokens + self.run.produced,
+        }
+
     def whole(self, text: str, last: runs_lib.Emitted) -> dict[str, Any]:
         """Return the plain answer."""
-        prompt_tokens = len(self.run.prompt.split())
         return self.common | {
             "object": "chat.completion",
             "choices": [
@@ -307,11 +328,7 @@
                     "finish_reason": last.finish_reason,
                 }
             ],
-            "usage": {
-                "prompt_tokens": prompt_tokens,
-                "completion_tokens": self.run.produced,
-                "total_tokens": prompt_tokens + self.run.produced,
-            },
+            "usage": self.usage(),
         }
 
 
--- a/tests/core/test_codec.py
+++ b/tests/core/test_codec.py
@@ -21,7 +21,7 @@
         "detail",
     ),
     messages.Chunk("r", "r.1", 7, b"token"),
-    messages.End("r", "r.1", 8, 40, 200, (), "stop"),
+    messages.End("r", "r.1", 8, 40, 200, (), "stop", 12),
     messages.Failed(
         "r", "r.1", outcomes.Outcome.UNKNOWN, outcomes.Reason.LINK_LOST, 2, 0
     ),
--- a/tests/sidecar/test_endpoint_contract.py
+++ b/tests/sidecar/test_endpoint_contract.py
@@ -126,6 +126,8 @@
         assert (end.status, end.finish_reason) == (200, "length")
         assert len(chunks) == TOKENS
         assert end.body == b""
+        # Words of the stand-in's prompt; other engines count tokens.
+        assert end.prompt_tokens > 0
 
     @pytest.mark.parametrize("index", RESUMES)
     def test_resume_gives_the_rest(self, engine, index):
@@ -136,6 +138,14 @@
         assert end.status == 200
         assert rest == whole[index:]
 
+    @pytest.mark.parametrize("index", RESUMES)
+    def test_resume_does_not_count_as_prompt(self, engine, index):
+        """Guards against clients charged for their answer as a prompt."""
+        first, whole = run(engine, chat_dispatch())
+        text = b"".join(whole[:index]).decode()
+        again, _ = run(engine, chat_dispatch(TOKENS, index, text))
+        assert again.prompt_tokens == first.prompt_tokens
+
     @pytest.mark.parametrize(("fields", "status"), BAD_BODIES)
     def test_refusal_of_the_engine_is_an_end(self, engine, fields, status):
         """Guards against retries of what the engine refuses."""
--- a/tests/sidecar/test_pure_parts.py
+++ b/tests/sidecar/test_pure_parts.py
@@ -41,6 +41,17 @@
     ('{"choices": [{"delta": {}, "finish_reason": "stop"}]}', ("stop",)),
     ('{"choices": [{"delta": {"role": "assistant"}}]}', None),
     ('{"choices": []}', None),
+    ('{"choices": [], "usage": {"prompt_tokens": 9}}', (9,)),
+    ('{"choices": [], "usage": {"prompt_tokens": 0}}', None),
+    ('{"choices": [], "usage": {"prompt_tokens": -1}}', None),
+    ('{"choices": [], "usage": {"prompt_tokens": null}}', None),
+    ('{"choices": [], "usage": {}}', None),
+    ('{"choices": [], "usage": null}', None),
+    (
+        '{"choices": [{"delta": {"content": "a"}}], "token_index": 3,'
+        ' "usage": null}',
+        (3, "a"),
+    ),
     ("[DONE]", ()),
 ]
 MALFORMED = ["{", "[]", '{"choices": [{"delta": {"content": 1}}]}']
--- a/tests/standins/test_engines_http.py
+++ b/tests/standins/test_engines_http.py
@@ -82,6 +82,14 @@
         ]
         assert events[-1]["choices"][0]["finish_reason"] == "length"
 
+    def test_usage_is_the_last_event_if_asked_for(self, engine):
+        options = {"include_usage": True}
+        last = parse(engine.stream(max_tokens=5, stream_options=options))[-1]
+        assert last["choices"] == []
+        assert last["usage"]["completion_tokens"] == 5
+        plain = engine.post(CHAT, {"messages": MESSAGES, "max_tokens": 5})
+        assert json.loads(plain[1])["usage"] == last["usage"]
+
     @pytest.mark.parametrize("index", [0, 1, 7, 12])
     def test_resumed_stream_equals_the_unbroken(self, engine, index):
         whole = text_of(parse(engine.stream(max_tokens=12)))
