Measure what a switch of the expert map costs open streams

Cause: the figures of expert maps had skew and moved experts, but not the requests that a move delays.

Ruled out: a figure worked out from the number of switches and open requests, because it would count every open request as delayed.

--- a/bench/stream_load.py
+++ b/bench/stream_load.py
@@ -37,12 +37,14 @@
 
     Attributes:
         between: Times between tokens while all streams are open.
+        largest: The longest of them for each stream.
         reads: Reads that returned bytes.
         failed: Streams without a complete answer.
     """
 
     first: list[float]
     between: list[float]
+    largest: list[float]
     tokens: int
     reads: int
     failed: int
@@ -138,22 +140,25 @@
     """Return the timings of all streams."""
     first: list[float] = []
     between: list[float] = []
+    largest: list[float] = []
     all_started = streams[-1].started
     for stream in streams:
         times = stream.received
         if times:
             first.append(1000 * (times[0] - stream.started))
-        between += [
+        gaps = [
             1000 * (after - before)
             for before, after in itertools.pairwise(times)
             if before >= all_started
         ]
+        between += gaps
+        largest.append(max(gaps, default=0.0))
     tokens = sum(len(stream.received) for stream in streams)
     failed = sum(
         not stream.done or len(stream.received) != load.tokens
         for stream in streams
     )
-    return Timings(first, between, tokens, reads, failed, seconds)
+    return Timings(first, between, largest, tokens, reads, failed, seconds)
 
 
 def percentile(values: list[float], share: float) -> float:
