Give system tests streams that outlast their preparation

Cause: some system tests act on open streams of 60 to 200 tokens, 0.9 to 3 s at the fleet's 15 ms a step. Since only runs that have not ended count as open, a busy machine could let the streams end before the test acts, and the wait for open streams would never be met.

Ruled out: a longer wait, because streams that have ended do not come back.

Change: 400 tokens, 6 s.

--- a/tests/system/test_bundles_and_maps.py
+++ b/tests/system/test_bundles_and_maps.py
@@ -13,6 +13,9 @@
 GROUP_RECORD = f"groups/{system_fleet.GROUP}"
 LEAVING_LIMIT = datetime.timedelta(seconds=3)
 LOST = 4
+# Several seconds of steps: streams end later than the test needs to act on a
+# busy machine.
+OPEN_TOKENS = 400
 
 
 def steps(fleet):
@@ -67,7 +70,7 @@
 
         Each stream is broken once, on the engine that has it first.
         """
-        streams = fleet.send_all(system_fleet.chat_requests(6, 100))
+        streams = fleet.send_all(system_fleet.chat_requests(6, OPEN_TOKENS))
         victim = fleet.engines()[0]
         fleet.wait("open streams", lambda: len(fleet.open_runs(victim, 5)) >= 1)
         fleet.set_endpoint_fault(victim, "break_streams")
@@ -77,7 +80,7 @@
         """Guards against streams cut off, or a map moved, by a straggler."""
         record = fleet.object(GROUP_RECORD)
         engine = fleet.planned(fleet.engines()[0])
-        streams = fleet.send_all(system_fleet.chat_requests(6, 60))
+        streams = fleet.send_all(system_fleet.chat_requests(6, OPEN_TOKENS))
         fleet.wait("open streams", lambda: fleet.open_runs(engine.name))
         fleet.set_endpoint_fault(engine.name, "stall", rank=engine.ranks[0])
         seen = []
@@ -141,7 +144,7 @@
     def test_listed_as_leaving_while_the_sidecar_does_not_know(self, fleet):
         """Guards against new work, or cut work, at a leaving endpoint."""
         leaving = fleet.engines()[0]
-        streams = fleet.send_all(system_fleet.chat_requests(9, 150))
+        streams = fleet.send_all(system_fleet.chat_requests(9, OPEN_TOKENS))
         fleet.wait("open streams", lambda: len(fleet.open_runs(leaving)) >= 2)
         fleet.set_instances({leaving: "leaving"})
 
--- a/tests/system/test_processes.py
+++ b/tests/system/test_processes.py
@@ -16,7 +16,7 @@
 RECORDS = system_fleet.RECORDS
 Verdict = client.Verdict
 # Longer than the test needs to reach the state in which it acts.
-LONG_STREAM = 200
+LONG_STREAM = 400
 SLOW_MS = 2000
 
 
