Repeat the notice of a roll-out while processes are behind

Cause: in step 2 of a roll-out the operator command notified the gateways once, right after the write of the head, and HttpFleet.notify gives up silently when the instance list cannot be read. After a lost notice the fleet learnt the pending version only at its polls, which at 980 processes are 49 s apart (up to 61 s with jitter). In step 4 the notice was repeated in every round (about four a second), one store read per gateway each.

Ruled out as the cause of the first roll-out of 17 processes that did not end within 30 s: without a bundle in force a process polls every second, so that wait does not depend on the notice.

Change: both steps repeat the notice, at most every 2 s.

Conclusion: one lost notice costs 2 s instead of a poll interval.

--- a/packages/core/src/verbenafall_core/bundles/roll.py
+++ b/packages/core/src/verbenafall_core/bundles/roll.py
@@ -22,6 +22,9 @@
 from verbenafall_core.object_store import port
 
 ROUND_PAUSE: Final = datetime.timedelta(milliseconds=250)
+# A notice can be lost, and polls of a large fleet are up to a minute apart.
+# Each notice costs the store one read for each gateway.
+NOTICE_INTERVAL: Final = datetime.timedelta(seconds=2)
 MAX_TAKEN: Final = 64
 MAX_NAMES_SHOWN: Final = 8
 
@@ -109,6 +112,7 @@
         self.signed = signed
         self.version = signed.version
         self.deadline = clock.monotonic() + limit
+        self.next_notice = clock.monotonic()
         self.last_problem = ""
         self.last_line = ""
 
@@ -219,7 +223,7 @@
         missing = shorten(behind or view.problems)
         self.report(f"accepted, not yet seen in force: {missing}")
         if self.clock.monotonic() < self.deadline:
-            self.fleet.notify()
+            self.repeat_notice()
             return False
         return RollResult(
             RollEnd.ACCEPTED, f"{accepted}; not seen in force: {missing}"
@@ -270,7 +274,17 @@
             )
         else:
             self.report(f"head not written: {written.failure().message}")
+        self.notify()
+
+    def notify(self) -> None:
+        """Make the gateways read the head now."""
         self.fleet.notify()
+        self.next_notice = self.clock.monotonic() + NOTICE_INTERVAL
+
+    def repeat_notice(self) -> None:
+        """Notify the gateways again while processes are behind."""
+        if self.clock.monotonic() >= self.next_notice:
+            self.notify()
 
     def await_prepared(self, state: _HeadState) -> RollResult | bool:
         """Accept the version once every live process has it."""
@@ -287,6 +301,7 @@
             )
         if not found.prepared or found.waiting:
             self.report_waiting(found, view.problems)
+            self.repeat_notice()
             return False
         self.report(f"prepared by all {len(found.prepared)} live processes")
         head = records.Head(self.version, 0)
--- a/tests/core/bundles/test_roll.py
+++ b/tests/core/bundles/test_roll.py
@@ -80,6 +80,27 @@
         return status(name, self.head.accepted, pending)
 
 
+class NoticeOnlyFleet(Fleet):
+    """Processes that read the head on a notice only; notices may be lost."""
+
+    def __init__(self, store, lost):
+        super().__init__(store)
+        self.lost = lost
+        self.notices = 0
+
+    def notify(self):
+        self.notices += 1
+        if self.notices not in self.lost:
+            super().notify()
+
+    def read(self):
+        return roll.FleetView(
+            tuple(map(instance, self.names)),
+            tuple(map(self.status, self.names)),
+            (),
+        )
+
+
 def start(store, version, fleet=None, text=None):
     clock = manual_clock.create_manual_clock()
     lines = []
@@ -154,6 +175,27 @@
         assert head_of(store) == Head(0, 1)
         assert start(store, 1)[0].run().end is roll.RollEnd.ACCEPTED
 
+    @pytest.mark.parametrize("lost", [(1,), (2,), (1, 2), (1, 3)])
+    def test_a_lost_notice_costs_seconds(self, lost):
+        """Guards against a roll-out that waits for the polls of the fleet.
+
+        At 980 processes a poll comes after 49 s.
+        """
+        store = memory_store.create_memory_store()
+        fleet = NoticeOnlyFleet(store, lost)
+        runner, _ = start(store, 1, fleet)
+        began = runner.clock.monotonic()
+        result = runner.run()
+        assert "in force everywhere" in result.message
+        assert runner.clock.monotonic() - began < datetime.timedelta(seconds=7)
+
+    def test_notices_are_spaced(self):
+        """Each notice costs the store one read for each gateway."""
+        store = memory_store.create_memory_store()
+        fleet = NoticeOnlyFleet(store, range(100))
+        start(store, 1, fleet)[0].run()
+        assert fleet.notices <= LIMIT / roll.NOTICE_INTERVAL + 1
+
     def test_an_empty_fleet_accepts_nothing(self):
         store = memory_store.create_memory_store()
         result = start(store, 1, Fleet(store, names=()))[0].run()
