Keep the addresses of test fleets reserved, and see processes end

Cause of the first roll-out that did not end within 30 s: the fleet's start looked for free ports, released them, and began the processes seconds later (10 s on a busy machine). Whatever else asked for a free port in that time, such as the tests beside it, could get one of them. A gateway listens on its client address last, and the start waited for its admin address only. So a gateway whose client port was taken went through the check, ended, and stayed in the instance list as live. The roll-out waited for it ("prepared by 0 of 17, waiting for gateway-0"); the caller ended it after 30 s and dropped its output, so nobody saw why.

Change: the ports stay bound for the life of the fleet, which lets only listeners that name the port bind it. The start waits for the client addresses too, reports an ended process even if all addresses answer, and a command that is ended shows its progress.

Conclusion: a fault of the start of test fleets, not of the roll-out.

--- a/bench/bench_fleet.py
+++ b/bench/bench_fleet.py
@@ -60,6 +60,13 @@
     ranks_per_engine: int = 0
 
 
+class Rates(NamedTuple):
+    """Limits of the object store, in calls a second for all callers."""
+
+    reads: float
+    writes: float
+
+
 class Fleet(NamedTuple):
     """A running fleet with the keys of its bundles."""
 
@@ -82,7 +89,8 @@
 def create_plan(shape: Shape) -> plan_lib.Plan:
     """Return addresses for a fleet with one gateway."""
     ports = plan_lib.Ports()
-    plan = plan_lib.Plan(
+    return plan_lib.Plan(
+        ports,
         ports.next_address(),
         ports.next_address(),
         ports.next_address(),
@@ -113,8 +121,6 @@
             for number in range(shape.engines)
         ),
     )
-    ports.release()
-    return plan
 
 
 def create_bundle(
@@ -200,6 +206,7 @@
         finally:
             for group in (base.gateways, base.sidecars, base.standins):
                 processes.stop_processes(group, STOP_SECONDS)
+            base.plan.ports.release()
 
 
 def start_standins(base: fleet_lib.Fleet, shape: Shape) -> None:
@@ -250,12 +257,18 @@
 
 def start_system(base: fleet_lib.Fleet, shape: Shape) -> pathlib.Path:
     """Start the sidecars and the gateway; return the directory of keys."""
+    keys = create_keys(base)
+    start_roles(base, shape, keys)
+    return keys
+
+
+def create_keys(base: fleet_lib.Fleet) -> pathlib.Path:
+    """Create keys and the operator's settings; return the keys' directory."""
     directory = base.directory
     keys = directory / "keys"
     fleet_lib.run_command(
         fleet_lib.gateway_command("keys", "generate", str(keys))
     )
-    start_roles(base, shape, keys)
     operator = files.create_platform(base.plan) | {
         "bundles": {"public_keys": str(keys / signing.PUBLIC_NAME)}
     }
@@ -266,7 +279,23 @@
 def start_roles(
     base: fleet_lib.Fleet, shape: Shape, keys: pathlib.Path
 ) -> None:
-    """Start the sidecars and the gateway."""
+    """Start the sidecars and the gateways; wait until they listen."""
+    launch_roles(base, shape, keys)
+    wait_roles(base)
+
+
+def wait_roles(base: fleet_lib.Fleet) -> None:
+    """Wait until all sidecars and gateways listen on all addresses."""
+    wait_listening(base, [one.links for one in base.plan.sidecars])
+    wait_listening(base, [one.admin for one in base.plan.gateways])
+    # The last address that a gateway listens on.
+    wait_listening(base, [one.client for one in base.plan.gateways])
+
+
+def launch_roles(
+    base: fleet_lib.Fleet, shape: Shape, keys: pathlib.Path
+) -> None:
+    """Start the sidecars and the gateways without waiting for them."""
     public = keys / signing.PUBLIC_NAME
     for sidecar in base.plan.sidecars:
         sections = files.create_sidecar_settings(base.plan, sidecar, public)
@@ -280,17 +309,20 @@
         base.gateways.append(
             start_one(base, "gateway", gateway.name, sections, shape)
         )
-    wait_listening(base, [one.links for one in base.plan.sidecars])
-    wait_listening(base, [one.admin for one in base.plan.gateways])
 
 
-def restart_roles(fleet: Fleet, shape: Shape) -> None:
-    """Stop all sidecars and the gateway and start them again at once."""
-    base = fleet.base
+def stop_roles(base: fleet_lib.Fleet) -> None:
+    """Stop all sidecars and gateways."""
     running = [*base.gateways, *base.sidecars]
     base.gateways.clear()
     base.sidecars.clear()
     processes.stop_processes(running, STOP_SECONDS)
+
+
+def restart_roles(fleet: Fleet, shape: Shape) -> None:
+    """Stop all sidecars and the gateway and start them again at once."""
+    base = fleet.base
+    stop_roles(base)
     start_roles(base, shape, fleet.keys)
     wait_ready(fleet)
 
@@ -373,6 +405,16 @@
     return calls
 
 
+def limit_store(fleet: Fleet, rates: Rates) -> None:
+    """Set the rates of the object store from now on."""
+    body = {
+        "reads_per_second": rates.reads,
+        "writes_per_second": rates.writes,
+    }
+    store = fleet.base.plan.object_store
+    fleet_lib.send_json(store, "POST", "/-/rates", body)
+
+
 def to_json(value: Any) -> bytes:
     """Return the bytes of a JSON document."""
     return json.dumps(value).encode()
--- a/standins/src/verbenafall_standins/demo/fleet.py
+++ b/standins/src/verbenafall_standins/demo/fleet.py
@@ -131,7 +131,9 @@
     wait_listening(
         fleet,
         [one.links for one in fleet.plan.sidecars]
-        + [one.admin for one in fleet.plan.gateways],
+        + [one.admin for one in fleet.plan.gateways]
+        # The last address that a gateway listens on.
+        + [one.client for one in fleet.plan.gateways],
     )
     return keys
 
@@ -176,17 +178,24 @@
     """Run an operator command; return its standard output.
 
     Raises:
-        ProcessError: The command failed.
+        ProcessError: The command failed or did not end in time.
     """
-    done = subprocess.run(
-        command,
-        check=False,
-        capture_output=True,
-        text=True,
-        timeout=ROLL_SECONDS,
-    )
+    shown = " ".join(command[2:5])
+    try:
+        done = subprocess.run(
+            command,
+            check=False,
+            capture_output=True,
+            text=True,
+            timeout=ROLL_SECONDS,
+        )
+    except subprocess.TimeoutExpired as error:
+        # Without its lines of progress nobody learns what it waited for.
+        raise processes.ProcessError(
+            f"{shown} did not end within {ROLL_SECONDS:g} s:"
+            f"\n{decode(error.stdout)}{decode(error.stderr)}"
+        ) from error
     if done.returncode != 0:
-        shown = " ".join(command[2:5])
         raise processes.ProcessError(
             f"{shown} ended with exit code {done.returncode}:"
             f"\n{done.stdout}{done.stderr}"
@@ -194,6 +203,16 @@
     return done.stdout
 
 
+def decode(output: bytes | str | None) -> str:
+    """Return the output of a command that was ended, as text.
+
+    Python gives bytes here, also where text was asked for.
+    """
+    if isinstance(output, bytes):
+        return output.decode(errors="replace")
+    return output or ""
+
+
 def wait_listening(fleet: Fleet, expected: list[addresses.Address]) -> None:
     """Wait until something listens on all addresses."""
     for address in expected:
--- a/standins/src/verbenafall_standins/demo/plan.py
+++ b/standins/src/verbenafall_standins/demo/plan.py
@@ -49,7 +49,13 @@
 
 
 class Plan(NamedTuple):
-    """All processes of the run."""
+    """All processes of the run.
+
+    Attributes:
+        ports: Reserve the addresses; to be released after the run.
+    """
+
+    ports: "Ports"
 
     object_store: addresses.Address
     instance_list: addresses.Address
@@ -71,21 +77,27 @@
 
 
 class Ports:
-    """Hands out free ports of the loopback address."""
+    """Hands out free ports of the loopback address and keeps them reserved.
+
+    A port that is merely found free can be taken by any other program before
+    the planned process listens on it.
+    """
 
     def __init__(self) -> None:
         """Create a source of ports."""
         self.held: list[socket.socket] = []
 
     def next_address(self) -> addresses.Address:
-        """Return an address with a port that nobody listens on."""
+        """Return an address on which only a planned process listens."""
         held = socket.socket()
         held.bind((HOST, 0))
+        # Lets listeners that name the port bind it while it stays reserved.
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.held.append(held)
         return addresses.Address(HOST, held.getsockname()[1])
 
     def release(self) -> None:
-        """Free the ports for the processes."""
+        """Free the ports once the processes have ended."""
         for held in self.held:
             held.close()
 
@@ -93,7 +105,8 @@
 def create_plan() -> Plan:
     """Return the plan of a reduced deployment on free ports."""
     ports = Ports()
-    plan = Plan(
+    return Plan(
+        ports,
         ports.next_address(),
         ports.next_address(),
         ports.next_address(),
@@ -113,8 +126,6 @@
             plan_records("slipdesk", ports),
         ),
     )
-    ports.release()
-    return plan
 
 
 def plan_engines(service: str, count: int, ports: Ports) -> list[SidecarPlan]:
--- a/standins/src/verbenafall_standins/demo/processes.py
+++ b/standins/src/verbenafall_standins/demo/processes.py
@@ -57,14 +57,20 @@
 ) -> None:
     """Wait for a condition while all processes live.
 
+    The condition alone may hold by the doing of another program, which
+    listens on the address of a process that has ended.
+
     Raises:
         ProcessError: A process ended, or the limit passed.
     """
     deadline = time.monotonic() + limit_seconds
-    while not condition():
+    while True:
+        holds = condition()
         ended = [one for one in running if one.popen.poll() is not None]
         if ended:
             raise ProcessError(describe_end(ended[0]))
+        if holds:
+            return
         if time.monotonic() > deadline:
             raise ProcessError(
                 f"{description}: not reached within {limit_seconds:g} s"
--- a/tests/system/system_fleet.py
+++ b/tests/system/system_fleet.py
@@ -43,7 +43,8 @@
         )
         for number in range(2)
     )
-    plan = plan_lib.Plan(
+    return plan_lib.Plan(
+        ports,
         ports.next_address(),
         ports.next_address(),
         ports.next_address(),
@@ -53,8 +54,6 @@
             plan_lib.plan_records(CALLER.records_service, ports),
         ),
     )
-    ports.release()
-    return plan
 
 
 def chat_requests(count, token_count, stream=True, seed=SEED):
@@ -344,6 +343,7 @@
                 if one.popen.poll() is None:
                     one.popen.send_signal(signal.SIGCONT)
             stopped.extend(processes.stop_processes(group, WAIT_SECONDS))
+        self.plan.ports.release()
         return stopped
 
 
@@ -357,6 +357,7 @@
     except BaseException:
         for group in (fleet.gateways, fleet.sidecars, fleet.standins):
             processes.stop_processes(group, WAIT_SECONDS)
+        fleet.plan.ports.release()
         raise
     return SystemFleet(fleet, keys)
 
