--- a/standins/src/verbenafall_standins/object_store.py
+++ b/standins/src/verbenafall_standins/object_store.py
@@ -61,6 +61,8 @@
         match request.method, request.path:
             case "POST", "/-/faults":
                 return self.set_fault(http_serving.read_json(request))
+            case "POST", "/-/rates":
+                return self.set_rates(http_serving.read_json(request))
             case "GET", "/-/calls":
                 with self.lock:
                     counts = self.calls | {"throttled": self.throttled}
@@ -84,6 +86,17 @@
             self.fault = fault
         return http_serving.json_answer(body)
 
+    def set_rates(self, body: dict[str, Any]) -> http_serving.Response:
+        """Replace the rates that are named; their buckets begin empty.
+
+        A full bucket would let a second's worth of calls through at once.
+        """
+        named = [key for key in self.buckets if f"{key}_per_second" in body]
+        for key in named:
+            rate = float(body[f"{key}_per_second"])
+            self.buckets[key] = rates.TokenBucket(rate, 0.0)
+        return http_serving.json_answer(body)
+
     def handle_object_call(
         self, request: http_serving.Request
     ) -> http_serving.Response:
--- a/standins/src/verbenafall_standins/rates.py
+++ b/standins/src/verbenafall_standins/rates.py
@@ -8,10 +8,10 @@
 class TokenBucket:
     """Allows a rate, with bursts of one second's worth."""
 
-    def __init__(self, per_second: float) -> None:
-        """Create a full bucket."""
+    def __init__(self, per_second: float, tokens: float | None = None) -> None:
+        """Create a bucket, a full one unless the tokens are given."""
         self.per_second = per_second
-        self.tokens = per_second
+        self.tokens = per_second if tokens is None else tokens
         self.clock = clock_lib.system_clock()
         self.filled_at = self.clock.monotonic()
         self.lock = threading.Lock()
--- /dev/null
+++ b/tests/standins/test_store_rates.py
@@ -0,0 +1,25 @@
+"""The rates of the object store's stand-in."""
+
+import pytest
+
+import adapters
+from verbenafall_core import http_client
+from verbenafall_standins import object_store
+
+
+class TestStoreRates:
+    """A limit that is not in force makes a benchmark of it say nothing."""
+
+    @pytest.mark.parametrize(
+        ("kind", "method"), [("reads", "GET"), ("writes", "DELETE")]
+    )
+    def test_a_new_rate_is_in_force_at_once(self, kind, method):
+        store = object_store.create_object_store()
+        client = http_client.create_http_client()
+        with adapters.serving(store.handle) as url:
+            rate = {f"{kind}_per_second": 0.001}
+            before, _ = adapters.send(client, method, f"{url}/objects/a")
+            adapters.send(client, "POST", f"{url}/-/rates", rate)
+            after, _ = adapters.send(client, method, f"{url}/objects/a")
+        assert before != 429
+        assert after == 429
