--- a/packages/sidecar/src/verbenafall_sidecar/group_member.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group_member.py
@@ -42,6 +42,7 @@
 STABLE_SEND_INTERVAL: Final = group_loads.SEND_INTERVAL
 WATCH_WAIT: Final = datetime.timedelta(seconds=30)
 WATCH_RETRY: Final = datetime.timedelta(seconds=1)
+NO_WAIT: Final = datetime.timedelta()
 # Spreads the first calls of sidecars that start together.
 WATCH_START_SPREAD: Final = datetime.timedelta(seconds=2)
 MAX_ORDERS_PER_POLL: Final = 4
@@ -85,6 +86,7 @@
     Attributes:
         stored: Newest record known, None before the first.
         absent: Whether the store answered that there is no record.
+        answered: Whether the store has answered a watch since the start.
         confirmed: See `switch.View`.
         peers: Open links to other sidecars, in the order of opening.
         released_step: Boundary step for which the engine took a release in
@@ -101,6 +103,7 @@
         self.lock = threading.Lock()
         self.stored: coordinator_lib.Stored | None = None
         self.absent = False
+        self.answered = False
         self.confirmed = False
         self.peers: list[Peer] = []
         self.own: messages.GroupMember | None = None
@@ -221,10 +224,13 @@
     def watch(self) -> None:
         """Follow the record in the store until stopped."""
         self.stopping.wait(self.first_watch.total_seconds())
-        # The first call does not wait, so that a missing record is known.
-        self.watch_once(datetime.timedelta())
         while not self.stopping.is_set():
-            if not self.watch_once(self.spread(WATCH_WAIT)):
+            # The first answer must not wait: until then nobody knows that
+            # the record is missing, and a new group gets none.
+            wait = self.spread(WATCH_WAIT) if self.answered else NO_WAIT
+            answered_before = self.answered
+            found = self.watch_once(wait)
+            if not found and answered_before == self.answered:
                 self.stopping.wait(self.spread(WATCH_RETRY).total_seconds())
 
     def spread(self, duration: datetime.timedelta) -> datetime.timedelta:
@@ -239,11 +245,13 @@
         name = record_lib.object_name(self.setup.group)
         result = self.setup.store.watch(name, known, wait)
         if returns.pipeline.is_successful(result):
+            self.answered = True
             found = result.unwrap()
             self.learn(found.version, found.value)
             self.confirm()
             return True
         if result.failure().kind is store_port.FailureKind.MISSING:
+            self.answered = True
             self.absent = known == 0
             if known:
                 self.confirm()
