Count the queue of a late load report for a quarter

Cause: the choice of an endpoint counted the last reported queue in full, however old the report was. With 20 gateways and 16 engines all gateways avoided an engine long after its queue was gone, and queued more than round robin at report lags of 2 s and 5 s.

Ruled out: the time since a report arrived does not show how long it took. Wall clocks are not compared between instances, as an endpoint with a wrong clock would attract or repel work. One more field in LoadReport would make gateways of older releases close their links. A time with every report would add a third to the control bytes of an idle link.

Change: a report that is at least 1.5 s old counts for a quarter. Sidecars send SendTime, a kind of its own, every 5 s ahead of a load report. The gateway adds the delay beyond the shortest on the link to the time since the report arrived. A delay that was there from the start of a link stays unseen. A choice computes each load once.

Conclusion: fresh reports count as before.

--- a/bench/endpoint_choice.py
+++ b/bench/endpoint_choice.py
@@ -1,522 +1,34 @@
 """Measures endpoint choice against baselines, with old reports and faults.
 
-A queueing model of engines is driven by the gateway's real endpoint view,
-subsetting and routing. Load reports reach the gateways after a lag. Prints one
-JSON line per figure.
+Prints one JSON line per figure.
 """
 
-import collections
 from collections.abc import Callable
 import concurrent.futures
-import heapq
-import itertools
-import random
-from typing import Any
+import statistics
 from typing import Final
-from typing import NamedTuple
+from typing import TypeVar
 
+import choice_model
 import json_lines
-from verbenafall_core import addresses
-from verbenafall_core import messages
-from verbenafall_core.instance_list import port
-from verbenafall_gateway import endpoint_view
-from verbenafall_gateway import routing
-from verbenafall_gateway import subsetting
 
-SEED: Final = 20260102
-WORKERS: Final = 4
-SLOTS: Final = 4
-# Seconds of service: the prefill is short when the prefix is cached.
-PREFILL: Final = 0.3
-CACHED_PREFILL: Final = 0.03
-DECODE: Final = 0.7
-CACHED_PREFIXES: Final = 12
-PREFIXES_PER_ENGINE: Final = 8
-REPORT_INTERVAL: Final = 0.1
-LINK_TIMEOUT: Final = 3.0
-LIST_LAG: Final = 2.0
-EVENT_LAG: Final = 1.0
-EVENT_LOSS: Final = 0.2
-SLOWDOWN: Final = 3.0
-STALL: Final = 5.0
-SERVICE: Final = "llm"
-LINKS_PER_SERVICE: Final = 16
-POLICIES: Final = (
-    "chosen",
-    "random",
-    "round_robin",
-    "least_reported",
-    "two_choices_reported",
-    "cache_events",
-)
-
-
-class Case(NamedTuple):
-    """A fleet and what happens to it.
-
-    Attributes:
-        load: Offered load as a part of the capacity without cache hits.
-        seconds: Length of the run; the fault comes at a third of it.
-    """
-
-    engines: int
-    gateways: int
-    data_centres: int
-    lag: float
-    fault: str
-    load: float
-    seconds: float
-
-
-class Figures(NamedTuple):
-    """What a policy did in a case."""
-
-    p95_queueing: float
-    worst_over_mean_load: float
-    cached_share: float
-    same_engine_share: float
-    refused: float
-
-
-class Request:
-    """A request on its way."""
-
-    def __init__(self, arrived: float, prefix: int) -> None:
-        """Create a request that no engine has seen."""
-        self.arrived = arrived
-        self.prefix = prefix
-        self.tried: frozenset[str] = frozenset()
-        self.started = 0.0
-        self.held = False
-
-
-class Engine:
-    """An engine with its queue and prefix cache."""
-
-    def __init__(self, name: str, data_centre: str, number: int) -> None:
-        """Create an idle engine."""
-        self.name = name
-        self.data_centre = data_centre
-        self.address = addresses.Address("127.0.0.1", number)
-        self.running: dict[Request, Gateway] = {}
-        self.waiting: collections.deque[tuple[Request, Gateway]] = (
-            collections.deque()
-        )
-        self.cache: collections.OrderedDict[int, None] = (
-            collections.OrderedDict()
-        )
-        self.slowdown = 1.0
-        self.stall: tuple[float, float] = (0.0, 0.0)
-        self.leaving = False
-        self.dead = False
-        self.load_sum = 0
-
-    @property
-    def load(self) -> int:
-        """Return the requests here."""
-        return len(self.running) + len(self.waiting)
-
-
-class FakeLink:
-    """A link as the endpoint view sees it."""
-
-    def __init__(
-        self, peer: messages.Hello | None, address: addresses.Address
-    ) -> None:
-        """Create a link to a peer."""
-        self.peer = peer
-        self.address = address
-
-    def send(self, _message: messages.Message) -> bool:
-        """Accept a message."""
-        return True
-
-
-class Gateway:
-    """A gateway with its own view; nothing is shared between gateways."""
-
-    def __init__(self, name: str, data_centre: str) -> None:
-        """Create a gateway without links."""
-        self.name = name
-        self.data_centre = data_centre
-        self.view = endpoint_view.create_endpoint_view()
-        self.links: dict[addresses.Address, FakeLink] = {}
-        self.turn = itertools.count()
-        self.reported: dict[str, int] = {}
-        self.holders: dict[int, set[str]] = collections.defaultdict(set)
-
-
-class Model:
-    """Discrete-event model of one case under one policy."""
-
-    def __init__(self, case: Case, policy: str) -> None:
-        """Create the fleet with its links."""
-        self.case = case
-        self.choose: Callable[..., routing.EndpointState | None] = getattr(
-            self, f"choose_{policy}"
-        )
-        self.policy = policy
-        self.generator = random.Random(f"{SEED}-{case}")
-        self.choices = random.Random(SEED)
-        self.now = 0.0
-        self.order = itertools.count()
-        self.events: list[tuple[float, int, Callable[..., None], Any]] = []
-        names = [f"dc-{n}" for n in range(case.data_centres)]
-        self.engines = [
-            Engine(f"engine-{n}", names[n % len(names)], n + 1)
-            for n in range(case.engines)
-        ]
-        self.by_address = {e.address: e for e in self.engines}
-        self.gateways = [
-            Gateway(f"gateway-{n}", names[n % len(names)])
-            for n in range(case.gateways)
-        ]
-        self.link(self.engines, self.gateways)
-        prefixes = case.engines * PREFIXES_PER_ENGINE
-        self.weights = list(
-            itertools.accumulate(1 / (n + 1) ** 0.8 for n in range(prefixes))
-        )
-        self.queueing: list[float] = []
-        self.cached = 0
-        self.refused = 0
-        self.ticks = 0
-        self.window: collections.Counter[str] = collections.Counter()
-        self.same_engine: list[float] = []
-
-    def at(self, delay: float, action: Callable[..., None], *args: Any) -> None:
-        """Schedule an event."""
-        entry = (self.now + delay, next(self.order), action, args)
-        heapq.heappush(self.events, entry)
-
-    def run(self) -> Figures:
-        """Run the case."""
-        self.at(0.0, self.arrive)
-        self.at(0.0, self.tick)
-        self.at(self.case.seconds / 3, self.begin_fault)
-        while self.events and self.now < self.case.seconds:
-            self.now, _, action, args = heapq.heappop(self.events)
-            action(*args)
-        # Requests that still wait count with the time so far.
-        self.queueing += [
-            self.now - request.arrived
-            for engine in self.engines
-            for request, _ in engine.waiting
-        ]
-        loads = [e.load_sum for e in self.engines if not e.dead]
-        return Figures(
-            sorted(self.queueing)[int(0.95 * len(self.queueing))],
-            max(loads) * len(loads) / sum(loads),
-            self.cached / len(self.queueing),
-            sum(self.same_engine) / len(self.same_engine),
-            self.refused,
-        )
-
-    def link(self, engines: list[Engine], gateways: list[Gateway]) -> None:
-        """Bring the links in line with an instance list."""
-        listed = [
-            port.Instance(
-                e.name,
-                subsetting.SIDECAR_ROLE,
-                e.data_centre,
-                SERVICE,
-                e.address,
-                port.InstanceState.LIVE,
-            )
-            for e in engines
-        ] + [
-            port.Instance(
-                g.name,
-                "gateway",
-                g.data_centre,
-                "",
-                addresses.Address("127.0.0.1", 0),
-                port.InstanceState.LIVE,
-            )
-            for g in gateways
-        ]
-        for gateway in gateways:
-            targets = subsetting.choose_targets(
-                gateway.name, gateway.data_centre, listed, LINKS_PER_SERVICE
-            )
-            gateway.view.set_routable(targets)
-            # Sorted, as the order of a set of addresses varies between runs.
-            for address in sorted(targets - gateway.links.keys()):
-                engine = self.by_address[address]
-                hello = messages.Hello(
-                    1,
-                    engine.name,
-                    subsetting.SIDECAR_ROLE,
-                    engine.data_centre,
-                    SERVICE,
-                )
-                link = FakeLink(hello, address)
-                gateway.links[address] = link
-                gateway.view.on_open(link)
-
-    def begin_fault(self) -> None:
-        """Let the fault of the case happen to the first engine."""
-        engine = self.engines[0]
-        if self.case.fault == "slow_engine":
-            engine.slowdown = SLOWDOWN
-        elif self.case.fault == "stalled_rank":
-            engine.stall = (self.now, self.now + STALL)
-        elif self.case.fault == "leaving_engine":
-            engine.leaving = True
-        elif self.case.fault == "lost_data_centre":
-            self.lose(engine.data_centre)
+T = TypeVar("T")
 
-    def lose(self, data_centre: str) -> None:
-        """Lose a data centre; its gateways' clients go elsewhere at once."""
-        lost = [e for e in self.engines if e.data_centre == data_centre]
-        self.gateways = [
-            g for g in self.gateways if g.data_centre != data_centre
-        ]
-        for engine in lost:
-            engine.dead = True
-        self.at(LINK_TIMEOUT, self.close_links, lost)
-        live = [e for e in self.engines if not e.dead]
-        self.at(LINK_TIMEOUT + LIST_LAG, self.link, live, self.gateways)
-
-    def close_links(self, lost: list[Engine]) -> None:
-        """Close the links to lost engines and retry their requests."""
-        for gateway in self.gateways:
-            for engine in lost:
-                if engine.address in gateway.links:
-                    link = gateway.links.pop(engine.address)
-                    gateway.view.on_close(link, "")
-        for engine in lost:
-            for request, gateway in [*engine.running.items(), *engine.waiting]:
-                if gateway in self.gateways:
-                    self.dispatch(request, gateway)
-            engine.running.clear()
-            engine.waiting.clear()
-
-    def tick(self) -> None:
-        """Send reports, and sample loads."""
-        self.at(REPORT_INTERVAL, self.tick)
-        self.ticks += 1
-        reports = [
-            (
-                e.name,
-                e.address,
-                messages.LoadReport(
-                    *(len(e.running), len(e.waiting), SLOTS, 1000),
-                    *(e.leaving, False, 0),
-                ),
-            )
-            for e in self.engines
-            if not e.dead
-        ]
-        self.at(self.case.lag, self.deliver, reports)
-        for engine in self.engines:
-            engine.load_sum += engine.load
-        if self.ticks % 10 == 0 and self.window:
-            share = max(self.window.values()) / self.window.total()
-            self.same_engine.append(share)
-            self.window.clear()
-
-    def deliver(
-        self, reports: list[tuple[str, addresses.Address, messages.LoadReport]]
-    ) -> None:
-        """Hand reports to all gateways."""
-        for gateway in self.gateways:
-            for name, address, report in reports:
-                link = gateway.links.get(address)
-                if link is not None:
-                    gateway.view.on_load_report(link, report)
-                    gateway.reported[name] = report.in_flight + report.queued
-
-    def arrive(self) -> None:
-        """Take in a request."""
-        capacity = self.case.engines * SLOTS / (PREFILL + DECODE)
-        rate = self.case.load * capacity
-        self.at(self.generator.expovariate(rate), self.arrive)
-        prefix = self.generator.choices(
-            range(len(self.weights)), cum_weights=self.weights
-        )[0]
-        gateway = self.generator.choice(self.gateways)
-        self.dispatch(Request(self.now, prefix), gateway)
-
-    def dispatch(self, request: Request, gateway: Gateway) -> None:
-        """Send a request to the endpoint that the policy chooses."""
-        endpoints = gateway.view.snapshot()
-        chosen = self.choose(gateway, endpoints, request)
-        if chosen is None:
-            request.tried = frozenset()
-            self.at(REPORT_INTERVAL, self.dispatch, request, gateway)
-            return
-        engine = self.by_address[chosen.address]
-        self.window[engine.name] += 1
-        request.tried |= {engine.name}
-        if engine.leaving:
-            self.refused += 1
-            self.dispatch(request, gateway)
-            return
-        gateway.view.open_attempt(engine.address)
-        engine.waiting.append((request, gateway))
-        self.start_next(engine)
-
-    def start_next(self, engine: Engine) -> None:
-        """Start waiting requests while slots are free."""
-        while (
-            engine.waiting and len(engine.running) < SLOTS and not engine.dead
-        ):
-            request, gateway = engine.waiting.popleft()
-            engine.running[request] = gateway
-            request.started = self.now
-            self.queueing.append(self.now - request.arrived)
-            hit = request.prefix in engine.cache
-            self.cached += hit
-            self.use_cache(engine, request.prefix)
-            service = CACHED_PREFILL if hit else PREFILL
-            service += self.generator.expovariate(1 / DECODE)
-            self.at(service * engine.slowdown, self.finish, engine, request)
-
-    def use_cache(self, engine: Engine, prefix: int) -> None:
-        """Put a prefix first in a cache and publish what changed."""
-        if prefix not in engine.cache:
-            self.publish(engine.name, prefix, True)
-        engine.cache[prefix] = None
-        engine.cache.move_to_end(prefix)
-        if len(engine.cache) > CACHED_PREFIXES:
-            self.publish(engine.name, engine.cache.popitem(False)[0], False)
-
-    def publish(self, name: str, prefix: int, added: bool) -> None:
-        """Publish a cache event, late or never."""
-        if self.policy == "cache_events" and (
-            self.choices.random() >= EVENT_LOSS
-        ):
-            self.at(EVENT_LAG, self.note_event, name, prefix, added)
-
-    def note_event(self, name: str, prefix: int, added: bool) -> None:
-        """Take over a cache event in all gateways."""
-        for gateway in self.gateways:
-            change = set.add if added else set.discard
-            change(gateway.holders[prefix], name)
-
-    def finish(self, engine: Engine, request: Request) -> None:
-        """End a request, later when its engine was stalled."""
-        start, end = engine.stall
-        if self.now >= start and request.started < end and not request.held:
-            request.held = True
-            held = end - max(start, request.started)
-            self.at(held, self.finish, engine, request)
-            return
-        gateway = engine.running.pop(request, None)
-        if gateway is None or engine.dead:
-            return
-        link = gateway.links.get(engine.address)
-        if link is not None:
-            gateway.view.close_attempt(link)
-        self.start_next(engine)
-
-    def choose_chosen(
-        self,
-        gateway: Gateway,
-        endpoints: list[routing.EndpointState],
-        request: Request,
-    ) -> routing.EndpointState | None:
-        """Choose as the product does."""
-        choice = routing.choose(
-            endpoints,
-            SERVICE,
-            gateway.data_centre,
-            f"prompt {request.prefix}",
-            request.tried,
-            self.choices,
-        )
-        return choice.endpoint if choice else None
-
-    def usable(
-        self, endpoints: list[routing.EndpointState], request: Request
-    ) -> list[routing.EndpointState]:
-        """Return the endpoints that a baseline chooses from."""
-        return [
-            e
-            for e in endpoints
-            if e.available and e.instance not in request.tried
-        ]
-
-    def choose_random(
-        self,
-        _gateway: Gateway,
-        endpoints: list[routing.EndpointState],
-        request: Request,
-    ) -> routing.EndpointState | None:
-        """Choose any endpoint."""
-        usable = self.usable(endpoints, request)
-        return self.choices.choice(usable) if usable else None
-
-    def choose_round_robin(
-        self,
-        gateway: Gateway,
-        endpoints: list[routing.EndpointState],
-        request: Request,
-    ) -> routing.EndpointState | None:
-        """Choose the endpoints in turn."""
-        usable = self.usable(endpoints, request)
-        return usable[next(gateway.turn) % len(usable)] if usable else None
-
-    def choose_least_reported(
-        self,
-        gateway: Gateway,
-        endpoints: list[routing.EndpointState],
-        request: Request,
-    ) -> routing.EndpointState | None:
-        """Choose the endpoint with the least reported load."""
-        return min(
-            self.usable(endpoints, request),
-            key=lambda e: gateway.reported.get(e.instance, 0),
-            default=None,
-        )
-
-    def choose_two_choices_reported(
-        self,
-        gateway: Gateway,
-        endpoints: list[routing.EndpointState],
-        request: Request,
-    ) -> routing.EndpointState | None:
-        """Choose the better of two by reported load."""
-        usable = self.usable(endpoints, request)
-        drawn = self.choices.sample(usable, min(2, len(usable)))
-        return min(
-            drawn,
-            key=lambda e: gateway.reported.get(e.instance, 0),
-            default=None,
-        )
-
-    def choose_cache_events(
-        self,
-        gateway: Gateway,
-        endpoints: list[routing.EndpointState],
-        request: Request,
-    ) -> routing.EndpointState | None:
-        """Choose an endpoint that published the prefix, within the bound."""
-        usable = self.usable(endpoints, request)
-        if not usable:
-            return None
-        limit = routing.load_limit(usable)
-        holders = [
-            e
-            for e in usable
-            if e.instance in gateway.holders[request.prefix] and e.load < limit
-        ]
-        if holders:
-            return min(holders, key=lambda e: e.load)
-        return routing.better_of_two(usable, self.choices)
+WORKERS: Final = 4
+# One run of 60 s leaves differences of a fifth open at the 95th percentile.
+SEEDS: Final = range(choice_model.SEED, choice_model.SEED + 4)
+SEEDED_POLICIES: Final = ("chosen", "whole_report", "round_robin")
 
 
-def list_cases() -> list[Case]:
+def list_cases() -> list[choice_model.Case]:
     """Return all cases that are measured."""
-    small = Case(16, 3, 3, 0.0, "none", 0.8, 60.0)
-    large = Case(610, 3, 6, 0.0, "none", 0.8, 9.0)
+    small = choice_model.Case(16, 3, 3, 0.0, "none", 0.8, 60.0)
+    large = choice_model.Case(610, 3, 6, 0.0, "none", 0.8, 9.0)
     cases = [
         fleet._replace(lag=lag, gateways=gateways)
         for fleet in (small, large)
         for gateways in (3, 20)
         for lag in (0.0, 0.5, 2.0, 5.0)
-        # Three gateways with 610 links each take most of the run time.
-        if (fleet.engines, gateways) != (610, 3) or lag in (0.5, 2.0)
     ]
     for fault in ("slow_engine", "stalled_rank", "leaving_engine"):
         cases.append(small._replace(lag=0.5, fault=fault))
@@ -527,17 +39,26 @@
     return cases
 
 
-def run_case(case: Case, policy: str) -> Figures:
-    """Run one case under one policy."""
-    return Model(case, policy).run()
+def list_seeded_cases() -> list[choice_model.Case]:
+    """Return the cases that are run with several seeds."""
+    return [
+        choice_model.Case(16, 20, 3, lag, "none", 0.8, 120.0)
+        for lag in (0.0, 0.5, 2.0, 5.0)
+    ]
 
 
-def print_case(case: Case, found: dict[str, Figures]) -> None:
-    """Print the figures of the chosen policy against each baseline."""
-    prefix = (
+def name_case(case: choice_model.Case) -> str:
+    """Return the start of the names of a case's figures."""
+    return (
         f"endpoint_choice.{case.engines}_engines.{case.gateways}_gateways."
         f"lag_{case.lag:g}s.{case.fault}"
     )
+
+
+def print_case(
+    case: choice_model.Case, found: dict[str, choice_model.Figures]
+) -> None:
+    """Print the figures of the chosen policy against each baseline."""
     wanted = [
         ("p95_queueing", "s"),
         ("worst_over_mean_load", "ratio"),
@@ -548,29 +69,88 @@
     if case.fault == "leaving_engine":
         wanted.append(("refused", "count"))
     for name, unit in wanted:
-        for policy in POLICIES[1:]:
-            json_lines.print_figure(
-                json_lines.create_figure(
-                    f"{prefix}.{name}",
-                    getattr(found["chosen"], name),
-                    unit,
-                    policy,
-                    getattr(found[policy], name),
-                    SEED,
-                )
+        print_figures(
+            f"{name_case(case)}.{name}",
+            unit,
+            {
+                policy: getattr(figures, name)
+                for policy, figures in found.items()
+            },
+        )
+
+
+def print_seeded_case(
+    case: choice_model.Case, found: dict[str, list[choice_model.Figures]]
+) -> None:
+    """Print means over all seeds."""
+    prefix = f"{name_case(case)}.mean_of_{len(SEEDS)}_seeds"
+    for name, unit in (("p95_queueing", "s"), ("cached_share", "ratio")):
+        means = {
+            policy: statistics.mean(getattr(f, name) for f in figures)
+            for policy, figures in found.items()
+        }
+        print_figures(f"{prefix}.{name}", unit, means)
+
+
+def print_figures(name: str, unit: str, values: dict[str, float]) -> None:
+    """Print a figure of the chosen policy against each baseline."""
+    for policy in values:
+        if policy == "chosen":
+            continue
+        json_lines.print_figure(
+            json_lines.create_figure(
+                name,
+                values["chosen"],
+                unit,
+                policy,
+                values[policy],
+                choice_model.SEED,
             )
+        )
+
+
+def submit(
+    pool: concurrent.futures.Executor,
+    run: Callable[[choice_model.Case, str], T],
+    case: choice_model.Case,
+) -> dict[str, concurrent.futures.Future[T]]:
+    """Begin the runs of a case under all policies."""
+    return {
+        policy: pool.submit(run, case, policy)
+        for policy in choice_model.POLICIES
+    }
+
+
+def submit_seeds(
+    pool: concurrent.futures.Executor, case: choice_model.Case
+) -> dict[str, list[concurrent.futures.Future[choice_model.Figures]]]:
+    """Begin the runs of a case with all seeds."""
+    return {
+        policy: [
+            pool.submit(choice_model.run_case, case, policy, seed)
+            for seed in SEEDS
+        ]
+        for policy in SEEDED_POLICIES
+    }
 
 
 def main() -> None:
     """Print all figures."""
-    cases = list_cases()
     with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
-        running = [
-            {policy: pool.submit(run_case, case, policy) for policy in POLICIES}
-            for case in cases
+        plain = [
+            (case, submit(pool, choice_model.run_case, case))
+            for case in list_cases()
         ]
-        for case, futures in zip(cases, running, strict=True):
-            print_case(case, {p: f.result() for p, f in futures.items()})
+        repeated = [
+            (case, submit_seeds(pool, case)) for case in list_seeded_cases()
+        ]
+        for case, runs in plain:
+            print_case(case, {p: run.result() for p, run in runs.items()})
+        for case, by_seed in repeated:
+            print_seeded_case(
+                case,
+                {p: [r.result() for r in runs] for p, runs in by_seed.items()},
+            )
 
 
 if __name__ == "__main__":
--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -179,6 +179,19 @@
     map_version: int
 
 
+class SendTime(NamedTuple):
+    """Sent every few seconds ahead of a load report.
+
+    A kind of its own, because a peer of an older release closes a link on a
+    load report with one more field, but ignores an unknown kind.
+
+    Attributes:
+        sent_at_ms: Reading of the sender's monotonic clock.
+    """
+
+    sent_at_ms: int
+
+
 class BundleRequest(NamedTuple):
     """Ask the peer for the text of a bundle version."""
 
@@ -311,6 +324,7 @@
     | StatusReply
     | GroupRecord
     | GroupMember
+    | SendTime
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -331,4 +345,5 @@
     15: StatusReply,
     16: GroupRecord,
     17: GroupMember,
+    18: SendTime,
 }
--- a/packages/gateway/src/verbenafall_gateway/endpoint_view.py
+++ b/packages/gateway/src/verbenafall_gateway/endpoint_view.py
@@ -5,8 +5,10 @@
 from typing import Protocol
 
 from verbenafall_core import addresses
+from verbenafall_core import clock as clock_lib
 from verbenafall_core import link_router
 from verbenafall_core import messages
+from verbenafall_gateway import report_age
 from verbenafall_gateway import routing
 from verbenafall_gateway import subsetting
 
@@ -24,12 +26,19 @@
 class LinkedEndpoint:
     """Mutable state of one linked endpoint."""
 
-    def __init__(self, link: LinkPort, hello: messages.Hello) -> None:
+    def __init__(
+        self,
+        link: LinkPort,
+        hello: messages.Hello,
+        opened_at: datetime.timedelta,
+    ) -> None:
         """Create the state of an endpoint without reports."""
         self.link = link
         self.hello = hello
         self.own_in_flight = 0
         self.reported_queue = 0
+        self.reported_at = opened_at
+        self.delay: report_age.LinkDelay | None = None
         self.draining = False
         self.leaving = False
         self.has_bundle = True
@@ -38,8 +47,9 @@
 class EndpointView:
     """Linked endpoints by address; safe to use from any thread."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: clock_lib.Clock) -> None:
         """Create a view without endpoints."""
+        self.clock = clock
         self.lock = threading.Lock()
         self.endpoints: dict[addresses.Address, LinkedEndpoint] = {}
         self.routable: frozenset[addresses.Address] | None = None
@@ -49,6 +59,7 @@
         router.subscribe_open(self.on_open)
         router.subscribe_close(self.on_close)
         router.subscribe(messages.LoadReport, self.on_load_report)
+        router.subscribe(messages.SendTime, self.on_send_time)
         router.subscribe(messages.Heartbeat, self.on_heartbeat)
 
     def start(self) -> None:
@@ -63,7 +74,9 @@
         if hello is None or hello.role != subsetting.SIDECAR_ROLE:
             return
         with self.lock:
-            self.endpoints[link.address] = LinkedEndpoint(link, hello)
+            self.endpoints[link.address] = LinkedEndpoint(
+                link, hello, self.clock.monotonic()
+            )
 
     def on_close(self, link: LinkPort, _reason: str) -> None:
         """Remove the endpoint of a closed link."""
@@ -81,9 +94,20 @@
             if known is None or known.link is not link:
                 return
             known.reported_queue = report.queued
+            known.reported_at = self.clock.monotonic()
             known.draining = report.draining
             known.leaving = report.leaving
 
+    def on_send_time(self, link: LinkPort, message: messages.SendTime) -> None:
+        """Observe how late the messages of a sidecar are."""
+        sent_at = datetime.timedelta(milliseconds=message.sent_at_ms)
+        with self.lock:
+            known = self.endpoints.get(link.address)
+            if known is not None and known.link is link:
+                known.delay = report_age.observe_delay(
+                    known.delay, sent_at, self.clock.monotonic()
+                )
+
     def on_heartbeat(self, link: LinkPort, beat: messages.Heartbeat) -> None:
         """Take over whether a sidecar is draining or has no bundle yet."""
         with self.lock:
@@ -103,13 +127,17 @@
     def snapshot(self) -> list[routing.EndpointState]:
         """Return the state of all linked endpoints."""
         with self.lock:
+            now = self.clock.monotonic()
             return [
-                self.describe(address, endpoint)
+                self.describe(address, endpoint, now)
                 for address, endpoint in self.endpoints.items()
             ]
 
     def describe(
-        self, address: addresses.Address, endpoint: LinkedEndpoint
+        self,
+        address: addresses.Address,
+        endpoint: LinkedEndpoint,
+        now: datetime.timedelta,
     ) -> routing.EndpointState:
         """Return the state of one endpoint; the caller holds the lock."""
         return routing.EndpointState(
@@ -120,6 +148,7 @@
             endpoint.own_in_flight,
             endpoint.reported_queue,
             self.is_available(address, endpoint),
+            report_age.estimate_age(endpoint.reported_at, endpoint.delay, now),
         )
 
     def is_available(
@@ -165,6 +194,6 @@
             return [endpoint.link for endpoint in self.endpoints.values()]
 
 
-def create_endpoint_view() -> EndpointView:
+def create_endpoint_view(clock: clock_lib.Clock) -> EndpointView:
     """Create a view without endpoints."""
-    return EndpointView()
+    return EndpointView(clock)
--- a/packages/gateway/src/verbenafall_gateway/gateway.py
+++ b/packages/gateway/src/verbenafall_gateway/gateway.py
@@ -66,7 +66,7 @@
     )
     claims = claim_service.create_claim_service(store, clock)
     state = service_state.create_service_state(bundles)
-    view = endpoint_view.create_endpoint_view()
+    view = endpoint_view.create_endpoint_view(clock)
     flow = request_flow.create_request_flow(
         view, claims, clock, metrics, settings.data_centre
     )
--- a/packages/gateway/src/verbenafall_gateway/routing.py
+++ b/packages/gateway/src/verbenafall_gateway/routing.py
@@ -1,6 +1,7 @@
 """Pure choice of an endpoint for one attempt."""
 
 from collections.abc import Sequence
+import datetime
 import enum
 import math
 import random
@@ -12,6 +13,12 @@
 
 AFFINITY_CHARACTERS: Final = 256
 LOAD_BOUND: Final = 1.25
+# Sidecars report every second, so only a late report is older than this. All
+# gateways avoid an engine on the same report. When it is old, they do so for
+# longer than the queue lasts.
+OLD_REPORT_AGE: Final = datetime.timedelta(seconds=1.5)
+# Without any weight the busiest engine of a skewed load is never relieved.
+OLD_REPORT_WEIGHT: Final = 0.25
 
 
 class EndpointState(NamedTuple):
@@ -21,6 +28,7 @@
         own_in_flight: Open attempts of this gateway.
         reported_queue: Queue length in the sidecar's last load report.
         available: Neither draining nor leaving.
+        report_age: Age of what the report says, at least.
     """
 
     instance: str
@@ -30,11 +38,13 @@
     own_in_flight: int
     reported_queue: int
     available: bool
+    report_age: datetime.timedelta = datetime.timedelta()
 
     @property
-    def load(self) -> int:
+    def load(self) -> float:
         """Return the load by which endpoints are compared."""
-        return self.own_in_flight + self.reported_queue
+        queue = weigh_queue(self.reported_queue, self.report_age)
+        return self.own_in_flight + queue
 
 
 class RouteReason(enum.StrEnum):
@@ -81,32 +91,40 @@
     ]
     if not candidates:
         return None
-    limit = load_limit(candidates)
+    loads = [endpoint.load for endpoint in candidates]
+    limit = load_limit(loads)
+    within = [
+        endpoint
+        for endpoint, load in zip(candidates, loads, strict=True)
+        if load < limit
+    ]
     if affinity:
         # All overflow of a prompt goes the same way, where its prefix is
         # cached as well. The least loaded endpoint is always within the bound.
         preferred = max(
-            (endpoint for endpoint in candidates if endpoint.load < limit),
+            within,
             key=lambda endpoint: rendezvous.score(affinity, endpoint.instance),
         )
         return Choice(preferred, RouteReason.AFFINITY, len(candidates), limit)
     local = [
-        endpoint
-        for endpoint in candidates
-        if endpoint.data_centre == data_centre and endpoint.load < limit
+        endpoint for endpoint in within if endpoint.data_centre == data_centre
     ]
     reason = RouteReason.LOCAL_CHOICE if local else RouteReason.GLOBAL_CHOICE
     chosen = better_of_two(local or candidates, generator)
     return Choice(chosen, reason, len(candidates), limit)
 
 
-def load_limit(candidates: Sequence[EndpointState]) -> int:
+def weigh_queue(queue: int, age: datetime.timedelta) -> float:
+    """Return the part of a reported queue that counts at an age."""
+    return queue if age < OLD_REPORT_AGE else queue * OLD_REPORT_WEIGHT
+
+
+def load_limit(loads: Sequence[float]) -> int:
     """Return the load that an endpoint may reach with one more attempt.
 
     Rounding up leaves room for one attempt on an idle fleet.
     """
-    total = sum(endpoint.load for endpoint in candidates) + 1
-    return math.ceil(LOAD_BOUND * total / len(candidates))
+    return math.ceil(LOAD_BOUND * (sum(loads) + 1) / len(loads))
 
 
 def better_of_two(
--- a/packages/sidecar/src/verbenafall_sidecar/load_reports.py
+++ b/packages/sidecar/src/verbenafall_sidecar/load_reports.py
@@ -1,14 +1,19 @@
 """Reports of this endpoint's load to the gateways."""
 
 from collections.abc import Callable
+import datetime
+from typing import Final
 from typing import Protocol
 
+from verbenafall_core import clock as clock_lib
 from verbenafall_core import link as link_lib
 from verbenafall_core import messages
 from verbenafall_sidecar import attempt as attempt_lib
 from verbenafall_sidecar import dispatcher as dispatcher_lib
 
 GATEWAY_ROLE = "gateway"
+# Every second it would add a third to the control bytes of an idle link.
+SEND_TIME_INTERVAL: Final = datetime.timedelta(seconds=5)
 
 
 class OpenLinks(Protocol):
@@ -22,9 +27,14 @@
     """Sends load reports."""
 
     def __init__(
-        self, links: OpenLinks, map_version: Callable[[], int]
+        self,
+        links: OpenLinks,
+        map_version: Callable[[], int],
+        clock: clock_lib.Clock,
     ) -> None:
         """Create a reporter; the map version is 0 outside of groups."""
+        self.clock = clock
+        self.next_time_at = clock.monotonic()
         self.links = links
         self.map_version = map_version
 
@@ -35,11 +45,17 @@
         link.send(build_report(snapshot, self.map_version()))
 
     def send_to_all(self, snapshot: dispatcher_lib.Snapshot) -> None:
-        """Send a report to every linked gateway."""
+        """Send a report to every linked gateway, at times after the time."""
         report = build_report(snapshot, self.map_version())
+        batch: list[messages.Message] = [report]
+        now = self.clock.monotonic()
+        if now >= self.next_time_at:
+            self.next_time_at = now + SEND_TIME_INTERVAL
+            batch.insert(0, messages.SendTime(attempt_lib.to_ms(now)))
         for link in self.links.open_links():
             if link.peer is not None and link.peer.role == GATEWAY_ROLE:
-                link.send(report)
+                for message in batch:
+                    link.send(message)
 
 
 def build_report(
@@ -58,7 +74,9 @@
 
 
 def create_load_reporter(
-    links: OpenLinks, map_version: Callable[[], int]
+    links: OpenLinks,
+    map_version: Callable[[], int],
+    clock: clock_lib.Clock,
 ) -> LoadReporter:
     """Create a reporter; the map version is 0 outside of groups."""
-    return LoadReporter(links, map_version)
+    return LoadReporter(links, map_version, clock)
--- a/packages/sidecar/src/verbenafall_sidecar/wiring.py
+++ b/packages/sidecar/src/verbenafall_sidecar/wiring.py
@@ -141,7 +141,7 @@
         )
         self.group = self.create_group()
         self.reporter = load_reports.create_load_reporter(
-            self.links, self.map_version
+            self.links, self.map_version, clock
         )
         self.loop = transfers.create_transfer_loop(clock, self.links.joined)
         self.endpoint = create_endpoint(settings, self.loop)
--- a/tests/core/test_codec.py
+++ b/tests/core/test_codec.py
@@ -39,6 +39,7 @@
     messages.GroupMember(
         "g", "i", (0, 1), 2, 3, (3, 4), 100, 0, 99, (7, 8), (5,)
     ),
+    messages.SendTime(2_000),
 ]  # fmt: skip
 
 BAD_ITEMS = [
--- a/tests/faults/flow_leaving.py
+++ b/tests/faults/flow_leaving.py
@@ -71,7 +71,7 @@
     def restart(self):
         """Start a gateway that knows nothing."""
         self.router = link_router.create_link_router()
-        self.view = endpoint_view.create_endpoint_view()
+        self.view = endpoint_view.create_endpoint_view(self.clock)
         self.view.attach(self.router)
         self.instances = list_service.create_instance_list_service(
             self, random.Random(1)
--- a/tests/gateway/gateway_fakes.py
+++ b/tests/gateway/gateway_fakes.py
@@ -188,7 +188,7 @@
     clock = clock or clock_lib.system_clock()
     claims = claims or FakeClaims()
     router = link_router.create_link_router()
-    view = endpoint_view.create_endpoint_view()
+    view = endpoint_view.create_endpoint_view(clock)
     view.attach(router)
     flow = request_flow.create_request_flow(
         view,
