Measure the choice of endpoints together with admission and deadlines

Ruled out: the fair queue in the model, as with a single team it serves in the order of arrival; several teams are measured by admission.py.

Change: a model whose engines refuse by the sidecar's admission decision, cut calls off at their deadline and drop what is too late, and whose gateways retry by the real retry rules and one retry budget each. It runs with 16 engines and 20 gateways at lags of 0.5 s and 2 s and loads of 0.8, 1 and 1.5.

--- a/bench/endpoint_choice.py
+++ b/bench/endpoint_choice.py
@@ -9,6 +9,7 @@
 from typing import Final
 from typing import TypeVar
 
+import choice_admission
 import choice_model
 import json_lines
 
@@ -39,6 +40,15 @@
     return cases
 
 
+def list_admission_cases() -> list[choice_model.Case]:
+    """Return all cases with admission and deadlines."""
+    return [
+        choice_model.Case(16, 20, 3, lag, "none", load, 60.0)
+        for lag in (0.5, 2.0)
+        for load in (0.8, 1.0, 1.5)
+    ]
+
+
 def list_seeded_cases() -> list[choice_model.Case]:
     """Return the cases that are run with several seeds."""
     return [
@@ -92,6 +102,26 @@
         print_figures(f"{prefix}.{name}", unit, means)
 
 
+def print_admission_case(
+    case: choice_model.Case,
+    found: dict[str, choice_admission.AdmissionFigures],
+) -> None:
+    """Print the figures of a case with admission and deadlines."""
+    prefix = f"{name_case(case)}.admission.load_{case.load:g}"
+    units = ("requests/s", "ratio", "retries/request", "ratio")
+    for name, unit in zip(
+        choice_admission.AdmissionFigures._fields, units, strict=True
+    ):
+        print_figures(
+            f"{prefix}.{name}",
+            unit,
+            {
+                policy: getattr(figures, name)
+                for policy, figures in found.items()
+            },
+        )
+
+
 def print_figures(name: str, unit: str, values: dict[str, float]) -> None:
     """Print a figure of the chosen policy against each baseline."""
     for policy in values:
@@ -141,11 +171,19 @@
             (case, submit(pool, choice_model.run_case, case))
             for case in list_cases()
         ]
+        limited = [
+            (case, submit(pool, choice_admission.run_case, case))
+            for case in list_admission_cases()
+        ]
         repeated = [
             (case, submit_seeds(pool, case)) for case in list_seeded_cases()
         ]
         for case, runs in plain:
             print_case(case, {p: run.result() for p, run in runs.items()})
+        for case, admitting in limited:
+            print_admission_case(
+                case, {p: run.result() for p, run in admitting.items()}
+            )
         for case, by_seed in repeated:
             print_seeded_case(
                 case,
