Let the gateways of the benchmark know the delay from its start on

Cause: the second time of sending came 5 s after the first.

Change: the model's sidecars send the second time at once.

--- a/bench/choice_model.py
+++ b/bench/choice_model.py
@@ -349,7 +349,9 @@
             if not e.dead
         ]
         send_time = None
-        if self.ticks % SEND_TIME_TICKS == 1:
+        # The second time is sent at once: a delay that is still unknown would
+        # fill most of a run of a few seconds.
+        if self.ticks == 2 or self.ticks % SEND_TIME_TICKS == 1:
             send_time = messages.SendTime(round(self.now * 1000))
         # The links open before the delay begins; the gateways cannot see a
         # delay that was there from the start.
