Choose a gateway's links over all services together

Cause: a gateway kept about 16 links for each service, 336 at 21 services, which misses the limits of control for a node. Each endpoint chose its gateways by itself, so nothing bounded the links on the side of the gateways.

Ruled out: a top-up of gateways that have too few links. It evens out the number of links of a gateway but not the load of the endpoints that the top-up falls on.

Change: links_per_gateway (16 to 4096, default 64) is shared between the services in proportion to their endpoints, so that all sidecars have about as many links; each service gets at least 4 gateways for each endpoint and 3 endpoints for each gateway. Within a service the links are a matching in which the numbers of links on a side differ by at most one, near pairs first, in an order of hashes. A file with links_per_service is refused with the name of the new setting, as a number for each service says nothing about the sum.

--- a/packages/core/src/verbenafall_core/settings.py
+++ b/packages/core/src/verbenafall_core/settings.py
@@ -1,11 +1,13 @@
 """Typed reading of INI settings; all faults are reported at once."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import configparser
 import datetime
 import pathlib
 import re
+import types
 from typing import Any
 from typing import Final
 from typing import NamedTuple
@@ -62,10 +64,22 @@
 SettingsResult = returns.result.Result[Values, tuple[SettingFault, ...]]
 
 
+NO_KEYS: Final[Mapping[tuple[str, str], str]] = types.MappingProxyType({})
+
+
 def read_settings(
-    path: pathlib.Path, options: Sequence[Option]
+    path: pathlib.Path,
+    options: Sequence[Option],
+    replaced: Mapping[tuple[str, str], str] = NO_KEYS,
 ) -> SettingsResult:
-    """Read and check a settings file."""
+    """Read and check a settings file.
+
+    Args:
+        path: The file.
+        options: All settings that the file may have.
+        replaced: Section and key of settings of earlier releases, with the
+            key in the same section that took their place.
+    """
     parser = configparser.ConfigParser(
         interpolation=None, default_section="", strict=True
     )
@@ -75,7 +89,7 @@
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
         fault = SettingFault(str(path), "", "", str(error), "an INI file")
         return returns.result.Failure((fault,))
-    faults = find_unknown(str(path), parser, options)
+    faults = find_unknown(str(path), parser, options, replaced)
     values: Values = {}
     for option in options:
         result = read_option(str(path), parser, option)
@@ -89,7 +103,10 @@
 
 
 def find_unknown(
-    file: str, parser: configparser.ConfigParser, options: Sequence[Option]
+    file: str,
+    parser: configparser.ConfigParser,
+    options: Sequence[Option],
+    replaced: Mapping[tuple[str, str], str],
 ) -> list[SettingFault]:
     """Return a fault for each section and key that no option describes."""
     known = {(option.section, option.key) for option in options}
@@ -103,13 +120,13 @@
             )
             continue
         keys = sorted(key for name, key in known if name == section)
-        faults.extend(
-            SettingFault(
-                file, section, key, "unknown key", f"one of {', '.join(keys)}"
-            )
-            for key in parser[section]
-            if (section, key) not in known
-        )
+        for key in parser[section]:
+            if (section, key) in known:
+                continue
+            new = replaced.get((section, key))
+            problem = f"replaced by {new}" if new else "unknown key"
+            expected = new or f"one of {', '.join(keys)}"
+            faults.append(SettingFault(file, section, key, problem, expected))
     return faults
 
 
@@ -159,6 +176,19 @@
     return returns.result.Success(int(text))
 
 
+def parse_int_between(least: int, most: int) -> Parser:
+    """Return a parser for a whole number within a range."""
+
+    def parse(text: str) -> returns.result.Result[int, str]:
+        if not text.isascii() or not text.isdigit():
+            return returns.result.Failure(f"{text!r} is no whole number")
+        if not least <= int(text) <= most:
+            return returns.result.Failure(f"{text} is out of range")
+        return returns.result.Success(int(text))
+
+    return parse
+
+
 def parse_url(text: str) -> returns.result.Result[str, str]:
     """Read "http://IP:port" without a path."""
     scheme, separator, rest = text.partition("://")
--- a/packages/gateway/src/verbenafall_gateway/gateway.py
+++ b/packages/gateway/src/verbenafall_gateway/gateway.py
@@ -92,7 +92,7 @@
     targets = link_targets.create_link_targets(
         settings.name,
         settings.data_centre,
-        settings.links_per_service,
+        settings.links_per_gateway,
         instances,
         links,
         view,
--- a/packages/gateway/src/verbenafall_gateway/gateway_settings.py
+++ b/packages/gateway/src/verbenafall_gateway/gateway_settings.py
@@ -10,6 +10,14 @@
 from verbenafall_core import addresses
 from verbenafall_core import common_options
 from verbenafall_core import settings
+from verbenafall_gateway import subsetting
+
+# Fewer would leave a service of 16 endpoints without its full mesh.
+LEAST_LINKS: Final = 16
+MOST_LINKS: Final = 4096
+# A number for each service says nothing about the sum over all of them, so
+# an old file cannot be read as a new one.
+REPLACED: Final = {("limits", "links_per_service"): "links_per_gateway"}
 
 
 class GatewaySettings(NamedTuple):
@@ -17,8 +25,8 @@
 
     Attributes:
         client_threads: Client requests served at once.
-        links_per_service: Endpoints linked with on average, for each
-            service; more when there are few gateways.
+        links_per_gateway: Endpoints linked with on average, of all services
+            together; more when services or endpoints need it.
         stop_limit: Time in which a planned stop ends.
     """
 
@@ -32,7 +40,7 @@
     statsd: addresses.Address | None
     log_level: str
     client_threads: int
-    links_per_service: int
+    links_per_gateway: int
     stop_limit: datetime.timedelta
 
 
@@ -75,12 +83,12 @@
     ),
     settings.Option(
         "limits",
-        "links_per_service",
-        settings.parse_positive_int,
-        common_options.COUNT_FORM,
-        "16",
-        "Endpoints of each service that a gateway has links with on average; "
-        "more when there are few gateways.",
+        "links_per_gateway",
+        settings.parse_int_between(LEAST_LINKS, MOST_LINKS),
+        f"a whole number from {LEAST_LINKS} to {MOST_LINKS}",
+        str(subsetting.DEFAULT_LINKS_PER_GATEWAY),
+        "Endpoints of all services together that a gateway has links with on "
+        "average; more when a service or an endpoint would be left short.",
     ),
     common_options.STOP_LIMIT,
 )
@@ -88,7 +96,7 @@
 
 def read_gateway_settings(path: pathlib.Path) -> GatewaySettingsResult:
     """Read and check a settings file."""
-    return settings.read_settings(path, OPTIONS).map(_build)
+    return settings.read_settings(path, OPTIONS, REPLACED).map(_build)
 
 
 def _build(values: settings.Values) -> GatewaySettings:
@@ -103,6 +111,6 @@
         statsd=values["metrics", "statsd"],
         log_level=values["log", "level"],
         client_threads=values["limits", "client_threads"],
-        links_per_service=values["limits", "links_per_service"],
+        links_per_gateway=values["limits", "links_per_gateway"],
         stop_limit=values["limits", "stop_limit"],
     )
--- a/packages/gateway/src/verbenafall_gateway/link_targets.py
+++ b/packages/gateway/src/verbenafall_gateway/link_targets.py
@@ -43,7 +43,7 @@
         self,
         gateway: str,
         data_centre: str,
-        links_per_service: int,
+        links_per_gateway: int,
         source: InstanceSource,
         links: TargetKeeper,
         view: endpoint_view.EndpointView,
@@ -52,7 +52,7 @@
         """Create a service that is not yet running."""
         self.gateway = gateway
         self.data_centre = data_centre
-        self.links_per_service = links_per_service
+        self.links_per_gateway = links_per_gateway
         self.source = source
         self.links = links
         self.view = view
@@ -98,13 +98,13 @@
             self.report_empty()
             return
         self.empty = False
-        # The choice hashes every pair of a near gateway and an endpoint.
+        # The choice works out the links of all gateways.
         if instances != self.chosen_from:
             self.chosen = subsetting.choose_targets(
                 self.gateway,
                 self.data_centre,
                 instances,
-                self.links_per_service,
+                self.links_per_gateway,
             )
             self.chosen_from = instances
         chosen = self.chosen
@@ -123,7 +123,7 @@
 def create_link_targets(
     gateway: str,
     data_centre: str,
-    links_per_service: int,
+    links_per_gateway: int,
     source: InstanceSource,
     links: TargetKeeper,
     view: endpoint_view.EndpointView,
@@ -133,7 +133,7 @@
     return LinkTargets(
         gateway,
         data_centre,
-        links_per_service,
+        links_per_gateway,
         source,
         links,
         view,
