--- a/bench/map_switch.py
+++ b/bench/map_switch.py
@@ -36,7 +36,6 @@
     slots=SLOTS,
     step_ms=STEP_MS,
     steady=False,
-    gateway_options=(("limits", "links_per_service", str(ENGINES)),),
     ranks_per_engine=RANKS_PER_ENGINE,
 )
 
--- a/bench/mass_restart.py
+++ b/bench/mass_restart.py
@@ -34,7 +34,8 @@
 GROUP_SIZE: Final = 16
 RANKS_PER_ENGINE: Final = 8
 SLOTS: Final = 16
-LINKS: Final = "4"
+# About 4 links for each of the services of 100 processes.
+LINKS: Final = "24"
 STEP_MS: Final = 1000.0
 SAMPLE_SECONDS: Final = 0.25
 WINDOW_SAMPLES: Final = 4
@@ -132,7 +133,7 @@
         step_ms=STEP_MS,
         steady=False,
         launcher=LAUNCHER,
-        gateway_options=(("limits", "links_per_service", LINKS),),
+        gateway_options=(("limits", "links_per_gateway", LINKS),),
         ranks_per_engine=RANKS_PER_ENGINE,
     )
 
--- a/packages/sidecar/src/verbenafall_sidecar/load_reports.py
+++ b/packages/sidecar/src/verbenafall_sidecar/load_reports.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from verbenafall_core import clock as clock_lib
+from verbenafall_core import codec
 from verbenafall_core import link as link_lib
 from verbenafall_core import messages
 from verbenafall_sidecar import attempt as attempt_lib
@@ -47,15 +48,15 @@
     def send_to_all(self, snapshot: dispatcher_lib.Snapshot) -> None:
         """Send a report to every linked gateway, at times after the time."""
         report = build_report(snapshot, self.map_version())
-        batch: list[messages.Message] = [report]
+        data = codec.encode(report)
         now = self.clock.monotonic()
         if now >= self.next_time_at:
             self.next_time_at = now + SEND_TIME_INTERVAL
-            batch.insert(0, messages.SendTime(attempt_lib.to_ms(now)))
+            sent_at = messages.SendTime(attempt_lib.to_ms(now))
+            data = codec.encode(sent_at) + data
         for link in self.links.open_links():
             if link.peer is not None and link.peer.role == GATEWAY_ROLE:
-                for message in batch:
-                    link.send(message)
+                link.send_encoded(data)
 
 
 def build_report(
--- a/tests/sidecar/test_load_reports.py
+++ b/tests/sidecar/test_load_reports.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+from verbenafall_core import codec
 from verbenafall_core import messages
 from verbenafall_sidecar import dispatcher
 from verbenafall_sidecar import load_reports
@@ -17,6 +18,10 @@
         self.sent.append(message)
         return True
 
+    def send_encoded(self, data):
+        self.sent += codec.create_decoder().feed(data)
+        return True
+
 
 class FakeLinks:
     def __init__(self, *links):
