Write the tokens of open streams on the link thread

Cause: each token went through the queue of its attempt to the request's own thread, which woke up, encoded the event and wrote it. At 150 streams the wake-up cost more than the token, and 150 threads took turns on the interpreter lock.

Change: while a request thread waits for the next event it offers a receiver. The link thread uses it for a chunk that is the next one in sequence: it counts the chunk, keeps the text for a resume, and sends the event without waiting. The first event that it does not handle withdraws the receiver and is queued, and so are all later ones until the request thread finds the queue empty and offers again. After a partial send the request thread writes the rest before anything else. A full socket or a socket error leaves the token to the request thread, where it shows as before. The first token still goes to the request thread, since it begins the answer. The constant part of a stream's events is encoded once.

Tokens of plain answers are collected in the same way.

Ruled out: sending with MSG_DONTWAIT on the connection's own socket object. An object with a timeout waits for room before it calls the system, whatever the flags, so a second object for the same connection is used. Checking for a lost client at each token costs as many system calls as writing one.

--- a/packages/gateway/src/verbenafall_gateway/attempt_events.py
+++ b/packages/gateway/src/verbenafall_gateway/attempt_events.py
@@ -16,6 +16,10 @@
     reason: str
 
 
+class Unsent(NamedTuple):
+    """A client has taken only a part of a token so far."""
+
+
 class Continue(NamedTuple):
     """Nothing to deliver.
 
@@ -64,6 +68,7 @@
     | messages.Failed
     | messages.CancelConfirmed
     | LinkClosed
+    | Unsent
 )
 
 
@@ -153,6 +158,11 @@
     )
 
 
+@react.register
+def _(_event: Unsent, _: stream_assembly.Assembly) -> Reaction:
+    return Continue(dropped=False)
+
+
 def describe_refusal(event: messages.Refused) -> str:
     """Return the message for a refused attempt."""
     if event.detail:
--- a/packages/gateway/src/verbenafall_gateway/chat.py
+++ b/packages/gateway/src/verbenafall_gateway/chat.py
@@ -13,10 +13,12 @@
 from verbenafall_core import outcomes
 from verbenafall_gateway import answers
 from verbenafall_gateway import attempt_events
+from verbenafall_gateway import chat_clients
 from verbenafall_gateway import request_flow
 
 EVENT_STREAM_TYPE: Final = "text/event-stream"
 DONE_EVENT: Final = b"data: [DONE]\n\n"
+EMPTY_TEXT: Final = b'""'
 HTTP_OK: Final = 200
 CLIENT_CLOSED: Final = outcomes.Refusal(
     outcomes.Outcome.RAN,
@@ -37,23 +39,23 @@
 def plain_response(
     answer: ChatAnswer,
     flow: request_flow.Flow,
-    is_client_gone: Callable[[], bool],
+    client: chat_clients.PlainClient,
 ) -> wrappers.Response:
     """Return the response of a request without streaming.
 
     Nothing is sent before the answer is complete, so a client that closes
-    its connection is noticed only by a check at each token. Closing the flow
-    then cancels the attempt at the engine.
+    its connection is noticed only by checks: at the first token, and at
+    intervals by the flow. Closing the flow then cancels the attempt at the
+    engine.
     """
-    parts: list[str] = []
+    parts = client.parts
     for event in flow:
         if isinstance(event, request_flow.Delta):
-            parts.append(decode_token(event.data))
-            if is_client_gone():
-                flow.close()
-                return answers.refusal_response(
-                    CLIENT_CLOSED, answer.request_id
-                )
+            client.take(event.data)
+            if client.is_gone():
+                return end_for_lost_client(answer, flow, CLIENT_CLOSED)
+        elif isinstance(event, request_flow.ClientGone):
+            return end_for_lost_client(answer, flow, lost_client(bool(parts)))
         elif isinstance(event, outcomes.Refusal):
             return answers.refusal_response(event, answer.request_id)
         elif isinstance(event, attempt_events.Complete):
@@ -75,6 +77,8 @@
     before that gets an error status.
     """
     first = next(flow)
+    if isinstance(first, request_flow.ClientGone):
+        return end_for_lost_client(answer, flow, lost_client(answered=False))
     if isinstance(first, outcomes.Refusal):
         return answers.refusal_response(first, answer.request_id)
     if isinstance(first, attempt_events.Complete) and first.status != HTTP_OK:
@@ -89,6 +93,21 @@
     return response
 
 
+def end_for_lost_client(
+    answer: ChatAnswer, flow: request_flow.Flow, refusal: outcomes.Refusal
+) -> wrappers.Response:
+    """Cancel the attempt; return the response that nobody waits for."""
+    flow.close()
+    return answers.refusal_response(refusal, answer.request_id)
+
+
+def lost_client(answered: bool) -> outcomes.Refusal:
+    """Return the refusal for a client that is gone."""
+    if answered:
+        return CLIENT_CLOSED
+    return CLIENT_CLOSED._replace(outcome=outcomes.Outcome.UNKNOWN)
+
+
 def stream_events(
     answer: ChatAnswer,
     first: request_flow.FlowEvent,
@@ -96,11 +115,11 @@
 ) -> Iterator[bytes]:
     """Yield the events of a stream; [DONE] follows only a full answer."""
     yield encode_event(chunk_body(answer, {"role": "assistant"}, None))
+    encode = token_encoder(answer)
     event: request_flow.FlowEvent | None = first
     while event is not None:
         if isinstance(event, request_flow.Delta):
-            delta = {"content": decode_token(event.data)}
-            yield encode_event(chunk_body(answer, delta, None))
+            yield encode(event.data)
         elif isinstance(event, outcomes.Refusal):
             yield encode_event(answers.error_object(event))
         elif isinstance(event, attempt_events.Complete):
@@ -136,6 +155,21 @@
     )
 
 
+def token_encoder(answer: ChatAnswer) -> Callable[[bytes], bytes]:
+    """Return a function that encodes tokens as events of one stream.
+
+    Only the text differs between the events, so the rest is encoded once.
+    """
+    empty = encode_event(chunk_body(answer, {"content": ""}, None))
+    head, _, tail = empty.rpartition(EMPTY_TEXT)
+
+    def encode(data: bytes) -> bytes:
+        text = msgspec.json.encode(decode_token(data))
+        return b"%b%b%b" % (head, text, tail)
+
+    return encode
+
+
 def decode_token(data: bytes) -> str:
     """Return the text of a token."""
     return data.decode("utf-8", "replace")
--- a/packages/gateway/src/verbenafall_gateway/http_app.py
+++ b/packages/gateway/src/verbenafall_gateway/http_app.py
@@ -27,6 +27,8 @@
 from verbenafall_gateway import answers
 from verbenafall_gateway import bundle_index
 from verbenafall_gateway import chat
+from verbenafall_gateway import chat_clients
+from verbenafall_gateway import direct_delivery
 from verbenafall_gateway import event_catalogue
 from verbenafall_gateway import http_server
 from verbenafall_gateway import records
@@ -207,13 +209,14 @@
                 caller.team,
                 flow_request,
                 lambda flow: chat.stream_response(answer, flow),
+                stream_client(request, answer),
             )
+        client = chat_clients.PlainClient(client_check(request))
         return self.run(
             caller.team,
             flow_request,
-            lambda flow: chat.plain_response(
-                answer, flow, client_check(request)
-            ),
+            lambda flow: chat.plain_response(answer, flow, client),
+            client,
         )
 
     def serve_records(
@@ -343,13 +346,14 @@
         team: model.TeamSpec,
         flow_request: request_flow.FlowRequest,
         respond: Callable[[request_flow.Flow], wrappers.Response],
+        client: direct_delivery.Client | None = None,
     ) -> wrappers.Response:
         """Run a request within the team's limit.
 
         Closing the response ends the flow and with it an open attempt.
         """
         self.enter(team)
-        flow = self.flow.run(flow_request)
+        flow = self.flow.run(flow_request, client)
 
         def finish() -> None:
             try:
@@ -434,6 +438,20 @@
     return check
 
 
+def stream_client(
+    request: wrappers.Request, answer: chat.ChatAnswer
+) -> direct_delivery.Client | None:
+    """Return the client of a stream; None if the server cannot tell."""
+    writer: chat_clients.BodyWriter | None = request.environ.get(
+        http_server.BODY_WRITER
+    )
+    if writer is None:
+        return None
+    return chat_clients.StreamClient(
+        chat.token_encoder(answer), writer, client_check(request)
+    )
+
+
 def require(result: returns.result.Result[T, answers.Fault]) -> T:
     """Return a checked value.
 
--- a/packages/gateway/src/verbenafall_gateway/http_server.py
+++ b/packages/gateway/src/verbenafall_gateway/http_server.py
@@ -23,6 +23,8 @@
 from verbenafall_core import outcomes
 from verbenafall_gateway import activity as activity_lib
 from verbenafall_gateway import answers
+from verbenafall_gateway import body_writer
+from verbenafall_gateway import direct_delivery
 from verbenafall_gateway import event_catalogue
 from verbenafall_gateway import request_framing
 
@@ -38,6 +40,9 @@
 # Key of the WSGI environment: a function that returns whether the client has
 # closed its connection.
 CLIENT_GONE: Final = "verbenafall.client_gone"
+# Key of the WSGI environment: the writer of the answer's body, for parts that
+# do not come through the application's iterable.
+BODY_WRITER: Final = "verbenafall.body_writer"
 
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -124,6 +129,8 @@
     """A request with strict framing, JSON errors and a read deadline."""
 
     header_reader = StrictHeaderReader()
+    nowait: body_writer.NowaitSocket | None = None
+    unsent = b""
 
     def parse_request(self) -> None:
         """Read the request line and headers."""
@@ -151,6 +158,8 @@
         try:
             super().respond()
         finally:
+            if self.nowait is not None:
+                self.nowait.close()
             self.server.activity.leave()
 
     def send_headers(self) -> None:
@@ -168,9 +177,35 @@
         cheroot's buffered writer, written in Python, takes longer for a
         token than the system call; it holds nothing between two parts.
         """
-        data = memoryview(frame(chunk) if self.chunked_write else chunk)
-        while data:
-            data = data[self.conn.socket.send(data) :]
+        self.flush()
+        body_writer.send_all(self.conn.socket, self.code(chunk))
+
+    def write_nowait(self, chunk: bytes) -> direct_delivery.Handover:
+        """Send a part of the body as far as this is possible at once.
+
+        The rest of a part is kept and is sent by the next flush. The caller
+        makes sure that no other thread writes meanwhile.
+        """
+        if self.unsent or not self.sent_headers:
+            return direct_delivery.Handover.LEFT
+        if self.nowait is None:
+            self.nowait = body_writer.NowaitSocket(self.conn.socket)
+        data = self.code(chunk)
+        sent = self.nowait.send(data)
+        handover = body_writer.judge(sent, len(data))
+        if handover is direct_delivery.Handover.IN_PART:
+            self.unsent = data[sent:]
+        return handover
+
+    def flush(self) -> None:
+        """Send the rest of a part, waiting for room."""
+        if self.unsent:
+            unsent, self.unsent = self.unsent, b""
+            body_writer.send_all(self.conn.socket, unsent)
+
+    def code(self, chunk: bytes) -> bytes:
+        """Return a part of the body as it is sent."""
+        return frame(chunk) if self.chunked_write else chunk
 
     def simple_response(self, status: str, msg: str = "") -> None:
         """Send an error of the server itself in the form of all errors."""
@@ -228,6 +263,7 @@
         environ: dict[str, Any] = super().get_environ()  # type: ignore
         connection = self.req.conn.socket
         environ[CLIENT_GONE] = lambda: is_closed_by_peer(connection)
+        environ[BODY_WRITER] = self.req
         return environ
 
 
--- a/packages/gateway/src/verbenafall_gateway/open_attempts.py
+++ b/packages/gateway/src/verbenafall_gateway/open_attempts.py
@@ -9,6 +9,7 @@
 from verbenafall_core import messages
 from verbenafall_core import metrics as metrics_lib
 from verbenafall_gateway import attempt_events
+from verbenafall_gateway import direct_delivery
 from verbenafall_gateway import endpoint_view
 from verbenafall_gateway import event_catalogue
 
@@ -23,7 +24,13 @@
 
 
 class OpenAttempt:
-    """An attempt that waits for messages from one link."""
+    """An attempt that waits for messages from one link.
+
+    Either the link thread or the request thread handles events, never both:
+    the link thread only while a receiver is offered. The first event that it
+    does not handle withdraws the receiver and is queued, as are all later
+    ones until the request thread finds the queue empty and offers again.
+    """
 
     def __init__(
         self,
@@ -38,18 +45,66 @@
         self.events: queue.SimpleQueue[attempt_events.AttemptEvent] = (
             queue.SimpleQueue()
         )
+        self.lock = threading.Lock()
+        self.receiver: direct_delivery.Receiver | None = None
 
     def next_event(
-        self, limit: datetime.timedelta
+        self,
+        limit: datetime.timedelta,
+        receiver: direct_delivery.Receiver | None = None,
     ) -> attempt_events.AttemptEvent | None:
-        """Wait for the next event; None when the limit has passed."""
+        """Wait for the next event; None when the limit has passed.
+
+        Args:
+            limit: How long to wait.
+            receiver: Takes chunks on the link thread during the wait.
+        """
+        if receiver is not None:
+            event = self.offer(receiver)
+            if event is not None:
+                return event
         try:
             if limit <= datetime.timedelta():
                 return self.events.get_nowait()
             return self.events.get(timeout=limit.total_seconds())
+        except queue.Empty:
+            return None if receiver is None else self.withdraw()
+
+    def offer(
+        self, receiver: direct_delivery.Receiver
+    ) -> attempt_events.AttemptEvent | None:
+        """Let the link thread deliver, unless an event waits; return that."""
+        with self.lock:
+            try:
+                return self.events.get_nowait()
+            except queue.Empty:
+                self.receiver = receiver
+                return None
+
+    def withdraw(self) -> attempt_events.AttemptEvent | None:
+        """Stop delivery by the link thread; return an event of meanwhile."""
+        with self.lock:
+            self.receiver = None
+        try:
+            return self.events.get_nowait()
         except queue.Empty:
             return None
 
+    def deliver(self, event: attempt_events.AttemptEvent) -> None:
+        """Hand over an event on the link thread; does not wait."""
+        with self.lock:
+            receiver, self.receiver = self.receiver, None
+            if receiver is None or not isinstance(event, messages.Chunk):
+                self.events.put(event)
+                return
+            handover = receiver.take(event)
+            if handover is direct_delivery.Handover.WHOLE:
+                self.receiver = receiver
+            elif handover is direct_delivery.Handover.IN_PART:
+                self.events.put(attempt_events.Unsent())
+            else:
+                self.events.put(event)
+
 
 class OpenAttempts:
     """The attempts of this process by id."""
@@ -94,7 +149,7 @@
                 kind=type(message).__name__,
             )
             return
-        attempt.events.put(message)
+        attempt.deliver(message)
 
     def on_close(self, link: endpoint_view.LinkPort, reason: str) -> None:
         """Tell the attempts on a link that it has closed."""
@@ -105,7 +160,7 @@
                 if attempt.link is link
             ]
         for attempt in concerned:
-            attempt.events.put(attempt_events.LinkClosed(reason))
+            attempt.deliver(attempt_events.LinkClosed(reason))
 
 
 def create_open_attempts(metrics: metrics_lib.Metrics) -> OpenAttempts:
--- a/packages/gateway/src/verbenafall_gateway/records.py
+++ b/packages/gateway/src/verbenafall_gateway/records.py
@@ -56,7 +56,7 @@
             parts.clear()
         elif isinstance(event, outcomes.Refusal):
             return answers.refusal_response(event, request_id)
-        else:
+        elif isinstance(event, attempt_events.Complete):
             return forward(request_id, event, b"".join(parts))
     raise RuntimeError("the request's flow ended without a final event")
 
--- a/packages/gateway/src/verbenafall_gateway/request_flow.py
+++ b/packages/gateway/src/verbenafall_gateway/request_flow.py
@@ -21,6 +21,7 @@
 from verbenafall_core import outcomes
 from verbenafall_core.claims import model as claims_model
 from verbenafall_gateway import attempt_events
+from verbenafall_gateway import direct_delivery
 from verbenafall_gateway import endpoint_view
 from verbenafall_gateway import event_catalogue
 from verbenafall_gateway import open_attempts
@@ -76,7 +77,13 @@
     """The parts so far are void; the answer starts over."""
 
 
-FlowEvent = Delta | Restarted | attempt_events.Complete | outcomes.Refusal
+class ClientGone(NamedTuple):
+    """The client has closed its connection; the flow should be closed."""
+
+
+FlowEvent = (
+    Delta | Restarted | ClientGone | attempt_events.Complete | outcomes.Refusal
+)
 Flow = Generator[FlowEvent, None, None]
 
 
@@ -88,9 +95,11 @@
         request: FlowRequest,
         cancel_at: datetime.timedelta,
         started: datetime.timedelta,
+        client: direct_delivery.Client | None = None,
     ) -> None:
         """Create the state of a request without attempts."""
         self.request = request
+        self.client = client
         self.cancel_at = cancel_at
         self.started = started
         self.answered = False
@@ -142,13 +151,26 @@
         del limit  # A settle in progress is bounded by the store's adapter.
         self.settle_pool.shutdown(wait=False, cancel_futures=True)
 
-    def run(self, request: FlowRequest) -> Flow:
-        """Run a request; the last event is Complete or a Refusal."""
+    def run(
+        self,
+        request: FlowRequest,
+        client: direct_delivery.Client | None = None,
+    ) -> Flow:
+        """Run a request; the last event is Complete or a Refusal.
+
+        Args:
+            request: The request.
+            client: Takes tokens of a resumable request directly, so that
+                they do not appear as events. This begins when the event of
+                the first token has been used, and then the next is asked for.
+        """
         self.budget.record_request()
         remaining = request.deadline - self.clock.monotonic()
         reserve = min(max(remaining, _ZERO) * CANCEL_SHARE, CANCEL_LIMIT)
         started = self.clock.monotonic()
-        progress = Progress(request, request.deadline - reserve, started)
+        progress = Progress(
+            request, request.deadline - reserve, started, client
+        )
         key = (request.team, request.idempotency_key)
         self.hold_key(key)
         try:
@@ -280,25 +302,34 @@
     def follow(
         self, progress: Progress, attempt: open_attempts.OpenAttempt
     ) -> Generator[
-        Delta, None, attempt_events.Complete | attempt_events.Broken
+        Delta | ClientGone,
+        None,
+        attempt_events.Complete | attempt_events.Broken,
     ]:
         """Deliver an attempt's chunks until it ends."""
         progress.resume_index = len(progress.delivered)
-        assembly = stream_assembly.begin(
-            attempt.attempt_id, progress.resume_index
+        receiver = direct_delivery.Receiver(
+            stream_assembly.begin(attempt.attempt_id, progress.resume_index),
+            progress.client,
+            progress.delivered,
         )
         open_at_sidecar = True
         try:
             while True:
-                event = attempt.next_event(
-                    progress.cancel_at - self.clock.monotonic()
-                )
+                event = self.next_event(progress, attempt, receiver)
                 if event is None:
                     open_at_sidecar = False
-                    return self.cancel_late(progress, attempt, assembly)
-                reaction = attempt_events.react(event, assembly)
+                    return self.cancel_late(
+                        progress, attempt, receiver.assembly
+                    )
+                if isinstance(event, ClientGone):
+                    yield event
+                    continue
+                if isinstance(event, attempt_events.Unsent):
+                    receiver.flush()
+                reaction = attempt_events.react(event, receiver.assembly)
                 if isinstance(reaction, attempt_events.Deliver):
-                    assembly = reaction.assembly
+                    receiver.assembly = reaction.assembly
                     self.note_delivered(progress, reaction.data)
                     yield Delta(reaction.data)
                 elif isinstance(reaction, attempt_events.Continue):
@@ -314,6 +345,29 @@
             if open_at_sidecar:
                 self.send_cancel(progress, attempt)
 
+    def next_event(
+        self,
+        progress: Progress,
+        attempt: open_attempts.OpenAttempt,
+        receiver: direct_delivery.Receiver,
+    ) -> attempt_events.AttemptEvent | ClientGone | None:
+        """Wait for an event; None at the deadline.
+
+        The first token of a request begins its answer, so only later ones
+        may go past the request thread.
+        """
+        client = progress.client
+        direct = client is not None and progress.answered
+        checked = direct_delivery.needs_check(client, progress.answered)
+        while True:
+            left = progress.cancel_at - self.clock.monotonic()
+            limit = direct_delivery.wait_limit(left, checked)
+            event = attempt.next_event(limit, receiver if direct else None)
+            if event is not None or limit == left:
+                return event
+            if client is not None and client.is_gone():
+                return ClientGone()
+
     def note_delivered(self, progress: Progress, data: bytes) -> None:
         """Keep a token as the start of a resume, and time the first one."""
         if not progress.answered:
--- /dev/null
+++ b/tests/gateway/test_direct_delivery.py
@@ -0,0 +1,664 @@
+"""Direct delivery: who handles an event, and what reaches the client."""
+
+import contextlib
+import datetime
+import http.client
+import json
+import random
+import socket
+import threading
+import time
+import types
+from typing import NamedTuple
+
+import pytest
+
+from gateway import gateway_fakes as fakes
+from verbenafall_core import messages
+from verbenafall_core import outcomes
+from verbenafall_gateway import attempt_events
+from verbenafall_gateway import chat
+from verbenafall_gateway import direct_delivery
+from verbenafall_gateway import http_server
+from verbenafall_gateway import open_attempts
+from verbenafall_gateway import request_flow
+from verbenafall_gateway import stream_assembly
+
+WAIT_SECONDS = 20
+LONG = datetime.timedelta(seconds=WAIT_SECONDS)
+SHORT = datetime.timedelta(milliseconds=1)
+ZERO = datetime.timedelta()
+WHOLE, IN_PART, LEFT = direct_delivery.Handover
+RAN = outcomes.Outcome.RAN
+Reason = outcomes.Reason
+TOKENS = ["a ", "niño ", "c ", "d"]
+TEXT = "".join(TOKENS)
+
+
+class FakeClient:
+    """Takes tokens as a list of handovers says, then all of them."""
+
+    def __init__(self, handovers=(), shows_loss=True):
+        self.handovers = list(handovers)
+        self.shows_loss = shows_loss
+        self.gone = False
+        self.taken = []
+        self.flushes = 0
+        self.threads = set()
+
+    def take(self, data):
+        handover = self.handovers.pop(0) if self.handovers else WHOLE
+        if handover is not LEFT:
+            self.threads.add(threading.get_ident())
+            self.taken.append(data.decode())
+        return handover
+
+    def flush(self):
+        self.flushes += 1
+
+    def is_gone(self):
+        return self.gone
+
+
+def wait_until(condition):
+    end = time.monotonic() + WAIT_SECONDS
+    while not condition():
+        assert time.monotonic() < end, "the condition was not met in time"
+        time.sleep(0.001)
+
+
+def chunk(sequence, attempt_id="req-1.1"):
+    return messages.Chunk("req-1", attempt_id, sequence, b"%d" % sequence)
+
+
+def create_attempt():
+    return open_attempts.OpenAttempt("req-1.1", "e-1", None)
+
+
+def create_receiver(client, resume_index=0):
+    assembly = stream_assembly.begin("req-1.1", resume_index)
+    return direct_delivery.Receiver(assembly, client, [])
+
+
+def drain(attempt):
+    found = []
+    while (event := attempt.next_event(ZERO)) is not None:
+        found.append(event)
+    return found
+
+
+ACCEPTED = messages.Accepted("req-1", "req-1.1", 0)
+END = messages.End("req-1", "req-1.1", 1, 1, 200, (), "stop")
+FAILED = messages.Failed("req-1", "req-1.1", RAN, Reason.DEADLINE, 0, 0)
+REFUSED = messages.Refused(
+    "req-1", "req-1.1", Reason.OVERLOADED, outcomes.Outcome.NOT_RUN, 0
+)
+CANCELLED = messages.CancelConfirmed("req-1", "req-1.1", RAN)
+CLOSED = attempt_events.LinkClosed("reset")
+UNSENT = attempt_events.Unsent()
+
+
+class Row(NamedTuple):
+    """Events on the link thread while a receiver is offered.
+
+    Attributes:
+        handovers: What the client says to each token it is given.
+        taken: Tokens that the client gets on the link thread.
+        queued: Events that go to the request thread.
+    """
+
+    name: str
+    handovers: list
+    events: list
+    taken: list
+    queued: list
+
+
+ROWS = [
+    Row("in order", [], [chunk(0), chunk(1)], ["0", "1"], []),
+    Row(
+        "full socket, then room",
+        [WHOLE, LEFT],
+        [chunk(0), chunk(1), chunk(2)],
+        ["0"],
+        [chunk(1), chunk(2)],
+    ),
+    Row(
+        "partial send",
+        [WHOLE, IN_PART],
+        [chunk(0), chunk(1), chunk(2)],
+        ["0", "1"],
+        [UNSENT, chunk(2)],
+    ),
+    Row("gap", [], [chunk(1), chunk(0)], [], [chunk(1), chunk(0)]),
+    Row(
+        "repeated chunk",
+        [],
+        [chunk(0), chunk(0), chunk(1)],
+        ["0"],
+        [chunk(0), chunk(1)],
+    ),
+    Row(
+        "chunk of an earlier attempt",
+        [],
+        [chunk(0, "req-1.0"), chunk(0)],
+        [],
+        [chunk(0, "req-1.0"), chunk(0)],
+    ),
+    *(
+        Row(
+            f"{type(event).__name__} between chunks",
+            [],
+            [chunk(0), event, chunk(1)],
+            ["0"],
+            [event, chunk(1)],
+        )
+        for event in (ACCEPTED, END, FAILED, REFUSED, CANCELLED, CLOSED)
+    ),
+]
+
+
+class TestOwnership:
+    @pytest.mark.parametrize("row", ROWS, ids=[row.name for row in ROWS])
+    def test_events_while_a_receiver_is_offered(self, row):
+        """Guards against tokens that overtake an event in the queue."""
+        attempt, client = create_attempt(), FakeClient(row.handovers)
+        receiver = create_receiver(client)
+        assert attempt.offer(receiver) is None
+        for event in row.events:
+            attempt.deliver(event)
+        assert client.taken == row.taken
+        assert receiver.delivered == row.taken
+        assert receiver.assembly.next_sequence == len(row.taken)
+        assert drain(attempt) == row.queued
+
+    def test_events_without_a_receiver_are_queued(self):
+        """Guards against tokens sent before the answer has begun."""
+        attempt = create_attempt()
+        attempt.deliver(chunk(0))
+        assert drain(attempt) == [chunk(0)]
+
+    @pytest.mark.parametrize("waiting", [1, 2])
+    def test_a_waiting_event_keeps_the_receiver_from_being_offered(
+        self, waiting
+    ):
+        """Guards against two threads that handle events at once."""
+        attempt, client = create_attempt(), FakeClient()
+        receiver = create_receiver(client)
+        events = [chunk(number) for number in range(waiting + 1)]
+        for event in events[:waiting]:
+            attempt.deliver(event)
+        assert attempt.next_event(LONG, receiver) == events[0]
+        # The request thread counts a token before it has written it.
+        receiver.assembly = stream_assembly.take_chunk(
+            receiver.assembly, events[0]
+        ).assembly
+        attempt.deliver(events[waiting])
+        assert client.taken == []
+        assert drain(attempt) == events[1:]
+
+    @pytest.mark.parametrize("limit", [-LONG, ZERO, SHORT])
+    def test_a_receiver_ends_with_the_wait(self, limit):
+        """Guards against tokens sent after the deadline's answer."""
+        attempt, client = create_attempt(), FakeClient()
+        assert attempt.next_event(limit, create_receiver(client)) is None
+        attempt.deliver(chunk(0))
+        assert client.taken == []
+        assert drain(attempt) == [chunk(0)]
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_two_threads_hand_each_chunk_over_once(self, seed):
+        """Guards against lost, doubled or crossed tokens in a race."""
+        generator = random.Random(seed)
+        count = 3000
+        busy = threading.Lock()
+        attempt, client = create_attempt(), FakeClient()
+        receiver = create_receiver(client)
+
+        def take(data):
+            assert busy.acquire(blocking=False)
+            client.taken.append(int(data))
+            handover = generator.choice([WHOLE, WHOLE, WHOLE, LEFT, IN_PART])
+            if handover is LEFT:
+                client.taken.pop()
+            busy.release()
+            return handover
+
+        def send():
+            for sequence in range(count):
+                attempt.deliver(chunk(sequence))
+                if sequence % 7 == 0:
+                    time.sleep(0)
+
+        client.take = take
+        link_thread = threading.Thread(target=send)
+        link_thread.start()
+        end = time.monotonic() + WAIT_SECONDS
+        while receiver.assembly.next_sequence < count:
+            assert time.monotonic() < end
+            event = attempt.next_event(SHORT, receiver)
+            if event is None or event == UNSENT:
+                continue
+            assert busy.acquire(blocking=False)
+            reaction = attempt_events.react(event, receiver.assembly)
+            assert isinstance(reaction, attempt_events.Deliver)
+            receiver.assembly = reaction.assembly
+            # Writing takes time, in which the next chunk may arrive.
+            time.sleep(0)
+            client.taken.append(int(reaction.data))
+            busy.release()
+        link_thread.join(WAIT_SECONDS)
+        assert client.taken == list(range(count))
+        assert drain(attempt) in ([], [UNSENT])
+
+
+# Parts large enough to fill the buffers of a connection that is not read.
+PART_BYTES = 50_000
+
+
+@contextlib.contextmanager
+def connected_request(chunked):
+    """Yield a request whose answer has begun, and its client's socket."""
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        ours.settimeout(WAIT_SECONDS)
+        theirs.settimeout(WAIT_SECONDS)
+        request = http_server.GatewayRequest.__new__(http_server.GatewayRequest)
+        request.chunked_write = chunked
+        request.sent_headers = True
+        request.conn = types.SimpleNamespace(socket=ours)
+        yield request, theirs
+        if request.nowait is not None:
+            request.nowait.close()
+
+
+def create_part(number):
+    return bytes([number % 256]) * (PART_BYTES + number)
+
+
+def fill(request):
+    """Write until the socket is full; return what is to arrive."""
+    expected = b""
+    for number in range(1000):
+        part = create_part(number)
+        handover = request.write_nowait(part)
+        if handover is not LEFT:
+            expected += request.code(part)
+        if handover is not WHOLE:
+            return expected, handover
+    raise AssertionError("the socket has not become full")
+
+
+def read_in_background(sock, size):
+    found = bytearray()
+
+    def read():
+        while len(found) < size:
+            found.extend(sock.recv(65536))
+
+    thread = threading.Thread(target=read)
+    thread.start()
+    return found, thread
+
+
+class TestWriteNowait:
+    @pytest.mark.parametrize("chunked", [True, False])
+    def test_rest_of_a_partial_send_is_written_first_and_once(self, chunked):
+        """Guards against a body whose framing breaks at a full socket."""
+        with connected_request(chunked) as (request, client):
+            started = time.monotonic()
+            expected, handover = fill(request)
+            assert time.monotonic() - started < WAIT_SECONDS / 2
+            assert handover is IN_PART
+            assert request.write_nowait(b"next") is LEFT
+            expected += request.code(b"one") + request.code(b"two")
+            found, reader = read_in_background(client, len(expected))
+            request.flush()
+            request.flush()
+            assert request.write_nowait(b"one") is WHOLE
+            request.write(b"two")
+            reader.join(WAIT_SECONDS)
+            assert bytes(found) == expected
+
+    def test_write_sends_the_rest_without_a_flush_before(self):
+        """Guards against parts that overtake the rest of another."""
+        with connected_request(True) as (request, client):
+            expected, _ = fill(request)
+            expected += request.code(b"two")
+            found, reader = read_in_background(client, len(expected))
+            request.write(b"two")
+            reader.join(WAIT_SECONDS)
+            assert bytes(found) == expected
+
+    def test_full_socket_takes_nothing(self):
+        """Guards against a link thread that waits for a slow client."""
+        with connected_request(False) as (request, _):
+            request.conn.socket.settimeout(0)
+            for size in (4096, 1):
+                with contextlib.suppress(BlockingIOError):
+                    while True:
+                        request.conn.socket.send(b"x" * size)
+            request.conn.socket.settimeout(WAIT_SECONDS)
+            started = time.monotonic()
+            assert request.write_nowait(b"token") is LEFT
+            assert time.monotonic() - started < WAIT_SECONDS / 2
+            assert request.unsent == b""
+
+    @pytest.mark.parametrize("end", ["client", "server"])
+    def test_closed_connection_raises_only_on_the_request_thread(self, end):
+        """Guards against a link thread that ends with one client."""
+        with connected_request(True) as (request, client):
+            (client if end == "client" else request.conn.socket).close()
+            assert request.write_nowait(b"token") is LEFT
+            with pytest.raises(OSError, match=r"Broken pipe|Bad file"):
+                request.write(b"token")
+
+    def test_nothing_is_written_before_the_headers(self):
+        """Guards against a body that comes before its status line."""
+        with connected_request(True) as (request, client):
+            request.sent_headers = False
+            assert request.write_nowait(b"token") is LEFT
+            client.setblocking(False)
+            with pytest.raises(BlockingIOError):
+                client.recv(1)
+
+    def test_waiting_writes_keep_their_timeout(self):
+        """Guards against a request thread that spins or fails at once."""
+        with connected_request(True) as (request, _):
+            request.write_nowait(b"token")
+            assert request.conn.socket.gettimeout() == WAIT_SECONDS
+
+
+class Scene:
+    """A request on a thread of its own; the test plays the link thread."""
+
+    def __init__(self, client, seconds=WAIT_SECONDS):
+        self.client = client
+        self.gateway = fakes.create_gateway()
+        self.dispatches = []
+        self.cancels = []
+        self.links = {}
+        self.parts = []
+        self.last = None
+        for number in range(3):
+            name = f"e-{number}"
+            link = fakes.ScriptedLink(self.gateway.router, name, "s", self.note)
+            self.links[name] = link
+        self.request = request_flow.FlowRequest(
+            request_id="req-1",
+            service="s",
+            team="desk",
+            priority=1,
+            deadline=self.gateway.flow.clock.monotonic()
+            + datetime.timedelta(seconds=seconds),
+            idempotent=True,
+            idempotency_key="",
+            method="POST",
+            path="/p",
+            headers=(),
+            body=b"{}",
+            affinity="",
+            resumable=True,
+        )
+        self.thread = threading.Thread(target=self.run)
+        self.thread.start()
+
+    def note(self, message):
+        known = self.dispatches
+        if isinstance(message, messages.Cancel):
+            known = self.cancels
+        known.append(message)
+        return []
+
+    def run(self):
+        flow = self.gateway.flow.run(self.request, self.client)
+        for event in flow:
+            self.last = event
+            if isinstance(event, request_flow.Delta):
+                self.parts.append(event.data.decode())
+            elif isinstance(event, request_flow.ClientGone):
+                flow.close()
+
+    def attempt(self, number):
+        """Return an attempt of the request, once it is open."""
+        attempt_id = f"req-1.{number}"
+        attempts = self.gateway.flow.attempts.attempts
+        wait_until(lambda: attempt_id in attempts)
+        wait_until(lambda: len(self.dispatches) >= number)
+        return attempts[attempt_id]
+
+    def send(self, number, sequence):
+        attempt = self.attempt(number)
+        dispatch = self.dispatches[number - 1]
+        part = fakes.chunk(dispatch, sequence, TOKENS[sequence])
+        self.gateway.router.on_message(attempt.link, part)
+
+    def offered(self, number):
+        attempt = self.attempt(number)
+        wait_until(lambda: attempt.receiver is not None)
+
+    def end(self, number):
+        attempt = self.attempt(number)
+        dispatch = self.dispatches[number - 1]
+        end = fakes.answer(dispatch, TOKENS)[-1]
+        self.gateway.router.on_message(attempt.link, end)
+
+    def finish(self):
+        self.thread.join(WAIT_SECONDS)
+        assert not self.thread.is_alive()
+        assert self.gateway.flow.attempts.attempts == {}
+        assert self.gateway.view.busy_addresses() == frozenset()
+
+
+def close_link(scene):
+    link = scene.attempt(1).link
+    scene.gateway.router.on_close(link, "reset")
+
+
+def skip_a_token(scene):
+    scene.send(1, 3)
+
+
+def fail_the_attempt(scene):
+    failed = fakes.failed(scene.dispatches[0], RAN)
+    scene.gateway.router.on_message(scene.attempt(1).link, failed)
+
+
+def end_too_early(scene):
+    scene.end(1)
+
+
+def late_chunk(scene):
+    """Break off, then hear of the old attempt again."""
+    link = scene.attempt(1).link
+    fail_the_attempt(scene)
+    scene.attempt(2)
+    late = fakes.chunk(scene.dispatches[0], 2, "LATE")
+    scene.gateway.router.on_message(link, late)
+
+
+BREAKS = [close_link, skip_a_token, fail_the_attempt, end_too_early, late_chunk]
+
+
+class TestFlow:
+    @pytest.mark.parametrize("handover", [WHOLE, IN_PART, LEFT])
+    def test_answer_is_exact(self, handover):
+        """Guards against tokens that are lost between the two threads."""
+        client = FakeClient([handover])
+        scene = Scene(client)
+        scene.send(1, 0)
+        for sequence in (1, 2, 3):
+            scene.offered(1)
+            scene.send(1, sequence)
+        scene.end(1)
+        scene.finish()
+        left = TOKENS[1:2] if handover is LEFT else []
+        assert scene.parts == TOKENS[:1] + left
+        assert client.taken == TOKENS[1 + len(left) :]
+        assert client.threads == {threading.get_ident()}
+        assert client.flushes == (handover is IN_PART)
+        assert scene.last == attempt_events.Complete(200, (), "stop")
+
+    @pytest.mark.parametrize("break_off", BREAKS)
+    def test_break_resumes_at_the_exact_token(self, break_off):
+        """Guards against a resume that does not count direct tokens."""
+        client = FakeClient()
+        scene = Scene(client)
+        scene.send(1, 0)
+        scene.offered(1)
+        scene.send(1, 1)
+        break_off(scene)
+        scene.offered(2)
+        scene.send(2, 2)
+        scene.send(2, 3)
+        scene.end(2)
+        scene.finish()
+        assert [item.resume_index for item in scene.dispatches] == [0, 2]
+        assert scene.dispatches[1].resume_text == "".join(TOKENS[:2])
+        assert scene.parts + client.taken == TOKENS
+        assert scene.last == attempt_events.Complete(200, (), "stop")
+
+    def test_deadline_ends_direct_delivery(self):
+        """Guards against tokens after the answer that a deadline passed."""
+        client = FakeClient()
+        scene = Scene(client, seconds=1)
+        scene.send(1, 0)
+        scene.offered(1)
+        attempt = scene.attempt(1)
+        scene.send(1, 1)
+        scene.finish()
+        assert (scene.last.outcome, scene.last.reason) == (RAN, Reason.DEADLINE)
+        assert [item.attempt_id for item in scene.cancels] == ["req-1.1"]
+        late = fakes.chunk(scene.dispatches[0], 2, TOKENS[2])
+        attempt.deliver(late)
+        assert client.taken == TOKENS[1:2]
+
+    @pytest.mark.parametrize(
+        ("shows_loss", "before"),
+        [(True, 0), (False, 0), (False, 1), (False, 2)],
+    )
+    def test_lost_client_is_noticed_without_a_token(self, shows_loss, before):
+        """Guards against engines that work for clients that are gone."""
+        client = FakeClient(shows_loss=shows_loss)
+        scene = Scene(client)
+        for sequence in range(before):
+            scene.send(1, sequence)
+            scene.offered(1)
+        scene.attempt(1)
+        client.gone = True
+        scene.finish()
+        assert isinstance(scene.last, request_flow.ClientGone)
+        assert [item.attempt_id for item in scene.cancels] == ["req-1.1"]
+
+    def test_error_of_a_flush_cancels_the_attempt(self):
+        """Guards against engines that work for clients that are gone."""
+        client = FakeClient([IN_PART])
+        failed = threading.Event()
+
+        def flush():
+            failed.set()
+            raise ConnectionResetError("reset")
+
+        client.flush = flush
+        with pytest.MonkeyPatch.context() as patch:
+            # The request's thread ends with the client's error.
+            patch.setattr(threading, "excepthook", lambda _arguments: None)
+            scene = Scene(client)
+            scene.send(1, 0)
+            scene.offered(1)
+            scene.send(1, 1)
+            assert failed.wait(WAIT_SECONDS)
+            scene.finish()
+        assert [item.attempt_id for item in scene.cancels] == ["req-1.1"]
+
+
+class TestTokenEncoder:
+    @pytest.mark.parametrize(
+        "token", [b"", b"a", "niño".encode(), b'"\\\n\x00', b"\xff\xf0x", b"{}"]
+    )
+    @pytest.mark.parametrize("model", ["m", '"content":""', 'a"b\\'])
+    def test_same_bytes_as_a_whole_encoding(self, token, model):
+        """Guards against events that a client library cannot read."""
+        created = datetime.datetime.fromtimestamp(0, datetime.UTC)
+        answer = chat.ChatAnswer("req-1", model, created)
+        delta = {"content": chat.decode_token(token)}
+        whole = chat.encode_event(chat.chunk_body(answer, delta, None))
+        assert chat.token_encoder(answer)(token) == whole
+
+
+SLOW_TOKENS = [f"{number:0>3000} " for number in range(5000)]
+
+
+def open_chat(address, stream):
+    connection = http.client.HTTPConnection(*address, timeout=WAIT_SECONDS)
+    body = {"model": "quote-model", "messages": [{"role": "user"}]}
+    body["messages"][0]["content"] = "How much are two mixers?"
+    headers = {
+        "Authorization": f"Bearer {fakes.CREDENTIAL}",
+        "Content-Type": "application/json",
+        # Longer than the test waits: at the deadline the attempt is
+        # cancelled in any case.
+        "X-Deadline-Ms": "120000",
+    }
+    text = json.dumps({**body, "stream": stream})
+    connection.request("POST", "/v1/chat/completions", text, headers)
+    return connection
+
+
+def read_events(response):
+    events = response.read().decode().strip().split("\n\n")
+    return [event.removeprefix("data: ") for event in events]
+
+
+def text_of(events):
+    deltas = [json.loads(event)["choices"][0]["delta"] for event in events]
+    return "".join(delta.get("content", "") for delta in deltas)
+
+
+class TestOverLinks:
+    def test_slow_client_delays_nobody_and_loses_nothing(self):
+        """Guards against a link thread that waits for a slow client."""
+        gateway = fakes.create_gateway()
+        dispatches = []
+
+        def answer(message):
+            if isinstance(message, messages.Cancel):
+                return []
+            dispatches.append(message)
+            tokens = SLOW_TOKENS if len(dispatches) == 1 else TOKENS
+            return fakes.answer(message, tokens)
+
+        with fakes.linked_sidecar(gateway, answer) as address:
+            slow = open_chat(address, True)
+            slow_response = slow.getresponse()
+            for _ in range(20):
+                started = time.monotonic()
+                other = open_chat(address, True)
+                events = read_events(other.getresponse())
+                other.close()
+                assert events[-1] == "[DONE]"
+                assert text_of(events[:-1]) == TEXT
+                # The slow client's own socket has a timeout of 10 s.
+                assert time.monotonic() - started < 5
+            events = read_events(slow_response)
+            slow.close()
+        assert events[-1] == "[DONE]"
+        assert text_of(events[:-1]) == "".join(SLOW_TOKENS)
+
+    @pytest.mark.parametrize("stream", [True, False])
+    def test_client_lost_before_the_first_token(self, stream):
+        """Guards against engines that work for clients that are gone."""
+        gateway = fakes.create_gateway()
+        dispatched, cancelled = threading.Event(), threading.Event()
+
+        def stay_silent(message):
+            known = isinstance(message, messages.Cancel)
+            (cancelled if known else dispatched).set()
+            return []
+
+        with fakes.linked_sidecar(gateway, stay_silent) as address:
+            connection = open_chat(address, stream)
+            assert dispatched.wait(WAIT_SECONDS)
+            connection.close()
+            assert cancelled.wait(WAIT_SECONDS)
+        assert gateway.app.limits.total == 0
