Give usage figures in chat answers

Cause: plain answers had no usage, and stream_options.include_usage had no effect, so clients could not count tokens.

Ruled out: the engine's own completion tokens, because they cover only the last attempt; a count in the client's connection, because tokens of a stream are delivered by two threads. The sequence number of the last chunk counts all attempts.

Change: plain answers carry usage, and streams end with a usage event when the client asks for it; neither does when the engine tells no prompt tokens. stream_options of another form is refused with 400.

--- a/packages/gateway/src/verbenafall_gateway/attempt_events.py
+++ b/packages/gateway/src/verbenafall_gateway/attempt_events.py
@@ -37,12 +37,24 @@
     data: bytes
 
 
+class Usage(NamedTuple):
+    """Tokens of a chat answer, over all attempts of its request."""
+
+    prompt_tokens: int
+    completion_tokens: int
+
+
 class Complete(NamedTuple):
-    """The answer is complete."""
+    """The answer is complete.
+
+    Attributes:
+        usage: None when the endpoint has not told the prompt's tokens.
+    """
 
     status: int
     headers: messages.Headers
     finish_reason: str
+    usage: Usage | None = None
 
 
 class Broken(NamedTuple):
@@ -113,7 +125,12 @@
 @react.register
 def _(event: messages.End, assembly: stream_assembly.Assembly) -> Reaction:
     if stream_assembly.is_complete(assembly, event):
-        return Complete(event.status, event.headers, event.finish_reason)
+        return Complete(
+            event.status,
+            event.headers,
+            event.finish_reason,
+            read_usage(event, assembly),
+        )
     return Broken(
         outcomes.Outcome.RAN,
         outcomes.Reason.ENDPOINT_FAILED,
@@ -163,6 +180,16 @@
     return Continue(dropped=False)
 
 
+def read_usage(
+    end: messages.End, assembly: stream_assembly.Assembly
+) -> Usage | None:
+    """Return the tokens of an answer, if the prompt's are known."""
+    if not end.prompt_tokens:
+        return None
+    # Sequence numbers go on behind the tokens of earlier attempts.
+    return Usage(end.prompt_tokens, assembly.next_sequence)
+
+
 def describe_refusal(event: messages.Refused) -> str:
     """Return the message for a refused attempt."""
     if event.detail:
--- a/packages/gateway/src/verbenafall_gateway/chat.py
+++ b/packages/gateway/src/verbenafall_gateway/chat.py
@@ -29,11 +29,16 @@
 
 
 class ChatAnswer(NamedTuple):
-    """What all parts of one chat answer have in common."""
+    """What all parts of one chat answer have in common.
+
+    Attributes:
+        include_usage: Whether a stream ends with an event of token counts.
+    """
 
     request_id: str
     model: str
     created: datetime.datetime
+    include_usage: bool = False
 
 
 def plain_response(
@@ -63,7 +68,7 @@
                 return answers.refusal_response(
                     endpoint_refusal(event, "".join(parts)), answer.request_id
                 )
-            body = plain_body(answer, "".join(parts), event.finish_reason)
+            body = plain_body(answer, "".join(parts), event)
             return answers.json_response(body, HTTP_OK, answer.request_id)
     raise RuntimeError("the request's flow ended without a final event")
 
@@ -136,6 +141,9 @@
         return
     reason = complete.finish_reason or "stop"
     yield encode_event(chunk_body(answer, {}, reason))
+    if answer.include_usage and complete.usage is not None:
+        last = chunk_body(answer, {}, None) | {"choices": []}
+        yield encode_event(last | {"usage": usage_body(complete.usage)})
     yield DONE_EVENT
 
 
@@ -195,11 +203,20 @@
     }
 
 
+def usage_body(usage: attempt_events.Usage) -> dict[str, int]:
+    """Return the token counts of an answer."""
+    return {
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+    }
+
+
 def plain_body(
-    answer: ChatAnswer, text: str, finish_reason: str
+    answer: ChatAnswer, text: str, complete: attempt_events.Complete
 ) -> dict[str, Any]:
     """Return the body of a plain answer."""
-    return {
+    body: dict[str, Any] = {
         "id": answer.request_id,
         "object": "chat.completion",
         "created": int(answer.created.timestamp()),
@@ -208,7 +225,10 @@
             {
                 "index": 0,
                 "message": {"role": "assistant", "content": text},
-                "finish_reason": finish_reason or "stop",
+                "finish_reason": complete.finish_reason or "stop",
             }
         ],
     }
+    if complete.usage is not None:
+        body["usage"] = usage_body(complete.usage)
+    return body
--- a/packages/gateway/src/verbenafall_gateway/http_app.py
+++ b/packages/gateway/src/verbenafall_gateway/http_app.py
@@ -203,7 +203,9 @@
             affinity=routing.affinity_key(call.prompt),
             resumable=True,
         )
-        answer = chat.ChatAnswer(request_id, call.model, self.clock.now())
+        answer = chat.ChatAnswer(
+            request_id, call.model, self.clock.now(), call.include_usage
+        )
         if call.stream:
             return self.run(
                 caller.team,
--- a/packages/gateway/src/verbenafall_gateway/validation.py
+++ b/packages/gateway/src/verbenafall_gateway/validation.py
@@ -36,12 +36,14 @@
             by one are what a resume needs, also for a plain answer.
         stream: Whether the client wants an event stream.
         prompt: Text of the messages, for prefix affinity.
+        include_usage: Whether the stream ends with the token counts.
     """
 
     model: str
     body: bytes
     stream: bool
     prompt: str
+    include_usage: bool = False
 
 
 class RecordsCall(NamedTuple):
@@ -228,8 +230,10 @@
     stream = body.get("stream") or False
     forwarded = json.dumps({**body, "stream": True}).encode()
     prompt = "\n".join(_message_text(item) for item in body["messages"])
+    options = body.get("stream_options") or {}
+    include_usage = options.get("include_usage") or False
     return returns.result.Success(
-        ChatCall(body["model"], forwarded, stream, prompt)
+        ChatCall(body["model"], forwarded, stream, prompt, include_usage)
     )
 
 
@@ -237,8 +241,9 @@
     name = body.get("model")
     if not isinstance(name, str) or not name:
         return "model must be a text"
-    if not isinstance(body.get("stream"), bool | None):
-        return "stream must be true or false"
+    problem = _find_stream_problem(body)
+    if problem:
+        return problem
     if body.get("n") not in (None, 1) or isinstance(body.get("n"), bool):
         return "n must be 1; each request has one answer"
     if body.get("resume") is not None:
@@ -249,6 +254,17 @@
     return _find_messages_problem(body.get("messages"))
 
 
+def _find_stream_problem(body: dict[str, Any]) -> str:
+    if not isinstance(body.get("stream"), bool | None):
+        return "stream must be true or false"
+    options = body.get("stream_options")
+    if not isinstance(options, dict | None):
+        return "stream_options must be an object"
+    if options and not isinstance(options.get("include_usage"), bool | None):
+        return "stream_options.include_usage must be true or false"
+    return ""
+
+
 def _find_messages_problem(items: Any) -> str:
     if not isinstance(items, list) or not items:
         return "messages must be a list with at least one message"
--- a/tests/gateway/test_http_app.py
+++ b/tests/gateway/test_http_app.py
@@ -57,6 +57,8 @@
     chat_row("message_no_role", messages=[{"content": "hello"}]),
     chat_row("content_number", messages=[{"role": "user", "content": 1}]),
     chat_row("stream_text", stream="yes"),
+    chat_row("stream_options_list", stream_options=[]),
+    chat_row("usage_text", stream_options={"include_usage": "yes"}),
     chat_row("two_answers", n=2),
     chat_row("no_tokens", max_tokens=0),
     chat_row("resume", resume={"index": 1, "text": "a"}),
@@ -295,6 +297,43 @@
         (sent,) = link.of_kind(messages.Dispatch)
         assert json.loads(sent.body) == {**body, "stream": True}
 
+    @pytest.mark.parametrize("prompt_tokens", [0, 7])
+    @pytest.mark.parametrize("broken", [False, True])
+    @pytest.mark.parametrize("options", [None, {}, {"include_usage": True}])
+    def test_usage_counts_the_whole_answer(
+        self, prompt_tokens, broken, options
+    ):
+        """Guards against counts of the last attempt only, or invented ones."""
+        tokens = ["a", "b", "c"]
+
+        def reply(message):
+            if isinstance(message, messages.Cancel):
+                return []
+            whole = fakes.answer(message, tokens, prompt_tokens=prompt_tokens)
+            if not broken or message.resume_index:
+                return whole
+            return [*whole[:3], fakes.failed(message, outcomes.Outcome.RAN)]
+
+        gateway, _ = create("asistente-llm", reply)
+        fakes.ScriptedLink(gateway.router, "e-2", "asistente-llm", reply)
+        expected = {
+            "prompt_tokens": 7,
+            "completion_tokens": 3,
+            "total_tokens": 10,
+        }
+        plain = call(gateway, CHAT, GOOD).json
+        assert plain.get("usage") == (expected if prompt_tokens else None)
+        body = {**GOOD, "stream": True, "stream_options": options}
+        response = call(gateway, CHAT, body)
+        events = response.get_data(as_text=True).strip().split("\n\n")
+        assert events[-1] == "data: [DONE]"
+        last = json.loads(events[-2].removeprefix("data: "))
+        if options and prompt_tokens:
+            assert (last["choices"], last["usage"]) == ([], expected)
+        else:
+            assert last["choices"][0]["finish_reason"] == "stop"
+            assert "usage" not in last
+
     @pytest.mark.parametrize("stream", [True, False])
     def test_refusal_before_the_first_token_has_an_error_status(self, stream):
         """Guards against a refusal inside an event stream with status 200."""
