--- a/bench/bench_fleet.py
+++ b/bench/bench_fleet.py
@@ -48,6 +48,7 @@
             modules themselves.
         gateway_options: More settings of the gateway.
         ranks_per_engine: Ranks of each engine in one rank group, 0 for none.
+        gateways: Gateways, each linked with all sidecars.
     """
 
     engines: int
@@ -58,6 +59,7 @@
     launcher: Sequence[str] | None = None
     gateway_options: tuple[tuple[str, str, str], ...] = ()
     ranks_per_engine: int = 0
+    gateways: int = 1
 
 
 class Fleet(NamedTuple):
@@ -80,19 +82,20 @@
 
 
 def create_plan(shape: Shape) -> plan_lib.Plan:
-    """Return addresses for a fleet with one gateway."""
+    """Return addresses for a fleet."""
     ports = plan_lib.Ports()
     plan = plan_lib.Plan(
         ports.next_address(),
         ports.next_address(),
         ports.next_address(),
-        (
+        tuple(
             plan_lib.GatewayPlan(
-                "gateway-0",
+                f"gateway-{number}",
                 DATA_CENTRE,
                 ports.next_address(),
                 ports.next_address(),
-            ),
+            )
+            for number in range(shape.gateways)
         ),
         tuple(
             plan_lib.SidecarPlan(
@@ -324,18 +327,20 @@
 
 
 def wait_ready(fleet: Fleet) -> None:
-    """Wait until the gateway is ready and has links to all sidecars."""
-    gateway = fleet.gateway()
+    """Wait until all gateways are ready and have links to all sidecars."""
     wanted = len(fleet.base.plan.sidecars)
 
-    def is_complete() -> bool:
+    def is_complete(gateway: plan_lib.GatewayPlan) -> bool:
         if not fleet_lib.is_ready(gateway.client):
             return False
         status = fleet_lib.read_json(gateway.admin, "/-/status")
         return len(status["processes"]) >= 1 + wanted
 
     processes.wait_until(
-        "a ready gateway", START_SECONDS, is_complete, fleet.base.all()
+        "ready gateways",
+        START_SECONDS,
+        lambda: all(is_complete(one) for one in fleet.base.plan.gateways),
+        fleet.base.all(),
     )
 
 
--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -32,7 +32,9 @@
 MODELS: Final = (1, 7, 21)
 INSTANCES: Final = (20, 250, 980)
 GROUPS: Final = (4, 8, 16)
-PARTS: Final = ("bundles", "groups", "sidecars", "rollouts")
+GATEWAYS: Final = (1, 4, 12)
+GATEWAY_SIDECARS: Final = 4
+PARTS: Final = ("bundles", "groups", "sidecars", "gateways", "rollouts")
 IDLE_SECONDS: Final = 5.0
 SETTLE_SECONDS: Final = 1.0
 POLL_SECONDS: Final = 0.02
@@ -201,6 +203,13 @@
         measure_roll(fleet, bundle, f"{label}.roll")
 
 
+def measure_gateways(gateways: int) -> None:
+    """Measure idle sidecars that are linked with a number of gateways."""
+    shape = create_shape(GATEWAY_SIDECARS)._replace(gateways=gateways)
+    with bench_fleet.running_fleet(shape) as fleet:
+        measure_idle(fleet, f"gateways_{gateways}")
+
+
 def measure_rollout(sidecars: int) -> None:
     """Measure a roll-out to a fleet of one size."""
     with bench_fleet.running_fleet(create_shape(sidecars)) as fleet:
@@ -319,6 +328,9 @@
     if "sidecars" in parts:
         for sidecars in SIDECARS:
             measure_sidecars(sidecars)
+    if "gateways" in parts:
+        for gateways in GATEWAYS:
+            measure_gateways(gateways)
     if "rollouts" in parts:
         for sidecars in ROLLOUT_SIDECARS:
             measure_rollout(sidecars)
