Send streams of the fault matrix past the request thread

Cause: the matrix has no HTTP server, so its streams took the old way through the request thread, and the flows did not cover delivery on the link thread. Change: a fake body writer takes the parts of a stream whole, in part and not at all, in turn. The part at which the client closes its connection is left to the request thread, where a lost client shows.

--- a/tests/faults/request_fleet.py
+++ b/tests/faults/request_fleet.py
@@ -5,6 +5,7 @@
 """
 
 import datetime
+import itertools
 import json
 from typing import NamedTuple
 
@@ -20,6 +21,8 @@
 from verbenafall_core import metrics
 from verbenafall_core import outcomes
 from verbenafall_core.claims import service as claim_service
+from verbenafall_gateway import direct_delivery
+from verbenafall_gateway import http_server
 from verbenafall_sidecar import attempt_registry
 from verbenafall_sidecar import dispatcher as dispatcher_lib
 from verbenafall_sidecar import endpoint_port
@@ -601,6 +604,9 @@
             started.append((int(status[:3]), dict(answer_headers)))
 
         parts = []
+        environ[http_server.BODY_WRITER] = DirectBody(
+            parts, options.get("close_after")
+        )
         response = app(environ, start_response)
         closed_early = False
         for part in response:
@@ -631,6 +637,36 @@
         return [run for run in self.runs if run.attempt_id.startswith(prefix)]
 
 
+class DirectBody:
+    """Takes parts of a body whole, in part and not at all, in turn.
+
+    The part at which the client closes its connection is always left, as a
+    lost client shows on the request's own thread.
+    """
+
+    def __init__(self, parts, close_after):
+        self.parts = parts
+        self.close_after = close_after
+        self.turns = itertools.cycle(direct_delivery.Handover)
+        self.unsent = b""
+
+    def write_nowait(self, part):
+        handover = next(self.turns)
+        closing = len(self.parts) + 1 == self.close_after
+        if closing or handover is direct_delivery.Handover.LEFT:
+            return direct_delivery.Handover.LEFT
+        size = len(part)
+        if handover is direct_delivery.Handover.IN_PART:
+            size //= 2
+        self.parts.append(part[:size])
+        self.unsent = part[size:]
+        return handover
+
+    def flush(self):
+        self.parts.append(self.unsent)
+        self.unsent = b""
+
+
 def read_answer(label, request_id, status, body, content_type, now) -> Told:
     """Return what an answer tells the client."""
     if "event-stream" in content_type:
