Ignore the fields of link messages that a newer release adds

Cause: End got a field for prompt tokens. A gateway of the release before closes its link on a message with a field more than it knows, so an upgrade of the sidecars alone would cut open answers.

Ruled out: a message kind of its own for each new field, as it adds a message and state between the two; the protocol version, which refuses links at all between releases.

Change: a reader ignores fields beyond those that it knows. New fields go to the end of a kind, with a default.

The release before this change cannot be helped: both sides of a link need this commit before the field is of use.

--- a/packages/core/src/verbenafall_core/codec.py
+++ b/packages/core/src/verbenafall_core/codec.py
@@ -1,4 +1,9 @@
-"""Encoding of messages as msgpack arrays of a kind number and the fields."""
+"""Encoding of messages as msgpack arrays of a kind number and the fields.
+
+Two releases run side by side during an upgrade. So new fields are only added
+at the end of a kind, with a default, and a reader ignores fields beyond those
+that it knows.
+"""
 
 from collections.abc import Iterator
 from typing import Any
@@ -65,8 +70,9 @@
     kind = messages.KINDS.get(item[0])
     if kind is None:
         return UnknownKind(item[0])
+    known = item[1 : 1 + len(kind._fields)]
     try:
-        return msgspec.convert(item[1:], kind)
+        return msgspec.convert(known, kind)
     except msgspec.ValidationError as error:
         raise CodecError(f"invalid {kind.__name__}: {error}") from error
 
--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -184,8 +184,8 @@
 class SendTime(NamedTuple):
     """Sent every few seconds ahead of a load report.
 
-    A kind of its own, because a peer of an older release closes a link on a
-    load report with one more field, but ignores an unknown kind.
+    A kind of its own, because with every report it would add a third to the
+    control bytes of an idle link.
 
     Attributes:
         sent_at_ms: Reading of the sender's monotonic clock.
--- a/tests/core/test_codec.py
+++ b/tests/core/test_codec.py
@@ -52,6 +52,30 @@
 ]
 
 
+class TestOtherReleases:
+    @pytest.mark.parametrize("sample", SAMPLES, ids=lambda s: type(s).__name__)
+    def test_fields_of_a_newer_release_are_ignored(self, sample):
+        """Guards against links that close when only one side is upgraded."""
+        item = msgpack.unpackb(codec.encode(sample))
+        data = msgpack.packb([*item, "new", {"more": 1}])
+        assert list(codec.create_decoder().feed(data)) == [sample]
+
+    @pytest.mark.parametrize(
+        ("sample", "missing"),
+        [
+            (messages.End("r", "r.1", 8, 40, 200, (), "stop"), 1),
+            (messages.Refused("r", "r.1", "draining", "not_run", 1), 1),
+        ],
+    )
+    def test_fields_missing_from_an_older_release_have_defaults(
+        self, sample, missing
+    ):
+        """Guards against links that close when only one side is upgraded."""
+        item = msgpack.unpackb(codec.encode(sample))[:-missing]
+        data = msgpack.packb(item)
+        assert list(codec.create_decoder().feed(data)) == [sample]
+
+
 class TestRoundTrip:
     @pytest.mark.parametrize("sample", SAMPLES, ids=lambda s: type(s).__name__)
     def test_every_kind_byte_by_byte(self, sample):
