Split body reading and common responses from the client application

Ruled out: moving the handlers of chat and records, because they share the team's limit and the flow.

Change: request_body reads a body and returns a Result; common_responses has the responses that need no call. No behaviour changes.

--- a/packages/gateway/src/verbenafall_gateway/admin_app.py
+++ b/packages/gateway/src/verbenafall_gateway/admin_app.py
@@ -10,7 +10,7 @@
 
 from verbenafall_core import identifiers
 from verbenafall_gateway import answers
-from verbenafall_gateway import http_app
+from verbenafall_gateway import common_responses
 from verbenafall_gateway import service_state
 from verbenafall_gateway import status as status_lib
 
@@ -51,13 +51,13 @@
             response = self.handlers[endpoint](request_id)
         except exceptions.HTTPException as error:
             response = answers.fault_response(
-                http_app.describe_routing(request, error), request_id
+                common_responses.describe_routing(request, error), request_id
             )
         return response(environ, start_response)
 
     def serve_ready(self, request_id: str) -> wrappers.Response:
         """Tell whether new work is taken."""
-        return http_app.ready_response(self.state, request_id)
+        return common_responses.ready_response(self.state, request_id)
 
     def serve_status(self, request_id: str) -> wrappers.Response:
         """Return own status and that of the linked sidecars."""
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/common_responses.py
@@ -0,0 +1,56 @@
+"""Responses that do not depend on what a client asks for."""
+
+from typing import Any
+
+from werkzeug import exceptions
+from werkzeug import wrappers
+
+from verbenafall_core import outcomes
+from verbenafall_gateway import answers
+from verbenafall_gateway import service_state
+
+
+def describe_routing(
+    request: wrappers.Request, error: exceptions.HTTPException
+) -> answers.Fault:
+    """Return the fault of a path or method that nothing serves."""
+    if isinstance(error, exceptions.MethodNotAllowed):
+        allowed = ", ".join(sorted(error.valid_methods or ()))
+        return answers.Fault(
+            405,
+            "bad_method",
+            f"{request.path} takes {allowed}, not {request.method}",
+        )
+    return answers.Fault(
+        404, "unknown_path", f"there is nothing at {request.path}"
+    )
+
+
+def ready_response(
+    state: service_state.ServiceState, request_id: str
+) -> wrappers.Response:
+    """Return whether the balancer should send new work here."""
+    reason = state.not_ready_reason()
+    body = {"ready": not reason, "reason": reason}
+    return answers.json_response(body, 503 if reason else 200, request_id)
+
+
+def outcome_response(
+    outcome: outcomes.Outcome, request_id: str, status: int | None = None
+) -> wrappers.Response:
+    """Return what became of a request."""
+    body: dict[str, Any] = {"outcome": str(outcome)}
+    if status is not None:
+        body["status"] = status
+    return answers.json_response(body, 200, request_id)
+
+
+def unexpected_response(request_id: str) -> wrappers.Response:
+    """Return the answer after an unexpected error."""
+    body = answers.build_error(
+        outcomes.Outcome.UNKNOWN,
+        "internal_error",
+        "the gateway met an unexpected error",
+        None,
+    )
+    return answers.json_response(body, 500, request_id)
--- a/packages/gateway/src/verbenafall_gateway/http_app.py
+++ b/packages/gateway/src/verbenafall_gateway/http_app.py
@@ -10,7 +10,6 @@
 from typing import NamedTuple
 from typing import TypeVar
 
-from cheroot import errors as cheroot_errors
 import returns.pipeline
 import returns.result
 from werkzeug import exceptions
@@ -28,10 +27,12 @@
 from verbenafall_gateway import bundle_index
 from verbenafall_gateway import chat
 from verbenafall_gateway import chat_clients
+from verbenafall_gateway import common_responses
 from verbenafall_gateway import direct_delivery
 from verbenafall_gateway import event_catalogue
 from verbenafall_gateway import http_server
 from verbenafall_gateway import records
+from verbenafall_gateway import request_body
 from verbenafall_gateway import request_flow
 from verbenafall_gateway import routing
 from verbenafall_gateway import service_state
@@ -41,7 +42,6 @@
 T = TypeVar("T")
 
 CHAT_PATH: Final = "/v1/chat/completions"
-READ_BYTES: Final = 64 * 1024
 
 
 class FaultError(Exception):
@@ -123,7 +123,7 @@
             response = answers.refusal_response(error.refusal, request_id)
         except exceptions.HTTPException as error:
             response = answers.fault_response(
-                describe_routing(request, error), request_id
+                common_responses.describe_routing(request, error), request_id
             )
         except Exception as error:
             event_log.emit(
@@ -131,7 +131,7 @@
                 request=request_id,
                 error=repr(error),
             )
-            response = unexpected_response(request_id)
+            response = common_responses.unexpected_response(request_id)
         self.metrics.count(f"http.status.{response.status_code}")
         if response.status_code >= 400:
             event_log.emit(
@@ -147,7 +147,7 @@
         self, _request: wrappers.Request, request_id: str
     ) -> wrappers.Response:
         """Answer the balancer's readiness check."""
-        return ready_response(self.state, request_id)
+        return common_responses.ready_response(self.state, request_id)
 
     def serve_models(
         self, request: wrappers.Request, request_id: str
@@ -182,7 +182,9 @@
         require(validation.check_key(key))
         # The time that a client allows includes that of reading its body.
         started = self.clock.monotonic()
-        call = require(validation.check_chat(read_body(request)))
+        call = require(
+            request_body.read_body(request).bind(validation.check_chat)
+        )
         service = require(
             validation.find_model_service(
                 call.model, caller.team, caller.indexed
@@ -256,7 +258,7 @@
             method=call.method,
             path=call.path,
             headers=records.forwarded_headers(request.headers),
-            body=read_body(request),
+            body=require(request_body.read_body(request)),
             affinity="",
             resumable=False,
         )
@@ -286,16 +288,22 @@
             raise FaultError(fault) from error
         team = caller.team.name
         if self.flow.holds_key(team, key):
-            return outcome_response(outcomes.Outcome.UNKNOWN, request_id)
+            return common_responses.outcome_response(
+                outcomes.Outcome.UNKNOWN, request_id
+            )
         result = self.claims.seal(team, key, f"{request_id}.query")
         if isinstance(result, claims_model.Sealed):
-            return outcome_response(outcomes.Outcome.NOT_RUN, request_id)
+            return common_responses.outcome_response(
+                outcomes.Outcome.NOT_RUN, request_id
+            )
         if isinstance(result, claims_model.Replay):
-            return outcome_response(
+            return common_responses.outcome_response(
                 outcomes.Outcome.RAN, request_id, result.answer.status
             )
         if isinstance(result, claims_model.Held):
-            return outcome_response(outcomes.Outcome.UNKNOWN, request_id)
+            return common_responses.outcome_response(
+                outcomes.Outcome.UNKNOWN, request_id
+            )
         raise RefusedError(
             self.refusal(
                 outcomes.Outcome.UNKNOWN,
@@ -465,55 +473,6 @@
     return result.unwrap()
 
 
-def read_body(request: wrappers.Request) -> bytes:
-    """Return the whole body.
-
-    Raises:
-        FaultError: The body is too large, too slow, or malformed.
-    """
-    source = request.environ["wsgi.input"]
-    parts: list[bytes] = []
-    size = 0
-    try:
-        while data := source.read(READ_BYTES):
-            size += len(data)
-            if size <= validation.MAX_BODY_BYTES:
-                parts.append(data)
-    except TimeoutError as error:
-        raise FaultError(
-            answers.Fault(
-                408, "slow_body", "the body did not arrive within 10 s"
-            )
-        ) from error
-    except (cheroot_errors.MaxSizeExceeded, OSError) as error:
-        raise FaultError(oversized_body()) from error
-    except ValueError as error:
-        raise FaultError(
-            answers.Fault(400, "bad_body", f"bad chunked body: {error}")
-        ) from error
-    if size > validation.MAX_BODY_BYTES:
-        raise FaultError(oversized_body())
-    if request.content_length is not None and size != request.content_length:
-        raise FaultError(
-            answers.Fault(
-                400,
-                "short_body",
-                f"the body ended after {size} of {request.content_length}"
-                " bytes",
-            )
-        )
-    return b"".join(parts)
-
-
-def oversized_body() -> answers.Fault:
-    """Return the fault of a body over the limit."""
-    return answers.Fault(
-        413,
-        "body_too_large",
-        f"the body exceeds {validation.MAX_BODY_BYTES} bytes",
-    )
-
-
 def forwarded_path(request: wrappers.Request) -> str:
     """Return path and query for the service, as sent by the client."""
     raw: str = request.environ["REQUEST_URI"]
@@ -523,52 +482,6 @@
     return f"/{rest}{separator}{query}"
 
 
-def describe_routing(
-    request: wrappers.Request, error: exceptions.HTTPException
-) -> answers.Fault:
-    """Return the fault of a path or method that nothing serves."""
-    if isinstance(error, exceptions.MethodNotAllowed):
-        allowed = ", ".join(sorted(error.valid_methods or ()))
-        return answers.Fault(
-            405,
-            "bad_method",
-            f"{request.path} takes {allowed}, not {request.method}",
-        )
-    return answers.Fault(
-        404, "unknown_path", f"there is nothing at {request.path}"
-    )
-
-
-def ready_response(
-    state: service_state.ServiceState, request_id: str
-) -> wrappers.Response:
-    """Return whether the balancer should send new work here."""
-    reason = state.not_ready_reason()
-    body = {"ready": not reason, "reason": reason}
-    return answers.json_response(body, 503 if reason else 200, request_id)
-
-
-def outcome_response(
-    outcome: outcomes.Outcome, request_id: str, status: int | None = None
-) -> wrappers.Response:
-    """Return what became of a request."""
-    body: dict[str, Any] = {"outcome": str(outcome)}
-    if status is not None:
-        body["status"] = status
-    return answers.json_response(body, 200, request_id)
-
-
-def unexpected_response(request_id: str) -> wrappers.Response:
-    """Return the answer after an unexpected error."""
-    body = answers.build_error(
-        outcomes.Outcome.UNKNOWN,
-        "internal_error",
-        "the gateway met an unexpected error",
-        None,
-    )
-    return answers.json_response(body, 500, request_id)
-
-
 def create_client_app(
     flow: request_flow.RequestFlow,
     state: service_state.ServiceState,
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/request_body.py
@@ -0,0 +1,53 @@
+"""Reading of the body of a client's request."""
+
+from typing import Final
+
+from cheroot import errors as cheroot_errors
+import returns.result
+from werkzeug import wrappers
+
+from verbenafall_gateway import answers
+from verbenafall_gateway import validation
+
+READ_BYTES: Final = 64 * 1024
+
+
+def read_body(request: wrappers.Request) -> validation.Checked[bytes]:
+    """Return the whole body; a larger one is read and discarded."""
+    source = request.environ["wsgi.input"]
+    parts: list[bytes] = []
+    size = 0
+    try:
+        while data := source.read(READ_BYTES):
+            size += len(data)
+            if size <= validation.MAX_BODY_BYTES:
+                parts.append(data)
+    except TimeoutError:
+        return fail(408, "slow_body", "the body did not arrive within 10 s")
+    except (cheroot_errors.MaxSizeExceeded, OSError):
+        return fail_oversized()
+    except ValueError as error:
+        return fail(400, "bad_body", f"bad chunked body: {error}")
+    if size > validation.MAX_BODY_BYTES:
+        return fail_oversized()
+    if request.content_length is not None and size != request.content_length:
+        return fail(
+            400,
+            "short_body",
+            f"the body ended after {size} of {request.content_length} bytes",
+        )
+    return returns.result.Success(b"".join(parts))
+
+
+def fail_oversized() -> validation.Checked[bytes]:
+    """Return the fault of a body over the limit."""
+    return fail(
+        413,
+        "body_too_large",
+        f"the body exceeds {validation.MAX_BODY_BYTES} bytes",
+    )
+
+
+def fail(status: int, code: str, message: str) -> validation.Checked[bytes]:
+    """Return a fault of a body."""
+    return returns.result.Failure(answers.Fault(status, code, message))
