Keep the link thread alive after an error in a handler

Cause: an error raised by a subscriber of a message, by the heartbeat's callbacks, or by a lack of file descriptors ended the thread that does the I/O of all links. The process stayed in the instance list and served nothing more.

Ruled out: ending the process, because one faulty message would cut off every open answer; going on with the link, because the peer would wait until its deadline for what the message had asked for.

Change: a message that cannot be handled closes its link, which the peer treats like any lost link. Every subscriber learns of a closed link even if another one fails. Any other error of a pass is logged (1007) and the thread goes on after 50 ms.

--- a/packages/core/src/verbenafall_core/event_catalogue.py
+++ b/packages/core/src/verbenafall_core/event_catalogue.py
@@ -32,6 +32,14 @@
     "ERROR",
     "A service raised an error while the process was stopping.",
 )
+LINK_HANDLER_FAILED = event_log.define(
+    1007,
+    "link_handler_failed",
+    "ERROR",
+    "A programming error while a link was served. If it was about a message,"
+    " the link was closed, so that its requests are retried or refused; report"
+    " it with this line.",
+)
 PERIODIC_TASK_FAILED = event_log.define(
     1006,
     "periodic_task_failed",
--- a/packages/core/src/verbenafall_core/link.py
+++ b/packages/core/src/verbenafall_core/link.py
@@ -32,6 +32,8 @@
 MAX_PENDING_BYTES: Final = 16 * 1024 * 1024
 READ_BYTES: Final = 256 * 1024
 LOOP_WAIT_SECONDS: Final = 0.2
+# Keeps an error that comes in every pass from using up a core.
+ERROR_PAUSE_SECONDS: Final = 0.05
 # Looking at all links in each pass costs the square of their number.
 TIMER_INTERVAL: Final = datetime.timedelta(milliseconds=50)
 
@@ -177,6 +179,7 @@
         self.timers_due = self.last_pass
         self.heartbeats_due = self.last_pass
         self.before_heartbeats: Callable[[], None] | None = None
+        self.paused = threading.Event()
         self.wakeup = wakeup.create_wakeup(self.selector)
         self.thread = threading.Thread(
             target=self.run, name="links", daemon=True
@@ -280,10 +283,22 @@
         self.wakeup.wake()
 
     def run(self) -> None:
-        """Do I/O until stopped."""
+        """Do I/O until stopped.
+
+        An error in a pass must not end the thread: the process would keep
+        its place in the instance list and never serve again.
+        """
         while not self.stopped:
             events = self.selector.select(LOOP_WAIT_SECONDS)
-            self.run_pass(events)
+            try:
+                self.run_pass(events)
+            except Exception as error:
+                event_log.emit(
+                    event_catalogue.LINK_HANDLER_FAILED,
+                    peer="",
+                    error=repr(error),
+                )
+                self.paused.wait(ERROR_PAUSE_SECONDS)
         self.finish()
 
     def run_pass(self, events: list[tuple[selectors.SelectorKey, int]]) -> None:
@@ -389,7 +404,23 @@
         elif link.peer is None:
             self.drop(link, "message before hello")
         else:
+            self.handle_message(link, message)
+
+    def handle_message(self, link: Link, message: messages.Message) -> None:
+        """Pass a message on; close the link when that fails.
+
+        The peer would wait for what the message asked for until its deadline.
+        """
+        try:
             self.handler.on_message(link, message)
+        except Exception as error:
+            event_log.emit(
+                event_catalogue.LINK_HANDLER_FAILED,
+                peer=link.address,
+                kind=type(message).__name__,
+                error=repr(error),
+            )
+            self.drop(link, "a message could not be handled")
 
     def receive_hello(self, link: Link, hello: messages.Hello) -> None:
         """Open the link if the peer speaks the same protocol."""
--- a/packages/core/src/verbenafall_core/link_router.py
+++ b/packages/core/src/verbenafall_core/link_router.py
@@ -5,6 +5,8 @@
 from typing import Any
 from typing import TypeVar
 
+from verbenafall_core import event_catalogue
+from verbenafall_core import event_log
 from verbenafall_core import link as link_lib
 from verbenafall_core import messages
 
@@ -56,7 +58,14 @@
     def on_close(self, link: link_lib.Link, reason: str) -> None:
         """Tell the subscribers of a closed link."""
         for receive in self.close_subscribers:
-            receive(link, reason)
+            try:
+                receive(link, reason)
+            except Exception as error:  # The others must learn of it too.
+                event_log.emit(
+                    event_catalogue.LINK_HANDLER_FAILED,
+                    peer=link.address,
+                    error=repr(error),
+                )
 
 
 def create_link_router() -> LinkRouter:
--- a/tests/core/test_link.py
+++ b/tests/core/test_link.py
@@ -4,6 +4,7 @@
 import queue
 import socket
 import threading
+import types
 
 import pytest
 
@@ -11,6 +12,7 @@
 from verbenafall_core import clock
 from verbenafall_core import codec
 from verbenafall_core import link as link_lib
+from verbenafall_core import link_router
 from verbenafall_core import messages
 
 ANY_PORT = addresses.Address("127.0.0.1", 0)
@@ -250,3 +252,84 @@
             loop.run_pass(loop.selector.select(1))
         assert recorder.closed.get_nowait() == "this process was paused"
         assert recorder.received.empty()
+
+
+class FailingOnce(Recorder):
+    """Raises an error at the first message that is no heartbeat."""
+
+    def __init__(self):
+        super().__init__()
+        self.failures = 0
+
+    def on_message(self, link, message):
+        if isinstance(message, messages.Chunk) and not self.failures:
+            self.failures += 1
+            raise RuntimeError("test")
+        super().on_message(link, message)
+
+
+def next_chunk(recorder):
+    while True:
+        message = recorder.received.get(timeout=WAIT_SECONDS)
+        if isinstance(message, messages.Chunk):
+            return message
+
+
+class TestHandlerErrors:
+    def test_failed_message_closes_its_link_and_no_other(self):
+        """Guards against a process that serves no link after one error."""
+        server_events = FailingOnce()
+        server = create_loop("server", server_events)
+        address = server.listen(ANY_PORT)
+        server.start()
+        clients = [Recorder(), Recorder()]
+        loops = [create_loop("client", events) for events in clients]
+        for loop in loops:
+            loop.start()
+            loop.set_targets({address})
+        first, second = (
+            events.opened.get(timeout=WAIT_SECONDS) for events in clients
+        )
+        assert first.send(CHUNK)
+        clients[0].closed.get(timeout=WAIT_SECONDS)
+        assert second.send(CHUNK)
+        assert next_chunk(server_events) == CHUNK
+        again = clients[0].opened.get(timeout=WAIT_SECONDS)
+        assert again.send(CHUNK)
+        assert next_chunk(server_events) == CHUNK
+        assert clients[1].closed.empty()
+        for loop in (*loops, server):
+            loop.stop(link_lib.DEAD_AFTER)
+
+    def test_error_in_a_pass_does_not_end_the_thread(self, pair):
+        """Guards against a link thread that ends with one failed heartbeat."""
+        server_events, client_events, link, _ = pair
+        loop = link.loop
+        failed = threading.Event()
+
+        def fail():
+            failed.set()
+            loop.before_heartbeats = None
+            raise OSError(24, "too many open files")
+
+        loop.before_heartbeats = fail
+        assert failed.wait(WAIT_SECONDS)
+        assert link.send(CHUNK)
+        assert next_chunk(server_events) == CHUNK
+        assert client_events.closed.empty()
+
+
+class TestRouterErrors:
+    def test_every_subscriber_learns_of_a_closed_link(self):
+        """Guards against requests that wait for a link that is gone."""
+        router = link_router.create_link_router()
+        told = []
+
+        def fail(_link, _reason):
+            raise RuntimeError("test")
+
+        router.subscribe_close(fail)
+        router.subscribe_close(lambda link, reason: told.append((link, reason)))
+        link = types.SimpleNamespace(address="a")
+        router.on_close(link, "test")
+        assert told == [(link, "test")]
