Take stop signals at any moment of the wait

Cause: the handlers of SIGTERM and SIGINT set a threading.Event that the main thread waits for. A handler runs on the main thread too. When the signal came while that thread held the event's lock, on its way into the wait, the handler waited for the lock for good, and every later signal was ignored. Gateway and sidecar had the same wait.

Ruled out: cheroot's stop, whose races were read through and all end; a blocked signal mask with sigwait, because it would have to be set before any thread is started and child processes inherit it.

--- a/packages/gateway/src/verbenafall_gateway/serve_command.py
+++ b/packages/gateway/src/verbenafall_gateway/serve_command.py
@@ -3,9 +3,7 @@
 import argparse
 import datetime
 import pathlib
-import signal
 import sys
-import threading
 from typing import Any
 from typing import Final
 
@@ -15,6 +13,7 @@
 from verbenafall_core import event_catalogue as core_events
 from verbenafall_core import event_log
 from verbenafall_core import settings as settings_lib
+from verbenafall_core import stop_requests
 from verbenafall_core.bundles import signing
 from verbenafall_gateway import event_catalogue
 from verbenafall_gateway import gateway as gateway_lib
@@ -89,10 +88,8 @@
 
 def serve(gateway: gateway_lib.Gateway, stop_limit: datetime.timedelta) -> int:
     """Serve until a signal asks to stop; return the exit code."""
-    # A second signal finds the event set and changes nothing.
-    stop_requested = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop_requested.set())
+    requests = stop_requests.create_stop_requests()
+    requests.install()
     try:
         gateway.kernel.start()
     except http_server.HttpServerError as error:
@@ -103,7 +100,7 @@
         client=gateway.client_server.address(),
         admin=gateway.admin_server.address(),
     )
-    stop_requested.wait()
+    requests.wait()
     stop(gateway, stop_limit)
     return 0
 
--- a/packages/sidecar/src/verbenafall_sidecar/serve_command.py
+++ b/packages/sidecar/src/verbenafall_sidecar/serve_command.py
@@ -1,9 +1,7 @@
 """The command "serve": runs a sidecar until it is told to stop."""
 
 import pathlib
-import signal
 import sys
-import threading
 from typing import Final
 
 import returns.pipeline
@@ -12,6 +10,7 @@
 from verbenafall_core import event_log
 from verbenafall_core import link
 from verbenafall_core import settings as settings_lib
+from verbenafall_core import stop_requests
 from verbenafall_sidecar import platform_services
 from verbenafall_sidecar import sidecar_settings
 from verbenafall_sidecar import wiring
@@ -39,15 +38,14 @@
 
 def run(sidecar: wiring.Sidecar) -> int:
     """Run until SIGTERM or SIGINT; further signals change nothing."""
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda _number, _frame: stop.set())
+    requests = stop_requests.create_stop_requests()
+    requests.install()
     try:
         sidecar.start()
     except link.LinkError as error:
         print_line(str(error))
         return EXIT_FAILED
-    stop.wait()
+    requests.wait()
     sidecar.stop()
     return EXIT_OK
 
--- a/standins/src/verbenafall_standins/http_serving.py
+++ b/standins/src/verbenafall_standins/http_serving.py
@@ -4,7 +4,6 @@
 import contextlib
 import datetime
 import json
-import signal
 import socket
 import sys
 import threading
@@ -16,6 +15,7 @@
 import werkzeug.wrappers
 
 from verbenafall_core import addresses
+from verbenafall_core import stop_requests
 
 _CONNECTION: Final = "verbenafall.connection"
 _STOPPING: Final = "verbenafall.stopping"
@@ -153,15 +153,14 @@
         servers: Servers by name.
         close: Ends requests that wait, so that the stop need not.
     """
-    stopping = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda _number, _frame: stopping.set())
+    requests = stop_requests.create_stop_requests()
+    requests.install()
     for server in servers.values():
         server.start()
     bound = {name: str(server.address) for name, server in servers.items()}
     sys.stdout.write(json.dumps(bound) + "\n")
     sys.stdout.flush()
-    stopping.wait()
+    requests.wait()
     close()
     stoppers = [
         threading.Thread(target=server.stop) for server in servers.values()
