Test the decoder of links with arbitrary input

Cause: the codec's tests had a table of bad items only, while any peer's bytes reach the decoder on the thread that serves all links.

Change: a hypothesis test feeds random bytes and random items of every kind and allows messages or a CodecError only.

--- a/tests/core/test_codec.py
+++ b/tests/core/test_codec.py
@@ -1,5 +1,7 @@
 """The codec: every kind survives a round trip, bad input is refused."""
 
+import hypothesis
+from hypothesis import strategies
 import msgpack
 import pytest
 
@@ -111,3 +113,33 @@
         decoder = codec.create_decoder()
         with pytest.raises(codec.CodecError):
             list(decoder.feed(bytes(codec.MAX_MESSAGE_BYTES + 1)))
+
+
+VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-5, 2**40)
+    | strategies.floats(allow_nan=False)
+    | strategies.text(max_size=4)
+    | strategies.binary(max_size=4)
+    | strategies.sampled_from(["not_run", "draining"]),
+    lambda inner: strategies.lists(inner, max_size=3),
+    max_leaves=4,
+)
+ITEMS = strategies.builds(
+    lambda kind, fields: msgpack.packb([kind, *fields]),
+    strategies.integers(0, 20),
+    strategies.lists(VALUES, max_size=14),
+)
+
+
+class TestArbitraryInput:
+    @hypothesis.given(strategies.binary(max_size=60) | ITEMS)
+    def test_gives_messages_or_a_codec_error(self, data):
+        """Guards against input that ends the link thread with its error."""
+        try:
+            found = list(codec.create_decoder().feed(data))
+        except codec.CodecError:
+            return
+        kinds = (*messages.KINDS.values(), codec.UnknownKind)
+        assert all(isinstance(message, kinds) for message in found)
