--- a/tests/gateway/test_subsetting.py
+++ b/tests/gateway/test_subsetting.py
@@ -318,3 +318,22 @@
     def test_list_without_endpoints(self):
         """Guards against a division by zero on an empty fleet."""
         assert not subsetting.choose_targets("g", "dc-0", [], LINKS)
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_few_links_reach_every_service(self, seed):
+        """Guards against a gateway that has no endpoint of a service."""
+        links = 32
+        instances = build(Shape(40, (30,) * 8, 3, "random", links))
+        random.Random(seed).shuffle(instances)
+        for gateway in instances:
+            if gateway.role != "gateway":
+                continue
+            chosen = subsetting.choose_targets(
+                gateway.name, gateway.data_centre, instances, links
+            )
+            found = collections.Counter(
+                i.service for i in instances if i.address in chosen
+            )
+            assert len(found) == 8
+            assert min(found.values()) >= 3
+            assert sum(found.values()) <= links + 8
