Forward requests by routes on the users' platform, without maps

Cause: the product had no way to serve callers whose requests must reach an endpoint unchanged, and no adapter for the platform.

--- /dev/null
+++ b/packages/core/src/verbenafall_core/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, services and teams of a configuration, and their lookup."""
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/forward_command.py
@@ -0,0 +1,80 @@
+"""Command "forward": runs a gateway that forwards requests unchanged."""
+
+import argparse
+import pathlib
+import sys
+from typing import Any
+from typing import Final
+
+import returns.pipeline
+
+from verbenafall_core import event_log
+from verbenafall_core import http_client
+from verbenafall_core import settings as settings_lib
+from verbenafall_gateway.forwarding import forwarder
+from verbenafall_gateway.forwarding import forwarder_settings
+from verbenafall_gateway.forwarding import ports
+
+EXIT_CANNOT_LISTEN: Final = 1
+
+EXAMPLES: Final = """\
+examples:
+  verbenafall-gateway forward --settings gateway.ini --check
+  verbenafall-gateway forward --settings gateway.ini
+
+exit codes:
+  0  stopped as planned, or the settings are good (--check)
+  1  an address cannot be listened on
+  2  the settings have faults; all of them are printed
+"""
+
+
+def register(subparsers: Any) -> None:
+    """Add the command to the command line."""
+    parser = subparsers.add_parser(
+        "forward",
+        help="run a gateway that forwards requests by routes",
+        description="Forward requests to endpoints until SIGTERM.",
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        "--settings",
+        type=pathlib.Path,
+        required=True,
+        help="settings file (INI)",
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Run the command; return the exit code."""
+    result = forwarder_settings.read_forwarder_settings(arguments.settings)
+    if not returns.pipeline.is_successful(result):
+        return report([str(fault) for fault in result.failure()])
+    settings = result.unwrap()
+    try:
+        adapter = ports.load_adapter(settings.adapter)
+    except ImportError as error:
+        return report([f"{arguments.settings}: [platform] adapter: {error}"])
+    if arguments.check:
+        return 0
+    event_log.configure(settings.log_level, settings.name)
+    client = http_client.create_http_client()
+    try:
+        forwarder.run_forwarder(
+            settings, adapter.create_gateway_ports(client, settings.object_store)
+        )
+    except OSError as error:
+        sys.stderr.write(f"cannot listen: {error}\n")
+        return EXIT_CANNOT_LISTEN
+    return 0
+
+
+def report(faults: list[str]) -> int:
+    """Write all faults of the settings to standard error."""
+    sys.stderr.writelines(f"{fault}\n" for fault in faults)
+    return settings_lib.EXIT_BAD_SETTINGS
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards requests to endpoints unchanged, by routes of a configuration."""
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -0,0 +1,302 @@
+"""Gives requests a place at an endpoint, or lets them wait or go."""
+
+import asyncio
+from collections.abc import Callable
+import enum
+import itertools
+import random
+from typing import Final
+from typing import NamedTuple
+
+from verbenafall_core import endpoints
+from verbenafall_core import event_log
+from verbenafall_gateway.forwarding import endpoint_directory
+from verbenafall_gateway.forwarding import event_catalogue
+from verbenafall_gateway.forwarding import peer_loads
+from verbenafall_gateway.forwarding import placement
+from verbenafall_gateway.forwarding import waiting_line
+
+# An endpoint that just failed is avoided this long, twice as long each time.
+SUSPECT_FIRST_SECONDS: Final = 0.5
+SUSPECT_LIMIT_SECONDS: Final = 4.0
+# Weight of the newest value in running means.
+NEWEST_WEIGHT: Final = 0.1
+# Seconds, before anything was measured.
+FIRST_DURATION: Final = 2.0
+FIRST_ANSWER: Final = 0.15
+# Slots of endpoints that state none.
+DEFAULT_SLOTS: Final = 8
+# Least time to come back after a refusal, in seconds.
+LEAST_RETRY_AFTER: Final = 0.2
+
+
+class Wish(NamedTuple):
+    """What a request needs.
+
+    Attributes:
+        tried: Ids of endpoints that it was sent to already.
+    """
+
+    request_id: str
+    service: str
+    urgency: int
+    arrived: float
+    target_at: float
+    deadline: float
+    tried: frozenset[str]
+
+
+class Placed(NamedTuple):
+    """A place that was taken; give it back by release()."""
+
+    endpoint: endpoints.Endpoint
+    taken_at: float
+    waited: float
+
+
+class RefusalReason(enum.StrEnum):
+    """Why a request got no place."""
+
+    NO_ENDPOINT = "no_endpoint"
+    FULL = "full"
+    TOO_LATE = "too_late"
+
+
+class Refused(NamedTuple):
+    """No place; `retry_after` in seconds."""
+
+    reason: RefusalReason
+    retry_after: float
+
+
+class Suspicion(NamedTuple):
+    """An endpoint that failed."""
+
+    until: float
+    span: float
+
+
+class Means(NamedTuple):
+    """Running means of a service, in seconds."""
+
+    duration: float
+    first_answer: float
+
+
+class Waiter(NamedTuple):
+    """A request in the line with what it waits for."""
+
+    entry: waiting_line.Waiting
+    wish: Wish
+    place: asyncio.Future[Placed]
+
+
+class Admission:
+    """Places and lines of all services; event loop only."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        directory: endpoint_directory.EndpointDirectory,
+        peers: peer_loads.PeerLoads,
+        data_centre: str,
+        load_per_slot: Callable[[str], float],
+        generator: random.Random,
+    ) -> None:
+        """Create an admission without open requests."""
+        self.loop = loop
+        self.directory = directory
+        self.peers = peers
+        self.data_centre = data_centre
+        self.load_per_slot = load_per_slot
+        self.generator = generator
+        self.open: dict[str, int] = {}
+        self.lines: dict[str, list[Waiter]] = {}
+        self.suspicions: dict[str, Suspicion] = {}
+        self.means: dict[str, Means] = {}
+        self.numbers = itertools.count()
+
+    def candidates(self, wish: Wish) -> list[placement.Candidate]:
+        """Return the endpoints that may take a request."""
+        now = self.loop.time()
+        found = []
+        for endpoint in self.directory.usable(wish.service):
+            if endpoint.id in wish.tried:
+                continue
+            suspicion = self.suspicions.get(endpoint.id)
+            found.append(
+                placement.Candidate(
+                    endpoint.id,
+                    self.open.get(endpoint.id, 0)
+                    + self.peers.load_of(endpoint.id, now),
+                    endpoint.slots or DEFAULT_SLOTS,
+                    endpoint.data_centre == self.data_centre,
+                    suspicion is not None and suspicion.until > now,
+                )
+            )
+        return found
+
+    def try_place(self, wish: Wish) -> Placed | None:
+        """Take a place if there is one now."""
+        choice = placement.choose(
+            self.candidates(wish),
+            self.load_per_slot(wish.service),
+            self.generator.random(),
+        )
+        if choice is None:
+            return None
+        now = self.loop.time()
+        chosen = choice.candidate
+        endpoint = self.directory.listed[chosen.endpoint_id].value
+        self.open[endpoint.id] = self.open.get(endpoint.id, 0) + 1
+        self.peers.note_own(self.open)
+        event_log.emit(
+            event_catalogue.ATTEMPT_PLACED,
+            request=wish.request_id,
+            endpoint=endpoint.id,
+            load=chosen.load,
+            slots=chosen.slots,
+            candidates=choice.considered,
+            least_load=choice.least_load,
+            suspect=chosen.suspect,
+            counts_age=self.peers.age(now),
+            waited=now - wish.arrived,
+        )
+        return Placed(endpoint, now, now - wish.arrived)
+
+    async def place(self, wish: Wish) -> Placed | Refused:
+        """Take a place, waiting for one if that makes sense."""
+        line = self.lines.setdefault(wish.service, [])
+        if not line:
+            placed = self.try_place(wish)
+            if placed is not None:
+                return placed
+        refused = self.check_line(wish, len(line))
+        if refused is not None:
+            return refused
+        means = self.means_of(wish.service)
+        entry = waiting_line.Waiting(
+            next(self.numbers),
+            wish.urgency,
+            wish.arrived,
+            wish.target_at - means.first_answer,
+            wish.deadline - min(means.duration, 1.0),
+        )
+        waiter = Waiter(entry, wish, self.loop.create_future())
+        line.append(waiter)
+        try:
+            return await waiter.place
+        except asyncio.CancelledError:
+            if waiter.place.done() and not waiter.place.cancelled():
+                self.release(waiter.place.result())
+            raise
+        finally:
+            if waiter in line:
+                line.remove(waiter)
+
+    def check_line(self, wish: Wish, waiting: int) -> Refused | None:
+        """Return a refusal when waiting makes no sense."""
+        usable = list(self.directory.usable(wish.service))
+        if not usable:
+            return Refused(RefusalReason.NO_ENDPOINT, 1.0)
+        state = waiting_line.LineState(
+            waiting,
+            sum(endpoint.slots or DEFAULT_SLOTS for endpoint in usable),
+            self.means_of(wish.service).duration,
+            self.peers.gateways(),
+        )
+        wait = waiting_line.expected_wait(state)
+        left = wish.deadline - self.loop.time()
+        if wait > left - min(self.means_of(wish.service).duration, left / 2):
+            return Refused(
+                RefusalReason.FULL,
+                max(LEAST_RETRY_AFTER, wait * self.generator.uniform(0.5, 1.0)),
+            )
+        return None
+
+    def release(self, placed: Placed) -> None:
+        """Give a place back and serve the line."""
+        endpoint = placed.endpoint
+        left = self.open.get(endpoint.id, 0) - 1
+        if left > 0:
+            self.open[endpoint.id] = left
+        else:
+            self.open.pop(endpoint.id, None)
+        self.peers.note_own(self.open)
+        self.serve_line(endpoint.service)
+
+    def serve_line(self, service: str) -> None:
+        """Give free places to waiting requests."""
+        line = self.lines.get(service)
+        while line:
+            now = self.loop.time()
+            entry = waiting_line.pick_next(
+                [waiter.entry for waiter in line], now
+            )
+            if entry is None:
+                return
+            waiter = next(item for item in line if item.entry is entry)
+            if waiter.place.done():
+                line.remove(waiter)
+                continue
+            placed = self.try_place(waiter.wish)
+            if placed is None:
+                return
+            line.remove(waiter)
+            waiter.place.set_result(placed)
+
+    def serve_all_lines(self) -> None:
+        """Serve every line, when loads or endpoints have changed."""
+        for service in list(self.lines):
+            self.serve_line(service)
+
+    def suspect(self, endpoint_id: str, reason: str) -> None:
+        """Avoid an endpoint that failed for a while."""
+        now = self.loop.time()
+        known = self.suspicions.get(endpoint_id)
+        span = SUSPECT_FIRST_SECONDS
+        if known is not None and now < known.until + known.span:
+            if now < known.until:
+                return
+            span = min(known.span * 2, SUSPECT_LIMIT_SECONDS)
+        self.suspicions[endpoint_id] = Suspicion(now + span, span)
+        event_log.emit(
+            event_catalogue.ENDPOINT_SUSPECTED,
+            endpoint=endpoint_id,
+            reason=reason,
+            seconds=span,
+        )
+
+    def note_answer(
+        self, service: str, duration: float, first_answer: float
+    ) -> None:
+        """Take the times of a delivered answer into the means."""
+        old = self.means_of(service)
+        self.means[service] = Means(
+            old.duration + (duration - old.duration) * NEWEST_WEIGHT,
+            old.first_answer
+            + (first_answer - old.first_answer) * NEWEST_WEIGHT,
+        )
+
+    def means_of(self, service: str) -> Means:
+        """Return the running means of a service."""
+        return self.means.get(service, Means(FIRST_DURATION, FIRST_ANSWER))
+
+
+def create_admission(
+    loop: asyncio.AbstractEventLoop,
+    directory: endpoint_directory.EndpointDirectory,
+    peers: peer_loads.PeerLoads,
+    data_centre: str,
+    load_per_slot: Callable[[str], float],
+    generator: random.Random | None = None,
+) -> Admission:
+    """Create an admission without open requests."""
+    return Admission(
+        loop,
+        directory,
+        peers,
+        data_centre,
+        load_per_slot,
+        generator or random.Random(),
+    )
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -0,0 +1,322 @@
+"""A gateway that forwards: listeners, followers, planned stop."""
+
+import asyncio
+import datetime
+import functools
+import random
+import signal
+from typing import Final
+
+from verbenafall_core import addresses
+from verbenafall_core import endpoints
+from verbenafall_core import event_log
+from verbenafall_core.object_store import collection
+from verbenafall_core.object_store import follower
+from verbenafall_core.routes import model
+from verbenafall_gateway.forwarding import admission as admission_lib
+from verbenafall_gateway.forwarding import channel_pool
+from verbenafall_gateway.forwarding import client_channel
+from verbenafall_gateway.forwarding import configuration_state
+from verbenafall_gateway.forwarding import endpoint_directory
+from verbenafall_gateway.forwarding import event_catalogue
+from verbenafall_gateway.forwarding import exchange as exchange_lib
+from verbenafall_gateway.forwarding import forwarder_settings
+from verbenafall_gateway.forwarding import http_messages
+from verbenafall_gateway.forwarding import peer_loads
+from verbenafall_gateway.forwarding import ports as ports_lib
+from verbenafall_gateway.forwarding import repeat_allowance
+
+SWEEP_SECONDS: Final = 0.25
+BACKLOG: Final = 1024
+# A watch that has gone silent is noticed after this and the call limit.
+WATCH_WAIT: Final = datetime.timedelta(seconds=4)
+# Connections of clients that the balancer still sends are accepted this long
+# after a stop began: two checks a second apart have then failed.
+LISTEN_AFTER_STOP_SECONDS: Final = 3.0
+# Left of the stop limit when open requests are cut off.
+EXIT_SECONDS: Final = 0.3
+# Limits before a configuration is known.
+FIRST_LIMITS: Final = model.ClientLimits(
+    16 * 1024,
+    4 * 1024 * 1024,
+    datetime.timedelta(seconds=3),
+    datetime.timedelta(seconds=15),
+)
+
+
+class ConfigurationListener:
+    """Hands configurations from the follower's thread to the event loop."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        state: configuration_state.ConfigurationState,
+    ) -> None:
+        """Create a listener for a state."""
+        self.loop = loop
+        self.state = state
+
+    def on_batch(
+        self,
+        batch: collection.Batch[model.Configuration],
+        complete: bool,
+        after_outage: bool,
+    ) -> None:
+        """Offer each configuration that was read."""
+        del complete, after_outage
+        for item in batch.items:
+            if item.value is not None:
+                self.loop.call_soon_threadsafe(
+                    self.state.offer, item.value, "store"
+                )
+
+    def on_outage(self) -> None:
+        """Keep what is in force."""
+
+
+class EndpointListener:
+    """Hands the list of endpoints to the event loop."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        directory: endpoint_directory.EndpointDirectory,
+        admission: admission_lib.Admission,
+    ) -> None:
+        """Create a listener for a directory."""
+        self.loop = loop
+        self.directory = directory
+        self.admission = admission
+
+    def on_batch(
+        self,
+        batch: collection.Batch[endpoints.Endpoint],
+        complete: bool,
+        after_outage: bool,
+    ) -> None:
+        """Take what the store lists."""
+        self.loop.call_soon_threadsafe(
+            self.apply, batch, complete, after_outage
+        )
+
+    def apply(
+        self,
+        batch: collection.Batch[endpoints.Endpoint],
+        complete: bool,
+        after_outage: bool,
+    ) -> None:
+        """Update the directory; waiting requests may now have a place."""
+        self.directory.apply(batch, complete, after_outage, self.loop.time())
+        self.admission.serve_all_lines()
+
+    def on_outage(self) -> None:
+        """Keep what is known."""
+
+
+class Forwarder:
+    """A gateway process that forwards."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        settings: forwarder_settings.ForwarderSettings,
+        ports: ports_lib.GatewayPorts,
+    ) -> None:
+        """Build all parts; nothing is started."""
+        self.loop = loop
+        self.settings = settings
+        self.configuration = configuration_state.create_configuration_state()
+        self.directory = endpoint_directory.create_endpoint_directory()
+        self.peers = peer_loads.create_peer_loads()
+        self.admission = admission_lib.create_admission(
+            loop,
+            self.directory,
+            self.peers,
+            settings.data_centre,
+            self.load_per_slot,
+        )
+        self.pool = channel_pool.ChannelPool(loop, ports.dialect.attempt_id)
+        limits = repeat_allowance.RepeatLimits(
+            settings.repeat_ratio,
+            settings.repeat_extra,
+            settings.repeat_window.total_seconds(),
+        )
+        self.exchange = exchange_lib.Exchange(
+            loop,
+            ports.dialect,
+            self.configuration,
+            self.admission,
+            self.pool,
+            repeat_allowance.create_repeat_allowance(limits),
+        )
+        self.channels: set[client_channel.ClientChannel] = set()
+        self.checks: set[client_channel.ClientChannel] = set()
+        self.followers = [
+            follower.create_follower(
+                "configuration",
+                ports.configurations,
+                ConfigurationListener(loop, self.configuration),
+                WATCH_WAIT,
+            ),
+            follower.create_follower(
+                "endpoints",
+                ports.endpoints,
+                EndpointListener(loop, self.directory, self.admission),
+                WATCH_WAIT,
+            ),
+        ]
+        self.draining = False
+        self.stopping = asyncio.Event()
+
+    def load_per_slot(self, service: str) -> float:
+        """Return the open requests for each slot that endpoints get."""
+        configuration = self.configuration.configuration
+        known = configuration.services.get(service) if configuration else None
+        return 1.25 if known is not None and known.engine else 1.5
+
+    def limits(self) -> model.ClientLimits:
+        """Return what clients may send."""
+        configuration = self.configuration.configuration
+        return configuration.limits if configuration else FIRST_LIMITS
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send clients."""
+        return (
+            not self.draining
+            and self.configuration.configuration is not None
+            and self.directory.known
+        )
+
+    async def serve(self) -> None:
+        """Serve until a signal asks to stop."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stopping.set)
+        listeners = [
+            await self.listen(
+                self.settings.client_listen, self.exchange.serve, self.channels
+            ),
+            await self.listen(
+                self.settings.readiness_listen,
+                self.answer_check,
+                self.checks,
+            ),
+        ]
+        for item in self.followers:
+            item.start()
+        event_log.emit(
+            event_catalogue.FORWARDER_STARTED,
+            client=self.settings.client_listen,
+            readiness=self.settings.readiness_listen,
+        )
+        sweeper = self.loop.create_task(self.sweep_forever())
+        await self.stopping.wait()
+        await self.drain(listeners[0])
+        sweeper.cancel()
+        for listener in listeners:
+            listener.close()
+
+    async def listen(
+        self,
+        address: addresses.Address,
+        handler: client_channel.Handler,
+        channels: set[client_channel.ClientChannel],
+    ) -> asyncio.Server:
+        """Accept connections whose requests a handler answers."""
+        return await self.loop.create_server(
+            functools.partial(
+                client_channel.ClientChannel,
+                self.loop,
+                handler,
+                self.limits,
+                channels,
+            ),
+            address.host,
+            address.port,
+            backlog=BACKLOG,
+        )
+
+    async def answer_check(
+        self,
+        client: client_channel.ClientChannel,
+        request: http_messages.Request,
+    ) -> None:
+        """Tell the balancer whether this gateway takes clients."""
+        del request
+        status = 200 if self.is_ready() else 503
+        client.send_answer(http_messages.Answer(status, (), b""))
+
+    async def sweep_forever(self) -> None:
+        """Enforce time limits of idle and slow connections."""
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            self.sweep()
+
+    def sweep(self) -> None:
+        """Close connections that are over their time."""
+        now = self.loop.time()
+        limits = self.limits()
+        self.directory.expire(now)
+        self.pool.sweep()
+        for channel in list(self.channels):
+            if channel.task is not None or channel.requests:
+                continue
+            waited = now - channel.stage_since
+            if channel.reading_head or channel.reading_body:
+                limit = limits.header_timeout
+                if channel.reading_body:
+                    limit += limits.idle_timeout
+                if waited > limit.total_seconds():
+                    channel.reject(408)
+            elif waited > limits.idle_timeout.total_seconds():
+                channel.close()
+        self.admission.serve_all_lines()
+
+    async def drain(self, clients: asyncio.Server) -> None:
+        """Finish open requests; clients move to other gateways."""
+        self.draining = True
+        began = self.loop.time()
+        end = began + self.settings.stop_limit.total_seconds() - EXIT_SECONDS
+        event_log.emit(
+            event_catalogue.FORWARDER_DRAINING, open=self.open_requests()
+        )
+        while self.loop.time() < end:
+            waited = self.loop.time() - began
+            for channel in list(self.channels):
+                channel.last_answer = True
+                if waited > LISTEN_AFTER_STOP_SECONDS and is_idle(channel):
+                    channel.close()
+            if waited > LISTEN_AFTER_STOP_SECONDS and not self.channels:
+                break
+            await asyncio.sleep(0.05)
+        clients.close()
+        event_log.emit(
+            event_catalogue.FORWARDER_STOPPED, open=self.open_requests()
+        )
+
+    def open_requests(self) -> int:
+        """Return how many requests are being answered."""
+        return sum(channel.task is not None for channel in self.channels)
+
+
+def is_idle(channel: client_channel.ClientChannel) -> bool:
+    """Return whether a connection has no request, read or being read."""
+    return (
+        channel.task is None
+        and not channel.requests
+        and not channel.reading_head
+        and not channel.reading_body
+    )
+
+
+def run_forwarder(
+    settings: forwarder_settings.ForwarderSettings,
+    ports: ports_lib.GatewayPorts,
+) -> None:
+    """Serve until a planned stop has ended."""
+    random.seed()
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    try:
+        loop.run_until_complete(Forwarder(loop, settings, ports).serve())
+    finally:
+        loop.close()
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/placement.py
@@ -0,0 +1,65 @@
+"""Chooses an endpoint for a request; pure."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+
+class Candidate(NamedTuple):
+    """An endpoint that could take a request.
+
+    Attributes:
+        load: Requests that all gateways have open there, as far as known.
+        slots: Requests that it runs at once, at least 1.
+        nearby: Whether it is in the gateway's data centre.
+        suspect: Whether it failed recently.
+    """
+
+    endpoint_id: str
+    load: int
+    slots: int
+    nearby: bool
+    suspect: bool
+
+
+class Choice(NamedTuple):
+    """The chosen candidate and why no better one was there."""
+
+    candidate: Candidate
+    considered: int
+    least_load: int
+
+
+def choose(
+    candidates: Sequence[Candidate], most_load_per_slot: float, draw: float
+) -> Choice | None:
+    """Return the candidate with the least load for its slots.
+
+    Answers the load of requests that are open at the endpoints: all ranks of
+    a group wait for the one that runs most, so requests are spread evenly.
+
+    Args:
+        candidates: Endpoints that may take the request.
+        most_load_per_slot: Endpoints at this load or above take none.
+        draw: From 0 to 1; decides among equals.
+
+    Returns:
+        None when no candidate has room.
+    """
+    open_ones = [
+        candidate
+        for candidate in candidates
+        if candidate.load < most_load_per_slot * candidate.slots
+    ]
+    if not open_ones:
+        return None
+
+    def rank(candidate: Candidate) -> tuple[bool, float, bool]:
+        share = candidate.load / candidate.slots
+        return candidate.suspect, share, not candidate.nearby
+
+    best = min(rank(candidate) for candidate in open_ones)
+    equals = [item for item in open_ones if rank(item) == best]
+    chosen = equals[min(int(draw * len(equals)), len(equals) - 1)]
+    return Choice(
+        chosen, len(candidates), min(item.load for item in open_ones)
+    )
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/ports.py
@@ -0,0 +1,40 @@
+"""What an adapter gives to a gateway that forwards."""
+
+import importlib
+from typing import NamedTuple
+from typing import Protocol
+from typing import cast
+
+from verbenafall_core import endpoints
+from verbenafall_core import http_client
+from verbenafall_core.object_store import collection
+from verbenafall_core.object_store import port
+from verbenafall_core.routes import model
+from verbenafall_gateway.forwarding import dialect
+
+
+class GatewayPorts(NamedTuple):
+    """The outside systems of a gateway."""
+
+    configurations: collection.Collection[model.Configuration]
+    endpoints: collection.Collection[endpoints.Endpoint]
+    store: port.ObjectStore
+    dialect: dialect.Dialect
+
+
+class GatewayAdapter(Protocol):
+    """A module that speaks to a platform."""
+
+    def create_gateway_ports(
+        self, client: http_client.HttpClient, store_url: str
+    ) -> GatewayPorts:
+        """Return the ports to a platform whose store is at a URL."""
+
+
+def load_adapter(module: str) -> GatewayAdapter:
+    """Import the adapter that the settings name.
+
+    Raises:
+        ImportError: There is no such module.
+    """
+    return cast(GatewayAdapter, importlib.import_module(module))
--- a/packages/gateway/src/verbenafall_gateway/main.py
+++ b/packages/gateway/src/verbenafall_gateway/main.py
@@ -6,6 +6,7 @@
 from typing import Final
 from typing import Protocol
 
+from verbenafall_gateway import forward_command
 from verbenafall_gateway import operator_commands
 from verbenafall_gateway import serve_command
 
@@ -26,6 +27,7 @@
 
 COMMAND_MODULES: Final[tuple[CommandModule, ...]] = (
     serve_command,
+    forward_command,
     operator_commands,
 )
 
