Steer rank groups from the sidecars: lead, demand, map search, switch at a pass

Change: sidecars gain the command steer. One sidecar leads its group under a term from the store (fencing token), collects counts over links, searches maps with copies of hot experts, and switches all ranks at a held pass.

--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -308,6 +308,109 @@
     rank_step_us: tuple[int, ...] = ()
 
 
+class Leading(NamedTuple):
+    """Sent by the leader of a rank group, several times a second.
+
+    Attributes:
+        term: Number of the leadership; the highest one counts.
+    """
+
+    group: str
+    term: int
+
+
+class RankStatus(NamedTuple):
+    """A rank as its sidecar sees it, sent to the leader of its group.
+
+    Attributes:
+        term: Highest term that the sidecar knows of.
+        armed_version: Map that the rank is armed with, 0 for none.
+        held_step: Pass that the rank holds, -1 for none.
+        cleared_term: Term of the last order to disarm that was accepted.
+        impossible_version: Map that the rank could not prepare, or 0.
+        experts: Experts in use by set; empty when they are not told.
+    """
+
+    group: str
+    rank: int
+    size: int
+    epoch: int
+    open: bool
+    step: int
+    map_version: int
+    prepared: int
+    armed_version: int
+    armed_step: int
+    held_step: int
+    term: int
+    cleared_term: int
+    impossible_version: int
+    experts: tuple[tuple[int, ...], ...] = ()
+
+
+class RankCounts(NamedTuple):
+    """How often a rank's requests chose each expert since the last message.
+
+    Attributes:
+        counts: Flat, by set and expert.
+    """
+
+    group: str
+    epoch: int
+    counts: tuple[int, ...]
+
+
+class RankOrder(NamedTuple):
+    """The state that a rank shall be in, sent by the leader of its group.
+
+    Attributes:
+        kind: As in the core's rank orders.
+        changes: Set, rank and new experts, against the map `base_version`.
+        placement: The whole map where the base is not known to the rank.
+    """
+
+    group: str
+    kind: str
+    term: int
+    epoch: int
+    version: int
+    step: int
+    base_version: int = 0
+    changes: tuple[tuple[int, int, tuple[int, ...]], ...] = ()
+    placement: tuple[tuple[tuple[int, ...], ...], ...] = ()
+
+
+class OpenRequests(NamedTuple):
+    """Requests that a gateway has open, by endpoint."""
+
+    counts: tuple[tuple[str, int], ...]
+
+
+class ConfigurationVersion(NamedTuple):
+    """The version of the configuration that a gateway has in force."""
+
+    version: int
+
+
+class ConfigurationRequest(NamedTuple):
+    """Ask a gateway for a configuration newer than a version."""
+
+    newer_than: int
+
+
+class ConfigurationText(NamedTuple):
+    """A configuration as the store holds it."""
+
+    version: int
+    text: bytes
+
+
+class EndpointLeaving(NamedTuple):
+    """Tells that endpoints take no more requests, by id and revision."""
+
+    endpoints: tuple[tuple[str, int], ...]
+
+
 Message = (
     Hello
     | Heartbeat
@@ -327,6 +430,15 @@
     | GroupRecord
     | GroupMember
     | SendTime
+    | Leading
+    | RankStatus
+    | RankCounts
+    | RankOrder
+    | OpenRequests
+    | ConfigurationVersion
+    | ConfigurationRequest
+    | ConfigurationText
+    | EndpointLeaving
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -348,4 +460,13 @@
     16: GroupRecord,
     17: GroupMember,
     18: SendTime,
+    19: Leading,
+    20: RankStatus,
+    21: RankCounts,
+    22: RankOrder,
+    23: OpenRequests,
+    24: ConfigurationVersion,
+    25: ConfigurationRequest,
+    26: ConfigurationText,
+    27: EndpointLeaving,
 }
--- a/packages/gateway/src/verbenafall_gateway/main.py
+++ b/packages/gateway/src/verbenafall_gateway/main.py
@@ -2,17 +2,18 @@
 
 import argparse
 from collections.abc import Sequence
+import importlib
+import sys
+import types
 from typing import Any
 from typing import Final
 from typing import Protocol
-
-from verbenafall_gateway import forward_command
-from verbenafall_gateway import operator_commands
-from verbenafall_gateway import serve_command
+from typing import cast
 
 EXAMPLES: Final = """\
 examples:
   verbenafall-gateway serve --settings gateway.ini
+  verbenafall-gateway forward --settings gateway.ini
   verbenafall-gateway bundle status --settings operator.ini
   verbenafall-gateway keys generate keys/
 """
@@ -25,15 +26,20 @@
         """Add the commands; each sets "run" to a function of the arguments."""
 
 
-COMMAND_MODULES: Final[tuple[CommandModule, ...]] = (
-    serve_command,
-    forward_command,
-    operator_commands,
+# Module of each command. A process imports only what its command needs,
+# which saves time and memory at each start.
+COMMAND_MODULES: Final = types.MappingProxyType(
+    {
+        "serve": "verbenafall_gateway.serve_command",
+        "forward": "verbenafall_gateway.forward_command",
+        "bundle": "verbenafall_gateway.operator_commands",
+        "keys": "verbenafall_gateway.operator_commands",
+    }
 )
 
 
-def build_parser() -> argparse.ArgumentParser:
-    """Return the parser of the command line."""
+def build_parser(command: str = "") -> argparse.ArgumentParser:
+    """Return the parser of one command, or of all when it is unknown."""
     parser = argparse.ArgumentParser(
         prog="verbenafall-gateway",
         description="Gateway process and operator commands.",
@@ -41,13 +47,18 @@
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     subparsers = parser.add_subparsers(required=True, metavar="command")
-    for module in COMMAND_MODULES:
+    names = dict.fromkeys(COMMAND_MODULES.values())
+    if command in COMMAND_MODULES:
+        names = {COMMAND_MODULES[command]: None}
+    for name in names:
+        module = cast(CommandModule, importlib.import_module(name))
         module.register(subparsers)
     return parser
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the command line; return the exit code."""
-    parsed = build_parser().parse_args(arguments)
+    words = list(sys.argv[1:] if arguments is None else arguments)
+    parsed = build_parser(words[0] if words else "").parse_args(words)
     code: int = parsed.run(parsed)
     return code
--- a/packages/sidecar/src/verbenafall_sidecar/main.py
+++ b/packages/sidecar/src/verbenafall_sidecar/main.py
@@ -2,15 +2,18 @@
 
 import argparse
 from collections.abc import Sequence
+import importlib
 import pathlib
 from typing import Final
-
-from verbenafall_sidecar import serve_command
+from typing import NamedTuple
+from typing import Protocol
+from typing import cast
 
 EXAMPLES: Final = """\
 examples:
   verbenafall-sidecar serve --settings sidecar.ini --check
   verbenafall-sidecar serve --settings sidecar.ini
+  verbenafall-sidecar steer --settings sidecar.ini
 
 exit codes:
   0  stopped as planned, or the settings are good (--check)
@@ -19,6 +22,38 @@
 """
 
 
+class CommandModule(Protocol):
+    """A module that runs a command."""
+
+    def serve(self, path: pathlib.Path, check_only: bool) -> int:
+        """Run until a planned stop; return the exit code."""
+
+
+class Command(NamedTuple):
+    """A command; its module is imported only when it is run."""
+
+    name: str
+    module: str
+    help: str
+    description: str
+
+
+COMMANDS: Final = (
+    Command(
+        "serve",
+        "verbenafall_sidecar.serve_command",
+        "run the sidecar",
+        "Run a sidecar until SIGTERM.",
+    ),
+    Command(
+        "steer",
+        "verbenafall_sidecar.steer_command",
+        "run a sidecar that steers the expert maps of its rank group",
+        "Steer the engine beside this process until SIGTERM.",
+    ),
+)
+
+
 def create_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
     parser = argparse.ArgumentParser(
@@ -28,27 +63,30 @@
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     commands = parser.add_subparsers(dest="command", required=True)
-    serve = commands.add_parser(
-        "serve",
-        help="run the sidecar",
-        description="Run a sidecar until SIGTERM.",
-        epilog=EXAMPLES,
-        formatter_class=argparse.RawDescriptionHelpFormatter,
-    )
-    serve.add_argument(
-        "--settings",
-        required=True,
-        type=pathlib.Path,
-        metavar="FILE",
-        help="settings file (INI)",
-    )
-    serve.add_argument(
-        "--check", action="store_true", help="check the settings and exit"
-    )
+    for item in COMMANDS:
+        command = commands.add_parser(
+            item.name,
+            help=item.help,
+            description=item.description,
+            epilog=EXAMPLES,
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+        )
+        command.add_argument(
+            "--settings",
+            required=True,
+            type=pathlib.Path,
+            metavar="FILE",
+            help="settings file (INI)",
+        )
+        command.add_argument(
+            "--check", action="store_true", help="check the settings and exit"
+        )
     return parser
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run a command; return the exit code of the process."""
     parsed = create_parser().parse_args(arguments)
-    return serve_command.serve(parsed.settings, parsed.check)
+    module = next(item.module for item in COMMANDS if item.name == parsed.command)
+    command = cast(CommandModule, importlib.import_module(module))
+    return command.serve(parsed.settings, parsed.check)
--- /dev/null
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
@@ -0,0 +1,428 @@
+"""A sidecar that steers: agent of its rank, links, and the lead at times."""
+
+import datetime
+import random
+import threading
+from typing import Final
+import uuid
+
+import returns.pipeline
+
+from verbenafall_core import addresses
+from verbenafall_core import clock as clock_lib
+from verbenafall_core import endpoints
+from verbenafall_core import event_log
+from verbenafall_core import link as link_lib
+from verbenafall_core import link_router
+from verbenafall_core import messages
+from verbenafall_core import periodic
+from verbenafall_core.expert_maps import rank_state
+from verbenafall_core.expert_maps import replica_map
+from verbenafall_core.object_store import collection
+from verbenafall_core.object_store import follower
+from verbenafall_core.routes import model
+from verbenafall_sidecar.steering import event_catalogue
+from verbenafall_sidecar.steering import group_leader
+from verbenafall_sidecar.steering import group_term
+from verbenafall_sidecar.steering import ports as ports_lib
+from verbenafall_sidecar.steering import rank_agent
+from verbenafall_sidecar.steering import rank_messages
+from verbenafall_sidecar.steering import steering_settings
+
+CHECK_INTERVAL: Final = datetime.timedelta(milliseconds=200)
+LEADING_INTERVAL: Final = datetime.timedelta(milliseconds=400)
+# Sidecars claim the lead one after the other, so that one claim suffices.
+CLAIM_DELAY_PER_RANK: Final = datetime.timedelta(milliseconds=60)
+CLAIM_PAUSE: Final = datetime.timedelta(seconds=1)
+WATCH_WAIT: Final = datetime.timedelta(seconds=10)
+LAYOUT_PAUSE: Final = datetime.timedelta(milliseconds=500)
+ROLE: Final = "sidecar"
+
+
+class LinkPeer:
+    """A rank whose sidecar is linked with the leader."""
+
+    def __init__(self, group: str, link: link_lib.Link) -> None:
+        """Wrap a link to a sidecar."""
+        self.group = group
+        self.link = link
+        self.base: tuple[int, replica_map.Placement] | None = None
+
+    def send_order(self, order: rank_state.RankOrder) -> bool:
+        """Send an order; maps go as changes to the last one."""
+        base_version, base = self.base or (0, None)
+        sent = self.link.send(
+            rank_messages.encode_order(self.group, order, base_version, base)
+        )
+        if sent and order.placement:
+            self.base = (order.version, order.placement)
+        return sent
+
+
+class OwnPeer:
+    """The rank beside the leader."""
+
+    def __init__(self, agent: rank_agent.RankAgent) -> None:
+        """Wrap the agent of this process."""
+        self.agent = agent
+
+    def send_order(self, order: rank_state.RankOrder) -> bool:
+        """Hand an order to the agent."""
+        return self.agent.accept(order)
+
+
+class LinkListener:
+    """Tells a leader in another process."""
+
+    def __init__(self, group: str, link: link_lib.Link) -> None:
+        """Wrap the link to the leader."""
+        self.group = group
+        self.link = link
+
+    def on_news(self, news: rank_agent.RankNews) -> None:
+        """Send a change of the rank's state."""
+        self.link.send(rank_messages.encode_news(news))
+
+    def on_counts(self, epoch: int, counts: tuple[int, ...]) -> None:
+        """Send increments of the counts."""
+        self.link.send(messages.RankCounts(self.group, epoch, counts))
+
+
+class OwnListener:
+    """Tells the leader in this process."""
+
+    def __init__(
+        self, leader: group_leader.GroupLeader, peer: OwnPeer
+    ) -> None:
+        """Wrap the leader."""
+        self.leader = leader
+        self.peer = peer
+
+    def on_news(self, news: rank_agent.RankNews) -> None:
+        """Hand over a change of the rank's state."""
+        self.leader.put(group_leader.News(self.peer, news))
+
+    def on_counts(self, epoch: int, counts: tuple[int, ...]) -> None:
+        """Hand over increments of the counts."""
+        self.leader.put(group_leader.Counts(epoch, counts))
+
+
+class Steering:
+    """All parts of a sidecar that steers its rank."""
+
+    def __init__(
+        self,
+        settings: steering_settings.SteeringSettings,
+        ports: ports_lib.SidecarPorts,
+        clock: clock_lib.Clock,
+        generator: random.Random,
+    ) -> None:
+        """Build all parts; nothing is started."""
+        self.settings = settings
+        self.ports = ports
+        self.clock = clock
+        self.generator = generator
+        self.lock = threading.RLock()
+        self.listener: rank_agent.RankListener | None = None
+        self.listener_link: link_lib.Link | None = None
+        self.agent = rank_agent.create_rank_agent(
+            ports.rank, clock, lambda: self.listener
+        )
+        self.maps = rank_messages.ReceivedMaps()
+        self.leader: group_leader.GroupLeader | None = None
+        self.peers: dict[link_lib.Link, LinkPeer] = {}
+        self.followers: list[follower.Follower[endpoints.Endpoint]] = []
+        self.listed: dict[str, endpoints.Endpoint] = {}
+        self.layout: model.ExpertLayout | None = None
+        self.layout_due = datetime.timedelta()
+        self.claim_due = datetime.timedelta()
+        self.leading_due = datetime.timedelta()
+        router = link_router.create_link_router()
+        router.subscribe(messages.Leading, self.on_leading)
+        router.subscribe(messages.RankOrder, self.on_order)
+        router.subscribe(messages.RankStatus, self.on_status)
+        router.subscribe(messages.RankCounts, self.on_counts)
+        router.subscribe_open(self.on_open)
+        router.subscribe_close(self.on_close)
+        hello = messages.Hello(
+            messages.PROTOCOL_VERSION,
+            settings.name,
+            ROLE,
+            settings.data_centre,
+            settings.service,
+        )
+        self.links = link_lib.create_link_loop(
+            hello,
+            lambda: messages.Heartbeat(0, 0, True, False),
+            router,
+            clock,
+        )
+        self.task = periodic.create_periodic_task(
+            "steering", CHECK_INTERVAL, self.check, generator
+        )
+
+    def start(self) -> None:
+        """Listen and serve the rank.
+
+        Raises:
+            LinkError: The address cannot be listened on.
+        """
+        self.links.listen(self.settings.link_listen)
+        self.links.start()
+        self.agent.start()
+        self.task.start()
+        event_log.emit(
+            event_catalogue.STEERING_STARTED,
+            links=self.settings.link_listen,
+            service=self.settings.service,
+        )
+
+    def stop(self, limit: datetime.timedelta) -> None:
+        """Stop all parts."""
+        self.task.stop(limit)
+        self.resign()
+        self.agent.stop(limit)
+        self.links.stop(limit)
+        event_log.emit(event_catalogue.STEERING_STOPPED)
+
+    # The lead.
+
+    def check(self) -> None:
+        """Claim the lead when nobody leads, or tell the others."""
+        now = self.clock.monotonic()
+        with self.lock:
+            leader = self.leader
+            report = self.agent.report
+            if leader is not None:
+                if self.agent.term > leader.term:
+                    self.step_down(self.agent.term)
+                    return
+                self.agent.note_leader(leader.term)
+                self.read_layout(now)
+                if now >= self.leading_due:
+                    self.leading_due = now + LEADING_INTERVAL
+                    self.tell_leading(leader.term)
+                return
+            if report is None or self.agent.is_led():
+                self.claim_due = datetime.timedelta()
+                return
+            if not self.claim_due:
+                self.claim_due = now + CLAIM_DELAY_PER_RANK * report.rank
+            if now >= self.claim_due:
+                self.claim_due = now + CLAIM_PAUSE
+                self.claim(report)
+
+    def claim(self, report: rank_state.RankReport) -> None:
+        """Try to take the lead."""
+        group = f"{self.settings.service}.{report.group}"
+        holder = f"{self.settings.name}/{uuid.uuid4().hex}"
+        term = group_term.take_term(self.ports.store, group, holder)
+        if isinstance(term, group_term.Claim):
+            event_log.emit(
+                event_catalogue.TERM_REFUSED, group=group, reason=term.value
+            )
+            return
+        event_log.emit(
+            event_catalogue.TERM_TAKEN, group=group, term=term, rank=report.rank
+        )
+        self.lead(term, report)
+
+    def lead(self, term: int, report: rank_state.RankReport) -> None:
+        """Begin to lead under a term."""
+        if not self.agent.note_leader(term):
+            return
+        self.leader = group_leader.GroupLeader(
+            term, report.rank, lambda: self.layout, self.clock, self.step_down
+        )
+        self.listener_link = None
+        self.listener = OwnListener(self.leader, OwnPeer(self.agent))
+        self.leader.start()
+        self.agent.tell_again()
+        item = follower.create_follower(
+            "endpoints", self.ports.endpoints, self, WATCH_WAIT, self.generator
+        )
+        self.followers.append(item)
+        item.start()
+
+    def step_down(self, term: int) -> None:
+        """End the lead after a higher term was heard of."""
+        with self.lock:
+            if self.leader is None or term <= self.leader.term:
+                return
+            event_log.emit(
+                event_catalogue.TERM_LOST, term=self.leader.term, higher=term
+            )
+            self.resign()
+            self.agent.note_leader(term)
+
+    def resign(self) -> None:
+        """End the lead."""
+        with self.lock:
+            if self.leader is None:
+                return
+            self.leader.stop()
+            self.leader = None
+            self.listener = None
+            for item in self.followers:
+                item.stop(datetime.timedelta())
+            self.followers.clear()
+            self.peers.clear()
+            self.links.set_targets(set())
+
+    def tell_leading(self, term: int) -> None:
+        """Tell all linked sidecars who leads."""
+        report = self.agent.report
+        if report is None:
+            return
+        message = messages.Leading(report.group, term)
+        with self.links.joined():
+            for link in list(self.peers):
+                link.send(message)
+
+    def read_layout(self, now: datetime.timedelta) -> None:
+        """Read the declared layout of the service's engines once."""
+        if self.layout is not None or now < self.layout_due:
+            return
+        self.layout_due = now + LAYOUT_PAUSE
+        result = self.ports.configurations.read_all()
+        if not returns.pipeline.is_successful(result):
+            return
+        for item in result.unwrap().items:
+            service = (
+                item.value.services.get(self.settings.service)
+                if item.value
+                else None
+            )
+            if service is not None and service.engine is not None:
+                self.layout = service.engine.layout
+
+    # Listed endpoints, while leading; on the follower's thread.
+
+    def on_batch(
+        self,
+        batch: collection.Batch[endpoints.Endpoint],
+        complete: bool,
+        after_outage: bool,
+    ) -> None:
+        """Link with the sidecars of all listed engines of the service."""
+        del after_outage
+        with self.lock:
+            if self.leader is None:
+                return
+            if complete:
+                self.listed.clear()
+            for item in batch.items:
+                if item.value is None:
+                    self.listed.pop(item.name, None)
+                elif item.value.service == self.settings.service:
+                    self.listed[item.name] = item.value
+            own = self.settings.link_listen
+            targets = {
+                addresses.Address(endpoint.address.host, own.port)
+                for endpoint in self.listed.values()
+            }
+            self.links.set_targets(targets - {own})
+
+    def on_outage(self) -> None:
+        """Keep what is known."""
+
+    # Links; on their I/O thread.
+
+    def on_open(self, link: link_lib.Link) -> None:
+        """Tell a sidecar that has just been linked who leads."""
+        with self.lock:
+            leader, report = self.leader, self.agent.report
+            if leader is None or report is None or not link.outgoing:
+                return
+            self.peers[link] = LinkPeer(report.group, link)
+            link.send(messages.Leading(report.group, leader.term))
+
+    def on_close(self, link: link_lib.Link, reason: str) -> None:
+        """Forget a link."""
+        del reason
+        with self.lock:
+            peer = self.peers.pop(link, None)
+            if peer is not None and self.leader is not None:
+                self.leader.put(group_leader.Gone(peer))
+            if self.listener_link is link:
+                self.listener_link = None
+                self.listener = None
+
+    def on_leading(
+        self, link: link_lib.Link, message: messages.Leading
+    ) -> None:
+        """Follow a leader, unless a higher term is known."""
+        with self.lock:
+            if self.leader is not None and message.term > self.leader.term:
+                self.step_down(message.term)
+            if not self.agent.note_leader(message.term):
+                report = self.agent.report
+                if report is not None:
+                    # Tells the sender of the higher term.
+                    link.send(
+                        rank_messages.encode_news(
+                            rank_agent.RankNews(
+                                report, self.agent.term, 0, 0, ()
+                            )
+                        )
+                    )
+                return
+            if self.leader is None and self.listener_link is not link:
+                self.listener_link = link
+                self.listener = LinkListener(message.group, link)
+                self.agent.tell_again()
+
+    def on_order(self, link: link_lib.Link, message: messages.RankOrder) -> None:
+        """Hand an order to the agent."""
+        order = self.maps.decode_order(message)
+        if order is not None:
+            self.agent.accept(order)
+            return
+        event_log.emit(
+            event_catalogue.ORDER_REFUSED,
+            kind=message.kind,
+            term=message.term,
+            version=message.version,
+            known_term=self.agent.term,
+            reason="base map not known",
+        )
+        report = self.agent.report
+        if report is not None:
+            link.send(
+                rank_messages.encode_news(
+                    rank_agent.RankNews(
+                        report, self.agent.term, 0, message.version, ()
+                    )
+                )
+            )
+
+    def on_status(
+        self, link: link_lib.Link, message: messages.RankStatus
+    ) -> None:
+        """Hand a rank's state to the leader."""
+        with self.lock:
+            leader, peer = self.leader, self.peers.get(link)
+        if leader is None or peer is None:
+            return
+        if message.impossible_version:
+            peer.base = None
+        leader.put(group_leader.News(peer, rank_messages.decode_news(message)))
+
+    def on_counts(
+        self, link: link_lib.Link, message: messages.RankCounts
+    ) -> None:
+        """Hand a rank's counts to the leader."""
+        with self.lock:
+            leader, known = self.leader, link in self.peers
+        if leader is not None and known:
+            leader.put(group_leader.Counts(message.epoch, message.counts))
+
+
+def create_steering(
+    settings: steering_settings.SteeringSettings,
+    ports: ports_lib.SidecarPorts,
+    clock: clock_lib.Clock,
+    generator: random.Random | None = None,
+) -> Steering:
+    """Build a sidecar that steers; nothing is started."""
+    return Steering(settings, ports, clock, generator or random.Random())
--- /dev/null
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/steering_settings.py
@@ -0,0 +1,106 @@
+"""Settings of a sidecar that steers."""
+
+import datetime
+import pathlib
+from typing import Final
+from typing import NamedTuple
+
+import returns.result
+
+from verbenafall_core import addresses
+from verbenafall_core import common_options
+from verbenafall_core import settings
+
+
+class SteeringSettings(NamedTuple):
+    """Checked settings.
+
+    Attributes:
+        service: Service of the engine beside this process.
+        link_listen: The port is the same on all instances.
+        adapter: Module that speaks to the platform.
+    """
+
+    name: str
+    data_centre: str
+    service: str
+    engine: addresses.Address
+    link_listen: addresses.Address
+    metrics_listen: addresses.Address | None
+    object_store: str
+    adapter: str
+    log_level: str
+    stop_limit: datetime.timedelta
+
+
+OPTIONS: Final = (
+    common_options.INSTANCE_NAME,
+    common_options.DATA_CENTRE,
+    settings.Option(
+        "engine",
+        "service",
+        settings.parse_text,
+        "the name of a service",
+        None,
+        "Service of the engine beside this process.",
+    ),
+    settings.Option(
+        "engine",
+        "address",
+        addresses.parse_address,
+        common_options.ADDRESS_FORM,
+        None,
+        "Address of the engine beside this process.",
+    ),
+    settings.Option(
+        "listen",
+        "links",
+        addresses.parse_address,
+        common_options.ADDRESS_FORM,
+        None,
+        "Address for links of other processes.",
+    ),
+    settings.Option(
+        "listen",
+        "metrics",
+        settings.parse_optional_address,
+        common_options.ADDRESS_FORM,
+        "",
+        "Address for metrics; without one there are none.",
+    ),
+    common_options.OBJECT_STORE,
+    settings.Option(
+        "platform",
+        "adapter",
+        settings.parse_text,
+        "the name of a Python module",
+        None,
+        "Module that speaks to the platform.",
+    ),
+    common_options.LOG_LEVEL,
+    common_options.STOP_LIMIT,
+)
+
+SteeringSettingsResult = returns.result.Result[
+    SteeringSettings, tuple[settings.SettingFault, ...]
+]
+
+
+def read_steering_settings(path: pathlib.Path) -> SteeringSettingsResult:
+    """Read and check a settings file."""
+    return settings.read_settings(path, OPTIONS).map(_build)
+
+
+def _build(values: settings.Values) -> SteeringSettings:
+    return SteeringSettings(
+        name=values["instance", "name"],
+        data_centre=values["instance", "data_centre"],
+        service=values["engine", "service"],
+        engine=values["engine", "address"],
+        link_listen=values["listen", "links"],
+        metrics_listen=values["listen", "metrics"],
+        object_store=values["platform", "object_store"],
+        adapter=values["platform", "adapter"],
+        log_level=values["log", "level"],
+        stop_limit=values["limits", "stop_limit"],
+    )
