Link the gateways: open requests, configurations and leaving endpoints

Change: gateways find each other by records in the store and tell counts, configurations and leaving endpoints over links; watches wait 1.8 s with 0.6 s slack; an endpoint that answers under another id is left out at once.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_directory.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_directory.py
@@ -1,5 +1,6 @@
 """Endpoints by service, as listed by the platform; event loop only."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Final
 from typing import Generic
@@ -30,6 +31,11 @@
     """The listed endpoints.
 
     Attributes:
+        leaving: Endpoints that left or are draining, with the version of the
+            entry that says so. Told to the other gateways.
+        replaced: Endpoints whose address answers under another id, with the
+            version of the entry that is out of date.
+        leaving_changed: Called with what has been added to `leaving`.
         missing_until: Endpoints whose entry vanished around an outage of the
             store, with the time until which they stay in use.
     """
@@ -37,7 +43,9 @@
     def __init__(self) -> None:
         """Create an empty directory."""
         self.listed: dict[str, Listed[endpoints.Endpoint]] = {}
-        self.removed_at_version: dict[str, int] = {}
+        self.leaving: dict[str, int] = {}
+        self.replaced: dict[str, int] = {}
+        self.leaving_changed: Callable[[dict[str, int]], None] | None = None
         self.missing_until: dict[str, float] = {}
         self.by_service: dict[str, list[endpoints.Endpoint]] = {}
         self.store_back_at: float | None = None
@@ -51,6 +59,7 @@
         now: float,
     ) -> None:
         """Take what the store lists."""
+        before = dict(self.leaving)
         self.known = True
         if after_outage:
             self.store_back_at = now
@@ -65,6 +74,47 @@
                 if name not in names:
                     self.note_missing(name, batch.revision, now)
         self.rebuild()
+        self.tell_leaving(before)
+
+    def tell_leaving(self, before: dict[str, int]) -> None:
+        """Pass on what has been added to the leaving endpoints."""
+        added = {
+            name: version
+            for name, version in self.leaving.items()
+            if before.get(name) != version
+        }
+        if added and self.leaving_changed is not None:
+            self.leaving_changed(added)
+
+    def note_leaving(self, leaving: dict[str, int]) -> None:
+        """Take what another gateway knows of leaving endpoints."""
+        for name, version in leaving.items():
+            known = self.listed.get(name)
+            if known is None or known.version > version:
+                continue
+            if self.leaving.get(name, -1) < version:
+                self.leaving[name] = version
+                event_log.emit(
+                    event_catalogue.ENDPOINT_UNLISTED,
+                    endpoint=name,
+                    version=version,
+                    source="gateway",
+                )
+        self.rebuild()
+
+    def note_replaced(self, name: str) -> None:
+        """Take that an endpoint's address answers under another id."""
+        known = self.listed.get(name)
+        if known is None or self.replaced.get(name) == known.version:
+            return
+        self.replaced[name] = known.version
+        event_log.emit(
+            event_catalogue.ENDPOINT_UNLISTED,
+            endpoint=name,
+            version=known.version,
+            source="endpoint",
+        )
+        self.rebuild()
 
     def note_listed(
         self, name: str, version: int, endpoint: endpoints.Endpoint
@@ -73,7 +123,7 @@
         known = self.listed.get(name)
         if known is not None and known.version > version:
             return
-        if self.removed_at_version.get(name, -1) > version:
+        if self.leaving.get(name, -1) >= version and not endpoint.draining:
             return
         self.missing_until.pop(name, None)
         if known is None or known.value != endpoint:
@@ -86,6 +136,8 @@
                 version=version,
             )
         self.listed[name] = Listed(version, endpoint)
+        if endpoint.draining:
+            self.leaving[name] = version
 
     def note_missing(self, name: str, version: int, now: float) -> None:
         """Take that an entry is gone, at once or after the grace time."""
@@ -106,24 +158,33 @@
         """Forget an endpoint."""
         del self.listed[name]
         self.missing_until.pop(name, None)
-        self.removed_at_version[name] = version
+        self.replaced.pop(name, None)
+        self.leaving[name] = version
         event_log.emit(
-            event_catalogue.ENDPOINT_UNLISTED, endpoint=name, version=version
+            event_catalogue.ENDPOINT_UNLISTED,
+            endpoint=name,
+            version=version,
+            source="store",
         )
 
     def expire(self, now: float) -> None:
         """Forget endpoints whose entry did not come back in time."""
+        before = dict(self.leaving)
         late = [name for name, end in self.missing_until.items() if now >= end]
         for name in late:
             self.remove(name, self.listed[name].version)
         if late:
             self.rebuild()
+            self.tell_leaving(before)
 
     def rebuild(self) -> None:
         """Index the endpoints that take requests."""
         by_service: dict[str, list[endpoints.Endpoint]] = {}
-        for listed in self.listed.values():
-            if not listed.value.draining:
+        for name, listed in self.listed.items():
+            if (
+                self.leaving.get(name, -1) < listed.version
+                and self.replaced.get(name, -1) < listed.version
+            ):
                 by_service.setdefault(listed.value.service, []).append(
                     listed.value
                 )
@@ -133,11 +194,6 @@
         """Return the endpoints of a service that take requests."""
         return self.by_service.get(service, ())
 
-    def is_usable(self, endpoint: endpoints.Endpoint) -> bool:
-        """Return whether an endpoint still takes requests."""
-        listed = self.listed.get(endpoint.id)
-        return listed is not None and not listed.value.draining
-
 
 def create_endpoint_directory() -> EndpointDirectory:
     """Create an empty directory."""
--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -37,6 +37,25 @@
     "DEBUG",
     "A version that is not newer than the one in force was ignored.",
 )
+PEER_CONFIGURATION_UNREADABLE = event_log.define(
+    2112,
+    "peer_configuration_unreadable",
+    "ERROR",
+    "A configuration from another gateway could not be decoded; the store's"
+    " is waited for. Check that all gateways run the same release.",
+)
+OWN_RECORD_WRITTEN = event_log.define(
+    2113,
+    "own_record_written",
+    "INFO",
+    "Other gateways find this one by its record in the store.",
+)
+OWN_RECORD_FAILED = event_log.define(
+    2114,
+    "own_record_failed",
+    "WARNING",
+    "The record of this gateway could not be written; it is tried again.",
+)
 ENDPOINT_LISTED = event_log.define(
     2120,
     "endpoint_listed",
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -294,6 +294,8 @@
         if isinstance(outcome, retry_decision.NotRun):
             job.runs -= 1
             job.rejections += 1
+            if outcome.status == answer_relay.MISDIRECTED:
+                self.admission.directory.note_replaced(place.endpoint.id)
         if isinstance(outcome, retry_decision.Unsent):
             job.rejections += 1
         if not isinstance(outcome, retry_decision.Failed):
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from verbenafall_core import addresses
+from verbenafall_core import clock as clock_lib
 from verbenafall_core import endpoints
 from verbenafall_core import event_log
 from verbenafall_core.object_store import collection
@@ -22,14 +23,19 @@
 from verbenafall_gateway.forwarding import exchange as exchange_lib
 from verbenafall_gateway.forwarding import forwarder_settings
 from verbenafall_gateway.forwarding import http_messages
+from verbenafall_gateway.forwarding import own_record
+from verbenafall_gateway.forwarding import peer_links
 from verbenafall_gateway.forwarding import peer_loads
 from verbenafall_gateway.forwarding import ports as ports_lib
 from verbenafall_gateway.forwarding import repeat_allowance
 
 SWEEP_SECONDS: Final = 0.25
 BACKLOG: Final = 1024
-# A watch that has gone silent is noticed after this and the call limit.
-WATCH_WAIT: Final = datetime.timedelta(seconds=4)
+# A watch that has gone silent is noticed after this and the call limit, which
+# together stay below the time after which the platform expects it.
+WATCH_WAIT: Final = datetime.timedelta(seconds=1.8)
+# Gateways come and go rarely.
+RECORDS_WAIT: Final = datetime.timedelta(seconds=10)
 # Connections of clients that the balancer still sends are accepted this long
 # after a stop began: two checks a second apart have then failed.
 LISTEN_AFTER_STOP_SECONDS: Final = 3.0
@@ -113,6 +119,32 @@
         """Keep what is known."""
 
 
+class RecordListener:
+    """Hands the records of gateways to the event loop."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, peers: peer_links.PeerLinks
+    ) -> None:
+        """Create a listener for the links."""
+        self.loop = loop
+        self.peers = peers
+
+    def on_batch(
+        self,
+        batch: collection.Batch[addresses.Address],
+        complete: bool,
+        after_outage: bool,
+    ) -> None:
+        """Take the records that were read."""
+        del after_outage
+        self.loop.call_soon_threadsafe(
+            self.peers.apply_records, batch, complete
+        )
+
+    def on_outage(self) -> None:
+        """Keep what is known."""
+
+
 class Forwarder:
     """A gateway process that forwards."""
 
@@ -149,6 +181,22 @@
             self.pool,
             repeat_allowance.create_repeat_allowance(limits),
         )
+        self.links = peer_links.PeerLinks(
+            loop,
+            clock_lib.system_clock(),
+            settings.name,
+            settings.data_centre,
+            settings.link_listen,
+            self.configuration,
+            self.directory,
+            self.peers,
+            self.admission.serve_all_lines,
+        )
+        self.configuration.changed = self.links.announce_configuration
+        self.directory.leaving_changed = self.links.announce_leaving
+        self.record = own_record.OwnRecord(
+            ports.store, settings.name, settings.link_listen
+        )
         self.channels: set[client_channel.ClientChannel] = set()
         self.checks: set[client_channel.ClientChannel] = set()
         self.followers = [
@@ -164,6 +212,12 @@
                 EndpointListener(loop, self.directory, self.admission),
                 WATCH_WAIT,
             ),
+            follower.create_follower(
+                "gateways",
+                ports.gateways,
+                RecordListener(loop, self.links),
+                RECORDS_WAIT,
+            ),
         ]
         self.draining = False
         self.stopping = asyncio.Event()
@@ -201,8 +255,10 @@
                 self.checks,
             ),
         ]
+        self.links.start()
         for item in self.followers:
             item.start()
+        self.record.start()
         event_log.emit(
             event_catalogue.FORWARDER_STARTED,
             client=self.settings.client_listen,
@@ -212,6 +268,8 @@
         await self.stopping.wait()
         await self.drain(listeners[0])
         sweeper.cancel()
+        await self.loop.run_in_executor(None, self.record.stop)
+        self.links.stop(datetime.timedelta(milliseconds=200))
         for listener in listeners:
             listener.close()
 
--- a/packages/gateway/src/verbenafall_gateway/forwarding/ports.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/ports.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 from typing import cast
 
+from verbenafall_core import addresses
 from verbenafall_core import endpoints
 from verbenafall_core import http_client
 from verbenafall_core.object_store import collection
@@ -14,11 +15,16 @@
 
 
 class GatewayPorts(NamedTuple):
-    """The outside systems of a gateway."""
+    """The outside systems of a gateway.
+
+    Attributes:
+        gateways: Link addresses of the gateways, by name.
+    """
 
     configurations: collection.Collection[model.Configuration]
     endpoints: collection.Collection[endpoints.Endpoint]
     store: port.ObjectStore
+    gateways: collection.Collection[addresses.Address]
     dialect: dialect.Dialect
 
 
