--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
@@ -30,8 +30,8 @@
 PREPARE_LIMIT: Final = datetime.timedelta(seconds=3)
 # A new map must lower the imbalance by this, and by a part for each copy,
 # as copies lengthen passes and are paid for.
-LEAST_GAIN: Final = 0.04
-GAIN_PER_COPY: Final = 0.0008
+LEAST_GAIN: Final = 0.10
+GAIN_PER_COPY: Final = 0.008
 # Experts that a rank copies for one map: in one set, and in all together.
 # Fewer copies put a map in use sooner.
 COPIES_PER_RANK_SET: Final = 1
