Order ranks directly whose sidecar is gone, and repeat unchanged states

The next leader saw no state of the held ranks for 2 s, since unchanged states were not told again, took the group for incomplete and left it held for 20 s.

Change: states are repeated every 0.8 s; a leader orders ranks without a link itself; silence of the leader is noticed after 0.9 s (1.5 s before).

The group stays held while the frozen machine's engine cannot be reached: whether it is armed cannot be known.

--- a/packages/sidecar/src/verbenafall_sidecar/steer_command.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steer_command.py
@@ -34,9 +34,7 @@
         return EXIT_OK
     event_log.configure(settings.log_level, settings.name)
     ports = adapter.create_sidecar_ports(
-        http_client.create_http_client(),
-        settings.object_store,
-        settings.engine,
+        http_client.create_http_client(), settings.object_store
     )
     steering = steering_lib.create_steering(
         settings, ports, clock_lib.system_clock()
--- a/packages/sidecar/src/verbenafall_sidecar/steering/event_catalogue.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/event_catalogue.py
@@ -87,3 +87,10 @@
     "The group was held by an earlier leader or a late order; the switch is"
     " carried on or the group released.",
 )
+RANK_DIRECT = event_log.define(
+    3136,
+    "rank_direct",
+    "WARNING",
+    "The leader has no link with the sidecar of a rank and gives orders to the"
+    " engine itself. Check the sidecar.",
+)
--- a/packages/sidecar/src/verbenafall_sidecar/steering/ports.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/ports.py
@@ -1,5 +1,6 @@
 """What an adapter gives to a sidecar that steers."""
 
+from collections.abc import Callable
 import importlib
 from typing import NamedTuple
 from typing import Protocol
@@ -15,24 +16,25 @@
 
 
 class SidecarPorts(NamedTuple):
-    """The outside systems of a sidecar."""
+    """The outside systems of a sidecar.
+
+    Attributes:
+        rank_at: Returns the port to the rank of an engine.
+    """
 
     configurations: collection.Collection[model.Configuration]
     endpoints: collection.Collection[endpoints.Endpoint]
     store: port.ObjectStore
-    rank: rank_port.RankPort
+    rank_at: Callable[[addresses.Address], rank_port.RankPort]
 
 
 class SidecarAdapter(Protocol):
     """A module that speaks to a platform."""
 
     def create_sidecar_ports(
-        self,
-        client: http_client.HttpClient,
-        store_url: str,
-        engine: addresses.Address,
+        self, client: http_client.HttpClient, store_url: str
     ) -> SidecarPorts:
-        """Return the ports to a platform and to the engine beside."""
+        """Return the ports to a platform whose store is at a URL."""
 
 
 def load_adapter(module: str) -> SidecarAdapter:
--- a/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
@@ -24,8 +24,11 @@
 ORDER_POLL: Final = datetime.timedelta(milliseconds=15)
 # An order that shows no effect is given again after this time.
 ORDER_REPEAT: Final = datetime.timedelta(milliseconds=120)
-# A leader that has been silent for this time is not followed any more.
-LEADER_SILENCE: Final = datetime.timedelta(milliseconds=1500)
+# A leader that has been silent for this time is not followed any more. While
+# it is silent it may hold the group, and no pass begins.
+LEADER_SILENCE: Final = datetime.timedelta(milliseconds=900)
+# A state that does not change is told again after this time.
+NEWS_REPEAT: Final = datetime.timedelta(milliseconds=800)
 _NEVER: Final = datetime.timedelta(days=-1)
 
 
@@ -67,8 +70,10 @@
         port: rank_port.RankPort,
         clock: clock_lib.Clock,
         listener: Callable[[], RankListener | None],
+        reads_counts: bool,
     ) -> None:
         """Create an agent that is not yet running."""
+        self.reads_counts = reads_counts
         self.port = port
         self.clock = clock
         self.listener = listener
@@ -88,6 +93,7 @@
         self.impossible_version = 0
         self.answering = True
         self.last_news: RankNews | None = None
+        self.news_at = _NEVER
         self.thread = threading.Thread(
             target=self.run, name="rank-agent", daemon=True
         )
@@ -178,7 +184,7 @@
                 self.report_due = self.clock.monotonic() + ORDER_POLL
         if now >= self.counts_due:
             self.counts_due = now + COUNT_INTERVAL
-            if self.listener() is not None and self.is_led():
+            if self.reads_counts and self.listener() and self.is_led():
                 self.read_counts()
 
     def read_report(self, now: datetime.timedelta) -> None:
@@ -237,8 +243,10 @@
             self.experts,
         )
         last = self.last_news
-        if last is not None and last == news:
+        now = self.clock.monotonic()
+        if last == news and now - self.news_at < NEWS_REPEAT:
             return
+        self.news_at = now
         self.last_news = news
         if last is not None and last.experts == news.experts:
             news = news._replace(experts=())
@@ -343,6 +351,15 @@
     port: rank_port.RankPort,
     clock: clock_lib.Clock,
     listener: Callable[[], RankListener | None],
+    reads_counts: bool = True,
 ) -> RankAgent:
-    """Create an agent that is not yet running."""
-    return RankAgent(port, clock, listener)
+    """Create an agent that is not yet running.
+
+    Args:
+        port: Calls to the engine.
+        clock: The clock.
+        listener: Returns whom to tell, None for nobody.
+        reads_counts: Whether counts are read, which from another machine
+            pauses the group.
+    """
+    return RankAgent(port, clock, listener, reads_counts)
--- a/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
@@ -27,10 +27,14 @@
 from verbenafall_sidecar.steering import ports as ports_lib
 from verbenafall_sidecar.steering import rank_agent
 from verbenafall_sidecar.steering import rank_messages
+from verbenafall_sidecar.steering import rank_port
 from verbenafall_sidecar.steering import steering_settings
 
-CHECK_INTERVAL: Final = datetime.timedelta(milliseconds=200)
-LEADING_INTERVAL: Final = datetime.timedelta(milliseconds=400)
+CHECK_INTERVAL: Final = datetime.timedelta(milliseconds=100)
+LEADING_INTERVAL: Final = datetime.timedelta(milliseconds=250)
+# A rank whose sidecar has had no link for this time is ordered directly, which
+# costs more and shows no counts.
+DIRECT_AFTER: Final = datetime.timedelta(milliseconds=300)
 # Sidecars claim the lead one after the other, so that one claim suffices.
 CLAIM_DELAY_PER_RANK: Final = datetime.timedelta(milliseconds=60)
 CLAIM_PAUSE: Final = datetime.timedelta(seconds=1)
@@ -71,6 +75,33 @@
         return self.agent.accept(order)
 
 
+class DirectPeer:
+    """A rank that is ordered from here while its sidecar has no link."""
+
+    def __init__(
+        self,
+        port: rank_port.RankPort,
+        clock: clock_lib.Clock,
+        leader: group_leader.GroupLeader,
+    ) -> None:
+        """Create a peer whose thread is not yet running."""
+        self.leader = leader
+        listener = OwnListener(leader, self)
+        self.agent = rank_agent.create_rank_agent(
+            port, clock, lambda: listener, reads_counts=False
+        )
+        self.agent.note_leader(leader.term)
+
+    def send_order(self, order: rank_state.RankOrder) -> bool:
+        """Hand an order to the agent."""
+        return self.agent.accept(order)
+
+    def close(self) -> None:
+        """End the thread soon, and let the leader forget the rank."""
+        self.agent.stop(datetime.timedelta())
+        self.leader.put(group_leader.Gone(self))
+
+
 class LinkListener:
     """Tells a leader in another process."""
 
@@ -92,7 +123,7 @@
     """Tells the leader in this process."""
 
     def __init__(
-        self, leader: group_leader.GroupLeader, peer: OwnPeer
+        self, leader: group_leader.GroupLeader, peer: group_leader.RankPeer
     ) -> None:
         """Wrap the leader."""
         self.leader = leader
@@ -126,11 +157,13 @@
         self.listener: rank_agent.RankListener | None = None
         self.listener_link: link_lib.Link | None = None
         self.agent = rank_agent.create_rank_agent(
-            ports.rank, clock, lambda: self.listener
+            ports.rank_at(settings.engine), clock, lambda: self.listener
         )
         self.maps = rank_messages.ReceivedMaps()
         self.leader: group_leader.GroupLeader | None = None
         self.peers: dict[link_lib.Link, LinkPeer] = {}
+        self.unlinked_since: dict[addresses.Address, datetime.timedelta] = {}
+        self.direct: dict[addresses.Address, DirectPeer] = {}
         self.followers: list[follower.Follower[endpoints.Endpoint]] = []
         self.listed: dict[str, endpoints.Endpoint] = {}
         self.layout: model.ExpertLayout | None = None
@@ -199,6 +232,7 @@
                     return
                 self.agent.note_leader(leader.term)
                 self.read_layout(now)
+                self.order_directly(now)
                 if now >= self.leading_due:
                     self.leading_due = now + LEADING_INTERVAL
                     self.tell_leading(leader.term)
@@ -244,6 +278,33 @@
         self.followers.append(item)
         item.start()
 
+    def order_directly(self, now: datetime.timedelta) -> None:
+        """Reach the ranks whose sidecars have no link."""
+        leader = self.leader
+        if leader is None:
+            return
+        linked = {link.address.host for link in self.peers}
+        linked.add(self.settings.link_listen.host)
+        engines = {
+            endpoint.address
+            for endpoint in self.listed.values()
+            if endpoint.address.host not in linked
+        }
+        for address in list(self.direct):
+            if address not in engines:
+                self.direct.pop(address).close()
+        for address in list(self.unlinked_since):
+            if address not in engines:
+                del self.unlinked_since[address]
+        for address in engines:
+            since = self.unlinked_since.setdefault(address, now)
+            if address in self.direct or now - since < DIRECT_AFTER:
+                continue
+            event_log.emit(event_catalogue.RANK_DIRECT, engine=address)
+            peer = DirectPeer(self.ports.rank_at(address), self.clock, leader)
+            self.direct[address] = peer
+            peer.agent.start()
+
     def step_down(self, term: int) -> None:
         """End the lead after a higher term was heard of."""
         with self.lock:
@@ -266,6 +327,11 @@
             for item in self.followers:
                 item.stop(datetime.timedelta())
             self.followers.clear()
+            for peer in self.direct.values():
+                peer.close()
+            self.direct.clear()
+            self.unlinked_since.clear()
+            self.listed.clear()
             self.peers.clear()
             self.links.set_targets(set())
 
