Refuse at once while a service does no work; give slow ranks less to do

Change: a pulse of each rank-group service notices a stall after 0.6 s; then one request in 0.3 s goes through and the others are refused with a time to come back of 1.4 to 2.6 s. The map search weighs each rank's load by its pace.

--- a/packages/core/src/verbenafall_core/expert_maps/replica_map.py
+++ b/packages/core/src/verbenafall_core/expert_maps/replica_map.py
@@ -31,23 +31,33 @@
 
 
 def rank_loads(
-    ranks: Sequence[RankExperts], demand: Sequence[float]
+    ranks: Sequence[RankExperts],
+    demand: Sequence[float],
+    pace: Sequence[float],
 ) -> list[float]:
-    """Return each rank's part of the demand in one set.
+    """Return the time that each rank needs in one set.
 
     The ranks that hold an expert share its demand evenly.
+
+    Args:
+        ranks: Experts of each rank.
+        demand: Demand of each expert.
+        pace: Time that each rank needs for a unit of demand.
     """
     copies = [0] * len(demand)
     for row in ranks:
         for expert in row:
             copies[expert] += 1
     return [
-        sum(demand[expert] / copies[expert] for expert in row) for row in ranks
+        factor * sum(demand[expert] / copies[expert] for expert in row)
+        for row, factor in zip(ranks, pace, strict=True)
     ]
 
 
-def imbalance(placement: Placement, demand: Demand) -> float:
-    """Return the most loaded ranks' work, set by set, against the mean.
+def imbalance(
+    placement: Placement, demand: Demand, pace: Sequence[float]
+) -> float:
+    """Return the slowest ranks' time, set by set, against the mean demand.
 
     1 is even; without demand 1 as well.
     """
@@ -55,7 +65,7 @@
     if total <= 0 or not placement:
         return 1.0
     slowest = sum(
-        max(rank_loads(ranks, row))
+        max(rank_loads(ranks, row, pace))
         for ranks, row in zip(placement, demand, strict=True)
     )
     return slowest * len(placement[0]) / total
--- a/packages/core/src/verbenafall_core/expert_maps/replica_search.py
+++ b/packages/core/src/verbenafall_core/expert_maps/replica_search.py
@@ -61,10 +61,14 @@
     """One set of layers while it is being searched."""
 
     def __init__(
-        self, ranks: Sequence[replica_map.RankExperts], demand: Sequence[float]
+        self,
+        ranks: Sequence[replica_map.RankExperts],
+        demand: Sequence[float],
+        pace: Sequence[float],
     ) -> None:
         """Take the present map of a set."""
         self.demand = demand
+        self.pace = pace
         self.held = [set(row) for row in ranks]
         self.copies = [0] * len(demand)
         for row in ranks:
@@ -74,7 +78,7 @@
         for rank, row in enumerate(ranks):
             for expert in row:
                 self.holders[expert].add(rank)
-        self.loads = replica_map.rank_loads(ranks, demand)
+        self.loads = replica_map.rank_loads(ranks, demand, pace)
         self.new = [0] * len(ranks)
         self.mean = sum(demand) / len(ranks)
 
@@ -83,11 +87,12 @@
         return self.demand[expert] / self.copies[expert]
 
     def gain_of(self, changes: dict[int, float]) -> float:
-        """Return by how much changes of load lower the sum of powers."""
+        """Return by how much changes of demand lower the sum of powers."""
         gain = 0.0
         for rank, by in changes.items():
             load = self.loads[rank] / self.mean
-            gain += load**POWER - (load + by / self.mean) ** POWER
+            after = load + by * self.pace[rank] / self.mean
+            gain += load**POWER - after**POWER
         return gain
 
     def sum_of_powers(self) -> float:
@@ -97,7 +102,7 @@
     def changes_of_copy(
         self, receiver: int, expert: int, victim: int | None
     ) -> dict[int, float]:
-        """Return the changes of load when a rank gets a copy."""
+        """Return the changes of each rank's demand when one gets a copy."""
         changes: dict[int, float] = {}
         copies = self.copies[expert]
         less = self.demand[expert] / (copies + 1) - self.share(expert)
@@ -116,7 +121,7 @@
     def changes_of_swap(
         self, giver: int, receiver: int, expert: int, victim: int
     ) -> dict[int, float]:
-        """Return the changes of load when two ranks exchange experts."""
+        """Return the changes of demand when two ranks exchange experts."""
         by = self.share(expert) - self.share(victim)
         return {giver: -by, receiver: by}
 
@@ -139,22 +144,30 @@
             if item is not None:
                 self.copies[item] = len(self.holders[item])
         self.loads = [
-            sum(self.share(item) for item in row) for row in self.held
+            factor * sum(self.share(item) for item in row)
+            for row, factor in zip(self.held, self.pace, strict=True)
         ]
 
 
 def search(
     placement: replica_map.Placement,
     demand: replica_map.Demand,
+    pace: Sequence[float],
     limits: SearchLimits,
 ) -> replica_map.Placement:
     """Return a map with a more even load; the same map when there is none.
 
     Sets with the greatest excess over the mean are searched first, as the
     copies of a rank are limited over all sets.
+
+    Args:
+        placement: The present map.
+        demand: Demand by set and expert.
+        pace: Time that each rank needs for a unit of demand, 1 as a rule.
+        limits: What the new map may change.
     """
     states = [
-        SetState(ranks, row)
+        SetState(ranks, row, pace)
         for ranks, row in zip(placement, demand, strict=True)
     ]
     left = [limits.copies_per_rank] * len(placement[0])
--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -14,6 +14,7 @@
 from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import peer_loads
 from verbenafall_gateway.forwarding import placement
+from verbenafall_gateway.forwarding import service_pulse
 from verbenafall_gateway.forwarding import waiting_line
 
 # An endpoint that just failed is avoided this long, twice as long each time.
@@ -59,7 +60,7 @@
 
     NO_ENDPOINT = "no_endpoint"
     FULL = "full"
-    TOO_LATE = "too_late"
+    STALLED = "stalled"
 
 
 class Refused(NamedTuple):
@@ -88,7 +89,7 @@
 
     entry: waiting_line.Waiting
     wish: Wish
-    place: asyncio.Future[Placed]
+    place: asyncio.Future[Placed | Refused]
 
 
 class Admission:
@@ -114,6 +115,7 @@
         self.lines: dict[str, list[Waiter]] = {}
         self.suspicions: dict[str, Suspicion] = {}
         self.means: dict[str, Means] = {}
+        self.pulses: dict[str, service_pulse.ServicePulse] = {}
         self.numbers = itertools.count()
 
     def candidates(self, wish: Wish) -> list[placement.Candidate]:
@@ -149,6 +151,9 @@
         chosen = choice.candidate
         endpoint = self.directory.listed[chosen.endpoint_id].value
         self.open[endpoint.id] = self.open.get(endpoint.id, 0) + 1
+        pulse = self.pulses.get(wish.service)
+        if pulse is not None:
+            pulse.note_sent(now)
         self.peers.note_own(self.open)
         event_log.emit(
             event_catalogue.ATTEMPT_PLACED,
@@ -167,6 +172,9 @@
     async def place(self, wish: Wish) -> Placed | Refused:
         """Take a place, waiting for one if that makes sense."""
         line = self.lines.setdefault(wish.service, [])
+        stalled = self.check_pulse(wish.service)
+        if stalled is not None:
+            return stalled
         if not line:
             placed = self.try_place(wish)
             if placed is not None:
@@ -188,12 +196,49 @@
             return await waiter.place
         except asyncio.CancelledError:
             if waiter.place.done() and not waiter.place.cancelled():
-                self.release(waiter.place.result())
+                given = waiter.place.result()
+                if isinstance(given, Placed):
+                    self.release(given)
             raise
         finally:
             if waiter in line:
                 line.remove(waiter)
 
+    def pulse(self, service: str) -> service_pulse.ServicePulse | None:
+        """Return the pulse of a service whose endpoints work together."""
+        return self.pulses.get(service)
+
+    def follow_pulse(self, service: str) -> None:
+        """Watch a service whose endpoints run each pass together."""
+        self.pulses.setdefault(service, service_pulse.ServicePulse())
+
+    def check_pulse(self, service: str) -> Refused | None:
+        """Return a refusal while a service does no work."""
+        pulse = self.pulses.get(service)
+        now = self.loop.time()
+        if pulse is None or not pulse.is_stalled(now) or pulse.may_probe(now):
+            return None
+        return Refused(
+            RefusalReason.STALLED,
+            service_pulse.return_time(self.generator.random()),
+        )
+
+    def refuse_stalled_lines(self) -> None:
+        """Refuse the requests that wait for a service that does no work."""
+        for service, line in self.lines.items():
+            pulse = self.pulses.get(service)
+            if pulse is None or not pulse.is_stalled(self.loop.time()):
+                continue
+            for waiter in line:
+                if not waiter.place.done():
+                    waiter.place.set_result(
+                        Refused(
+                            RefusalReason.STALLED,
+                            service_pulse.return_time(self.generator.random()),
+                        )
+                    )
+            line.clear()
+
     def check_line(self, wish: Wish, waiting: int) -> Refused | None:
         """Return a refusal when waiting makes no sense."""
         usable = list(self.directory.usable(wish.service))
@@ -222,6 +267,9 @@
             self.open[endpoint.id] = left
         else:
             self.open.pop(endpoint.id, None)
+            pulse = self.pulses.get(endpoint.service)
+            if pulse is not None and not self.open:
+                pulse.note_idle()
         self.peers.note_own(self.open)
         self.serve_line(endpoint.service)
 
--- a/packages/gateway/src/verbenafall_gateway/forwarding/answer_relay.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/answer_relay.py
@@ -1,6 +1,7 @@
 """Passes an endpoint's answer on to the client."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 from typing import NamedTuple
 
@@ -53,8 +54,18 @@
         dialect: dialect_lib.Dialect,
         client: client_channel.ClientChannel,
         state: RelayState,
+        progress: Callable[[], None],
     ) -> None:
-        """Create a relay to a client."""
+        """Create a relay to a client.
+
+        Args:
+            loop: The event loop.
+            dialect: Header names.
+            client: Who gets the answer.
+            state: What the client has of it.
+            progress: Called for each event and each whole answer.
+        """
+        self.progress = progress
         self.loop = loop
         self.dialect = dialect
         self.client = client
@@ -107,6 +118,7 @@
     ) -> retry_decision.Outcome:
         """Pass a success on once it is whole, or in parts if it is long."""
         held = await read_held(channel)
+        self.progress()
         if held.reason:
             return retry_decision.Broken(held.reason)
         headers = http_messages.passed_on(head.headers)
@@ -154,6 +166,7 @@
         while True:
             part = await channel.next_part()
             if isinstance(part, endpoint_channel.Body):
+                self.progress()
                 self.pass_events(head, splitter.feed(part.data))
                 if not self.client.writable.is_set():
                     await self.client.writable.wait()
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -246,13 +246,23 @@
                 expects_body=job.request.method != "HEAD",
             )
             relay = answer_relay.AnswerRelay(
-                self.loop, self.dialect, job.client, job.relay_state
+                self.loop,
+                self.dialect,
+                job.client,
+                job.relay_state,
+                lambda: self.note_progress(job.admitted.service),
             )
             return await relay.run(channel, route)
         finally:
             # Closes the connection unless the answer is complete.
             self.pool.release(place.endpoint, channel)
 
+    def note_progress(self, service: str) -> None:
+        """Take that a service does work."""
+        pulse = self.admission.pulse(service)
+        if pulse is not None:
+            pulse.note_progress(self.loop.time())
+
     def format(self, job: Job, place: admission_lib.Placed) -> bytes:
         """Return the request as it is sent to an endpoint."""
         request = job.request
@@ -294,6 +304,9 @@
         if isinstance(outcome, retry_decision.NotRun):
             job.runs -= 1
             job.rejections += 1
+            pulse = self.admission.pulse(job.admitted.service)
+            if pulse is not None:
+                pulse.note_rejection()
             if outcome.status == answer_relay.MISDIRECTED:
                 self.admission.directory.note_replaced(place.endpoint.id)
         if isinstance(outcome, retry_decision.Unsent):
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -192,7 +192,7 @@
             self.peers,
             self.admission.serve_all_lines,
         )
-        self.configuration.changed = self.links.announce_configuration
+        self.configuration.changed = self.take_configuration
         self.directory.leaving_changed = self.links.announce_leaving
         self.record = own_record.OwnRecord(
             ports.store, settings.name, settings.link_listen
@@ -222,6 +222,15 @@
         self.draining = False
         self.stopping = asyncio.Event()
 
+    def take_configuration(self) -> None:
+        """Follow what a new configuration says."""
+        configuration = self.configuration.configuration
+        if configuration is not None:
+            for service in configuration.services.values():
+                if service.engine is not None and service.engine.layout:
+                    self.admission.follow_pulse(service.name)
+        self.links.announce_configuration()
+
     def load_per_slot(self, service: str) -> float:
         """Return the open requests for each slot that endpoints get."""
         configuration = self.configuration.configuration
@@ -327,6 +336,7 @@
                     channel.reject(408)
             elif waited > limits.idle_timeout.total_seconds():
                 channel.close()
+        self.admission.refuse_stalled_lines()
         self.admission.serve_all_lines()
 
     async def drain(self, clients: asyncio.Server) -> None:
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/service_pulse.py
@@ -0,0 +1,69 @@
+"""Notices when a service as a whole does no work; no I/O.
+
+The ranks of a group run each pass together, so one that is gone or held stops
+all of them. Requests that come then would wait until their callers leave.
+"""
+
+from typing import Final
+
+# Passes take 60 to 150 ms; while requests are open, events come from some
+# endpoint of the group all the time.
+STALL_SECONDS: Final = 0.6
+# Rejections without any progress between them that count as a stall.
+REJECTIONS: Final = 4
+# While the service does no work, one request goes through in this time.
+PROBE_SECONDS: Final = 0.3
+# Time to come back, in seconds. An engine is back after some seconds, and a
+# caller that comes back too early is refused for good.
+EARLIEST_RETURN: Final = 1.4
+LATEST_RETURN: Final = 2.6
+
+
+class ServicePulse:
+    """Progress and rejections of one service, in seconds of one clock."""
+
+    def __init__(self) -> None:
+        """Create a pulse of a service that has done nothing yet."""
+        self.waiting_since: float | None = None
+        self.rejections = 0
+        self.last_probe = float("-inf")
+
+    def note_sent(self, now: float) -> None:
+        """Take that a request was sent."""
+        if self.waiting_since is None:
+            self.waiting_since = now
+
+    def note_progress(self, now: float) -> None:
+        """Take an event or an answer."""
+        self.waiting_since = now
+        self.rejections = 0
+
+    def note_rejection(self) -> None:
+        """Take that an endpoint did not run a request."""
+        self.rejections += 1
+
+    def note_idle(self) -> None:
+        """Take that no request is open any more."""
+        if self.rejections < REJECTIONS:
+            self.waiting_since = None
+
+    def is_stalled(self, now: float) -> bool:
+        """Return whether the service does no work at the moment."""
+        if self.waiting_since is None:
+            return False
+        silent = now - self.waiting_since
+        if self.rejections >= REJECTIONS:
+            return silent > STALL_SECONDS / 2
+        return silent > STALL_SECONDS
+
+    def may_probe(self, now: float) -> bool:
+        """Return whether a request may go through while it is stalled."""
+        if now - self.last_probe < PROBE_SECONDS:
+            return False
+        self.last_probe = now
+        return True
+
+
+def return_time(draw: float) -> float:
+    """Return when a refused caller should come back, for a draw from 0 to 1."""
+    return EARLIEST_RETURN + (LATEST_RETURN - EARLIEST_RETURN) * draw
--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
@@ -36,6 +36,8 @@
 # Fewer copies put a map in use sooner.
 COPIES_PER_RANK_SET: Final = 1
 COPIES_PER_RANK: Final = 2
+# A rank is slow from this pace on; the search then gives it less to do.
+SLOW_PACE: Final = 1.15
 # Counts below this say too little.
 LEAST_DEMAND: Final = 1000.0
 
@@ -324,9 +326,12 @@
             min(COPIES_PER_RANK_SET, layout.spare),
             COPIES_PER_RANK,
         )
-        found = replica_search.search(placement, by_set, limits)
-        before = replica_map.imbalance(placement, by_set)
-        after = replica_map.imbalance(found, by_set)
+        pace = [
+            usual_pace(views[rank].report.pace) for rank in sorted(views)
+        ]
+        found = replica_search.search(placement, by_set, pace, limits)
+        before = replica_map.imbalance(placement, by_set, pace)
+        after = replica_map.imbalance(found, by_set, pace)
         copies = replica_map.copies_needed(placement, found)
         worthwhile = before - after >= LEAST_GAIN + GAIN_PER_COPY * copies
         spent = (self.clock.monotonic() - now).total_seconds()
@@ -337,6 +342,7 @@
             before=before,
             after=after,
             copies=copies,
+            slowest=max(pace),
             demand=self.demand.total(),
             search_seconds=spent,
         )
@@ -361,3 +367,8 @@
             ),
             now,
         )
+
+
+def usual_pace(pace: float) -> float:
+    """Return a rank's pace; small differences are not worth a copy."""
+    return pace if pace >= SLOW_PACE else 1.0
