Gateways leave out slow ranks; a leader outlives failures and says why it waits

Cause: one rank that works 12 times as slow held requests like the others, so each pass took 340 ms.

Change: the leader tells gateways the ranks' paces, and ranks from pace 1.3 on get no requests while the others are the more; a request that cannot be complete in its time is refused at once. The leader logs errors and goes on, logs why it chooses no map, and takes ranks that changed their numbers.

--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -382,6 +382,19 @@
     placement: tuple[tuple[tuple[int, ...], ...], ...] = ()
 
 
+class RankPaces(NamedTuple):
+    """Sent by the leader of a rank group to the gateways.
+
+    Attributes:
+        paces: Host of each rank's engine, and the time that it needs for
+            work against the usual one.
+    """
+
+    group: str
+    term: int
+    paces: tuple[tuple[str, float], ...]
+
+
 class OpenRequests(NamedTuple):
     """Requests that a gateway has open, by endpoint."""
 
@@ -441,6 +454,7 @@
     | ConfigurationRequest
     | ConfigurationText
     | EndpointLeaving
+    | RankPaces
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -471,4 +485,5 @@
     25: ConfigurationRequest,
     26: ConfigurationText,
     27: EndpointLeaving,
+    28: RankPaces,
 }
--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -14,6 +14,7 @@
 from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import peer_loads
 from verbenafall_gateway.forwarding import placement
+from verbenafall_gateway.forwarding import rank_paces
 from verbenafall_gateway.forwarding import service_pulse
 from verbenafall_gateway.forwarding import waiting_line
 
@@ -100,6 +101,7 @@
         loop: asyncio.AbstractEventLoop,
         directory: endpoint_directory.EndpointDirectory,
         peers: peer_loads.PeerLoads,
+        paces: rank_paces.RankPaces,
         data_centre: str,
         load_per_slot: Callable[[str], float],
         generator: random.Random,
@@ -108,6 +110,7 @@
         self.loop = loop
         self.directory = directory
         self.peers = peers
+        self.paces = paces
         self.data_centre = data_centre
         self.load_per_slot = load_per_slot
         self.generator = generator
@@ -134,6 +137,7 @@
                     endpoint.slots or DEFAULT_SLOTS,
                     endpoint.data_centre == self.data_centre,
                     suspicion is not None and suspicion.until > now,
+                    self.paces.is_slow(endpoint.address.host, now),
                 )
             )
         return found
@@ -164,6 +168,7 @@
             candidates=choice.considered,
             least_load=choice.least_load,
             suspect=chosen.suspect,
+            slow=chosen.slow,
             counts_age=self.peers.age(now),
             waited=now - wish.arrived,
         )
@@ -188,7 +193,7 @@
             wish.urgency,
             wish.arrived,
             wish.target_at - means.first_answer,
-            wish.deadline - min(means.duration, 1.0),
+            wish.deadline - means.duration,
         )
         waiter = Waiter(entry, wish, self.loop.create_future())
         line.append(waiter)
@@ -252,7 +257,7 @@
         )
         wait = waiting_line.expected_wait(state)
         left = wish.deadline - self.loop.time()
-        if wait > left - min(self.means_of(wish.service).duration, left / 2):
+        if wait + self.means_of(wish.service).duration > left:
             return Refused(
                 RefusalReason.FULL,
                 max(LEAST_RETRY_AFTER, wait * self.generator.uniform(0.5, 1.0)),
@@ -335,6 +340,7 @@
     loop: asyncio.AbstractEventLoop,
     directory: endpoint_directory.EndpointDirectory,
     peers: peer_loads.PeerLoads,
+    paces: rank_paces.RankPaces,
     data_centre: str,
     load_per_slot: Callable[[str], float],
     generator: random.Random | None = None,
@@ -344,6 +350,7 @@
         loop,
         directory,
         peers,
+        paces,
         data_centre,
         load_per_slot,
         generator or random.Random(),
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -27,6 +27,7 @@
 from verbenafall_gateway.forwarding import peer_links
 from verbenafall_gateway.forwarding import peer_loads
 from verbenafall_gateway.forwarding import ports as ports_lib
+from verbenafall_gateway.forwarding import rank_paces
 from verbenafall_gateway.forwarding import repeat_allowance
 
 SWEEP_SECONDS: Final = 0.25
@@ -160,10 +161,12 @@
         self.configuration = configuration_state.create_configuration_state()
         self.directory = endpoint_directory.create_endpoint_directory()
         self.peers = peer_loads.create_peer_loads()
+        self.paces = rank_paces.create_rank_paces()
         self.admission = admission_lib.create_admission(
             loop,
             self.directory,
             self.peers,
+            self.paces,
             settings.data_centre,
             self.load_per_slot,
         )
@@ -190,6 +193,7 @@
             self.configuration,
             self.directory,
             self.peers,
+            self.paces,
             self.admission.serve_all_lines,
         )
         self.configuration.changed = self.take_configuration
--- a/packages/gateway/src/verbenafall_gateway/forwarding/own_record.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/own_record.py
@@ -9,9 +9,9 @@
 from verbenafall_core import addresses
 from verbenafall_core import event_log
 from verbenafall_core.object_store import port
+from verbenafall_core.object_store import records
 from verbenafall_gateway.forwarding import event_catalogue
 
-KIND: Final = "gateway-addresses"
 RETRY: Final = datetime.timedelta(milliseconds=500)
 
 
@@ -23,7 +23,7 @@
     ) -> None:
         """Create a keeper of a record that is not yet written."""
         self.store = store
-        self.name = f"{KIND}/{name}"
+        self.name = f"{records.GATEWAY_KIND}/{name}"
         self.value = str(address).encode()
         self.version = 0
         self.stopped = threading.Event()
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
@@ -20,6 +20,7 @@
 from verbenafall_gateway.forwarding import endpoint_directory
 from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import peer_loads
+from verbenafall_gateway.forwarding import rank_paces
 
 ROLE: Final = "gateway"
 # Counts change with every request; those within this time go together.
@@ -45,6 +46,7 @@
         configuration: configuration_state.ConfigurationState,
         directory: endpoint_directory.EndpointDirectory,
         loads: peer_loads.PeerLoads,
+        paces: rank_paces.RankPaces,
         loads_changed: Callable[[], None],
     ) -> None:
         """Create links that are not yet open."""
@@ -54,6 +56,7 @@
         self.configuration = configuration
         self.directory = directory
         self.loads = loads
+        self.paces = paces
         self.loads_changed = loads_changed
         self.records: dict[str, addresses.Address] = {}
         self.lock = threading.Lock()
@@ -67,6 +70,7 @@
         router.subscribe(messages.ConfigurationRequest, self.on_request)
         router.subscribe(messages.ConfigurationText, self.on_text)
         router.subscribe(messages.EndpointLeaving, self.on_leaving)
+        router.subscribe(messages.RankPaces, self.on_paces)
         hello = messages.Hello(
             messages.PROTOCOL_VERSION, name, ROLE, data_centre, ""
         )
@@ -153,15 +157,18 @@
         self.send_to_all(messages.EndpointLeaving(tuple(leaving.items())))
 
     def send_to_all(self, message: messages.Message) -> None:
-        """Send a message on all open links."""
+        """Send a message to all linked gateways."""
         with self.links.joined():
             for link in self.links.open_links():
-                link.send(message)
+                if is_gateway(link):
+                    link.send(message)
 
     # Receiving; on the links' thread.
 
     def on_open(self, link: link_lib.Link) -> None:
         """Tell a gateway that has just been linked what is known."""
+        if not is_gateway(link):
+            return
         link.send(messages.ConfigurationVersion(self.configuration.version()))
         leaving = dict(self.directory.leaving)
         if leaving:
@@ -241,3 +248,23 @@
         self.loop.call_soon_threadsafe(
             self.directory.note_leaving, dict(message.endpoints)
         )
+
+    def on_paces(
+        self, link: link_lib.Link, message: messages.RankPaces
+    ) -> None:
+        """Take how fast the ranks of a group are."""
+        del link
+        self.loop.call_soon_threadsafe(
+            self.take_paces, message.group, message.term, dict(message.paces)
+        )
+
+    def take_paces(
+        self, group: str, term: int, paces: dict[str, float]
+    ) -> None:
+        """Take paces; they decide where requests go."""
+        self.paces.take(group, term, paces, self.loop.time())
+
+
+def is_gateway(link: link_lib.Link) -> bool:
+    """Return whether the peer of a link is a gateway."""
+    return link.peer is not None and link.peer.role == ROLE
--- a/packages/gateway/src/verbenafall_gateway/forwarding/placement.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/placement.py
@@ -12,6 +12,7 @@
         slots: Requests that it runs at once, at least 1.
         nearby: Whether it is in the gateway's data centre.
         suspect: Whether it failed recently.
+        slow: Whether it holds back the other ranks of its group.
     """
 
     endpoint_id: str
@@ -19,6 +20,7 @@
     slots: int
     nearby: bool
     suspect: bool
+    slow: bool = False
 
 
 class Choice(NamedTuple):
@@ -47,7 +49,7 @@
     """
     open_ones = [
         candidate
-        for candidate in candidates
+        for candidate in leave_out_slow(candidates)
         if candidate.load < most_load_per_slot * candidate.slots
     ]
     if not open_ones:
@@ -63,3 +65,13 @@
     return Choice(
         chosen, len(candidates), min(item.load for item in open_ones)
     )
+
+
+def leave_out_slow(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
+    """Return the candidates without slow ones, if these are the fewer.
+
+    A request at a slow rank lengthens every pass of the group; waiting for
+    another rank costs only the request itself.
+    """
+    fast = [candidate for candidate in candidates if not candidate.slow]
+    return fast if 2 * len(fast) >= len(candidates) else candidates
--- a/packages/sidecar/src/verbenafall_sidecar/steering/event_catalogue.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/event_catalogue.py
@@ -94,3 +94,17 @@
     "The leader has no link with the sidecar of a rank and gives orders to the"
     " engine itself. Check the sidecar.",
 )
+LEADER_WAITS = event_log.define(
+    3137,
+    "leader_waits",
+    "INFO",
+    "The leader chooses no map; the reason says what it lacks. Written when"
+    " the reason changes. Lasting for more than seconds, it needs a look.",
+)
+LEADER_FAILED = event_log.define(
+    3138,
+    "leader_failed",
+    "ERROR",
+    "A programming error while the group was led; the leader goes on. Report"
+    " it with this line.",
+)
--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
@@ -4,6 +4,7 @@
 import datetime
 import queue
 import threading
+import traceback
 from typing import Final
 from typing import NamedTuple
 from typing import Protocol
@@ -43,7 +44,13 @@
 
 
 class RankPeer(Protocol):
-    """A rank that orders can be sent to."""
+    """A rank that orders can be sent to.
+
+    Attributes:
+        host: Host of the rank's engine.
+    """
+
+    host: str
 
     def send_order(self, order: rank_state.RankOrder) -> bool:
         """Send an order; return whether it left."""
@@ -87,7 +94,7 @@
     def __init__(
         self,
         term: int,
-        own_rank: int,
+        own_rank: Callable[[], int],
         layout: Callable[[], model.ExpertLayout | None],
         clock: clock_lib.Clock,
         step_down: Callable[[int], None],
@@ -96,7 +103,8 @@
 
         Args:
             term: Number of this leadership.
-            own_rank: Rank beside this process; it holds the group.
+            own_rank: Returns the rank beside this process, which holds the
+                group. It may change when the group is formed anew.
             layout: Returns the declared layout, None while it is not known.
             clock: The clock.
             step_down: Called with a higher term that was heard of.
@@ -115,6 +123,7 @@
         self.sent: dict[int, rank_state.RankOrder] = {}
         self.search_due = datetime.timedelta()
         self.known_map: tuple[int, int, replica_map.Placement] | None = None
+        self.waiting = event_log.create_change_log()
         self.stopped = False
         self.thread = threading.Thread(
             target=self.run, name="group-leader", daemon=True
@@ -136,9 +145,17 @@
     def run(self) -> None:
         """Lead until stopped."""
         while not self.stopped:
-            self.take_inputs()
-            if not self.stopped:
-                self.act(self.clock.monotonic())
+            try:
+                self.take_inputs()
+                if not self.stopped:
+                    self.act(self.clock.monotonic())
+            except Exception as error:  # The thread must outlive one failure.
+                event_log.emit(
+                    event_catalogue.LEADER_FAILED,
+                    phase=self.switch.phase,
+                    error=repr(error),
+                    place=traceback.format_exc(limit=-2),
+                )
 
     def take_inputs(self) -> None:
         """Wait for an input, then take all that are there."""
@@ -160,10 +177,7 @@
             case Counts():
                 self.take_counts(item, now)
             case Gone():
-                for rank, member in list(self.members.items()):
-                    if member.peer is item.peer:
-                        del self.members[rank]
-                        self.sent.pop(rank, None)
+                self.forget(item.peer)
 
     def take_news(self, item: News, now: datetime.timedelta) -> None:
         """Take a rank's state."""
@@ -176,11 +190,19 @@
         if not experts and known is not None:
             experts = known.experts
         if known is None or known.peer is not item.peer:
+            self.forget(item.peer)
             self.sent.pop(report.rank, None)
         self.members[report.rank] = Member(
             item.peer, rank_messages.view_of(item.news), experts, now
         )
 
+    def forget(self, peer: RankPeer) -> None:
+        """Forget the rank that was reached by a peer."""
+        for rank, member in list(self.members.items()):
+            if member.peer is peer:
+                del self.members[rank]
+                self.sent.pop(rank, None)
+
     def take_counts(self, item: Counts, now: datetime.timedelta) -> None:
         """Add increments to the demand."""
         if self.demand is None:
@@ -192,6 +214,14 @@
             )
         self.demand.add(item.counts, now)
 
+    def paces(self) -> tuple[tuple[str, float], ...]:
+        """Return the host and the pace of each rank; for any thread."""
+        members = dict(self.members)
+        return tuple(
+            (members[rank].peer.host, members[rank].view.report.pace)
+            for rank in sorted(members)
+        )
+
     def views(self, now: datetime.timedelta) -> dict[int, pass_switch.RankView]:
         """Return the ranks that were heard of lately."""
         return {
@@ -214,9 +244,9 @@
                     holder=recovered.holder,
                 )
                 self.enter(recovered, now)
-            elif now >= self.search_due and pass_switch.is_whole(views):
+            elif now >= self.search_due:
                 self.search_due = now + SEARCH_INTERVAL
-                self.choose_map(views, now)
+                self.note_waiting(self.choose_map(views, now))
         if self.switch.phase is not pass_switch.Phase.IDLE:
             self.carry_on(views, now)
 
@@ -309,17 +339,36 @@
         self.known_map = (*key, placement)
         return placement
 
+    def note_waiting(self, reason: str) -> None:
+        """Log why no map is chosen, when the reason changes."""
+        self.waiting.emit(
+            event_catalogue.LEADER_WAITS,
+            reason or None,
+            reason=reason,
+            ranks=len(self.members),
+        )
+
     def choose_map(
         self, views: dict[int, pass_switch.RankView], now: datetime.timedelta
-    ) -> None:
-        """Search a better map and begin to switch to it."""
+    ) -> str:
+        """Search a better map and begin to switch to it.
+
+        Returns:
+            Why nothing was searched, empty when something was.
+        """
+        if not pass_switch.is_whole(views):
+            return "ranks are missing, or the group is not open"
         layout = self.layout()
+        if layout is None:
+            return "the declared layout is not known"
         placement = self.current_map(views)
-        if layout is None or placement is None or self.demand is None:
-            return
+        if placement is None:
+            return "the present map is not known"
+        if self.demand is None:
+            return "no counts yet"
         self.demand.decay(now)
         if self.demand.total() < LEAST_DEMAND:
-            return
+            return "too few counts"
         by_set = self.demand.by_set()
         limits = replica_search.SearchLimits(
             layout.places,
@@ -347,8 +396,9 @@
             search_seconds=spent,
         )
         if not worthwhile:
-            return
-        report = views[self.own_rank].report
+            return ""
+        own_rank = self.own_rank()
+        report = views[own_rank].report
         self.last_version = pass_switch.next_version(
             self.term,
             max(
@@ -363,10 +413,11 @@
                 report.epoch,
                 self.last_version,
                 found,
-                self.own_rank,
+                own_rank,
             ),
             now,
         )
+        return ""
 
 
 def usual_pace(pace: float) -> float:
--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_term.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_term.py
@@ -6,13 +6,11 @@
 """
 
 import enum
-from typing import Final
 
 import returns.pipeline
 
 from verbenafall_core.object_store import port
-
-KIND: Final = "group-terms"
+from verbenafall_core.object_store import records
 
 
 class Claim(enum.Enum):
@@ -36,7 +34,7 @@
         LOST when another process wrote meanwhile, or when the answer was
         lost: a write that takes effect later only raises the term again.
     """
-    name = f"{KIND}/{group}"
+    name = f"{records.TERM_KIND}/{group}"
     found = store.read(name)
     if returns.pipeline.is_successful(found):
         written = store.update(name, holder.encode(), found.unwrap().version)
--- a/packages/sidecar/src/verbenafall_sidecar/steering/ports.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/ports.py
@@ -19,12 +19,14 @@
     """The outside systems of a sidecar.
 
     Attributes:
+        gateways: Link addresses of the gateways, by name.
         rank_at: Returns the port to the rank of an engine.
     """
 
     configurations: collection.Collection[model.Configuration]
     endpoints: collection.Collection[endpoints.Endpoint]
     store: port.ObjectStore
+    gateways: collection.Collection[addresses.Address]
     rank_at: Callable[[addresses.Address], rank_port.RankPort]
 
 
--- a/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
@@ -3,6 +3,7 @@
 import datetime
 import random
 import threading
+from typing import Any
 from typing import Final
 import uuid
 
@@ -40,7 +41,10 @@
 CLAIM_PAUSE: Final = datetime.timedelta(seconds=1)
 WATCH_WAIT: Final = datetime.timedelta(seconds=10)
 LAYOUT_PAUSE: Final = datetime.timedelta(milliseconds=500)
+# Gateways forget paces that are not repeated.
+PACES_REPEAT: Final = datetime.timedelta(seconds=1)
 ROLE: Final = "sidecar"
+GATEWAY_ROLE: Final = "gateway"
 
 
 class LinkPeer:
@@ -50,6 +54,7 @@
         """Wrap a link to a sidecar."""
         self.group = group
         self.link = link
+        self.host = link.address.host
         self.base: tuple[int, replica_map.Placement] | None = None
 
     def send_order(self, order: rank_state.RankOrder) -> bool:
@@ -66,9 +71,10 @@
 class OwnPeer:
     """The rank beside the leader."""
 
-    def __init__(self, agent: rank_agent.RankAgent) -> None:
+    def __init__(self, agent: rank_agent.RankAgent, host: str) -> None:
         """Wrap the agent of this process."""
         self.agent = agent
+        self.host = host
 
     def send_order(self, order: rank_state.RankOrder) -> bool:
         """Hand an order to the agent."""
@@ -81,10 +87,12 @@
     def __init__(
         self,
         port: rank_port.RankPort,
+        host: str,
         clock: clock_lib.Clock,
         leader: group_leader.GroupLeader,
     ) -> None:
         """Create a peer whose thread is not yet running."""
+        self.host = host
         self.leader = leader
         listener = OwnListener(leader, self)
         self.agent = rank_agent.create_rank_agent(
@@ -138,6 +146,27 @@
         self.leader.put(group_leader.Counts(epoch, counts))
 
 
+class GatewayListener:
+    """Takes the records of the gateways while leading."""
+
+    def __init__(self, steering: "Steering") -> None:
+        """Create a listener for a sidecar."""
+        self.steering = steering
+
+    def on_batch(
+        self,
+        batch: collection.Batch[addresses.Address],
+        complete: bool,
+        after_outage: bool,
+    ) -> None:
+        """Hand over the records that were read."""
+        del after_outage
+        self.steering.on_gateways(batch, complete)
+
+    def on_outage(self) -> None:
+        """Keep what is known."""
+
+
 class Steering:
     """All parts of a sidecar that steers its rank."""
 
@@ -164,7 +193,11 @@
         self.peers: dict[link_lib.Link, LinkPeer] = {}
         self.unlinked_since: dict[addresses.Address, datetime.timedelta] = {}
         self.direct: dict[addresses.Address, DirectPeer] = {}
-        self.followers: list[follower.Follower[endpoints.Endpoint]] = []
+        self.followers: list[follower.Follower[Any]] = []
+        self.gateways: dict[str, addresses.Address] = {}
+        self.gateway_links: set[link_lib.Link] = set()
+        self.paces_due = datetime.timedelta()
+        self.paces_told: tuple[tuple[str, float], ...] = ()
         self.listed: dict[str, endpoints.Endpoint] = {}
         self.layout: model.ExpertLayout | None = None
         self.layout_due = datetime.timedelta()
@@ -236,6 +269,7 @@
                 if now >= self.leading_due:
                     self.leading_due = now + LEADING_INTERVAL
                     self.tell_leading(leader.term)
+                self.tell_paces(leader, now)
                 return
             if report is None or self.agent.is_led():
                 self.claim_due = datetime.timedelta()
@@ -266,17 +300,36 @@
         if not self.agent.note_leader(term):
             return
         self.leader = group_leader.GroupLeader(
-            term, report.rank, lambda: self.layout, self.clock, self.step_down
+            term, self.own_rank, lambda: self.layout, self.clock, self.step_down
         )
         self.listener_link = None
-        self.listener = OwnListener(self.leader, OwnPeer(self.agent))
+        own = OwnPeer(self.agent, self.settings.engine.host)
+        self.listener = OwnListener(self.leader, own)
         self.leader.start()
         self.agent.tell_again()
-        item = follower.create_follower(
-            "endpoints", self.ports.endpoints, self, WATCH_WAIT, self.generator
-        )
-        self.followers.append(item)
-        item.start()
+        self.followers = [
+            follower.create_follower(
+                "endpoints",
+                self.ports.endpoints,
+                self,
+                WATCH_WAIT,
+                self.generator,
+            ),
+            follower.create_follower(
+                "gateways",
+                self.ports.gateways,
+                GatewayListener(self),
+                WATCH_WAIT,
+                self.generator,
+            ),
+        ]
+        for item in self.followers:
+            item.start()
+
+    def own_rank(self) -> int:
+        """Return the rank beside this process, -1 while it is not known."""
+        report = self.agent.report
+        return -1 if report is None else report.rank
 
     def order_directly(self, now: datetime.timedelta) -> None:
         """Reach the ranks whose sidecars have no link."""
@@ -301,7 +354,9 @@
             if address in self.direct or now - since < DIRECT_AFTER:
                 continue
             event_log.emit(event_catalogue.RANK_DIRECT, engine=address)
-            peer = DirectPeer(self.ports.rank_at(address), self.clock, leader)
+            peer = DirectPeer(
+                self.ports.rank_at(address), address.host, self.clock, leader
+            )
             self.direct[address] = peer
             peer.agent.start()
 
@@ -326,13 +381,14 @@
             self.listener = None
             for item in self.followers:
                 item.stop(datetime.timedelta())
-            self.followers.clear()
+            self.followers = []
             for peer in self.direct.values():
                 peer.close()
             self.direct.clear()
             self.unlinked_since.clear()
             self.listed.clear()
             self.peers.clear()
+            self.gateway_links.clear()
             self.links.set_targets(set())
 
     def tell_leading(self, term: int) -> None:
@@ -345,6 +401,23 @@
             for link in list(self.peers):
                 link.send(message)
 
+    def tell_paces(
+        self, leader: group_leader.GroupLeader, now: datetime.timedelta
+    ) -> None:
+        """Tell the gateways how fast each rank is, when it has changed."""
+        report = self.agent.report
+        paces = leader.paces()
+        if report is None or (
+            paces == self.paces_told and now < self.paces_due
+        ):
+            return
+        self.paces_due = now + PACES_REPEAT
+        self.paces_told = paces
+        message = messages.RankPaces(report.group, leader.term, paces)
+        with self.links.joined():
+            for link in list(self.gateway_links):
+                link.send(message)
+
     def read_layout(self, now: datetime.timedelta) -> None:
         """Read the declared layout of the service's engines once."""
         if self.layout is not None or now < self.layout_due:
@@ -382,12 +455,34 @@
                     self.listed.pop(item.name, None)
                 elif item.value.service == self.settings.service:
                     self.listed[item.name] = item.value
-            own = self.settings.link_listen
-            targets = {
-                addresses.Address(endpoint.address.host, own.port)
-                for endpoint in self.listed.values()
-            }
-            self.links.set_targets(targets - {own})
+            self.set_targets()
+
+    def on_gateways(
+        self, batch: collection.Batch[addresses.Address], complete: bool
+    ) -> None:
+        """Link with the gateways, which are told how ranks are doing."""
+        with self.lock:
+            if self.leader is None:
+                return
+            if complete:
+                self.gateways.clear()
+            for item in batch.items:
+                if item.value is None:
+                    self.gateways.pop(item.name, None)
+                else:
+                    self.gateways[item.name] = item.value
+            self.set_targets()
+
+    def set_targets(self) -> None:
+        """Keep links to the other sidecars and to the gateways."""
+        own = self.settings.link_listen
+        sidecars = {
+            addresses.Address(endpoint.address.host, own.port)
+            for endpoint in self.listed.values()
+        }
+        self.links.set_targets(
+            (sidecars | set(self.gateways.values())) - {own}
+        )
 
     def on_outage(self) -> None:
         """Keep what is known."""
@@ -400,6 +495,10 @@
             leader, report = self.leader, self.agent.report
             if leader is None or report is None or not link.outgoing:
                 return
+            if link.peer is not None and link.peer.role == GATEWAY_ROLE:
+                self.gateway_links.add(link)
+                self.paces_due = datetime.timedelta()
+                return
             self.peers[link] = LinkPeer(report.group, link)
             link.send(messages.Leading(report.group, leader.term))
 
@@ -407,6 +506,7 @@
         """Forget a link."""
         del reason
         with self.lock:
+            self.gateway_links.discard(link)
             peer = self.peers.pop(link, None)
             if peer is not None and self.leader is not None:
                 self.leader.put(group_leader.Gone(peer))
