--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,8 @@
 SETUP ?= $(VENV)/.installed
 PYTHON := $(VENV)/bin/python
 BENCHMARKS := admission control_cost endpoint_choice expert_maps map_switch mass_restart path_cost team_shares
-SOURCES := packages standins tests bench tools
-export PYTHONPATH := packages/core/src:packages/gateway/src:packages/sidecar/src:standins/src:.
+SOURCES := packages platform standins tests bench tools
+export PYTHONPATH := packages/core/src:packages/gateway/src:packages/sidecar/src:platform:standins/src:.
 
 .PHONY: setup format lint test check run bench faults docs clean
 
@@ -24,7 +24,7 @@
 lint: setup
 	$(PYTHON) -m ruff format --check $(SOURCES)
 	$(PYTHON) -m ruff check $(SOURCES)
-	$(PYTHON) -m mypy packages/core/src packages/gateway/src packages/sidecar/src standins/src tools
+	$(PYTHON) -m mypy packages/core/src packages/gateway/src packages/sidecar/src platform standins/src tools
 	MYPYPATH=bench $(PYTHON) -m mypy bench
 
 test: setup
--- a/packages/core/src/verbenafall_core/expert_maps/pass_switch.py
+++ b/packages/core/src/verbenafall_core/expert_maps/pass_switch.py
@@ -7,6 +7,7 @@
 pass can begin with some ranks switched.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import enum
 from typing import Final
@@ -127,55 +128,93 @@
 
 def step_phase(switch: Switch, ranks: Mapping[int, RankView]) -> Switch:
     """Return the switch in its next phase, or as it is."""
+    return _STEPS[switch.phase](switch, ranks)
+
+
+def stay_idle(switch: Switch, ranks: Mapping[int, RankView]) -> Switch:
+    """Return the switch as it is."""
+    del ranks
+    return switch
+
+
+def finish_prepare(switch: Switch, ranks: Mapping[int, RankView]) -> Switch:
+    """Go on to the hold when every rank has copied its experts."""
+    if any(
+        view.impossible_version == switch.version for view in ranks.values()
+    ):
+        return idle(switch.term)
     holder = ranks.get(switch.holder)
-    match switch.phase:
-        case Phase.PREPARE:
-            if any(
-                view.impossible_version == switch.version
-                for view in ranks.values()
-            ):
-                return idle(switch.term)
-            if not is_whole(ranks) or holder is None:
-                return switch
-            if all(
-                view.report.prepared == switch.version
-                for view in ranks.values()
-            ):
-                step = holder.report.step + STEPS_AHEAD
-                return switch._replace(phase=Phase.HOLD, step=step)
-        case Phase.HOLD if holder is not None:
-            held = holder.report.held
-            if held == switch.step:
-                return switch._replace(phase=Phase.ARM)
-            if held is not None and held > holder.report.step:
-                # An earlier order took effect late; its hold serves as well.
-                return switch._replace(step=held)
-            if holder.report.step >= switch.step:
-                step = holder.report.step + STEPS_AHEAD
-                return switch._replace(step=step)
-        case Phase.ARM:
-            if is_whole(ranks) and all(
-                is_armed(switch, view.report) for view in ranks.values()
-            ):
-                return switch._replace(phase=Phase.RELEASE)
-        case Phase.RELEASE if holder is not None:
-            if holder.report.held != switch.step:
-                return switch._replace(phase=Phase.SETTLE)
-        case Phase.SETTLE:
-            if switch.version == 0 or all(
-                view.report.map_version == switch.version
-                for view in ranks.values()
-            ):
-                return idle(switch.term)
-        case Phase.CLEAR:
-            if is_whole(ranks) and all(
-                view.cleared_term >= switch.term and view.report.armed is None
-                for view in ranks.values()
-            ):
-                return switch._replace(phase=Phase.RELEASE)
+    if holder is None or not is_whole(ranks):
+        return switch
+    if all(view.report.prepared == switch.version for view in ranks.values()):
+        step = holder.report.step + STEPS_AHEAD
+        return switch._replace(phase=Phase.HOLD, step=step)
     return switch
 
 
+def finish_hold(switch: Switch, ranks: Mapping[int, RankView]) -> Switch:
+    """Go on to arming when the group is held, or try a later pass."""
+    holder = ranks.get(switch.holder)
+    if holder is None:
+        return switch
+    held = holder.report.held
+    if held == switch.step:
+        return switch._replace(phase=Phase.ARM)
+    if held is not None and held > holder.report.step:
+        # An earlier order took effect late; its hold serves as well.
+        return switch._replace(step=held)
+    if holder.report.step >= switch.step:
+        return switch._replace(step=holder.report.step + STEPS_AHEAD)
+    return switch
+
+
+def finish_arm(switch: Switch, ranks: Mapping[int, RankView]) -> Switch:
+    """Release the group when every rank is armed."""
+    if is_whole(ranks) and all(
+        is_armed(switch, view.report) for view in ranks.values()
+    ):
+        return switch._replace(phase=Phase.RELEASE)
+    return switch
+
+
+def finish_release(switch: Switch, ranks: Mapping[int, RankView]) -> Switch:
+    """Go on when the group is not held any more."""
+    holder = ranks.get(switch.holder)
+    if holder is not None and holder.report.held != switch.step:
+        return switch._replace(phase=Phase.SETTLE)
+    return switch
+
+
+def finish_settle(switch: Switch, ranks: Mapping[int, RankView]) -> Switch:
+    """End when every rank uses the map."""
+    if switch.version == 0 or all(
+        view.report.map_version == switch.version for view in ranks.values()
+    ):
+        return idle(switch.term)
+    return switch
+
+
+def finish_clear(switch: Switch, ranks: Mapping[int, RankView]) -> Switch:
+    """Release the group when no rank is armed and late orders are void."""
+    if is_whole(ranks) and all(
+        view.cleared_term >= switch.term and view.report.armed is None
+        for view in ranks.values()
+    ):
+        return switch._replace(phase=Phase.RELEASE)
+    return switch
+
+
+_STEPS: Final[Mapping[Phase, Callable[..., Switch]]] = {
+    Phase.IDLE: stay_idle,
+    Phase.PREPARE: finish_prepare,
+    Phase.HOLD: finish_hold,
+    Phase.ARM: finish_arm,
+    Phase.RELEASE: finish_release,
+    Phase.SETTLE: finish_settle,
+    Phase.CLEAR: finish_clear,
+}
+
+
 def is_armed(switch: Switch, report: rank_state.RankReport) -> bool:
     """Return whether a rank is armed for the switch."""
     return report.armed == rank_state.Armed(switch.version, switch.step)
--- a/packages/core/src/verbenafall_core/expert_maps/replica_search.py
+++ b/packages/core/src/verbenafall_core/expert_maps/replica_search.py
@@ -173,7 +173,9 @@
     left = [limits.copies_per_rank] * len(placement[0])
     while True:
         progressed = False
-        for state in sorted(states, key=lambda item: item.mean - max(item.loads)):
+        for state in sorted(
+            states, key=lambda item: item.mean - max(item.loads)
+        ):
             progressed = relieve(state, left, limits) or progressed
         if not progressed:
             break
--- a/packages/core/src/verbenafall_core/object_store/collection.py
+++ b/packages/core/src/verbenafall_core/object_store/collection.py
@@ -52,9 +52,7 @@
 
 
 BatchResult = returns.result.Result[Batch[T], port.StoreFailure]
-ChangesResult = returns.result.Result[
-    Batch[T], port.StoreFailure | HistoryGone
-]
+ChangesResult = returns.result.Result[Batch[T], port.StoreFailure | HistoryGone]
 
 
 class Collection(Protocol[T]):
--- a/packages/core/src/verbenafall_core/object_store/follower.py
+++ b/packages/core/src/verbenafall_core/object_store/follower.py
@@ -129,9 +129,7 @@
         self.failures += 1
         return False
 
-    def accept(
-        self, batch: collection_lib.Batch[T], complete: bool
-    ) -> None:
+    def accept(self, batch: collection_lib.Batch[T], complete: bool) -> None:
         """Hand over what was read."""
         if self.failures:
             event_log.emit(
@@ -155,7 +153,7 @@
     def next_delay(self) -> datetime.timedelta:
         """Return the time until the next try, jittered and bounded."""
         exponent = min(max(self.failures - 1, 0), 8)
-        delay = min(RETRY_FIRST * 2**exponent, RETRY_LIMIT)
+        delay = min(RETRY_FIRST * int(2**exponent), RETRY_LIMIT)
         return delay * self.generator.uniform(0.5, 1.0)
 
 
--- a/packages/core/src/verbenafall_core/object_store/port.py
+++ b/packages/core/src/verbenafall_core/object_store/port.py
@@ -55,15 +55,12 @@
 DeleteResult = returns.result.Result[None, StoreFailure]
 
 
-class ObjectStore(Protocol):
-    """Calls to the object store. None of them repeats itself."""
+class RecordStore(Protocol):
+    """Calls about single objects. None of them repeats itself."""
 
     def read(self, name: str) -> ObjectResult:
         """Return an object."""
 
-    def list_objects(self, prefix: str, limit: int) -> ListResult:
-        """Return the first objects whose names start with a prefix."""
-
     def create(self, name: str, value: bytes) -> ObjectResult:
         """Create an object; CONFLICT when it exists."""
 
@@ -75,6 +72,13 @@
     def delete(self, name: str, expected_version: int) -> DeleteResult:
         """Delete an object; CONFLICT when the version is another."""
 
+
+class ObjectStore(RecordStore, Protocol):
+    """All calls to the object store. None of them repeats itself."""
+
+    def list_objects(self, prefix: str, limit: int) -> ListResult:
+        """Return the first objects whose names start with a prefix."""
+
     def watch(
         self, name: str, known_version: int, wait: datetime.timedelta
     ) -> ObjectResult:
--- a/packages/core/src/verbenafall_core/routes/table.py
+++ b/packages/core/src/verbenafall_core/routes/table.py
@@ -27,9 +27,7 @@
     return RouteTable(version, by_host)
 
 
-def find_route(
-    table: RouteTable, host: str, target: str
-) -> model.Route | None:
+def find_route(table: RouteTable, host: str, target: str) -> model.Route | None:
     """Return the route with the longest prefix of a request's path.
 
     Args:
--- a/packages/gateway/src/verbenafall_gateway/forward_command.py
+++ b/packages/gateway/src/verbenafall_gateway/forward_command.py
@@ -66,7 +66,8 @@
     client = http_client.create_http_client()
     try:
         forwarder.run_forwarder(
-            settings, adapter.create_gateway_ports(client, settings.object_store)
+            settings,
+            adapter.create_gateway_ports(client, settings.object_store),
         )
     except OSError as error:
         sys.stderr.write(f"cannot listen: {error}\n")
--- a/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
@@ -7,11 +7,11 @@
 import contextlib
 from typing import Any
 from typing import Final
-from typing import Protocol
 from typing import cast
 
 import httptools
 
+from verbenafall_core.routes import model
 from verbenafall_gateway.forwarding import http_messages
 
 # Bytes of later requests that are kept while one is being answered.
@@ -20,13 +20,6 @@
 WRITE_BUFFER_BYTES: Final = 64 * 1024
 
 
-class ChannelLimits(Protocol):
-    """What a client may send."""
-
-    header_bytes: int
-    body_bytes: int
-
-
 class ClientChannelError(Exception):
     """The client's connection has ended."""
 
@@ -59,7 +52,7 @@
         self,
         loop: asyncio.AbstractEventLoop,
         handler: Handler,
-        limits: Callable[[], ChannelLimits],
+        limits: Callable[[], model.ClientLimits],
         channels: set["ClientChannel"],
     ) -> None:
         """Create the protocol of a connection that is being accepted."""
@@ -183,10 +176,18 @@
         """Check the head before the body is read."""
         self.reading_head, self.reading_body = False, True
         length = http_messages.find_header(self.headers, "content-length")
-        if length and length.isdigit() and int(length) > self.limits().body_bytes:
+        if (
+            length
+            and length.isdigit()
+            and int(length) > self.limits().body_bytes
+        ):
             raise TooLargeError(413)
         expected = http_messages.find_header(self.headers, "expect")
-        if expected and expected.lower() == "100-continue" and self.task is None:
+        if (
+            expected
+            and expected.lower() == "100-continue"
+            and self.task is None
+        ):
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
@@ -242,7 +243,10 @@
                 self.loop.call_soon(self.start_next)
 
     def send_head(
-        self, status: int, headers: Iterable[http_messages.Header], chunked: bool
+        self,
+        status: int,
+        headers: Iterable[http_messages.Header],
+        chunked: bool,
     ) -> None:
         """Write the head of an answer.
 
--- a/packages/gateway/src/verbenafall_gateway/forwarding/dialect.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/dialect.py
@@ -17,7 +17,6 @@
         signature: The endpoint's proof of an answer.
         not_run: Present when the endpoint did not run the request.
         last_event_id: Id of the last event that the caller has.
-        token_counts: Prompt tokens and most output tokens, with a comma.
     """
 
     attempt_id: str
@@ -29,7 +28,6 @@
     signature: str
     not_run: str
     last_event_id: str
-    token_counts: str
 
 
 DEFAULT: Final = Dialect(
@@ -42,5 +40,4 @@
     signature="x-signature",
     not_run="x-not-run",
     last_event_id="last-event-id",
-    token_counts="x-token-counts",
 )
--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_channel.py
@@ -79,9 +79,7 @@
         """Keep the transport."""
         self.transport = cast(asyncio.Transport, transport)
 
-    def send(
-        self, request: bytes, attempt_id: str, expects_body: bool
-    ) -> None:
+    def send(self, request: bytes, attempt_id: str, expects_body: bool) -> None:
         """Write a request; its answer comes by next_part()."""
         self.attempt_id = attempt_id
         self.expects_body = expects_body
@@ -177,7 +175,9 @@
         if status in (204, 304):
             self.framed = True
         self.reusable = (
-            self.framed and self.expects_body and self.parser.should_keep_alive()
+            self.framed
+            and self.expects_body
+            and self.parser.should_keep_alive()
         )
         self.idle_limit = read_idle_limit(self.headers)
         self.put(Head(status, tuple(self.headers)))
--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_splitter.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_splitter.py
@@ -20,7 +20,7 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that are now complete."""
         self.rest += data
-        events = []
+        events: list[StreamEvent] = []
         while True:
             end = find_end(self.rest)
             if end < 0:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -172,9 +172,7 @@
         headers: tuple[http_messages.Header, ...] = ()
         if rejection.status == UNAVAILABLE:
             headers = (("retry-after", str(NO_CONFIGURATION_RETRY_AFTER)),)
-        client.send_answer(
-            http_messages.Answer(rejection.status, headers, b"")
-        )
+        client.send_answer(http_messages.Answer(rejection.status, headers, b""))
         event_log.emit(
             event_catalogue.REQUEST_REJECTED,
             request=request_id,
@@ -297,7 +295,9 @@
             now = self.loop.time()
             first = job.relay_state.first_at or now
             self.admission.note_answer(
-                job.admitted.service, now - place.taken_at, first - place.taken_at
+                job.admitted.service,
+                now - place.taken_at,
+                first - place.taken_at,
             )
             return
         job.tried.add(place.endpoint.id)
@@ -354,7 +354,7 @@
         if isinstance(outcome, retry_decision.Delivered):
             status = outcome.status
         elif isinstance(outcome, retry_decision.Failed) and (
-            action is retry_decision.Action.PASS_ON
+            action is retry_decision.Action.RELAY
         ):
             status = outcome.answer.status
             job.client.send_answer(outcome.answer)
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 import functools
 import random
 import signal
+from typing import Any
 from typing import Final
 
 from verbenafall_core import addresses
@@ -203,7 +204,7 @@
         )
         self.channels: set[client_channel.ClientChannel] = set()
         self.checks: set[client_channel.ClientChannel] = set()
-        self.followers = [
+        self.followers: list[follower.Follower[Any]] = [
             follower.create_follower(
                 "configuration",
                 ports.configurations,
--- a/packages/gateway/src/verbenafall_gateway/forwarding/http_messages.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/http_messages.py
@@ -73,7 +73,9 @@
     """Return the bytes of a request; its length is stated if it has a body."""
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [
-        f"{name}: {value}" for name, value in headers if name != "content-length"
+        f"{name}: {value}"
+        for name, value in headers
+        if name != "content-length"
     ]
     if body or method in ("POST", "PUT", "PATCH"):
         lines.append(f"content-length: {len(body)}")
--- a/packages/gateway/src/verbenafall_gateway/forwarding/own_record.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/own_record.py
@@ -19,7 +19,7 @@
     """Writes the record at the start and deletes it at a planned stop."""
 
     def __init__(
-        self, store: port.ObjectStore, name: str, address: addresses.Address
+        self, store: port.RecordStore, name: str, address: addresses.Address
     ) -> None:
         """Create a keeper of a record that is not yet written."""
         self.store = store
--- a/packages/gateway/src/verbenafall_gateway/forwarding/placement.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/placement.py
@@ -62,9 +62,7 @@
     best = min(rank(candidate) for candidate in open_ones)
     equals = [item for item in open_ones if rank(item) == best]
     chosen = equals[min(int(draw * len(equals)), len(equals) - 1)]
-    return Choice(
-        chosen, len(candidates), min(item.load for item in open_ones)
-    )
+    return Choice(chosen, len(candidates), min(item.load for item in open_ones))
 
 
 def leave_out_slow(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/ports.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/ports.py
@@ -23,7 +23,7 @@
 
     configurations: collection.Collection[model.Configuration]
     endpoints: collection.Collection[endpoints.Endpoint]
-    store: port.ObjectStore
+    store: port.RecordStore
     gateways: collection.Collection[addresses.Address]
     dialect: dialect.Dialect
 
--- a/packages/gateway/src/verbenafall_gateway/forwarding/repeat_allowance.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/repeat_allowance.py
@@ -45,8 +45,7 @@
         made = self.total(self.repeats, service, now)
         requests = self.total(self.requests, service, now)
         allowed = SAFETY * (
-            self.limits.ratio * requests
-            + self.limits.extra / max(gateways, 1)
+            self.limits.ratio * requests + self.limits.extra / max(gateways, 1)
         )
         if made + 1 > allowed:
             return False
--- a/packages/gateway/src/verbenafall_gateway/forwarding/retry_decision.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/retry_decision.py
@@ -48,7 +48,7 @@
 
     DONE: Nothing; the client has its answer.
     RETRY: The request is sent once more.
-    PASS_ON: The client gets the endpoint's failure.
+    RELAY: The client gets the endpoint's failure.
     REFUSE: The client is told that the request has not run.
     GIVE_UP: The client is told that the outcome is not known.
     CUT: The client's connection is closed in the middle of the answer.
@@ -56,7 +56,7 @@
 
     DONE = "done"
     RETRY = "retry"
-    PASS_ON = "pass_on"
+    RELAY = "relay"
     REFUSE = "refuse"
     GIVE_UP = "give_up"
     CUT = "cut"
@@ -102,7 +102,7 @@
     if progress.answer_begun:
         return Action.CUT
     if isinstance(outcome, Failed):
-        return Action.PASS_ON
+        return Action.RELAY
     if isinstance(outcome, Unsent | NotRun) and progress.runs == 0:
         return Action.REFUSE
     return Action.GIVE_UP
--- a/packages/sidecar/src/verbenafall_sidecar/main.py
+++ b/packages/sidecar/src/verbenafall_sidecar/main.py
@@ -87,6 +87,8 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run a command; return the exit code of the process."""
     parsed = create_parser().parse_args(arguments)
-    module = next(item.module for item in COMMANDS if item.name == parsed.command)
+    module = next(
+        item.module for item in COMMANDS if item.name == parsed.command
+    )
     command = cast(CommandModule, importlib.import_module(module))
     return command.serve(parsed.settings, parsed.check)
--- a/packages/sidecar/src/verbenafall_sidecar/steering/event_catalogue.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/event_catalogue.py
@@ -40,8 +40,7 @@
     3120,
     "term_taken",
     "INFO",
-    "This sidecar leads its rank group from now on; term is the fencing"
-    " token.",
+    "This sidecar leads its rank group from now on; term is the fencing token.",
 )
 TERM_REFUSED = event_log.define(
     3121,
--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
@@ -209,9 +209,7 @@
             layout = self.layout()
             if layout is None:
                 return
-            self.demand = demand_lib.DemandEstimate(
-                layout.sets, layout.experts
-            )
+            self.demand = demand_lib.DemandEstimate(layout.sets, layout.experts)
         self.demand.add(item.counts, now)
 
     def paces(self) -> tuple[tuple[str, float], ...]:
@@ -359,31 +357,39 @@
         if not pass_switch.is_whole(views):
             return "ranks are missing, or the group is not open"
         layout = self.layout()
-        if layout is None:
-            return "the declared layout is not known"
         placement = self.current_map(views)
-        if placement is None:
-            return "the present map is not known"
-        if self.demand is None:
-            return "no counts yet"
-        self.demand.decay(now)
-        if self.demand.total() < LEAST_DEMAND:
+        if layout is None or placement is None:
+            return "the declared layout or the present map is not known"
+        if self.demand is not None:
+            self.demand.decay(now)
+        if self.demand is None or self.demand.total() < LEAST_DEMAND:
             return "too few counts"
-        by_set = self.demand.by_set()
+        found = self.search(layout, placement, self.demand, views)
+        if found is not None:
+            self.begin_switch(found, views, now)
+        return ""
+
+    def search(
+        self,
+        layout: model.ExpertLayout,
+        placement: replica_map.Placement,
+        demand: demand_lib.DemandEstimate,
+        views: dict[int, pass_switch.RankView],
+    ) -> replica_map.Placement | None:
+        """Return a map that is worth its copies, None when there is none."""
+        began = self.clock.monotonic()
+        by_set = demand.by_set()
         limits = replica_search.SearchLimits(
             layout.places,
             min(COPIES_PER_RANK_SET, layout.spare),
             COPIES_PER_RANK,
         )
-        pace = [
-            usual_pace(views[rank].report.pace) for rank in sorted(views)
-        ]
+        pace = [usual_pace(views[rank].report.pace) for rank in sorted(views)]
         found = replica_search.search(placement, by_set, pace, limits)
         before = replica_map.imbalance(placement, by_set, pace)
         after = replica_map.imbalance(found, by_set, pace)
         copies = replica_map.copies_needed(placement, found)
         worthwhile = before - after >= LEAST_GAIN + GAIN_PER_COPY * copies
-        spent = (self.clock.monotonic() - now).total_seconds()
         event_log.emit(
             event_catalogue.MAP_CHOSEN
             if worthwhile
@@ -392,32 +398,38 @@
             after=after,
             copies=copies,
             slowest=max(pace),
-            demand=self.demand.total(),
-            search_seconds=spent,
+            demand=demand.total(),
+            search_seconds=(self.clock.monotonic() - began).total_seconds(),
         )
-        if not worthwhile:
-            return ""
-        own_rank = self.own_rank()
-        report = views[own_rank].report
+        return found if worthwhile else None
+
+    def begin_switch(
+        self,
+        found: replica_map.Placement,
+        views: dict[int, pass_switch.RankView],
+        now: datetime.timedelta,
+    ) -> None:
+        """Let the ranks prepare a map under a version of its own."""
+        reports = [view.report for view in views.values()]
         self.last_version = pass_switch.next_version(
             self.term,
             max(
                 self.last_version,
-                *(view.report.map_version for view in views.values()),
-                *(view.report.prepared for view in views.values()),
+                *(report.map_version for report in reports),
+                *(report.prepared for report in reports),
             ),
         )
+        holder = self.own_rank()
         self.enter(
             pass_switch.begin(
                 self.term,
-                report.epoch,
+                reports[0].epoch,
                 self.last_version,
                 found,
-                own_rank,
+                holder,
             ),
             now,
         )
-        return ""
 
 
 def usual_pace(pace: float) -> float:
--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_term.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_term.py
@@ -20,9 +20,7 @@
     UNAVAILABLE = "unavailable"
 
 
-def take_term(
-    store: port.ObjectStore, group: str, holder: str
-) -> int | Claim:
+def take_term(store: port.RecordStore, group: str, holder: str) -> int | Claim:
     """Write a new term; return it.
 
     Args:
--- a/packages/sidecar/src/verbenafall_sidecar/steering/ports.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/ports.py
@@ -25,7 +25,7 @@
 
     configurations: collection.Collection[model.Configuration]
     endpoints: collection.Collection[endpoints.Endpoint]
-    store: port.ObjectStore
+    store: port.RecordStore
     gateways: collection.Collection[addresses.Address]
     rank_at: Callable[[addresses.Address], rank_port.RankPort]
 
--- a/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
@@ -32,7 +32,6 @@
 _NEVER: Final = datetime.timedelta(days=-1)
 
 
-
 class RankNews(NamedTuple):
     """What the leader is told of a rank.
 
@@ -292,10 +291,14 @@
             ):
                 self.cleared_term = order.term
                 self.finish(order)
-        elif answer in (
-            rank_state.OrderAnswer.CONFLICT,
-            rank_state.OrderAnswer.INVALID,
-        ) and order.kind is rank_state.OrderKind.PREPARE:
+        elif (
+            answer
+            in (
+                rank_state.OrderAnswer.CONFLICT,
+                rank_state.OrderAnswer.INVALID,
+            )
+            and order.kind is rank_state.OrderKind.PREPARE
+        ):
             self.note_impossible(order, answer)
             self.finish(order)
         elif answer is rank_state.OrderAnswer.FENCED:
@@ -310,9 +313,7 @@
         # What the order has changed is told at once.
         self.read_report(self.clock.monotonic())
 
-    def note_impossible(
-        self, order: rank_state.RankOrder, reason: str
-    ) -> None:
+    def note_impossible(self, order: rank_state.RankOrder, reason: str) -> None:
         """Tell the leader that a map cannot be prepared."""
         if self.report is not None and self.report.prepared == order.version:
             return
--- a/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
@@ -293,9 +293,9 @@
         event_log.emit(
             event_catalogue.TERM_TAKEN, group=group, term=term, rank=report.rank
         )
-        self.lead(term, report)
+        self.lead(term)
 
-    def lead(self, term: int, report: rank_state.RankReport) -> None:
+    def lead(self, term: int) -> None:
         """Begin to lead under a term."""
         if not self.agent.note_leader(term):
             return
@@ -480,9 +480,7 @@
             addresses.Address(endpoint.address.host, own.port)
             for endpoint in self.listed.values()
         }
-        self.links.set_targets(
-            (sidecars | set(self.gateways.values())) - {own}
-        )
+        self.links.set_targets((sidecars | set(self.gateways.values())) - {own})
 
     def on_outage(self) -> None:
         """Keep what is known."""
@@ -538,7 +536,9 @@
                 self.listener = LinkListener(message.group, link)
                 self.agent.tell_again()
 
-    def on_order(self, link: link_lib.Link, message: messages.RankOrder) -> None:
+    def on_order(
+        self, link: link_lib.Link, message: messages.RankOrder
+    ) -> None:
         """Hand an order to the agent."""
         order = self.maps.decode_order(message)
         if order is not None:
