--- /dev/null
+++ b/tests/platform_adapter/standin_store.py
@@ -0,0 +1,148 @@
+"""A stand-in for the platform's store, over real sockets."""
+
+from http import server
+import json
+import threading
+import urllib.parse
+
+PAGE = 2
+
+
+class StandinStore:
+    """Objects by kind and name with one revision counter.
+
+    Attributes:
+        next_statuses: Statuses that the next calls get, nothing being done.
+        lose_next: Whether the next call is done and not answered.
+        oldest: Watches from before this revision find their history gone.
+    """
+
+    def __init__(self):
+        self.condition = threading.Condition()
+        self.revision = 10
+        self.objects = {}
+        self.log = []
+        self.next_statuses = []
+        self.lose_next = False
+        self.oldest = 0
+        self.calls = []
+        standin = self
+
+        class Handler(server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def handle_call(self):
+                length = int(self.headers.get("Content-Length") or 0)
+                body = json.loads(self.rfile.read(length) or "null")
+                status, answer = standin.call(self.command, self.path, body)
+                if standin.lose_next:
+                    standin.lose_next = False
+                    self.close_connection = True
+                    return
+                data = json.dumps(answer).encode()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+            do_GET = do_POST = do_PUT = do_DELETE = handle_call  # noqa: N815
+
+            def log_message(self, *args):
+                del args
+
+        self.server = server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        self.url = f"http://127.0.0.1:{self.server.server_address[1]}"
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+    def put(self, kind, name, spec):
+        """Write as the operator or an engine does."""
+        with self.condition:
+            return self.store(kind, name, spec)
+
+    def remove(self, kind, name):
+        with self.condition:
+            self.revision += 1
+            gone = self.objects[kind].pop(name)
+            gone["metadata"]["revision"] = self.revision
+            self.log.append((self.revision, kind, gone, True))
+            self.condition.notify_all()
+
+    def store(self, kind, name, spec):
+        self.revision += 1
+        stored = {
+            "metadata": {"name": name, "revision": self.revision},
+            "spec": spec,
+        }
+        self.objects.setdefault(kind, {})[name] = stored
+        self.log.append((self.revision, kind, stored, False))
+        self.condition.notify_all()
+        return stored
+
+    def call(self, method, path, body):
+        parts = urllib.parse.urlsplit(path)
+        query = dict(urllib.parse.parse_qsl(parts.query))
+        words = [urllib.parse.unquote(w) for w in parts.path.split("/")[3:]]
+        with self.condition:
+            self.calls.append((method, parts.path, query))
+            if self.next_statuses:
+                return self.next_statuses.pop(0), {}
+            if method == "GET" and len(words) == 1:
+                return self.read_kind(words[0], query)
+            if method == "POST":
+                return self.create(words[0], body)
+            return self.one(method, *words[:2], body, query)
+
+    def read_kind(self, kind, query):
+        if "watch" in query:
+            return self.watch(kind, int(query["watch"]), query)
+        names = sorted(self.objects.get(kind, {}))
+        names = [name for name in names if name > query.get("after", "")]
+        return 200, {
+            "items": [self.objects[kind][name] for name in names[:PAGE]],
+            "has-more": len(names) > PAGE,
+            "as-of": self.revision,
+        }
+
+    def watch(self, kind, since, query):
+        if since < self.oldest:
+            return 410, {}
+        self.condition.wait_for(
+            lambda: self.changes(kind, since), int(query["wait-ms"]) / 1000
+        )
+        return 200, {
+            "events": self.changes(kind, since),
+            "as-of": self.revision,
+        }
+
+    def changes(self, kind, since):
+        return [
+            {"object": stored, "removed": removed}
+            for revision, changed, stored, removed in self.log
+            if changed == kind and revision > since
+        ]
+
+    def create(self, kind, body):
+        name = body["metadata"]["name"]
+        if name in self.objects.get(kind, {}):
+            return 409, self.objects[kind][name]
+        return 200, self.store(kind, name, body["spec"])
+
+    def one(self, method, kind, name, body, query):
+        found = self.objects.get(kind, {}).get(name)
+        if found is None:
+            return 404, {}
+        if method == "GET":
+            return 200, found
+        metadata = body["metadata"] if body else query
+        expected = metadata.get("revision")
+        if expected and int(expected) != found["metadata"]["revision"]:
+            return 409, found
+        if method == "DELETE":
+            self.remove(kind, name)
+            return 200, {}
+        return 200, self.store(kind, name, body["spec"])
--- /dev/null
+++ b/tests/platform_adapter/test_store.py
@@ -0,0 +1,117 @@
+"""The adapter of the platform's store against a stand-in on a socket."""
+
+import datetime
+
+import pytest
+import returns.pipeline
+
+from platform_adapter import standin_store
+from verbenafall_core import http_client
+from verbenafall_core.object_store import collection
+from verbenafall_core.object_store import port
+from verbenafall_platform import decoding
+from verbenafall_platform import store
+
+WAIT = datetime.timedelta(milliseconds=200)
+
+
+@pytest.fixture
+def standin():
+    found = standin_store.StandinStore()
+    yield found
+    found.close()
+
+
+@pytest.fixture
+def calls(standin):
+    return store.StoreCalls(http_client.create_http_client(), standin.url)
+
+
+@pytest.fixture
+def words(calls):
+    def decode(name, spec):
+        del name
+        if not isinstance(spec, str):
+            raise decoding.DecodeError("no text")
+        return spec
+
+    return store.PlatformCollection(calls, "words", decode)
+
+
+@pytest.fixture
+def records(calls):
+    return store.PlatformObjectStore(calls)
+
+
+STATUSES = [
+    (429, port.FailureKind.THROTTLED),
+    (503, port.FailureKind.UNAVAILABLE),
+    (500, port.FailureKind.UNCERTAIN),
+    (400, port.FailureKind.INVALID),
+]
+
+
+class TestCollection:
+    def test_all_pages_are_read(self, standin, words):
+        for name in "abcde":
+            standin.put("words", name, name.upper())
+        batch = words.read_all().unwrap()
+        assert [item.value for item in batch.items] == list("ABCDE")
+        assert batch.revision == standin.revision
+
+    def test_changes_follow(self, standin, words):
+        standin.put("words", "a", "A")
+        revision = words.read_all().unwrap().revision
+        standin.put("words", "b", "B")
+        standin.remove("words", "a")
+        batch = words.read_changes(revision, WAIT).unwrap()
+        assert [(i.name, i.value) for i in batch.items] == [
+            ("b", "B"),
+            ("a", None),
+        ]
+        again = words.read_changes(batch.revision, WAIT).unwrap()
+        assert again.items == ()
+
+    def test_unreadable_objects_count_as_missing(self, standin, words):
+        standin.put("words", "a", {"no": "text"})
+        standin.put("words", "b", "B")
+        batch = words.read_all().unwrap()
+        assert [i.value for i in batch.items] == [None, "B"]
+        assert [i.name for i in batch.unreadable] == ["a"]
+
+    def test_history_that_is_gone(self, standin, words):
+        standin.oldest = standin.revision + 1
+        result = words.read_changes(standin.revision, WAIT)
+        assert isinstance(result.failure(), collection.HistoryGone)
+
+    @pytest.mark.parametrize(("status", "kind"), STATUSES)
+    def test_refused_calls(self, standin, words, status, kind):
+        standin.next_statuses = [status]
+        assert words.read_all().failure().kind is kind
+
+
+class TestRecords:
+    def test_life_of_a_record(self, records):
+        missing = records.read("kind/a").failure()
+        assert missing.kind is port.FailureKind.MISSING
+        made = records.create("kind/a", b"one").unwrap()
+        assert records.read("kind/a").unwrap() == made
+        changed = records.update("kind/a", b"two", made.version).unwrap()
+        assert changed.version > made.version
+        late = records.update("kind/a", b"three", made.version).failure()
+        assert late.kind is port.FailureKind.CONFLICT
+        again = records.create("kind/a", b"four").failure()
+        assert again.kind is port.FailureKind.CONFLICT
+        gone = records.delete("kind/a", changed.version)
+        assert returns.pipeline.is_successful(gone)
+
+    def test_lost_answer_is_uncertain_and_not_repeated(self, standin, records):
+        standin.lose_next = True
+        failure = records.create("kind/a", b"one").failure()
+        assert failure.kind is port.FailureKind.UNCERTAIN
+        assert [call[0] for call in standin.calls] == ["POST"]
+
+    def test_nobody_listens(self, standin, records):
+        standin.close()
+        failure = records.read("kind/a").failure()
+        assert failure.kind is port.FailureKind.UNAVAILABLE
