--- /dev/null
+++ b/tests/forwarding/test_decisions.py
@@ -0,0 +1,335 @@
+"""Pure decisions of forwarding, as tables."""
+
+import datetime
+
+import pytest
+
+from forwarding import forwarding_fakes as fakes
+from verbenafall_core.routes import model
+from verbenafall_core.routes import table
+from verbenafall_gateway.forwarding import event_splitter
+from verbenafall_gateway.forwarding import http_messages
+from verbenafall_gateway.forwarding import placement
+from verbenafall_gateway.forwarding import rank_paces
+from verbenafall_gateway.forwarding import repeat_allowance
+from verbenafall_gateway.forwarding import retry_decision
+from verbenafall_gateway.forwarding import service_pulse
+from verbenafall_gateway.forwarding import service_share
+from verbenafall_gateway.forwarding import times
+from verbenafall_gateway.forwarding import waiting_line
+
+ROUTES = [
+    fakes.route(name="root", path_prefix="/"),
+    fakes.route(name="a", path_prefix="/a/"),
+    fakes.route(name="ab", path_prefix="/a/b/"),
+    fakes.route(name="other", path_prefix="/a/", host="o.example"),
+]
+LOOKUPS = [
+    ("app.example", "/a/b/c?x=/a/", "ab"),
+    ("APP.example:80", "/a/b", "a"),
+    ("app.example", "/ax", "root"),
+    ("o.example", "/a/x", "other"),
+    ("o.example", "/b/", None),
+    ("none.example", "/a/", None),
+    ("app.example", "no-slash", None),
+]
+
+
+class TestRoutes:
+    @pytest.mark.parametrize(("host", "target", "name"), LOOKUPS)
+    def test_longest_prefix(self, host, target, name):
+        routes = table.create_route_table(1, ROUTES)
+        found = table.find_route(routes, host, target)
+        assert (found.name if found else None) == name
+
+
+def candidate(name, load, nearby=False, suspect=False, slow=False):
+    return placement.Candidate(name, load, 4, nearby, suspect, slow)
+
+
+PLACES = [
+    ("least load", [candidate("a", 2), candidate("b", 1)], "b"),
+    ("nearby of equals", [candidate("a", 1), candidate("b", 1, True)], "b"),
+    (
+        "suspect last",
+        [candidate("a", 0, suspect=True), candidate("b", 3)],
+        "b",
+    ),
+    (
+        "suspect rather than none",
+        [candidate("a", 0, suspect=True), candidate("b", 4)],
+        "a",
+    ),
+    ("none has room", [candidate("a", 4), candidate("b", 5)], None),
+    (
+        "slow is left out",
+        [candidate("a", 0, slow=True), candidate("b", 3)],
+        "b",
+    ),
+    (
+        "full rather than slow",
+        [candidate("a", 0, slow=True), candidate("b", 4)],
+        None,
+    ),
+    (
+        "all are slow",
+        [candidate("a", 0, slow=True), candidate("b", 1, slow=True)],
+        "a",
+    ),
+    ("no candidate", [], None),
+]
+
+
+class TestPlacement:
+    @pytest.mark.parametrize(
+        ("candidates", "name"),
+        [case[1:] for case in PLACES],
+        ids=[case[0] for case in PLACES],
+    )
+    def test_choice(self, candidates, name):
+        choice = placement.choose(candidates, 1.0, 0.5)
+        found = choice.candidate.endpoint_id if choice else None
+        assert found == name
+
+
+def waiting(number, urgency=1, arrived=0.0, on_time=10.0, useful=20.0):
+    return waiting_line.Waiting(number, urgency, arrived, on_time, useful)
+
+
+LINES = [
+    ("nobody", [], None),
+    ("least time first", [waiting(1, on_time=9), waiting(2, on_time=8)], 2),
+    ("urgent first", [waiting(1, on_time=6), waiting(2, 0)], 2),
+    ("late ones later", [waiting(1, 0, on_time=4), waiting(2, 2)], 2),
+    (
+        "late ones by arrival",
+        [waiting(1, arrived=2, on_time=3), waiting(2, arrived=1, on_time=4)],
+        2,
+    ),
+    ("useless ones never", [waiting(1, useful=4)], None),
+]
+
+
+class TestWaitingLine:
+    @pytest.mark.parametrize(
+        ("line", "number"),
+        [case[1:] for case in LINES],
+        ids=[case[0] for case in LINES],
+    )
+    def test_next(self, line, number):
+        found = waiting_line.pick_next(line, 5.0)
+        assert (found.number if found else None) == number
+
+    def test_burst_keeps_fresh_requests_on_time(self):
+        """Twice the capacity for 2 s; then the usual load.
+
+        Compares with the order of arrival: callers on time.
+        """
+        arrivals = [number * 0.05 for number in range(40)]
+        arrivals += [2 + number * 0.12 for number in range(40)]
+
+        def on_time(pick):
+            line, done, now, left = [], 0, 0.0, list(arrivals)
+            while left or line:
+                now = round(now + 0.1, 6)
+                while left and left[0] <= now:
+                    at = left.pop(0)
+                    line.append(waiting(at, 1, at, at + 0.5, at + 8))
+                chosen = pick(line, now)
+                if chosen is not None:
+                    line.remove(chosen)
+                    done += chosen.on_time_until > now
+            return done
+
+        def in_order(line, now):
+            del now
+            return min(line, key=lambda item: item.arrived, default=None)
+
+        assert on_time(waiting_line.pick_next) > 1.5 * on_time(in_order)
+
+    def test_expected_wait_grows_with_line_and_gateways(self):
+        state = waiting_line.LineState(9, 20, 2.0, 1)
+        assert waiting_line.expected_wait(state) == pytest.approx(1.0)
+        assert waiting_line.expected_wait(
+            state._replace(gateways=4)
+        ) == pytest.approx(4.0)
+        assert waiting_line.expected_wait(state._replace(slots=0)) == float(
+            "inf"
+        )
+
+
+D, U, N, F, B = (
+    retry_decision.Delivered(200),
+    retry_decision.Unsent("refused"),
+    retry_decision.NotRun(503),
+    retry_decision.Failed(http_messages.Answer(500, (), b"")),
+    retry_decision.Broken("cut"),
+)
+Action = retry_decision.Action
+# Outcome, repeatable, runs, answer begun, retry wanted, final action.
+ENDS = [
+    (D, True, 1, True, False, Action.DONE),
+    (U, False, 0, False, True, Action.REFUSE),
+    (N, False, 0, False, True, Action.REFUSE),
+    (N, True, 1, False, True, Action.GIVE_UP),
+    (F, True, 1, False, True, Action.RELAY),
+    (F, False, 1, False, False, Action.RELAY),
+    (B, True, 1, False, True, Action.GIVE_UP),
+    (B, False, 1, False, False, Action.GIVE_UP),
+    (B, True, 2, True, False, Action.CUT),
+    (B, True, 1, True, True, Action.CUT),
+    (N, True, 1, True, True, Action.CUT),
+]
+
+
+class TestRetryDecision:
+    @pytest.mark.parametrize(
+        ("outcome", "repeatable", "runs", "begun", "retry", "action"), ENDS
+    )
+    def test_end(self, outcome, repeatable, runs, begun, retry, action):
+        progress = retry_decision.Progress(repeatable, 2, runs, 1, begun, True)
+        assert retry_decision.wants_retry(progress, outcome) is retry
+        assert retry_decision.final_action(progress, outcome) is action
+
+    def test_a_refusal_says_not_run_only_if_nothing_can_have_run(self):
+        for outcome in (U, N, F, B):
+            for runs in (0, 1, 2):
+                progress = retry_decision.Progress(
+                    True, 2, runs, 1, False, False
+                )
+                action = retry_decision.final_action(progress, outcome)
+                if action is Action.REFUSE:
+                    assert runs == 0
+
+
+class TestRepeatAllowance:
+    def test_gateways_together_stay_within_the_limit(self):
+        limits = repeat_allowance.RepeatLimits(0.2, 40, 10.0)
+        taken = 0
+        for _ in range(4):
+            allowance = repeat_allowance.create_repeat_allowance(limits)
+            for number in range(100):
+                allowance.note_request("s", number * 0.05)
+            taken += sum(allowance.try_take("s", 4, 5.0) for _ in range(200))
+        assert 0 < taken <= 0.2 * 400 + 40
+
+    def test_old_repeats_are_forgotten(self):
+        allowance = repeat_allowance.create_repeat_allowance(
+            repeat_allowance.RepeatLimits(0.0, 10, 10.0)
+        )
+        while allowance.try_take("s", 1, 0.0):
+            pass
+        assert not allowance.try_take("s", 1, 9.0)
+        assert allowance.try_take("s", 1, 12.0)
+
+
+class TestServicePulse:
+    def test_silence_with_open_requests_is_a_stall(self):
+        pulse = service_pulse.ServicePulse()
+        assert not pulse.is_stalled(100.0)
+        pulse.note_sent(100.0)
+        assert not pulse.is_stalled(100.5)
+        assert pulse.is_stalled(100.7)
+        pulse.note_progress(100.7)
+        assert not pulse.is_stalled(101.0)
+
+    def test_rejections_without_progress_are_a_stall(self):
+        pulse = service_pulse.ServicePulse()
+        pulse.note_sent(0.0)
+        for _ in range(service_pulse.REJECTIONS):
+            pulse.note_rejection()
+        assert pulse.is_stalled(0.4)
+        pulse.note_idle()
+        assert pulse.is_stalled(0.4)
+        pulse.note_progress(0.5)
+        assert not pulse.is_stalled(0.9)
+
+    def test_one_request_in_a_while_goes_through(self):
+        pulse = service_pulse.ServicePulse()
+        passed = [pulse.may_probe(number * 0.1) for number in range(10)]
+        assert 3 <= sum(passed) <= 4
+
+    def test_nothing_open_is_no_stall(self):
+        pulse = service_pulse.ServicePulse()
+        pulse.note_sent(0.0)
+        pulse.note_idle()
+        assert not pulse.is_stalled(9.0)
+
+    @pytest.mark.parametrize("draw", [0.0, 0.5, 1.0])
+    def test_callers_come_back_spread(self, draw):
+        at = service_pulse.return_time(draw)
+        assert (
+            service_pulse.EARLIEST_RETURN <= at <= service_pulse.LATEST_RETURN
+        )
+
+
+STREAMS = [
+    (b"id: 1\ndata: a\n\nid: 2\nda", ["1"], b"id: 2\nda"),
+    (b"id:1\r\n\r\nid:2\r\n\r\n", ["1", "2"], b""),
+    (b"data: a\n\n: note\n\n", [None, None], b""),
+    (b"id: 1", [], b"id: 1"),
+]
+ORDER = [
+    ("2", "1", True),
+    ("1", "1", False),
+    ("10", "9", True),
+    (None, "1", True),
+    ("x", "1", True),
+    ("1", None, True),
+]
+
+
+class TestEvents:
+    @pytest.mark.parametrize(("data", "ids", "rest"), STREAMS)
+    @pytest.mark.parametrize("size", [1, 3, 1000])
+    def test_whole_events_however_they_come(self, data, ids, rest, size):
+        splitter = event_splitter.EventSplitter()
+        found = []
+        for start in range(0, len(data), size):
+            found += splitter.feed(data[start : start + size])
+        assert [event.id for event in found] == ids
+        assert splitter.rest == rest
+        assert b"".join(event.data for event in found) + rest == data
+
+    @pytest.mark.parametrize(("event_id", "last", "later"), ORDER)
+    def test_later(self, event_id, last, later):
+        assert event_splitter.is_later(event_id, last) is later
+
+
+class TestTimes:
+    @pytest.mark.parametrize(
+        ("text", "milliseconds"),
+        [("900", 900), ("0", 0), ("", None), ("-1", None), ("1.5", None)],
+    )
+    def test_parse(self, text, milliseconds):
+        found = times.parse_milliseconds(text)
+        expected = (
+            None
+            if milliseconds is None
+            else datetime.timedelta(milliseconds=milliseconds)
+        )
+        assert found == expected
+
+    def test_the_shorter_wait_counts(self):
+        route = fakes.route(timeout=datetime.timedelta(seconds=2))
+        assert times.request_times(10, None, route).deadline == 12
+        second = datetime.timedelta(seconds=1)
+        assert times.request_times(10, second, route).deadline == 11
+
+
+class TestShares:
+    def test_by_weight(self):
+        shares = [model.ServiceShare("a", 90), model.ServiceShare("b", 10)]
+        draws = [number / 100 for number in range(100)]
+        found = [service_share.pick_service(shares, draw) for draw in draws]
+        assert (found.count("a"), found.count("b")) == (90, 10)
+
+
+class TestRankPaces:
+    def test_a_later_leader_counts_and_old_words_fade(self):
+        paces = rank_paces.create_rank_paces()
+        paces.take("g", 5, {"10.0.0.1": 2.0}, 0.0)
+        paces.take("g", 4, {"10.0.0.1": 1.0}, 0.1)
+        assert paces.is_slow("10.0.0.1", 1.0)
+        assert not paces.is_slow("10.0.0.2", 1.0)
+        assert not paces.is_slow("10.0.0.1", 9.0)
--- /dev/null
+++ b/tests/forwarding/test_directory.py
@@ -0,0 +1,89 @@
+"""Endpoints by what the store, other gateways and endpoints say."""
+
+import pytest
+
+from verbenafall_core import addresses
+from verbenafall_core import endpoints
+from verbenafall_core.object_store import collection
+from verbenafall_gateway.forwarding import endpoint_directory
+
+GRACE = endpoint_directory.REGISTRATION_GRACE
+
+
+def item(name, version, draining=False, gone=False):
+    value = endpoints.Endpoint(
+        name, "s", addresses.Address("10.0.0.1", 80), "dc", 4, draining
+    )
+    return collection.Item(name, version, None if gone else value)
+
+
+def apply(directory, revision, items, complete=False, outage=False, now=0.0):
+    batch = collection.Batch(revision, tuple(items), ())
+    directory.apply(batch, complete, outage, now)
+
+
+def usable(directory):
+    return sorted(endpoint.id for endpoint in directory.usable("s"))
+
+
+@pytest.fixture
+def directory():
+    found = endpoint_directory.create_endpoint_directory()
+    apply(found, 5, [item("a", 4), item("b", 5)], complete=True)
+    return found
+
+
+CHANGES = [
+    ("draining", [item("a", 6, draining=True)], ["b"]),
+    ("removed", [item("a", 6, gone=True)], ["b"]),
+    ("old entry", [item("a", 3, draining=True)], ["a", "b"]),
+    ("old removal", [item("a", 3, gone=True)], ["a", "b"]),
+    ("new one", [item("c", 6)], ["a", "b", "c"]),
+]
+
+
+class TestStore:
+    @pytest.mark.parametrize(
+        ("items", "expected"),
+        [case[1:] for case in CHANGES],
+        ids=[case[0] for case in CHANGES],
+    )
+    def test_change(self, directory, items, expected):
+        apply(directory, 6, items)
+        assert usable(directory) == expected
+
+    def test_missing_from_a_complete_list(self, directory):
+        apply(directory, 7, [item("b", 5)], complete=True)
+        assert usable(directory) == ["b"]
+
+    def test_entries_may_come_back_after_an_outage(self, directory):
+        apply(directory, 9, [], complete=True, outage=True, now=100.0)
+        assert usable(directory) == ["a", "b"]
+        apply(directory, 10, [item("a", 10)], now=101.0)
+        directory.expire(100.0 + GRACE + 0.01)
+        assert usable(directory) == ["a"]
+
+    def test_draining_entry_that_lapsed_does_not_come_back(self, directory):
+        apply(directory, 6, [item("a", 6, draining=True)])
+        apply(directory, 9, [item("b", 5)], complete=True, outage=True)
+        assert usable(directory) == ["b"]
+
+
+class TestOthers:
+    def test_leaving_endpoints_are_told_and_taken(self, directory):
+        told = []
+        directory.leaving_changed = told.append
+        apply(directory, 6, [item("a", 6, draining=True)])
+        assert told == [{"a": 6}]
+        other = endpoint_directory.create_endpoint_directory()
+        apply(other, 5, [item("a", 4), item("b", 5)], complete=True)
+        other.note_leaving(told[0])
+        assert usable(other) == ["b"]
+        apply(other, 8, [item("a", 8)])
+        assert usable(other) == ["a", "b"]
+
+    def test_address_with_another_endpoint(self, directory):
+        directory.note_replaced("a")
+        assert usable(directory) == ["b"]
+        apply(directory, 6, [item("a", 6)])
+        assert usable(directory) == ["a", "b"]
--- /dev/null
+++ b/tests/steering/test_agent_and_leader.py
@@ -0,0 +1,250 @@
+"""Agent and leader together, step by step, on a model of the engines."""
+
+import datetime
+
+import pytest
+import returns.result
+
+from steering import rank_model
+from verbenafall_core import metrics
+from verbenafall_core.expert_maps import pass_switch
+from verbenafall_core.expert_maps import rank_state
+from verbenafall_core.routes import model
+from verbenafall_sidecar.steering import group_leader
+from verbenafall_sidecar.steering import rank_agent
+from verbenafall_sidecar.steering import rank_port
+
+SIZE = 4
+EXPERTS = 8
+LAYOUT = model.ExpertLayout(1, EXPERTS, 3, 2, datetime.timedelta())
+TICK = datetime.timedelta(milliseconds=20)
+
+
+class SteppedClock:
+    """A clock that only moves when it is told."""
+
+    def __init__(self):
+        self.time = datetime.timedelta(seconds=100)
+
+    def monotonic(self):
+        return self.time
+
+    def now(self):
+        return datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC) + self.time
+
+
+class ModelPort:
+    """The port to a rank of the model group."""
+
+    def __init__(self, group, number):
+        self.group = group
+        self.rank = group.ranks[number]
+        self.experts = (
+            tuple((number * 2 + offset) % EXPERTS for offset in range(3)),
+        )
+        self.counts = [0] * EXPERTS
+        self.lost = 0
+        self.reachable = True
+
+    def read_report(self):
+        if not self.reachable:
+            return returns.result.Failure(rank_port.RankPortFailure("cut"))
+        return returns.result.Success(self.rank.report())
+
+    def read_counts(self):
+        return returns.result.Success(
+            rank_port.ExpertCounts(
+                self.rank.epoch, self.rank.step, tuple(self.counts)
+            )
+        )
+
+    def read_experts(self):
+        return returns.result.Success(self.experts)
+
+    def give_order(self, order):
+        if self.lost:
+            self.lost -= 1
+            return rank_state.OrderAnswer.UNANSWERED
+        return self.rank.take(order)
+
+
+class Peer:
+    """Hands orders of the leader to an agent, and its news back."""
+
+    def __init__(self, fleet, agent):
+        self.fleet = fleet
+        self.agent = agent
+        self.host = "10.0.0.1"
+
+    def send_order(self, order):
+        return self.agent.accept(order)
+
+    def on_news(self, news):
+        if self.fleet.leader is not None:
+            self.fleet.leader.take_news(
+                group_leader.News(self, news), self.fleet.clock.monotonic()
+            )
+
+    def on_counts(self, epoch, counts):
+        if self.fleet.leader is not None:
+            self.fleet.leader.take_counts(
+                group_leader.Counts(epoch, counts),
+                self.fleet.clock.monotonic(),
+            )
+
+
+class Fleet:
+    """Agents and a leader that run when they are stepped."""
+
+    def __init__(self):
+        self.clock = SteppedClock()
+        self.group = rank_model.ModelGroup(SIZE)
+        self.ports = [ModelPort(self.group, n) for n in range(SIZE)]
+        self.leader = None
+        self.stepped_down = []
+        self.agents = []
+        self.frozen = set()
+        for port in self.ports:
+            holder = []
+            agent = rank_agent.create_rank_agent(
+                port, self.clock, lambda holder=holder: holder[0]
+            )
+            holder.append(Peer(self, agent))
+            self.agents.append(agent)
+        self.lead(1)
+
+    def lead(self, term):
+        self.leader = group_leader.GroupLeader(
+            term,
+            lambda: 0,
+            lambda: LAYOUT,
+            self.clock,
+            metrics.NullMetrics(),
+            self.stepped_down.append,
+        )
+
+    def step(self, passes=True):
+        """Let 20 ms pass for everyone."""
+        self.clock.time += TICK
+        for number, agent in enumerate(self.agents):
+            if number in self.frozen:
+                continue
+            if self.leader is not None:
+                agent.note_leader(self.leader.term)
+            agent.run_once()
+        if self.leader is not None:
+            self.leader.act(self.clock.monotonic())
+        for port in self.ports:
+            port.counts[1] += 400
+            port.counts[5] += 100
+            port.counts[7] += 50
+        if passes and self.clock.time % (4 * TICK) == datetime.timedelta():
+            self.group.begin_pass()
+            assert len(self.group.maps()) == 1
+
+    def run_until(self, condition, steps=1500):
+        for _ in range(steps):
+            if condition():
+                return
+            self.step()
+        raise AssertionError("it did not come to hold")
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+def in_use(fleet):
+    return min(rank.map_version for rank in fleet.group.ranks)
+
+
+class TestSwitch:
+    def test_skewed_demand_leads_to_a_new_map(self, fleet):
+        fleet.run_until(lambda: in_use(fleet) > 0)
+        assert all(rank.held is None for rank in fleet.group.ranks)
+
+    @pytest.mark.parametrize("rank", range(SIZE))
+    def test_lost_orders_are_given_again(self, fleet, rank):
+        fleet.run_until(
+            lambda: fleet.leader.switch.phase is pass_switch.Phase.PREPARE
+        )
+        fleet.ports[rank].lost = 3
+        fleet.run_until(lambda: in_use(fleet) > 0)
+
+    def test_new_epoch_ends_a_switch_and_the_next_one_works(self, fleet):
+        fleet.run_until(
+            lambda: fleet.leader.switch.phase is pass_switch.Phase.PREPARE
+        )
+        fleet.group.form_anew()
+        fleet.run_until(lambda: in_use(fleet) > 0)
+
+
+class TestHoldWithoutOwner:
+    def test_next_leader_carries_on(self, fleet):
+        """A leader that is gone while it holds the group."""
+        fleet.run_until(lambda: fleet.group.ranks[0].held is not None)
+        fleet.leader = None
+        for _ in range(50):
+            fleet.step()
+        fleet.lead(2)
+        fleet.run_until(lambda: fleet.group.ranks[0].held is None)
+        before = fleet.group.step
+        fleet.run_until(lambda: fleet.group.step > before + 3)
+
+    def test_states_that_do_not_change_are_repeated(self, fleet):
+        """A held group changes nothing for longer than states are kept.
+
+        Without repeats the next leader took it for incomplete and left it
+        held.
+        """
+        fleet.run_until(lambda: fleet.group.ranks[0].held is not None)
+        fleet.leader = None
+        fleet.frozen = {0}
+        fleet.ports[0].reachable = False
+        fleet.step()
+        fleet.lead(2)
+        for _ in range(250):
+            fleet.step()
+        assert fleet.group.ranks[0].held is not None
+        fleet.frozen = set()
+        fleet.ports[0].reachable = True
+        fleet.run_until(lambda: fleet.group.ranks[0].held is None, steps=60)
+
+    def test_hold_by_a_late_order_is_released(self, fleet):
+        fleet.run_until(lambda: in_use(fleet) > 0)
+        rank = fleet.group.ranks[2]
+        rank.held = fleet.group.step + 1
+        fleet.run_until(lambda: rank.held is None, steps=200)
+
+
+class TestTerms:
+    def test_lower_term_is_refused(self, fleet):
+        agent = fleet.agents[0]
+        agent.note_leader(5)
+        order = rank_state.RankOrder(rank_state.OrderKind.HOLD, 4, 1, 0, 9, ())
+        assert not agent.accept(order)
+        assert agent.wanted is None
+
+    def test_leader_steps_down_when_it_hears_of_a_higher_term(self, fleet):
+        fleet.step()
+        news = fleet.agents[1].last_news._replace(term=9)
+        fleet.leader.take_news(
+            group_leader.News(None, news), fleet.clock.monotonic()
+        )
+        assert fleet.stepped_down == [9]
+
+    def test_rank_that_changed_its_number_is_known_once(self, fleet):
+        for _ in range(60):
+            fleet.step()
+        peer = fleet.leader.members[1].peer
+        news = fleet.agents[1].last_news
+        moved = news._replace(report=news.report._replace(rank=7))
+        fleet.leader.take_news(
+            group_leader.News(peer, moved), fleet.clock.monotonic()
+        )
+        assert [
+            rank
+            for rank, member in fleet.leader.members.items()
+            if member.peer is peer
+        ] == [7]
