--- a/packages/gateway/src/verbenafall_gateway/forward_command.py
+++ b/packages/gateway/src/verbenafall_gateway/forward_command.py
@@ -73,6 +73,9 @@
             settings,
             adapter.create_gateway_ports(client, settings.object_store),
             metrics,
+            lambda: forwarder_settings.read_forwarder_settings(
+                arguments.settings
+            ),
         )
     except OSError as error:
         sys.stderr.write(f"cannot listen: {error}\n")
--- a/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
@@ -5,13 +5,16 @@
 from collections.abc import Coroutine
 from collections.abc import Iterable
 import contextlib
+import traceback
 from typing import Any
 from typing import Final
 from typing import cast
 
 import httptools
 
+from verbenafall_core import event_log
 from verbenafall_core.routes import model
+from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import http_messages
 
 # Bytes of later requests that are kept while one is being answered.
@@ -234,6 +237,14 @@
         except asyncio.CancelledError:
             if not self.lost:
                 self.abort()
+        except Exception as error:  # The client must not wait for ever.
+            event_log.emit(
+                event_catalogue.REQUEST_FAILED,
+                target=request.target,
+                error=repr(error),
+                place=traceback.format_exc(limit=-3),
+            )
+            self.abort()
         finally:
             self.task = None
             self.stage_since = self.loop.time()
--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -22,7 +22,15 @@
     2103,
     "settings_reloaded",
     "INFO",
-    "The settings were read again; fields that need a restart are named.",
+    "The settings were read again after a signal; changed fields that are not"
+    " in force before a restart are named.",
+)
+SETTINGS_REJECTED = event_log.define(
+    2104,
+    "settings_rejected",
+    "ERROR",
+    "The settings that were read after a signal have faults; the earlier ones"
+    " stay in force.",
 )
 CONFIGURATION_IN_FORCE = event_log.define(
     2110,
@@ -99,3 +107,10 @@
     "INFO",
     "A request was refused before an endpoint was chosen.",
 )
+REQUEST_FAILED = event_log.define(
+    2134,
+    "forward_failed",
+    "ERROR",
+    "A programming error while a request was served; its connection was"
+    " closed. Report it with this line.",
+)
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -28,6 +28,9 @@
 # Sends of one request of any outcome.
 MAX_SENDS: Final = 6
 
+# Outcome in logs and metrics when the client closed its connection.
+CLIENT_LEFT: Final = "client_left"
+
 NOT_FOUND: Final = 404
 UNAUTHORIZED: Final = 401
 BAD_GATEWAY: Final = 502
@@ -142,6 +145,9 @@
                 await self.run(job)
         except TimeoutError:
             self.end_late(job)
+        except asyncio.CancelledError:
+            self.log_end(job, CLIENT_LEFT, 0, "")
+            raise
 
     def admit(self, request: http_messages.Request) -> Admitted | Rejection:
         """Find the route and the team of a request."""
@@ -414,9 +420,7 @@
             action=action,
         )
 
-    def log_end(
-        self, job: Job, action: retry_decision.Action, status: int, reason: str
-    ) -> None:
+    def log_end(self, job: Job, action: str, status: int, reason: str) -> None:
         """Write the end of a request."""
         now = self.loop.time()
         first = job.relay_state.first_at
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -1,6 +1,7 @@
 """A gateway that forwards: listeners, followers, planned stop."""
 
 import asyncio
+from collections.abc import Callable
 import datetime
 import functools
 import random
@@ -8,6 +9,8 @@
 from typing import Any
 from typing import Final
 
+import returns.pipeline
+
 from verbenafall_core import addresses
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import endpoints
@@ -44,6 +47,10 @@
 LISTEN_AFTER_STOP_SECONDS: Final = 3.0
 # Left of the stop limit when open requests are cut off.
 EXIT_SECONDS: Final = 0.3
+# Settings that SIGHUP changes; the others need a restart.
+CHANGEABLE: Final = frozenset(
+    {"repeat_ratio", "repeat_extra", "repeat_window", "stop_limit"}
+)
 # Limits before a configuration is known.
 FIRST_LIMITS: Final = model.ClientLimits(
     16 * 1024,
@@ -174,18 +181,13 @@
             self.load_per_slot,
         )
         self.pool = channel_pool.ChannelPool(loop, ports.dialect.attempt_id)
-        limits = repeat_allowance.RepeatLimits(
-            settings.repeat_ratio,
-            settings.repeat_extra,
-            settings.repeat_window.total_seconds(),
-        )
         self.exchange = exchange_lib.Exchange(
             loop,
             ports.dialect,
             self.configuration,
             self.admission,
             self.pool,
-            repeat_allowance.create_repeat_allowance(limits),
+            repeat_allowance.create_repeat_allowance(repeat_limits(settings)),
             metrics,
         )
         self.links = peer_links.PeerLinks(
@@ -239,6 +241,31 @@
                     self.admission.follow_pulse(service.name)
         self.links.announce_configuration()
 
+    def reload(
+        self, read: Callable[[], forwarder_settings.ForwarderSettingsResult]
+    ) -> None:
+        """Read the settings again and put in force what can change."""
+        result = read()
+        if not returns.pipeline.is_successful(result):
+            event_log.emit(
+                event_catalogue.SETTINGS_REJECTED,
+                faults="; ".join(str(fault) for fault in result.failure()),
+            )
+            return
+        before, after = self.settings, result.unwrap()
+        changed = {
+            name
+            for name in before._fields
+            if getattr(before, name) != getattr(after, name)
+        }
+        self.exchange.allowance.limits = repeat_limits(after)
+        self.settings = after
+        event_log.emit(
+            event_catalogue.SETTINGS_RELOADED,
+            changed=",".join(sorted(changed)),
+            after_restart=",".join(sorted(changed - CHANGEABLE)),
+        )
+
     def load_per_slot(self, service: str) -> float:
         """Return the open requests for each slot that endpoints get."""
         configuration = self.configuration.configuration
@@ -384,18 +411,38 @@
     )
 
 
+def repeat_limits(
+    settings: forwarder_settings.ForwarderSettings,
+) -> repeat_allowance.RepeatLimits:
+    """Return the limits of repeats that the settings state."""
+    return repeat_allowance.RepeatLimits(
+        settings.repeat_ratio,
+        settings.repeat_extra,
+        settings.repeat_window.total_seconds(),
+    )
+
+
 def run_forwarder(
     settings: forwarder_settings.ForwarderSettings,
     ports: ports_lib.GatewayPorts,
     metrics: metrics_lib.Metrics,
+    read_again: Callable[[], forwarder_settings.ForwarderSettingsResult],
 ) -> None:
-    """Serve until a planned stop has ended."""
+    """Serve until a planned stop has ended.
+
+    Args:
+        settings: Checked settings.
+        ports: The outside systems.
+        metrics: Where measurements go.
+        read_again: Reads the settings anew, for SIGHUP.
+    """
     random.seed()
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     forwarder = Forwarder(loop, settings, ports, metrics)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, forwarder.stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, forwarder.reload, read_again)
     try:
         loop.run_until_complete(forwarder.serve())
     finally:
--- a/packages/sidecar/src/verbenafall_sidecar/steer_command.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steer_command.py
@@ -1,7 +1,10 @@
 """The command "steer": runs a sidecar that steers its rank group."""
 
 import pathlib
+import queue
+import signal
 import sys
+import threading
 from typing import Final
 
 import returns.pipeline
@@ -13,6 +16,7 @@
 from verbenafall_core import prometheus_metrics
 from verbenafall_core import settings as settings_lib
 from verbenafall_core import stop_requests
+from verbenafall_sidecar.steering import event_catalogue
 from verbenafall_sidecar.steering import ports as ports_lib
 from verbenafall_sidecar.steering import steering as steering_lib
 from verbenafall_sidecar.steering import steering_settings
@@ -41,8 +45,15 @@
     steering = steering_lib.create_steering(
         settings, ports, clock_lib.system_clock(), metrics
     )
+    hang_ups: queue.SimpleQueue[int] = queue.SimpleQueue()
     requests = stop_requests.create_stop_requests()
     requests.install()
+    signal.signal(
+        signal.SIGHUP, lambda _number, _frame: hang_ups.put(signal.SIGHUP)
+    )
+    threading.Thread(
+        target=report_hang_ups, args=(hang_ups, path), daemon=True
+    ).start()
     try:
         if settings.metrics_listen is not None:
             metrics.serve(settings.metrics_listen)
@@ -55,6 +66,24 @@
     return EXIT_OK
 
 
+def report_hang_ups(
+    hang_ups: queue.SimpleQueue[int], path: pathlib.Path
+) -> None:
+    """Check the settings after each SIGHUP; all of them need a restart.
+
+    A signal handler must not write the line itself: the main thread may hold
+    a lock of the logger at that moment.
+    """
+    while hang_ups.get():
+        result = steering_settings.read_steering_settings(path)
+        faults = (
+            ""
+            if returns.pipeline.is_successful(result)
+            else "; ".join(str(fault) for fault in result.failure())
+        )
+        event_log.emit(event_catalogue.SETTINGS_CHANGED, faults=faults)
+
+
 def report(faults: list[str]) -> int:
     """Write all faults to standard error; return the exit code for them."""
     sys.stderr.writelines(f"{fault}\n" for fault in faults)
--- a/packages/sidecar/src/verbenafall_sidecar/steering/event_catalogue.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/event_catalogue.py
@@ -107,3 +107,10 @@
     "A programming error while the group was led; the leader goes on. Report"
     " it with this line.",
 )
+SETTINGS_CHANGED = event_log.define(
+    3102,
+    "settings_changed",
+    "INFO",
+    "SIGHUP came: the settings were checked again, and are in force after a"
+    " restart. The faults that were found follow.",
+)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -6,8 +6,10 @@
 import threading
 
 import pytest
+import returns.result
 
 from forwarding import forwarding_fakes as fakes
+from verbenafall_core import settings
 from verbenafall_core.routes import model
 
 STREAM = {
@@ -414,6 +416,33 @@
             assert len(up.backends[0].requests) == before
 
 
+class TestReload:
+    def test_changed_limits_are_in_force_and_bad_settings_are_not(self):
+        with running(fakes.good) as up:
+            forwarder = up.forwarder
+            after = forwarder.settings._replace(repeat_extra=7, name="renamed")
+            fault = settings.SettingFault("f", "a", "b", "bad", "")
+            up.loop.call_soon_threadsafe(
+                forwarder.reload, lambda: returns.result.Success(after)
+            )
+            limits = forwarder.exchange.allowance
+            fakes.wait_until(lambda: limits.limits.extra == 7)
+            up.loop.call_soon_threadsafe(
+                forwarder.reload, lambda: returns.result.Failure((fault,))
+            )
+            assert call(up).status == 200
+            assert limits.limits.extra == 7
+
+
+class TestProgrammingError:
+    def test_client_does_not_wait_for_ever(self, monkeypatch):
+        with running(fakes.good) as up:
+            monkeypatch.setattr(
+                up.forwarder.exchange, "admit", lambda request: 1 / 0
+            )
+            assert call(up).status == 0
+
+
 class TestPlannedStop:
     def test_open_request_is_finished_and_no_client_is_asked_for(self):
         entered, proceed = threading.Event(), threading.Event()
