--- a/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
@@ -19,7 +19,6 @@
 from verbenafall_core import metrics as metrics_lib
 from verbenafall_core import periodic
 from verbenafall_core.expert_maps import rank_state
-from verbenafall_core.expert_maps import replica_map
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import follower
 from verbenafall_core.routes import model
@@ -29,7 +28,7 @@
 from verbenafall_sidecar.steering import ports as ports_lib
 from verbenafall_sidecar.steering import rank_agent
 from verbenafall_sidecar.steering import rank_messages
-from verbenafall_sidecar.steering import rank_port
+from verbenafall_sidecar.steering import rank_peers
 from verbenafall_sidecar.steering import steering_settings
 
 CHECK_INTERVAL: Final = datetime.timedelta(milliseconds=100)
@@ -48,105 +47,6 @@
 GATEWAY_ROLE: Final = "gateway"
 
 
-class LinkPeer:
-    """A rank whose sidecar is linked with the leader."""
-
-    def __init__(self, group: str, link: link_lib.Link) -> None:
-        """Wrap a link to a sidecar."""
-        self.group = group
-        self.link = link
-        self.host = link.address.host
-        self.base: tuple[int, replica_map.Placement] | None = None
-
-    def send_order(self, order: rank_state.RankOrder) -> bool:
-        """Send an order; maps go as changes to the last one."""
-        base_version, base = self.base or (0, None)
-        sent = self.link.send(
-            rank_messages.encode_order(self.group, order, base_version, base)
-        )
-        if sent and order.placement:
-            self.base = (order.version, order.placement)
-        return sent
-
-
-class OwnPeer:
-    """The rank beside the leader."""
-
-    def __init__(self, agent: rank_agent.RankAgent, host: str) -> None:
-        """Wrap the agent of this process."""
-        self.agent = agent
-        self.host = host
-
-    def send_order(self, order: rank_state.RankOrder) -> bool:
-        """Hand an order to the agent."""
-        return self.agent.accept(order)
-
-
-class DirectPeer:
-    """A rank that is ordered from here while its sidecar has no link."""
-
-    def __init__(
-        self,
-        port: rank_port.RankPort,
-        host: str,
-        clock: clock_lib.Clock,
-        leader: group_leader.GroupLeader,
-    ) -> None:
-        """Create a peer whose thread is not yet running."""
-        self.host = host
-        self.leader = leader
-        listener = OwnListener(leader, self)
-        self.agent = rank_agent.create_rank_agent(
-            port, clock, lambda: listener, reads_counts=False
-        )
-        self.agent.note_leader(leader.term)
-
-    def send_order(self, order: rank_state.RankOrder) -> bool:
-        """Hand an order to the agent."""
-        return self.agent.accept(order)
-
-    def close(self) -> None:
-        """End the thread soon, and let the leader forget the rank."""
-        self.agent.stop(datetime.timedelta())
-        self.leader.put(group_leader.Gone(self))
-
-
-class LinkListener:
-    """Tells a leader in another process."""
-
-    def __init__(self, group: str, link: link_lib.Link) -> None:
-        """Wrap the link to the leader."""
-        self.group = group
-        self.link = link
-
-    def on_news(self, news: rank_agent.RankNews) -> None:
-        """Send a change of the rank's state."""
-        self.link.send(rank_messages.encode_news(news))
-
-    def on_counts(self, epoch: int, counts: tuple[int, ...]) -> None:
-        """Send increments of the counts."""
-        self.link.send(messages.RankCounts(self.group, epoch, counts))
-
-
-class OwnListener:
-    """Tells the leader in this process."""
-
-    def __init__(
-        self, leader: group_leader.GroupLeader, peer: group_leader.RankPeer
-    ) -> None:
-        """Wrap the leader."""
-        self.leader = leader
-        self.peer = peer
-
-    def on_news(self, news: rank_agent.RankNews) -> None:
-        """Hand over a change of the rank's state."""
-        self.leader.put(group_leader.News(self.peer, news))
-
-    def on_counts(self, epoch: int, counts: tuple[int, ...]) -> None:
-        """Hand over increments of the counts."""
-        self.leader.put(group_leader.Counts(epoch, counts))
-
-
 class GatewayListener:
     """Takes the records of the gateways while leading."""
 
@@ -193,9 +93,9 @@
         )
         self.maps = rank_messages.ReceivedMaps()
         self.leader: group_leader.GroupLeader | None = None
-        self.peers: dict[link_lib.Link, LinkPeer] = {}
+        self.peers: dict[link_lib.Link, rank_peers.LinkPeer] = {}
         self.unlinked_since: dict[addresses.Address, datetime.timedelta] = {}
-        self.direct: dict[addresses.Address, DirectPeer] = {}
+        self.direct: dict[addresses.Address, rank_peers.DirectPeer] = {}
         self.followers: list[follower.Follower[Any]] = []
         self.gateways: dict[str, addresses.Address] = {}
         self.gateway_links: set[link_lib.Link] = set()
@@ -311,8 +211,8 @@
             self.step_down,
         )
         self.listener_link = None
-        own = OwnPeer(self.agent, self.settings.engine.host)
-        self.listener = OwnListener(self.leader, own)
+        own = rank_peers.OwnPeer(self.agent, self.settings.engine.host)
+        self.listener = rank_peers.OwnListener(self.leader, own)
         self.leader.start()
         self.agent.tell_again()
         self.followers = [
@@ -362,7 +262,7 @@
             if address in self.direct or now - since < DIRECT_AFTER:
                 continue
             event_log.emit(event_catalogue.RANK_DIRECT, engine=address)
-            peer = DirectPeer(
+            peer = rank_peers.DirectPeer(
                 self.ports.rank_at(address), address.host, self.clock, leader
             )
             self.direct[address] = peer
@@ -505,7 +405,7 @@
                 self.gateway_links.add(link)
                 self.paces_due = datetime.timedelta()
                 return
-            self.peers[link] = LinkPeer(report.group, link)
+            self.peers[link] = rank_peers.LinkPeer(report.group, link)
             link.send(messages.Leading(report.group, leader.term))
 
     def on_close(self, link: link_lib.Link, reason: str) -> None:
@@ -541,7 +441,7 @@
                 return
             if self.leader is None and self.listener_link is not link:
                 self.listener_link = link
-                self.listener = LinkListener(message.group, link)
+                self.listener = rank_peers.LinkListener(message.group, link)
                 self.agent.tell_again()
 
     def on_order(
