Let few ranks of large groups tell their greatest counts

Change: up to 32 ranks all tell all counts; of larger groups 24 ranks tell the 400 greatest each 0.3 s.

--- a/packages/core/src/verbenafall_core/expert_maps/demand.py
+++ b/packages/core/src/verbenafall_core/expert_maps/demand.py
@@ -3,12 +3,19 @@
 import array
 from collections.abc import Sequence
 import datetime
+import heapq
 from typing import Final
+from typing import NamedTuple
 
 # Demand from before this counts half.
 HALF_LIFE: Final = datetime.timedelta(milliseconds=300)
 
 
+# Increments that a rank tells at once; more would fill the leader's link in
+# groups with thousands of experts.
+MOST_COUNTS: Final = 400
+
+
 class DemandEstimate:
     """Decayed sum of the increments that all ranks have reported.
 
@@ -63,6 +70,46 @@
         return sum(self.values)
 
 
+class ChosenCounts(NamedTuple):
+    """Some of the increments of a rank.
+
+    Attributes:
+        indices: Their places in the flat list, empty when all are there.
+    """
+
+    indices: tuple[int, ...]
+    counts: tuple[int, ...]
+
+
+def choose_counts(increments: Sequence[int]) -> ChosenCounts:
+    """Return all increments of a small layout, the greatest of a large one.
+
+    A few experts get most of the demand, and only those are worth copies.
+    """
+    if len(increments) <= MOST_COUNTS:
+        return ChosenCounts((), tuple(increments))
+    indices = heapq.nlargest(
+        MOST_COUNTS, range(len(increments)), key=increments.__getitem__
+    )
+    return ChosenCounts(
+        tuple(indices), tuple(increments[index] for index in indices)
+    )
+
+
+def restore_counts(chosen: ChosenCounts, length: int) -> tuple[int, ...]:
+    """Return a flat list of a length; increments that are not there are 0.
+
+    Raises:
+        IndexError: A place is beyond the length.
+    """
+    if not chosen.indices:
+        return chosen.counts
+    flat = [0] * length
+    for index, count in zip(chosen.indices, chosen.counts, strict=False):
+        flat[index] = count
+    return tuple(flat)
+
+
 def count_increments(
     before: Sequence[int], after: Sequence[int]
 ) -> tuple[int, ...]:
--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -313,10 +313,13 @@
 
     Attributes:
         term: Number of the leadership; the highest one counts.
+        count_interval_ms: How often the receiver tells its counts, 0 for
+            never.
     """
 
     group: str
     term: int
+    count_interval_ms: int = 0
 
 
 class RankStatus(NamedTuple):
@@ -354,12 +357,14 @@
     """How often a rank's requests chose each expert since the last message.
 
     Attributes:
-        counts: Flat, by set and expert.
+        indices: Places of the counts in the flat list by set and expert;
+            empty when all of them follow.
     """
 
     group: str
     epoch: int
     counts: tuple[int, ...]
+    indices: tuple[int, ...] = ()
 
 
 class RankOrder(NamedTuple):
--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
@@ -68,7 +68,7 @@
     """Increments of a rank's counts arrived."""
 
     epoch: int
-    counts: tuple[int, ...]
+    chosen: demand_lib.ChosenCounts
 
 
 class Gone(NamedTuple):
@@ -214,7 +214,10 @@
             if layout is None:
                 return
             self.demand = demand_lib.DemandEstimate(layout.sets, layout.experts)
-        self.demand.add(item.counts, now)
+        counts = demand_lib.restore_counts(
+            item.chosen, self.demand.sets * self.demand.experts
+        )
+        self.demand.add(counts, now)
 
     def paces(self) -> tuple[tuple[str, float], ...]:
         """Return the host and the pace of each rank; for any thread."""
--- a/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
@@ -17,8 +17,9 @@
 from verbenafall_sidecar.steering import rank_port
 
 # Counts are fresh and free on the own machine; each reading costs about a
-# millisecond of processor time.
+# millisecond of processor time. The leader of a large group asks for fewer.
 COUNT_INTERVAL: Final = datetime.timedelta(milliseconds=100)
+NO_COUNTS: Final = datetime.timedelta()
 REPORT_INTERVAL: Final = datetime.timedelta(milliseconds=500)
 # Reading of the report while an order is open.
 ORDER_POLL: Final = datetime.timedelta(milliseconds=15)
@@ -71,10 +72,9 @@
         port: rank_port.RankPort,
         clock: clock_lib.Clock,
         listener: Callable[[], RankListener | None],
-        reads_counts: bool,
     ) -> None:
         """Create an agent that is not yet running."""
-        self.reads_counts = reads_counts
+        self.count_interval = NO_COUNTS
         self.port = port
         self.clock = clock
         self.listener = listener
@@ -112,8 +112,15 @@
 
     # Called by the links and by a leader in this process.
 
-    def note_leader(self, term: int) -> bool:
-        """Take a leader's word; return whether its term is the highest."""
+    def note_leader(
+        self, term: int, count_interval: datetime.timedelta | None = None
+    ) -> bool:
+        """Take a leader's word; return whether its term is the highest.
+
+        Args:
+            term: The leader's term.
+            count_interval: How often it wants the counts, None for as before.
+        """
         with self.condition:
             if term < self.term:
                 return False
@@ -122,6 +129,8 @@
                 self.wanted = None
                 self.last_news = None
             self.last_led = self.clock.monotonic()
+            if count_interval is not None:
+                self.count_interval = count_interval
             self.condition.notify()
             return True
 
@@ -184,8 +193,8 @@
             if self.wanted is not None:
                 self.report_due = self.clock.monotonic() + ORDER_POLL
         if now >= self.counts_due:
-            self.counts_due = now + COUNT_INTERVAL
-            if self.reads_counts and self.listener() and self.is_led():
+            self.counts_due = now + (self.count_interval or REPORT_INTERVAL)
+            if self.count_interval and self.listener() and self.is_led():
                 self.read_counts()
 
     def read_report(self, now: datetime.timedelta) -> None:
@@ -356,15 +365,14 @@
     port: rank_port.RankPort,
     clock: clock_lib.Clock,
     listener: Callable[[], RankListener | None],
-    reads_counts: bool = True,
 ) -> RankAgent:
     """Create an agent that is not yet running.
 
+    It tells counts when a leader asks for them.
+
     Args:
         port: Calls to the engine.
         clock: The clock.
         listener: Returns whom to tell, None for nobody.
-        reads_counts: Whether counts are read, which from another machine
-            pauses the group.
     """
-    return RankAgent(port, clock, listener, reads_counts)
+    return RankAgent(port, clock, listener)
--- a/packages/sidecar/src/verbenafall_sidecar/steering/rank_peers.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/rank_peers.py
@@ -5,6 +5,7 @@
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import link as link_lib
 from verbenafall_core import messages
+from verbenafall_core.expert_maps import demand
 from verbenafall_core.expert_maps import rank_state
 from verbenafall_core.expert_maps import replica_map
 from verbenafall_sidecar.steering import group_leader
@@ -61,9 +62,7 @@
         self.host = host
         self.leader = leader
         listener = OwnListener(leader, self)
-        self.agent = rank_agent.create_rank_agent(
-            port, clock, lambda: listener, reads_counts=False
-        )
+        self.agent = rank_agent.create_rank_agent(port, clock, lambda: listener)
         self.agent.note_leader(leader.term)
 
     def send_order(self, order: rank_state.RankOrder) -> bool:
@@ -90,7 +89,12 @@
 
     def on_counts(self, epoch: int, counts: tuple[int, ...]) -> None:
         """Send increments of the counts."""
-        self.link.send(messages.RankCounts(self.group, epoch, counts))
+        chosen = demand.choose_counts(counts)
+        self.link.send(
+            messages.RankCounts(
+                self.group, epoch, chosen.counts, chosen.indices
+            )
+        )
 
 
 class OwnListener:
@@ -109,4 +113,6 @@
 
     def on_counts(self, epoch: int, counts: tuple[int, ...]) -> None:
         """Hand over increments of the counts."""
-        self.leader.put(group_leader.Counts(epoch, counts))
+        self.leader.put(
+            group_leader.Counts(epoch, demand.ChosenCounts((), counts))
+        )
--- a/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
@@ -18,10 +18,12 @@
 from verbenafall_core import messages
 from verbenafall_core import metrics as metrics_lib
 from verbenafall_core import periodic
+from verbenafall_core.expert_maps import demand
 from verbenafall_core.expert_maps import rank_state
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import follower
 from verbenafall_core.routes import model
+from verbenafall_sidecar.steering import count_plan
 from verbenafall_sidecar.steering import event_catalogue
 from verbenafall_sidecar.steering import group_leader
 from verbenafall_sidecar.steering import group_term
@@ -43,6 +45,7 @@
 LAYOUT_PAUSE: Final = datetime.timedelta(milliseconds=500)
 # Gateways forget paces that are not repeated.
 PACES_REPEAT: Final = datetime.timedelta(seconds=1)
+MILLISECOND: Final = datetime.timedelta(milliseconds=1)
 ROLE: Final = "sidecar"
 GATEWAY_ROLE: Final = "gateway"
 
@@ -166,7 +169,7 @@
                 if self.agent.term > leader.term:
                     self.step_down(self.agent.term)
                     return
-                self.agent.note_leader(leader.term)
+                self.agent.note_leader(leader.term, rank_agent.COUNT_INTERVAL)
                 self.read_layout(now)
                 self.order_directly(now)
                 if now >= self.leading_due:
@@ -304,10 +307,16 @@
         report = self.agent.report
         if report is None:
             return
-        message = messages.Leading(report.group, term)
+        links = list(self.peers)
+        counting = count_plan.choose_counting(len(links) + 1)
         with self.links.joined():
-            for link in list(self.peers):
-                link.send(message)
+            for number, link in enumerate(links):
+                interval = count_plan.interval_of(counting, number)
+                link.send(
+                    messages.Leading(
+                        report.group, term, interval // MILLISECOND
+                    )
+                )
 
     def tell_paces(
         self, leader: group_leader.GroupLeader, now: datetime.timedelta
@@ -407,6 +416,7 @@
                 return
             self.peers[link] = rank_peers.LinkPeer(report.group, link)
             link.send(messages.Leading(report.group, leader.term))
+            self.leading_due = datetime.timedelta()
 
     def on_close(self, link: link_lib.Link, reason: str) -> None:
         """Forget a link."""
@@ -427,7 +437,8 @@
         with self.lock:
             if self.leader is not None and message.term > self.leader.term:
                 self.step_down(message.term)
-            if not self.agent.note_leader(message.term):
+            interval = message.count_interval_ms * MILLISECOND
+            if not self.agent.note_leader(message.term, interval):
                 report = self.agent.report
                 if report is not None:
                     # Tells the sender of the higher term.
@@ -489,7 +500,12 @@
         with self.lock:
             leader, known = self.leader, link in self.peers
         if leader is not None and known:
-            leader.put(group_leader.Counts(message.epoch, message.counts))
+            leader.put(
+                group_leader.Counts(
+                    message.epoch,
+                    demand.ChosenCounts(message.indices, message.counts),
+                )
+            )
 
 
 def create_steering(
--- a/tests/core/test_codec.py
+++ b/tests/core/test_codec.py
@@ -42,11 +42,11 @@
         "g", "i", (0, 1), 2, 3, (3, 4), 100, 0, 99, (7, 8), (5,)
     ),
     messages.SendTime(2_000),
-    messages.Leading("g", 7),
+    messages.Leading("g", 7, 100),
     messages.RankStatus(
         "g", 1, 2, 3, True, 40, 7, 8, 8, 42, -1, 7, 7, 0, ((1, 2), (3,)), 1.5
     ),
-    messages.RankCounts("g", 3, (1, 0, 500)),
+    messages.RankCounts("g", 3, (1, 500), (0, 9)),
     messages.RankOrder(
         "g", "prepare", 7, 3, 8, 0, 7, ((0, 1, (2, 3)),), (((1,), (2,)),)
     ),
--- a/tests/steering/test_agent_and_leader.py
+++ b/tests/steering/test_agent_and_leader.py
@@ -7,6 +7,7 @@
 
 from steering import rank_model
 from verbenafall_core import metrics
+from verbenafall_core.expert_maps import demand
 from verbenafall_core.expert_maps import pass_switch
 from verbenafall_core.expert_maps import rank_state
 from verbenafall_core.routes import model
@@ -88,7 +89,7 @@
     def on_counts(self, epoch, counts):
         if self.fleet.leader is not None:
             self.fleet.leader.take_counts(
-                group_leader.Counts(epoch, counts),
+                group_leader.Counts(epoch, demand.ChosenCounts((), counts)),
                 self.fleet.clock.monotonic(),
             )
 
@@ -130,7 +131,7 @@
             if number in self.frozen:
                 continue
             if self.leader is not None:
-                agent.note_leader(self.leader.term)
+                agent.note_leader(self.leader.term, rank_agent.COUNT_INTERVAL)
             agent.run_once()
         if self.leader is not None:
             self.leader.act(self.clock.monotonic())
--- a/tests/steering/test_replica_search.py
+++ b/tests/steering/test_replica_search.py
@@ -7,6 +7,7 @@
 from verbenafall_core.expert_maps import demand
 from verbenafall_core.expert_maps import replica_map
 from verbenafall_core.expert_maps import replica_search
+from verbenafall_sidecar.steering import count_plan
 
 SHAPES = [(16, 4, 64, 5), (4, 2, 8, 3), (72, 2, 144, 3)]
 
@@ -129,6 +130,29 @@
         assert estimate.total() == 0
 
 
+class TestChosenCounts:
+    @pytest.mark.parametrize("length", [256, 1728])
+    def test_greatest_counts_survive(self, length):
+        counts = [(index * 37) % 1009 for index in range(length)]
+        chosen = demand.choose_counts(counts)
+        found = demand.restore_counts(chosen, length)
+        assert len(found) == length
+        assert len(chosen.counts) <= demand.MOST_COUNTS
+        top = sorted(range(length), key=counts.__getitem__)[-100:]
+        assert all(found[index] == counts[index] for index in top)
+
+    @pytest.mark.parametrize(
+        ("size", "most"), [(16, 16), (32, 32), (72, 24), (128, 24)]
+    )
+    def test_few_ranks_of_large_groups_tell(self, size, most):
+        counting = count_plan.choose_counting(size)
+        told = sum(
+            bool(count_plan.interval_of(counting, number))
+            for number in range(size)
+        )
+        assert most / 2 < told <= most
+
+
 class TestProblems:
     @pytest.mark.parametrize(("placement", "part"), PROBLEMS)
     def test_placement(self, placement, part):
