Hold streams in line only as long as their clients wait

Change: a request is refused at once when it would not have its first event in that time or not be complete by its deadline, also one that is already in line; after a stall callers come back after 2.0 to 2.65 s (1.4 to 2.6 before).

--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -45,6 +45,7 @@
     arrived: float
     target_at: float
     deadline: float
+    patience_until: float
     tried: frozenset[str]
 
 
@@ -62,6 +63,7 @@
     NO_ENDPOINT = "no_endpoint"
     FULL = "full"
     STALLED = "stalled"
+    TOO_LATE = "too_late"
 
 
 class Refused(NamedTuple):
@@ -193,7 +195,7 @@
             wish.urgency,
             wish.arrived,
             wish.target_at - means.first_answer,
-            wish.deadline - means.duration,
+            self.latest_start(wish),
         )
         waiter = Waiter(entry, wish, self.loop.create_future())
         line.append(waiter)
@@ -228,6 +230,20 @@
             service_pulse.return_time(self.generator.random()),
         )
 
+    def refuse_hopeless(self) -> None:
+        """Refuse waiting requests that can no longer be complete in time."""
+        now = self.loop.time()
+        for line in self.lines.values():
+            hopeless = [
+                waiter for waiter in line if waiter.entry.useful_until <= now
+            ]
+            for waiter in hopeless:
+                line.remove(waiter)
+                if not waiter.place.done():
+                    waiter.place.set_result(
+                        Refused(RefusalReason.TOO_LATE, LEAST_RETRY_AFTER)
+                    )
+
     def refuse_stalled_lines(self) -> None:
         """Refuse the requests that wait for a service that does no work."""
         for service, line in self.lines.items():
@@ -256,14 +272,25 @@
             self.peers.gateways(),
         )
         wait = waiting_line.expected_wait(state)
-        left = wish.deadline - self.loop.time()
-        if wait + self.means_of(wish.service).duration > left:
+        if self.loop.time() + wait > self.latest_start(wish):
             return Refused(
                 RefusalReason.FULL,
                 max(LEAST_RETRY_AFTER, wait * self.generator.uniform(0.5, 1.0)),
             )
         return None
 
+    def latest_start(self, wish: Wish) -> float:
+        """Return when a request must have a place to be of use.
+
+        Its client must still be there for the first event, and its answer
+        must be complete before the deadline.
+        """
+        means = self.means_of(wish.service)
+        return min(
+            wish.deadline - means.duration,
+            wish.patience_until - means.first_answer,
+        )
+
     def release(self, placed: Placed) -> None:
         """Give a place back and serve the line."""
         endpoint = placed.endpoint
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -233,9 +233,16 @@
             job.times.received,
             job.times.target_at,
             job.times.deadline,
+            self.patience_until(job),
             frozenset(job.tried),
         )
 
+    def patience_until(self, job: Job) -> float:
+        """Return when the client leaves; one with events has more time."""
+        if job.relay_state.begun:
+            return job.times.deadline
+        return job.times.patience_until
+
     async def attempt(
         self, job: Job, place: admission_lib.Placed
     ) -> retry_decision.Outcome:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -380,6 +380,7 @@
             elif waited > limits.idle_timeout.total_seconds():
                 channel.close()
         self.admission.refuse_stalled_lines()
+        self.admission.refuse_hopeless()
         self.admission.serve_all_lines()
 
     async def drain(self, clients: asyncio.Server) -> None:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/service_pulse.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/service_pulse.py
@@ -15,8 +15,8 @@
 PROBE_SECONDS: Final = 0.3
 # Time to come back, in seconds. An engine is back after some seconds, and a
 # caller that comes back too early is refused for good.
-EARLIEST_RETURN: Final = 1.4
-LATEST_RETURN: Final = 2.6
+EARLIEST_RETURN: Final = 2.0
+LATEST_RETURN: Final = 2.65
 
 
 class ServicePulse:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/times.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/times.py
@@ -1,10 +1,17 @@
 """Points in time of a request, in seconds of the event loop's clock."""
 
 import datetime
+from typing import Final
 from typing import NamedTuple
 
 from verbenafall_core.routes import model
 
+# A client leaves a stream after the longest of these without an event, as the
+# users' pages state it.
+LEAST_PATIENCE: Final = datetime.timedelta(seconds=2)
+PATIENCE_IN_TARGETS: Final = 4
+PATIENCE_IN_GAPS: Final = 8
+
 
 class RequestTimes(NamedTuple):
     """When a request came and when its answer is due.
@@ -12,11 +19,13 @@
     Attributes:
         target_at: Until then the answer, or its first event, is on time.
         deadline: Until then the client gets a final answer.
+        patience_until: When the client leaves if nothing has come.
     """
 
     received: float
     target_at: float
     deadline: float
+    patience_until: float
 
 
 def request_times(
@@ -32,10 +41,24 @@
     wait = route.timeout
     if time_left is not None:
         wait = min(wait, time_left)
+    patience = min(wait, patience_of(route))
     return RequestTimes(
         received,
         received + route.latency_target.total_seconds(),
         received + wait.total_seconds(),
+        received + patience.total_seconds(),
+    )
+
+
+def patience_of(route: model.Route) -> datetime.timedelta:
+    """Return how long a client waits for the first event, or the answer."""
+    if route.kind is not model.RequestKind.STREAM:
+        return route.timeout
+    gap = route.event_gap_target or datetime.timedelta()
+    return max(
+        LEAST_PATIENCE,
+        route.latency_target * PATIENCE_IN_TARGETS,
+        gap * PATIENCE_IN_GAPS,
     )
 
 
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -316,6 +316,20 @@
         second = datetime.timedelta(seconds=1)
         assert times.request_times(10, second, route).deadline == 11
 
+    def test_clients_of_streams_leave_when_nothing_comes(self):
+        """Guards against a line that holds requests until clients leave."""
+        plain = fakes.route(timeout=datetime.timedelta(seconds=8))
+        stream = plain._replace(
+            kind=model.RequestKind.STREAM,
+            latency_target=datetime.timedelta(seconds=0.5),
+        )
+        gap = datetime.timedelta(seconds=0.4)
+        assert times.request_times(10, None, plain).patience_until == 18
+        assert times.request_times(10, None, stream).patience_until == 12
+        patient = stream._replace(event_gap_target=gap)
+        found = times.request_times(10, None, patient)
+        assert found.patience_until == pytest.approx(13.2)
+
 
 class TestShares:
     def test_by_weight(self):
