--- a/tests/forwarding/forwarding_fakes.py
+++ b/tests/forwarding/forwarding_fakes.py
@@ -217,7 +217,7 @@
 class RunningForwarder:
     """A forwarder on a thread of its own."""
 
-    def __init__(self, first, scripts):
+    def __init__(self, first, scripts, name="g1"):
         self.configurations = MemoryCollection()
         self.listed = MemoryCollection()
         self.gateways = MemoryCollection()
@@ -227,9 +227,10 @@
         if first is not None:
             self.configurations.put("main", first)
         client, ready, links = (free_address() for _ in range(3))
+        self.link_address = links
         self.client_address, self.ready_address = client, ready
         settings = forwarder_settings.ForwarderSettings(
-            name="g1",
+            name=name,
             data_centre="dc",
             client_listen=client,
             readiness_listen=ready,
