Count only gateways that are heard of in waits; bound the memory of leaving endpoints

A gateway that is gone for good keeps its record; it still counts for the shared repeats, but made requests look as if they had to wait longer.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -269,7 +269,7 @@
             waiting,
             sum(endpoint.slots or DEFAULT_SLOTS for endpoint in usable),
             self.means_of(wish.service).duration,
-            self.peers.gateways(),
+            self.peers.live_gateways(),
         )
         wait = waiting_line.expected_wait(state)
         if self.loop.time() + wait > self.latest_start(wish):
--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_directory.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_directory.py
@@ -20,6 +20,11 @@
 REGISTRATION_GRACE: Final = 1.8
 
 
+# Endpoints that left and are remembered, so that old words about them from
+# other gateways or the store change nothing; the oldest are forgotten first.
+MOST_LEAVING: Final = 2000
+
+
 class Listed(NamedTuple, Generic[T]):
     """A value with the store's version of it."""
 
@@ -78,6 +83,8 @@
 
     def tell_leaving(self, before: dict[str, int]) -> None:
         """Pass on what has been added to the leaving endpoints."""
+        while len(self.leaving) > MOST_LEAVING:
+            del self.leaving[next(iter(self.leaving))]
         added = {
             name: version
             for name, version in self.leaving.items()
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_loads.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_loads.py
@@ -59,8 +59,12 @@
         )
 
     def gateways(self) -> int:
-        """Return how many gateways share the endpoints."""
-        return max(self.most_gateways, len(self.by_peer) + 1)
+        """Return how many gateways there may be, with those out of reach."""
+        return max(self.most_gateways, self.live_gateways())
+
+    def live_gateways(self) -> int:
+        """Return how many gateways are heard of, with this one."""
+        return len(self.by_peer) + 1
 
     def age(self, now: float) -> float:
         """Return the age of the oldest counts in use, in seconds."""
--- a/tests/forwarding/test_directory.py
+++ b/tests/forwarding/test_directory.py
@@ -82,6 +82,16 @@
         apply(other, 8, [item("a", 8)])
         assert usable(other) == ["a", "b"]
 
+    def test_memory_of_leaving_endpoints_is_bounded(
+        self, directory, monkeypatch
+    ):
+        monkeypatch.setattr(endpoint_directory, "MOST_LEAVING", 3)
+        for number in range(10):
+            apply(directory, 10 + number, [item(f"n{number}", 10 + number)])
+            gone = item(f"n{number}", 30 + number, gone=True)
+            apply(directory, 30 + number, [gone])
+        assert list(directory.leaving) == ["n7", "n8", "n9"]
+
     def test_address_with_another_endpoint(self, directory):
         directory.note_replaced("a")
         assert usable(directory) == ["b"]
--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -54,7 +54,7 @@
         )
         now = second.loop.time
         fakes.wait_until(lambda: peers.load_of("e0", now()) == 3)
-        assert peers.gateways() == 2
+        assert peers.gateways() == peers.live_gateways() == 2
 
     def test_counts_of_a_gateway_that_is_gone_are_forgotten(self, pair):
         first, second = pair
@@ -62,3 +62,5 @@
         fakes.wait_until(lambda: "g1" in peers.by_peer)
         first.close()
         fakes.wait_until(lambda: "g1" not in peers.by_peer)
+        # It may still be there, and counts for the repeats.
+        assert (peers.gateways(), peers.live_gateways()) == (2, 1)
