Close cut streams without a reset, and move the store's listeners out

Cause: test_broken_stream_does_not_look_whole failed once beside eight busy processes: a reset takes from a client what its kernel has and it has not read, here two whole events of a stream that broke behind them.

Change: a chunked answer that is cut is closed without its last chunk; what was written still arrives. After two seconds the connection is reset.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
@@ -19,6 +19,8 @@
 
 # Bytes of later requests that are kept while one is being answered.
 MAX_BACKLOG_BYTES: Final = 256 * 1024
+# A client that does not read what is left of a cut answer is reset.
+CLOSE_LIMIT_SECONDS: Final = 2.0
 # Unsent bytes above which the writer waits.
 WRITE_BUFFER_BYTES: Final = 64 * 1024
 
@@ -342,7 +344,15 @@
         self.transport.close()
 
     def abort(self) -> None:
-        """Close at once, so that an answer in part does not look whole."""
+        """Close so that an answer in part does not look whole.
+
+        Chunks without the last one are such an answer, and a reset could
+        take from the client what it has not read yet.
+        """
         self.closing = True
         self.last_answer = True
-        self.transport.abort()
+        if self.head_sent and self.chunked:
+            self.transport.close()
+            self.loop.call_later(CLOSE_LIMIT_SECONDS, self.transport.abort)
+        else:
+            self.transport.abort()
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -13,10 +13,8 @@
 
 from verbenafall_core import addresses
 from verbenafall_core import clock as clock_lib
-from verbenafall_core import endpoints
 from verbenafall_core import event_log
 from verbenafall_core import metrics as metrics_lib
-from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import follower
 from verbenafall_core.routes import model
 from verbenafall_gateway.forwarding import admission as admission_lib
@@ -34,6 +32,7 @@
 from verbenafall_gateway.forwarding import ports as ports_lib
 from verbenafall_gateway.forwarding import rank_paces
 from verbenafall_gateway.forwarding import repeat_allowance
+from verbenafall_gateway.forwarding import store_listeners
 
 SWEEP_SECONDS: Final = 0.25
 BACKLOG: Final = 1024
@@ -66,101 +65,6 @@
 )
 
 
-class ConfigurationListener:
-    """Hands configurations from the follower's thread to the event loop."""
-
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        state: configuration_state.ConfigurationState,
-    ) -> None:
-        """Create a listener for a state."""
-        self.loop = loop
-        self.state = state
-
-    def on_batch(
-        self,
-        batch: collection.Batch[model.Configuration],
-        complete: bool,
-        after_outage: bool,
-    ) -> None:
-        """Offer each configuration that was read."""
-        del complete, after_outage
-        for item in batch.items:
-            if item.value is not None:
-                self.loop.call_soon_threadsafe(
-                    self.state.offer, item.value, "store"
-                )
-
-    def on_outage(self) -> None:
-        """Keep what is in force."""
-
-
-class EndpointListener:
-    """Hands the list of endpoints to the event loop."""
-
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        directory: endpoint_directory.EndpointDirectory,
-        admission: admission_lib.Admission,
-    ) -> None:
-        """Create a listener for a directory."""
-        self.loop = loop
-        self.directory = directory
-        self.admission = admission
-
-    def on_batch(
-        self,
-        batch: collection.Batch[endpoints.Endpoint],
-        complete: bool,
-        after_outage: bool,
-    ) -> None:
-        """Take what the store lists."""
-        self.loop.call_soon_threadsafe(
-            self.apply, batch, complete, after_outage
-        )
-
-    def apply(
-        self,
-        batch: collection.Batch[endpoints.Endpoint],
-        complete: bool,
-        after_outage: bool,
-    ) -> None:
-        """Update the directory; waiting requests may now have a place."""
-        self.directory.apply(batch, complete, after_outage, self.loop.time())
-        self.admission.serve_all_lines()
-
-    def on_outage(self) -> None:
-        """Keep what is known."""
-
-
-class RecordListener:
-    """Hands the records of gateways to the event loop."""
-
-    def __init__(
-        self, loop: asyncio.AbstractEventLoop, peers: peer_links.PeerLinks
-    ) -> None:
-        """Create a listener for the links."""
-        self.loop = loop
-        self.peers = peers
-
-    def on_batch(
-        self,
-        batch: collection.Batch[addresses.Address],
-        complete: bool,
-        after_outage: bool,
-    ) -> None:
-        """Take the records that were read."""
-        del after_outage
-        self.loop.call_soon_threadsafe(
-            self.peers.apply_records, batch, complete
-        )
-
-    def on_outage(self) -> None:
-        """Keep what is known."""
-
-
 class Forwarder:
     """A gateway process that forwards."""
 
@@ -219,19 +123,21 @@
             follower.create_follower(
                 "configuration",
                 ports.configurations,
-                ConfigurationListener(loop, self.configuration),
+                store_listeners.ConfigurationListener(loop, self.configuration),
                 WATCH_WAIT,
             ),
             follower.create_follower(
                 "endpoints",
                 ports.endpoints,
-                EndpointListener(loop, self.directory, self.admission),
+                store_listeners.EndpointListener(
+                    loop, self.directory, self.admission
+                ),
                 WATCH_WAIT,
             ),
             follower.create_follower(
                 "gateways",
                 ports.gateways,
-                RecordListener(loop, self.links),
+                store_listeners.RecordListener(loop, self.links),
                 RECORDS_WAIT,
             ),
         ]
