--- a/tests/forwarding/forwarding_fakes.py
+++ b/tests/forwarding/forwarding_fakes.py
@@ -18,6 +18,7 @@
 from verbenafall_gateway.forwarding import forwarder
 from verbenafall_gateway.forwarding import forwarder_settings
 from verbenafall_gateway.forwarding import ports
+from verbenafall_standins.demo import plan
 
 LOOPBACK = "127.0.0.1"
 WAIT_SECONDS = 10
@@ -226,7 +227,8 @@
             self.list_endpoint(f"e{number}", backend)
         if first is not None:
             self.configurations.put("main", first)
-        client, ready, links = (free_address() for _ in range(3))
+        self.ports = plan.Ports()
+        client, ready, links = (self.ports.next_address() for _ in range(3))
         self.link_address = links
         self.client_address, self.ready_address = client, ready
         settings = forwarder_settings.ForwarderSettings(
@@ -299,6 +301,7 @@
             item.close()
         for backend in self.backends:
             backend.close()
+        self.ports.release()
 
 
 class ClientAnswer:
@@ -357,11 +360,6 @@
     return body, False
 
 
-def free_address():
-    with socket.create_server((LOOPBACK, 0)) as probe:
-        return addresses.Address(*probe.getsockname())
-
-
 def wait_until(condition):
     """Wait until something holds; fails after a long time."""
     waiting = threading.Event()
