--- a/tests/platform_adapter/standin_store.py
+++ b/tests/platform_adapter/standin_store.py
@@ -53,7 +53,9 @@
         self.server = server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
         self.server.daemon_threads = True
         self.url = f"http://127.0.0.1:{self.server.server_address[1]}"
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        threading.Thread(
+            target=self.server.serve_forever, args=(0.02,), daemon=True
+        ).start()
 
     def close(self):
         self.server.shutdown()
