--- a/bench/admission.py
+++ b/bench/admission.py
@@ -15,12 +15,12 @@
 
 import json_lines
 from verbenafall_core import outcomes
-from verbenafall_gateway import attempt_events
-from verbenafall_gateway import retry_budget
-from verbenafall_gateway import retry_rules
-from verbenafall_sidecar import admission
-from verbenafall_sidecar import dispatcher
-from verbenafall_sidecar import fair_queue
+from verbenafall_gateway.delivery import attempt_events
+from verbenafall_gateway.delivery import retry_budget
+from verbenafall_gateway.delivery import retry_rules
+from verbenafall_sidecar.delivery import admission
+from verbenafall_sidecar.delivery import dispatcher
+from verbenafall_sidecar.delivery import fair_queue
 from verbenafall_standins.fakes import manual_clock
 
 SEED: Final = 20260103
--- a/bench/choice_admission.py
+++ b/bench/choice_admission.py
@@ -10,11 +10,11 @@
 
 import choice_model
 from verbenafall_core import outcomes
-from verbenafall_gateway import attempt_events
-from verbenafall_gateway import retry_budget
-from verbenafall_gateway import retry_rules
-from verbenafall_sidecar import admission
-from verbenafall_sidecar import dispatcher
+from verbenafall_gateway.delivery import attempt_events
+from verbenafall_gateway.delivery import retry_budget
+from verbenafall_gateway.delivery import retry_rules
+from verbenafall_sidecar.delivery import admission
+from verbenafall_sidecar.delivery import dispatcher
 
 MAX_QUEUE: Final = 256
 # Seconds; two, four and eight times the mean service time.
--- a/bench/choice_model.py
+++ b/bench/choice_model.py
@@ -20,12 +20,12 @@
 from verbenafall_core import addresses
 from verbenafall_core import messages
 from verbenafall_core.instance_list import port
-from verbenafall_gateway import endpoint_view
-from verbenafall_gateway import rendezvous
-from verbenafall_gateway import routing
-from verbenafall_gateway import subsetting
-from verbenafall_sidecar import dispatcher
-from verbenafall_sidecar import load_reports
+from verbenafall_gateway.choice import endpoint_view
+from verbenafall_gateway.choice import rendezvous
+from verbenafall_gateway.choice import routing
+from verbenafall_gateway.links import subsetting
+from verbenafall_sidecar.delivery import dispatcher
+from verbenafall_sidecar.group import load_reports
 from verbenafall_standins.fakes import manual_clock
 
 SEED: Final = 20260102
--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -20,7 +20,7 @@
 import bench_fleet
 import json_lines
 from verbenafall_core import addresses
-from verbenafall_gateway import subsetting
+from verbenafall_gateway.links import subsetting
 from verbenafall_standins.demo import files
 from verbenafall_standins.demo import fleet as fleet_lib
 
--- a/bench/team_shares.py
+++ b/bench/team_shares.py
@@ -17,7 +17,7 @@
 from typing import Protocol
 
 import json_lines
-from verbenafall_sidecar import fair_queue
+from verbenafall_sidecar.delivery import fair_queue
 
 SEED: Final = 20260104
 SLOTS: Final = 8
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/choice/__init__.py
@@ -0,0 +1,1 @@
+"""Chooses endpoints and admits requests."""
--- a/packages/gateway/src/verbenafall_gateway/endpoint_view.py
+++ b/packages/gateway/src/verbenafall_gateway/choice/endpoint_view.py
@@ -8,9 +8,9 @@
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import link_router
 from verbenafall_core import messages
-from verbenafall_gateway import report_age
-from verbenafall_gateway import routing
-from verbenafall_gateway import subsetting
+from verbenafall_gateway.choice import report_age
+from verbenafall_gateway.choice import routing
+from verbenafall_gateway.links import subsetting
 
 
 class LinkPort(Protocol):
--- a/packages/gateway/src/verbenafall_gateway/routing.py
+++ b/packages/gateway/src/verbenafall_gateway/choice/routing.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from verbenafall_core import addresses
-from verbenafall_gateway import rendezvous
+from verbenafall_gateway.choice import rendezvous
 
 AFFINITY_CHARACTERS: Final = 256
 LOAD_BOUND: Final = 1.25
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/client_http/__init__.py
@@ -0,0 +1,1 @@
+"""Serves clients and operators over HTTP."""
--- a/packages/gateway/src/verbenafall_gateway/admin_app.py
+++ b/packages/gateway/src/verbenafall_gateway/client_http/admin_app.py
@@ -9,10 +9,10 @@
 from werkzeug import wrappers
 
 from verbenafall_core import identifiers
-from verbenafall_gateway import answers
-from verbenafall_gateway import common_responses
-from verbenafall_gateway import service_state
 from verbenafall_gateway import status as status_lib
+from verbenafall_gateway.choice import service_state
+from verbenafall_gateway.client_http import answers
+from verbenafall_gateway.client_http import common_responses
 
 
 class AdminApp:
--- a/packages/gateway/src/verbenafall_gateway/body_writer.py
+++ b/packages/gateway/src/verbenafall_gateway/client_http/body_writer.py
@@ -2,7 +2,7 @@
 
 import socket
 
-from verbenafall_gateway import direct_delivery
+from verbenafall_gateway.delivery import direct_delivery
 
 
 class NowaitSocket:
--- a/packages/gateway/src/verbenafall_gateway/chat.py
+++ b/packages/gateway/src/verbenafall_gateway/client_http/chat.py
@@ -11,10 +11,11 @@
 from werkzeug import wrappers
 
 from verbenafall_core import outcomes
-from verbenafall_gateway import answers
-from verbenafall_gateway import attempt_events
-from verbenafall_gateway import chat_clients
-from verbenafall_gateway import request_flow
+from verbenafall_gateway.client_http import answers
+from verbenafall_gateway.client_http import chat_clients
+from verbenafall_gateway.delivery import attempt_events
+from verbenafall_gateway.delivery import flow_events
+from verbenafall_gateway.delivery import request_flow
 
 EVENT_STREAM_TYPE: Final = "text/event-stream"
 DONE_EVENT: Final = b"data: [DONE]\n\n"
@@ -43,7 +44,7 @@
 
 def plain_response(
     answer: ChatAnswer,
-    flow: request_flow.Flow,
+    flow: flow_events.Flow,
     client: chat_clients.PlainClient,
 ) -> wrappers.Response:
     """Return the response of a request without streaming.
@@ -55,11 +56,11 @@
     """
     parts = client.parts
     for event in flow:
-        if isinstance(event, request_flow.Delta):
+        if isinstance(event, flow_events.Delta):
             client.take(event.data)
             if client.is_gone():
                 return end_for_lost_client(answer, flow, CLIENT_CLOSED)
-        elif isinstance(event, request_flow.ClientGone):
+        elif isinstance(event, flow_events.ClientGone):
             return end_for_lost_client(answer, flow, lost_client(bool(parts)))
         elif isinstance(event, outcomes.Refusal):
             return answers.refusal_response(event, answer.request_id)
@@ -74,7 +75,7 @@
 
 
 def stream_response(
-    answer: ChatAnswer, flow: request_flow.Flow
+    answer: ChatAnswer, flow: flow_events.Flow
 ) -> wrappers.Response:
     """Return an event stream.
 
@@ -82,7 +83,7 @@
     before that gets an error status.
     """
     first = next(flow)
-    if isinstance(first, request_flow.ClientGone):
+    if isinstance(first, flow_events.ClientGone):
         return end_for_lost_client(answer, flow, lost_client(answered=False))
     if isinstance(first, outcomes.Refusal):
         return answers.refusal_response(first, answer.request_id)
@@ -99,7 +100,7 @@
 
 
 def end_for_lost_client(
-    answer: ChatAnswer, flow: request_flow.Flow, refusal: outcomes.Refusal
+    answer: ChatAnswer, flow: flow_events.Flow, refusal: outcomes.Refusal
 ) -> wrappers.Response:
     """Cancel the attempt; return the response that nobody waits for."""
     flow.close()
@@ -115,15 +116,15 @@
 
 def stream_events(
     answer: ChatAnswer,
-    first: request_flow.FlowEvent,
-    flow: request_flow.Flow,
+    first: flow_events.FlowEvent,
+    flow: flow_events.Flow,
 ) -> Iterator[bytes]:
     """Yield the events of a stream; [DONE] follows only a full answer."""
     yield encode_event(chunk_body(answer, {"role": "assistant"}, None))
     encode = token_encoder(answer)
-    event: request_flow.FlowEvent | None = first
+    event: flow_events.FlowEvent | None = first
     while event is not None:
-        if isinstance(event, request_flow.Delta):
+        if isinstance(event, flow_events.Delta):
             yield encode(event.data)
         elif isinstance(event, outcomes.Refusal):
             yield encode_event(answers.error_object(event))
--- a/packages/gateway/src/verbenafall_gateway/chat_clients.py
+++ b/packages/gateway/src/verbenafall_gateway/client_http/chat_clients.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from verbenafall_gateway import direct_delivery
+from verbenafall_gateway.delivery import direct_delivery
 
 
 class BodyWriter(Protocol):
--- a/packages/gateway/src/verbenafall_gateway/common_responses.py
+++ b/packages/gateway/src/verbenafall_gateway/client_http/common_responses.py
@@ -6,8 +6,8 @@
 from werkzeug import wrappers
 
 from verbenafall_core import outcomes
-from verbenafall_gateway import answers
-from verbenafall_gateway import service_state
+from verbenafall_gateway.choice import service_state
+from verbenafall_gateway.client_http import answers
 
 
 def describe_routing(
--- a/packages/gateway/src/verbenafall_gateway/http_app.py
+++ b/packages/gateway/src/verbenafall_gateway/client_http/http_app.py
@@ -3,17 +3,11 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import datetime
-import functools
 import random
 from typing import Any
-from typing import Final
 from typing import NamedTuple
-from typing import TypeVar
 
-import returns.pipeline
-import returns.result
 from werkzeug import exceptions
-from werkzeug import routing as werkzeug_routing
 from werkzeug import wrappers
 
 from verbenafall_core import clock as clock_lib
@@ -23,43 +17,25 @@
 from verbenafall_core import outcomes
 from verbenafall_core.bundles import model
 from verbenafall_core.claims import model as claims_model
-from verbenafall_gateway import answers
-from verbenafall_gateway import bundle_index
-from verbenafall_gateway import chat
-from verbenafall_gateway import chat_clients
-from verbenafall_gateway import common_responses
-from verbenafall_gateway import direct_delivery
 from verbenafall_gateway import event_catalogue
-from verbenafall_gateway import http_server
-from verbenafall_gateway import records
-from verbenafall_gateway import request_body
-from verbenafall_gateway import request_flow
-from verbenafall_gateway import routing
-from verbenafall_gateway import service_state
-from verbenafall_gateway import team_limits
-from verbenafall_gateway import validation
-
-T = TypeVar("T")
-
-CHAT_PATH: Final = "/v1/chat/completions"
-
-
-class FaultError(Exception):
-    """A faulty request; ends its handling with a 4xx answer."""
-
-    def __init__(self, fault: answers.Fault) -> None:
-        """Wrap a fault."""
-        super().__init__(fault.message)
-        self.fault = fault
-
-
-class RefusedError(Exception):
-    """A request refused before any attempt."""
-
-    def __init__(self, refusal: outcomes.Refusal) -> None:
-        """Wrap a refusal."""
-        super().__init__(refusal.message)
-        self.refusal = refusal
+from verbenafall_gateway.choice import bundle_index
+from verbenafall_gateway.choice import routing
+from verbenafall_gateway.choice import service_state
+from verbenafall_gateway.choice import team_limits
+from verbenafall_gateway.client_http import answers
+from verbenafall_gateway.client_http import chat
+from verbenafall_gateway.client_http import chat_clients
+from verbenafall_gateway.client_http import client_paths
+from verbenafall_gateway.client_http import common_responses
+from verbenafall_gateway.client_http import http_server
+from verbenafall_gateway.client_http import records
+from verbenafall_gateway.client_http import request_body
+from verbenafall_gateway.client_http import request_errors
+from verbenafall_gateway.client_http import validation
+from verbenafall_gateway.delivery import direct_delivery
+from verbenafall_gateway.delivery import flow_events
+from verbenafall_gateway.delivery import request_flow
+from verbenafall_gateway.delivery import request_progress
 
 
 class Caller(NamedTuple):
@@ -91,7 +67,7 @@
         self.generator = generator
         self.limits = team_limits.create_team_limits(max_open)
         self.indexes = bundle_index.create_index_cache()
-        self.urls = url_map()
+        self.urls = client_paths.url_map()
         self.handlers: dict[str, Callable[..., wrappers.Response]] = {
             "chat": self.serve_chat,
             "models": self.serve_models,
@@ -117,9 +93,9 @@
                 request.environ
             ).match()
             response = self.handlers[endpoint](request, request_id, **values)
-        except FaultError as error:
+        except request_errors.FaultError as error:
             response = answers.fault_response(error.fault, request_id)
-        except RefusedError as error:
+        except request_errors.RefusedError as error:
             response = answers.refusal_response(error.refusal, request_id)
         except exceptions.HTTPException as error:
             response = answers.fault_response(
@@ -179,18 +155,18 @@
         """Answer a chat request."""
         caller = self.identify(request)
         key = request.headers.get("Idempotency-Key")
-        require(validation.check_key(key))
+        request_errors.require(validation.check_key(key))
         # The time that a client allows includes that of reading its body.
         started = self.clock.monotonic()
-        call = require(
+        call = request_errors.require(
             request_body.read_body(request).bind(validation.check_chat)
         )
-        service = require(
+        service = request_errors.require(
             validation.find_model_service(
                 call.model, caller.team, caller.indexed
             )
         )
-        flow_request = request_flow.FlowRequest(
+        flow_request = request_progress.FlowRequest(
             request_id=request_id,
             service=service.name,
             team=caller.team.name,
@@ -199,7 +175,7 @@
             idempotent=True,
             idempotency_key="",
             method="POST",
-            path=CHAT_PATH,
+            path=client_paths.CHAT_PATH,
             headers=(("Content-Type", answers.JSON_TYPE),),
             body=call.body,
             affinity=routing.affinity_key(call.prompt),
@@ -233,21 +209,24 @@
         """Forward a call of a records service."""
         del rest  # The path goes on as sent by the client, not decoded.
         caller = self.identify(request)
-        spec = require(
+        spec = request_errors.require(
             validation.find_records_service(
                 service, caller.team, caller.indexed
             )
         )
-        key = require(
+        key = request_errors.require(
             validation.check_key(request.headers.get("Idempotency-Key"))
         )
-        call = require(
+        call = request_errors.require(
             validation.check_records(
-                request.method, forwarded_path(request), key, spec.rules
+                request.method,
+                client_paths.forwarded_path(request),
+                key,
+                spec.rules,
             )
         )
         started = self.clock.monotonic()
-        flow_request = request_flow.FlowRequest(
+        flow_request = request_progress.FlowRequest(
             request_id=request_id,
             service=spec.name,
             team=caller.team.name,
@@ -258,7 +237,7 @@
             method=call.method,
             path=call.path,
             headers=records.forwarded_headers(request.headers),
-            body=require(request_body.read_body(request)),
+            body=request_errors.require(request_body.read_body(request)),
             affinity="",
             resumable=False,
         )
@@ -279,13 +258,13 @@
         unknown = outcomes.Outcome.UNKNOWN
         try:
             caller = self.identify(request)
-            require(validation.check_key(key))
-        except RefusedError as error:
+            request_errors.require(validation.check_key(key))
+        except request_errors.RefusedError as error:
             refusal = error.refusal._replace(outcome=unknown)
-            raise RefusedError(refusal) from error
-        except FaultError as error:
+            raise request_errors.RefusedError(refusal) from error
+        except request_errors.FaultError as error:
             fault = error.fault._replace(outcome=unknown)
-            raise FaultError(fault) from error
+            raise request_errors.FaultError(fault) from error
         team = caller.team.name
         if self.flow.holds_key(team, key):
             return common_responses.outcome_response(
@@ -304,7 +283,7 @@
             return common_responses.outcome_response(
                 outcomes.Outcome.UNKNOWN, request_id
             )
-        raise RefusedError(
+        raise request_errors.RefusedError(
             self.refusal(
                 outcomes.Outcome.UNKNOWN,
                 outcomes.Reason.STORE_UNAVAILABLE,
@@ -316,11 +295,11 @@
         """Return who calls, unless no new work is taken.
 
         Raises:
-            RefusedError: This gateway takes no new work.
-            FaultError: The credential is not valid.
+            request_errors.RefusedError: This gateway takes no new work.
+            request_errors.FaultError: The credential is not valid.
         """
         if self.state.phase is service_state.Phase.REFUSING:
-            raise RefusedError(
+            raise request_errors.RefusedError(
                 self.refusal(
                     outcomes.Outcome.NOT_RUN,
                     outcomes.Reason.DRAINING,
@@ -329,7 +308,7 @@
             )
         bundle = self.state.bundles.current()
         if bundle is None or not self.state.bundles.takes_new_work():
-            raise RefusedError(
+            raise request_errors.RefusedError(
                 self.refusal(
                     outcomes.Outcome.NOT_RUN,
                     outcomes.Reason.BUNDLE_UNCONFIRMED,
@@ -338,14 +317,16 @@
             )
         authorization = request.headers.get("Authorization")
         index = self.indexes.get(bundle)
-        team = require(validation.find_team(authorization, index))
+        team = request_errors.require(
+            validation.find_team(authorization, index)
+        )
         return Caller(team, index)
 
     def allowed_time(
         self, request: wrappers.Request, service: model.ServiceSpec
     ) -> datetime.timedelta:
         """Return the time that the client allows."""
-        return require(
+        return request_errors.require(
             validation.check_deadline(
                 request.headers.get("X-Deadline-Ms"), service.deadline
             )
@@ -354,8 +335,8 @@
     def run(
         self,
         team: model.TeamSpec,
-        flow_request: request_flow.FlowRequest,
-        respond: Callable[[request_flow.Flow], wrappers.Response],
+        flow_request: request_progress.FlowRequest,
+        respond: Callable[[flow_events.Flow], wrappers.Response],
         client: direct_delivery.Client | None = None,
     ) -> wrappers.Response:
         """Run a request within the team's limit.
@@ -383,11 +364,11 @@
         """Count a new request.
 
         Raises:
-            RefusedError: The team or the gateway is at its limit.
+            request_errors.RefusedError: Team or gateway is at its limit.
         """
         entry = self.limits.try_enter(team.name, team.max_in_flight)
         if entry is team_limits.Entry.TEAM_FULL:
-            raise RefusedError(
+            raise request_errors.RefusedError(
                 self.refusal(
                     outcomes.Outcome.NOT_RUN,
                     outcomes.Reason.TEAM_LIMIT,
@@ -396,7 +377,7 @@
                 )
             )
         if entry is team_limits.Entry.GATEWAY_FULL:
-            raise RefusedError(
+            raise request_errors.RefusedError(
                 self.refusal(
                     outcomes.Outcome.NOT_RUN,
                     outcomes.Reason.OVERLOADED,
@@ -417,29 +398,6 @@
         return outcomes.Refusal(outcome, reason, message, delay)
 
 
-@functools.cache
-def url_map() -> werkzeug_routing.Map:
-    """Return the paths and methods that are served, the same for all.
-
-    Slashes are not merged, since the paths of services go on unchanged.
-    """
-    rule = werkzeug_routing.Rule
-    return werkzeug_routing.Map(
-        [
-            rule(CHAT_PATH, endpoint="chat", methods=["POST"]),
-            rule("/v1/models", endpoint="models", methods=["GET"]),
-            rule(
-                "/v1/outcomes/<path:key>", endpoint="outcome", methods=["GET"]
-            ),
-            rule("/-/ready", endpoint="ready", methods=["GET"]),
-            rule("/services/<service>/", endpoint="records"),
-            rule("/services/<service>/<path:rest>", endpoint="records"),
-        ],
-        strict_slashes=False,
-        merge_slashes=False,
-    )
-
-
 def client_check(request: wrappers.Request) -> Callable[[], bool]:
     """Return a function that tells whether the client is gone."""
     check: Callable[[], bool] = request.environ.get(
@@ -462,26 +420,6 @@
     )
 
 
-def require(result: returns.result.Result[T, answers.Fault]) -> T:
-    """Return a checked value.
-
-    Raises:
-        FaultError: The check found a fault.
-    """
-    if not returns.pipeline.is_successful(result):
-        raise FaultError(result.failure())
-    return result.unwrap()
-
-
-def forwarded_path(request: wrappers.Request) -> str:
-    """Return path and query for the service, as sent by the client."""
-    raw: str = request.environ["REQUEST_URI"]
-    path, separator, query = raw.partition("?")
-    segments = path.split("/", 3)  # "", "services", the service, the rest
-    rest = segments[3] if len(segments) > 3 else ""
-    return f"/{rest}{separator}{query}"
-
-
 def create_client_app(
     flow: request_flow.RequestFlow,
     state: service_state.ServiceState,
--- a/packages/gateway/src/verbenafall_gateway/http_server.py
+++ b/packages/gateway/src/verbenafall_gateway/client_http/http_server.py
@@ -21,12 +21,12 @@
 from verbenafall_core import event_log
 from verbenafall_core import identifiers
 from verbenafall_core import outcomes
-from verbenafall_gateway import activity as activity_lib
-from verbenafall_gateway import answers
-from verbenafall_gateway import body_writer
-from verbenafall_gateway import direct_delivery
 from verbenafall_gateway import event_catalogue
-from verbenafall_gateway import request_framing
+from verbenafall_gateway.client_http import answers
+from verbenafall_gateway.client_http import body_writer
+from verbenafall_gateway.client_http import request_framing
+from verbenafall_gateway.delivery import activity as activity_lib
+from verbenafall_gateway.delivery import direct_delivery
 
 BODY_LIMIT: Final = datetime.timedelta(seconds=10)
 SOCKET_LIMIT: Final = datetime.timedelta(seconds=10)
--- a/packages/gateway/src/verbenafall_gateway/records.py
+++ b/packages/gateway/src/verbenafall_gateway/client_http/records.py
@@ -7,9 +7,9 @@
 
 from verbenafall_core import messages
 from verbenafall_core import outcomes
-from verbenafall_gateway import answers
-from verbenafall_gateway import attempt_events
-from verbenafall_gateway import request_flow
+from verbenafall_gateway.client_http import answers
+from verbenafall_gateway.delivery import attempt_events
+from verbenafall_gateway.delivery import flow_events
 
 # Headers that concern one connection, or that this gateway sets itself.
 # Credentials are the gateway's to check and go no further.
@@ -45,14 +45,14 @@
 
 
 def records_response(
-    request_id: str, flow: request_flow.Flow
+    request_id: str, flow: flow_events.Flow
 ) -> wrappers.Response:
     """Return the endpoint's answer once it is complete."""
     parts: list[bytes] = []
     for event in flow:
-        if isinstance(event, request_flow.Delta):
+        if isinstance(event, flow_events.Delta):
             parts.append(event.data)
-        elif isinstance(event, request_flow.Restarted):
+        elif isinstance(event, flow_events.Restarted):
             parts.clear()
         elif isinstance(event, outcomes.Refusal):
             return answers.refusal_response(event, request_id)
--- a/packages/gateway/src/verbenafall_gateway/request_body.py
+++ b/packages/gateway/src/verbenafall_gateway/client_http/request_body.py
@@ -6,8 +6,8 @@
 import returns.result
 from werkzeug import wrappers
 
-from verbenafall_gateway import answers
-from verbenafall_gateway import validation
+from verbenafall_gateway.client_http import answers
+from verbenafall_gateway.client_http import validation
 
 READ_BYTES: Final = 64 * 1024
 
--- a/packages/gateway/src/verbenafall_gateway/validation.py
+++ b/packages/gateway/src/verbenafall_gateway/client_http/validation.py
@@ -13,8 +13,8 @@
 import returns.result
 
 from verbenafall_core.bundles import model
-from verbenafall_gateway import answers
-from verbenafall_gateway import bundle_index
+from verbenafall_gateway.choice import bundle_index
+from verbenafall_gateway.client_http import answers
 
 T = TypeVar("T")
 Checked = returns.result.Result[T, answers.Fault]
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/delivery/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatches requests to sidecars and passes on what comes back."""
--- a/packages/gateway/src/verbenafall_gateway/drain.py
+++ b/packages/gateway/src/verbenafall_gateway/delivery/drain.py
@@ -6,9 +6,9 @@
 from typing import Final
 
 from verbenafall_core import event_log
-from verbenafall_gateway import activity as activity_lib
 from verbenafall_gateway import event_catalogue
-from verbenafall_gateway import service_state
+from verbenafall_gateway.choice import service_state
+from verbenafall_gateway.delivery import activity as activity_lib
 
 # Time for the balancer to notice that the gateway is not ready any more.
 NOTICE: Final = datetime.timedelta(seconds=2)
--- a/packages/gateway/src/verbenafall_gateway/open_attempts.py
+++ b/packages/gateway/src/verbenafall_gateway/delivery/open_attempts.py
@@ -8,10 +8,10 @@
 from verbenafall_core import link_router
 from verbenafall_core import messages
 from verbenafall_core import metrics as metrics_lib
-from verbenafall_gateway import attempt_events
-from verbenafall_gateway import direct_delivery
-from verbenafall_gateway import endpoint_view
 from verbenafall_gateway import event_catalogue
+from verbenafall_gateway.choice import endpoint_view
+from verbenafall_gateway.delivery import attempt_events
+from verbenafall_gateway.delivery import direct_delivery
 
 _AttemptMessage = (
     messages.Accepted
--- a/packages/gateway/src/verbenafall_gateway/request_flow.py
+++ b/packages/gateway/src/verbenafall_gateway/delivery/request_flow.py
@@ -5,12 +5,10 @@
 """
 
 from collections.abc import Generator
-import concurrent.futures
 import datetime
 import random
 import threading
 from typing import Final
-from typing import NamedTuple
 
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import event_log
@@ -20,98 +18,28 @@
 from verbenafall_core import metrics as metrics_lib
 from verbenafall_core import outcomes
 from verbenafall_core.claims import model as claims_model
-from verbenafall_gateway import attempt_events
-from verbenafall_gateway import direct_delivery
-from verbenafall_gateway import endpoint_view
 from verbenafall_gateway import event_catalogue
-from verbenafall_gateway import open_attempts
-from verbenafall_gateway import retry_budget
-from verbenafall_gateway import retry_rules
-from verbenafall_gateway import routing
-from verbenafall_gateway import stream_assembly
+from verbenafall_gateway.choice import endpoint_view
+from verbenafall_gateway.choice import routing
+from verbenafall_gateway.client_http import stream_assembly
+from verbenafall_gateway.delivery import attempt_events
+from verbenafall_gateway.delivery import claim_settling
+from verbenafall_gateway.delivery import direct_delivery
+from verbenafall_gateway.delivery import flow_events
+from verbenafall_gateway.delivery import open_attempts
+from verbenafall_gateway.delivery import request_progress
+from verbenafall_gateway.delivery import retry_budget
+from verbenafall_gateway.delivery import retry_rules
 
 # Part of the client's time kept for a cancel to be confirmed, so that the
 # final answer still comes before the deadline.
 CANCEL_SHARE: Final = 0.1
 CANCEL_LIMIT: Final = datetime.timedelta(milliseconds=100)
-# A client's final answer does not wait longer than this for the store.
-SETTLE_LIMIT: Final = datetime.timedelta(seconds=1)
-SETTLE_THREADS: Final = 16
 DEFAULT_RETRY_AFTER: Final = datetime.timedelta(seconds=1)
 
 _ZERO: Final = datetime.timedelta()
 
 
-class FlowRequest(NamedTuple):
-    """A validated request.
-
-    Attributes:
-        deadline: Reading of the monotonic clock.
-        affinity: Start of the prompt, empty for no affinity.
-        resumable: Whether chunks are tokens from which another endpoint can
-            go on. Otherwise a retry starts over.
-    """
-
-    request_id: str
-    service: str
-    team: str
-    priority: int
-    deadline: datetime.timedelta
-    idempotent: bool
-    idempotency_key: str
-    method: str
-    path: str
-    headers: messages.Headers
-    body: bytes
-    affinity: str
-    resumable: bool
-
-
-class Delta(NamedTuple):
-    """The next part of the answer."""
-
-    data: bytes
-
-
-class Restarted(NamedTuple):
-    """The parts so far are void; the answer starts over."""
-
-
-class ClientGone(NamedTuple):
-    """The client has closed its connection; the flow should be closed."""
-
-
-FlowEvent = (
-    Delta | Restarted | ClientGone | attempt_events.Complete | outcomes.Refusal
-)
-Flow = Generator[FlowEvent, None, None]
-
-
-class Progress:
-    """State of a request across its attempts."""
-
-    def __init__(
-        self,
-        request: FlowRequest,
-        cancel_at: datetime.timedelta,
-        started: datetime.timedelta,
-        client: direct_delivery.Client | None = None,
-    ) -> None:
-        """Create the state of a request without attempts."""
-        self.request = request
-        self.client = client
-        self.cancel_at = cancel_at
-        self.started = started
-        self.answered = False
-        self.delivered: list[str] = []
-        self.resume_index = 0
-        self.tried: frozenset[str] = frozenset()
-        self.attempts = 0
-        self.retries = 0
-        self.outcome = outcomes.Outcome.NOT_RUN
-        self.last: attempt_events.Broken | None = None
-
-
 class RequestFlow:
     """Runs requests; safe to use from any thread."""
 
@@ -126,16 +54,13 @@
     ) -> None:
         """Create a flow service without requests."""
         self.view = view
-        self.claims = claims
         self.clock = clock
         self.metrics = metrics
         self.data_centre = data_centre
         self.generator = generator
         self.budget = retry_budget.create_retry_budget(clock)
         self.attempts = open_attempts.create_open_attempts(metrics)
-        self.settle_pool = concurrent.futures.ThreadPoolExecutor(
-            SETTLE_THREADS, "settle"
-        )
+        self.settling = claim_settling.create_claim_settling(claims, clock)
         self.lock = threading.Lock()
         self.open_keys: dict[tuple[str, str], int] = {}
 
@@ -149,13 +74,13 @@
     def stop(self, limit: datetime.timedelta) -> None:
         """End the threads; the HTTP server has waited for open requests."""
         del limit  # A settle in progress is bounded by the store's adapter.
-        self.settle_pool.shutdown(wait=False, cancel_futures=True)
+        self.settling.stop()
 
     def run(
         self,
-        request: FlowRequest,
+        request: request_progress.FlowRequest,
         client: direct_delivery.Client | None = None,
-    ) -> Flow:
+    ) -> flow_events.Flow:
         """Run a request; the last event is Complete or a Refusal.
 
         Args:
@@ -168,7 +93,7 @@
         remaining = request.deadline - self.clock.monotonic()
         reserve = min(max(remaining, _ZERO) * CANCEL_SHARE, CANCEL_LIMIT)
         started = self.clock.monotonic()
-        progress = Progress(
+        progress = request_progress.Progress(
             request, request.deadline - reserve, started, client
         )
         key = (request.team, request.idempotency_key)
@@ -180,7 +105,9 @@
             duration = self.clock.monotonic() - started
             self.metrics.timing(f"request.{request.service}", duration)
 
-    def run_attempts(self, progress: Progress) -> Flow:
+    def run_attempts(
+        self, progress: request_progress.Progress
+    ) -> flow_events.Flow:
         """Run attempts until one is complete or none may follow."""
         while True:
             attempt = self.dispatch(progress)
@@ -196,7 +123,7 @@
                 return
             progress.retries += 1
             if not progress.request.resumable:
-                yield Restarted()
+                yield flow_events.Restarted()
 
     def hold_key(self, key: tuple[str, str]) -> None:
         """Note that a request with this key is open."""
@@ -218,7 +145,9 @@
         with self.lock:
             return (team, key) in self.open_keys
 
-    def dispatch(self, progress: Progress) -> open_attempts.OpenAttempt | None:
+    def dispatch(
+        self, progress: request_progress.Progress
+    ) -> open_attempts.OpenAttempt | None:
         """Hand the request to an endpoint's link; None without endpoint."""
         while self.clock.monotonic() < progress.cancel_at:
             choice = self.choose(progress)
@@ -244,7 +173,9 @@
             self.forget(attempt)
         return None
 
-    def choose(self, progress: Progress) -> routing.Choice | None:
+    def choose(
+        self, progress: request_progress.Progress
+    ) -> routing.Choice | None:
         """Choose an endpoint and write the choice to the log."""
         request = progress.request
         choice = routing.choose(
@@ -277,7 +208,7 @@
         return choice
 
     def build_dispatch(
-        self, progress: Progress, attempt_id: str
+        self, progress: request_progress.Progress, attempt_id: str
     ) -> messages.Dispatch:
         """Return the message of an attempt."""
         request = progress.request
@@ -300,9 +231,11 @@
         )
 
     def follow(
-        self, progress: Progress, attempt: open_attempts.OpenAttempt
+        self,
+        progress: request_progress.Progress,
+        attempt: open_attempts.OpenAttempt,
     ) -> Generator[
-        Delta | ClientGone,
+        flow_events.Delta | flow_events.ClientGone,
         None,
         attempt_events.Complete | attempt_events.Broken,
     ]:
@@ -322,7 +255,7 @@
                     return self.cancel_late(
                         progress, attempt, receiver.assembly
                     )
-                if isinstance(event, ClientGone):
+                if isinstance(event, flow_events.ClientGone):
                     yield event
                     continue
                 if isinstance(event, attempt_events.Unsent):
@@ -331,7 +264,7 @@
                 if isinstance(reaction, attempt_events.Deliver):
                     receiver.assembly = reaction.assembly
                     self.note_delivered(progress, reaction.data)
-                    yield Delta(reaction.data)
+                    yield flow_events.Delta(reaction.data)
                 elif isinstance(reaction, attempt_events.Continue):
                     self.count_dropped(reaction)
                 else:
@@ -347,10 +280,10 @@
 
     def next_event(
         self,
-        progress: Progress,
+        progress: request_progress.Progress,
         attempt: open_attempts.OpenAttempt,
         receiver: direct_delivery.Receiver,
-    ) -> attempt_events.AttemptEvent | ClientGone | None:
+    ) -> attempt_events.AttemptEvent | flow_events.ClientGone | None:
         """Wait for an event; None at the deadline.
 
         The first token of a request begins its answer, so only later ones
@@ -366,9 +299,11 @@
             if event is not None or limit == left:
                 return event
             if client is not None and client.is_gone():
-                return ClientGone()
+                return flow_events.ClientGone()
 
-    def note_delivered(self, progress: Progress, data: bytes) -> None:
+    def note_delivered(
+        self, progress: request_progress.Progress, data: bytes
+    ) -> None:
         """Keep a token as the start of a resume, and time the first one."""
         if not progress.answered:
             progress.answered = True
@@ -389,7 +324,9 @@
         self.view.close_attempt(attempt.link)
 
     def send_cancel(
-        self, progress: Progress, attempt: open_attempts.OpenAttempt
+        self,
+        progress: request_progress.Progress,
+        attempt: open_attempts.OpenAttempt,
     ) -> None:
         """Ask the sidecar to give up an attempt."""
         attempt.link.send(
@@ -398,7 +335,7 @@
 
     def cancel_late(
         self,
-        progress: Progress,
+        progress: request_progress.Progress,
         attempt: open_attempts.OpenAttempt,
         assembly: stream_assembly.Assembly,
     ) -> attempt_events.Complete | attempt_events.Broken:
@@ -433,10 +370,10 @@
         )
 
     def may_retry(
-        self, progress: Progress, broken: attempt_events.Broken
+        self, progress: request_progress.Progress, broken: attempt_events.Broken
     ) -> bool:
         """Settle a broken attempt; return whether another may follow."""
-        broken = self.settle(progress, broken)
+        broken = self.settling.settle(progress, broken)
         progress.last = broken
         progress.outcome = retry_rules.worse(progress.outcome, broken.outcome)
         situation = retry_rules.Situation(
@@ -464,41 +401,8 @@
         self.metrics.count(f"attempt.broken.{broken.reason}")
         return action is not retry_rules.Action.GIVE_UP
 
-    def settle(
-        self, progress: Progress, broken: attempt_events.Broken
-    ) -> attempt_events.Broken:
-        """Void the claim of an attempt whose link was lost, if it is free.
-
-        Once the claim is void for this attempt no sidecar can start it, so
-        the attempt provably did not run.
-        """
-        request = progress.request
-        if (
-            request.idempotent
-            or broken.reason is not outcomes.Reason.LINK_LOST
-            or broken.outcome is not outcomes.Outcome.UNKNOWN
-        ):
-            return broken
-        pending = self.settle_pool.submit(
-            self.claims.settle,
-            request.team,
-            request.idempotency_key,
-            identifiers.attempt_id(request.request_id, progress.attempts),
-        )
-        remaining = progress.cancel_at - self.clock.monotonic()
-        limit = min(SETTLE_LIMIT, max(remaining, _ZERO))
-        try:
-            result = pending.result(limit.total_seconds())
-        except concurrent.futures.TimeoutError:
-            # A void that is written later only keeps the attempt from
-            # running, which "unknown" allows for.
-            return broken
-        if isinstance(result, claims_model.Voided):
-            return broken._replace(outcome=outcomes.Outcome.NOT_RUN)
-        return broken
-
     def refuse(
-        self, progress: Progress, broken: attempt_events.Broken
+        self, progress: request_progress.Progress, broken: attempt_events.Broken
     ) -> outcomes.Refusal:
         """Return the final answer after a broken attempt."""
         return outcomes.Refusal(
@@ -508,7 +412,9 @@
             broken.retry_after or self.default_retry_after(),
         )
 
-    def refuse_without_endpoint(self, progress: Progress) -> outcomes.Refusal:
+    def refuse_without_endpoint(
+        self, progress: request_progress.Progress
+    ) -> outcomes.Refusal:
         """Return the final answer when no endpoint could take the request."""
         if self.clock.monotonic() >= progress.cancel_at:
             reason = outcomes.Reason.DEADLINE
--- a/packages/gateway/src/verbenafall_gateway/retry_rules.py
+++ b/packages/gateway/src/verbenafall_gateway/delivery/retry_rules.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from verbenafall_core import outcomes
-from verbenafall_gateway import attempt_events
+from verbenafall_gateway.delivery import attempt_events
 
 MAX_RETRIES: Final = 2
 
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
@@ -12,6 +12,7 @@
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import event_log
 from verbenafall_core import link as link_lib
+from verbenafall_core import link_loop
 from verbenafall_core import link_router
 from verbenafall_core import messages
 from verbenafall_core.object_store import collection
@@ -74,7 +75,7 @@
         hello = messages.Hello(
             messages.PROTOCOL_VERSION, name, ROLE, data_centre, ""
         )
-        self.links = link_lib.create_link_loop(
+        self.links = link_loop.create_link_loop(
             hello, self.heartbeat, router, clock
         )
 
--- a/packages/gateway/src/verbenafall_gateway/gateway.py
+++ b/packages/gateway/src/verbenafall_gateway/gateway.py
@@ -8,7 +8,7 @@
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import http_client
 from verbenafall_core import kernel as kernel_lib
-from verbenafall_core import link
+from verbenafall_core import link_loop
 from verbenafall_core import link_router
 from verbenafall_core import messages
 from verbenafall_core import metrics as metrics_lib
@@ -19,17 +19,17 @@
 from verbenafall_core.instance_list import service as list_service
 from verbenafall_core.object_store import budget
 from verbenafall_core.object_store import http_adapter as store_adapter
-from verbenafall_gateway import activity as activity_lib
-from verbenafall_gateway import admin_app
-from verbenafall_gateway import drain as drain_lib
-from verbenafall_gateway import endpoint_view
 from verbenafall_gateway import gateway_settings
-from verbenafall_gateway import http_app
-from verbenafall_gateway import http_server
-from verbenafall_gateway import link_targets
-from verbenafall_gateway import request_flow
-from verbenafall_gateway import service_state
 from verbenafall_gateway import status as status_lib
+from verbenafall_gateway.choice import endpoint_view
+from verbenafall_gateway.choice import service_state
+from verbenafall_gateway.client_http import admin_app
+from verbenafall_gateway.client_http import http_app
+from verbenafall_gateway.client_http import http_server
+from verbenafall_gateway.delivery import activity as activity_lib
+from verbenafall_gateway.delivery import drain as drain_lib
+from verbenafall_gateway.delivery import request_flow
+from verbenafall_gateway.links import link_targets
 
 ADMIN_THREADS: Final = 4
 # Answer readiness and refusals at once while all other threads are busy.
@@ -83,7 +83,7 @@
         settings.data_centre,
         "",
     )
-    links = link.create_link_loop(hello, state.heartbeat, router, clock)
+    links = link_loop.create_link_loop(hello, state.heartbeat, router, clock)
     bundles.announce = links.announce
     instances = list_service.create_instance_list_service(
         list_adapter.create_http_instance_list(client, settings.instance_list)
--- a/packages/gateway/src/verbenafall_gateway/gateway_settings.py
+++ b/packages/gateway/src/verbenafall_gateway/gateway_settings.py
@@ -10,7 +10,7 @@
 from verbenafall_core import addresses
 from verbenafall_core import common_options
 from verbenafall_core import settings
-from verbenafall_gateway import subsetting
+from verbenafall_gateway.links import subsetting
 
 # Fewer would leave a service of 16 endpoints without its full mesh.
 LEAST_LINKS: Final = 16
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/links/__init__.py
@@ -0,0 +1,1 @@
+"""Chooses and keeps links with sidecars."""
--- a/packages/gateway/src/verbenafall_gateway/link_matching.py
+++ b/packages/gateway/src/verbenafall_gateway/links/link_matching.py
@@ -12,7 +12,7 @@
 from typing import Final
 from typing import NamedTuple
 
-from verbenafall_gateway import rendezvous
+from verbenafall_gateway.choice import rendezvous
 
 # Largest prime below 2**30: scores of one machine digit sort fastest.
 SCORE_PRIME: Final = 1_073_741_789
--- a/packages/gateway/src/verbenafall_gateway/link_targets.py
+++ b/packages/gateway/src/verbenafall_gateway/links/link_targets.py
@@ -11,9 +11,9 @@
 from verbenafall_core import event_log
 from verbenafall_core import periodic
 from verbenafall_core.instance_list import port
-from verbenafall_gateway import endpoint_view
 from verbenafall_gateway import event_catalogue
-from verbenafall_gateway import subsetting
+from verbenafall_gateway.choice import endpoint_view
+from verbenafall_gateway.links import subsetting
 
 INTERVAL: Final = datetime.timedelta(seconds=1)
 
--- a/packages/gateway/src/verbenafall_gateway/subsetting.py
+++ b/packages/gateway/src/verbenafall_gateway/links/subsetting.py
@@ -10,8 +10,8 @@
 
 from verbenafall_core import addresses
 from verbenafall_core.instance_list import port
-from verbenafall_gateway import link_matching
-from verbenafall_gateway import link_shares
+from verbenafall_gateway.links import link_matching
+from verbenafall_gateway.links import link_shares
 
 SIDECAR_ROLE: Final = "sidecar"
 GATEWAY_ROLE: Final = "gateway"
--- a/packages/gateway/src/verbenafall_gateway/serve_command.py
+++ b/packages/gateway/src/verbenafall_gateway/serve_command.py
@@ -18,7 +18,7 @@
 from verbenafall_gateway import event_catalogue
 from verbenafall_gateway import gateway as gateway_lib
 from verbenafall_gateway import gateway_settings
-from verbenafall_gateway import http_server
+from verbenafall_gateway.client_http import http_server
 
 EXIT_CANNOT_LISTEN: Final = 1
 
--- a/packages/gateway/src/verbenafall_gateway/status.py
+++ b/packages/gateway/src/verbenafall_gateway/status.py
@@ -9,8 +9,8 @@
 
 from verbenafall_core import link_router
 from verbenafall_core import messages
-from verbenafall_gateway import endpoint_view
-from verbenafall_gateway import service_state
+from verbenafall_gateway.choice import endpoint_view
+from verbenafall_gateway.choice import service_state
 
 COLLECT_LIMIT: Final = datetime.timedelta(milliseconds=500)
 
--- /dev/null
+++ b/packages/sidecar/src/verbenafall_sidecar/delivery/__init__.py
@@ -0,0 +1,1 @@
+"""Runs attempts that gateways dispatch."""
--- a/packages/sidecar/src/verbenafall_sidecar/attempt.py
+++ b/packages/sidecar/src/verbenafall_sidecar/delivery/attempt.py
@@ -8,7 +8,7 @@
 from verbenafall_core import messages
 from verbenafall_core import outcomes
 from verbenafall_core.claims import model
-from verbenafall_sidecar import endpoint_port
+from verbenafall_sidecar.endpoint import endpoint_port
 
 # Well below the limit of a message, so that heartbeats are not held up.
 PART_BYTES: Final = 256 * 1024
--- a/packages/sidecar/src/verbenafall_sidecar/claim_results.py
+++ b/packages/sidecar/src/verbenafall_sidecar/delivery/claim_results.py
@@ -1,13 +1,14 @@
 """What follows for an attempt from the claim of its key."""
 
+from collections.abc import Callable
 import functools
 from typing import Final
 from typing import Protocol
 
 from verbenafall_core import outcomes
 from verbenafall_core.claims import model
-from verbenafall_sidecar import attempt as attempt_lib
-from verbenafall_sidecar import endpoint_port
+from verbenafall_sidecar.delivery import attempt as attempt_lib
+from verbenafall_sidecar.endpoint import endpoint_port
 
 NOT_RUN: Final = outcomes.Outcome.NOT_RUN
 UNKNOWN: Final = outcomes.Outcome.UNKNOWN
@@ -15,11 +16,11 @@
 Reason = outcomes.Reason
 
 
-class AttemptSteps(Protocol):
-    """The steps of an attempt that can follow its claim."""
+Call = Callable[[attempt_lib.Attempt], None]
 
-    def call(self, attempt: attempt_lib.Attempt) -> None:
-        """Call the endpoint unless it is too late."""
+
+class ClaimEnds(Protocol):
+    """Ends attempts whose claim shows that they are not called."""
 
     def end_answered(
         self, attempt: attempt_lib.Attempt, end: endpoint_port.CallEnd
@@ -31,6 +32,7 @@
         attempt: attempt_lib.Attempt,
         reason: outcomes.Reason,
         outcome: outcomes.Outcome,
+        detail: str = "",
     ) -> None:
         """End an attempt that was not started."""
 
@@ -38,7 +40,8 @@
 @functools.singledispatch
 def apply(
     result: model.StartResult,
-    _steps: AttemptSteps,
+    _call: Call,
+    _ends: ClaimEnds,
     _attempt: attempt_lib.Attempt,
 ) -> None:
     """Go on with an attempt after the claim of its key."""
@@ -48,24 +51,26 @@
 @apply.register
 def _(
     result: model.StartedClaim,
-    steps: AttemptSteps,
+    call: Call,
+    _ends: ClaimEnds,
     attempt: attempt_lib.Attempt,
 ) -> None:
     attempt.claim = result
-    steps.call(attempt)
+    call(attempt)
 
 
 @apply.register
 def _(
     result: model.Replay,
-    steps: AttemptSteps,
+    _call: Call,
+    ends: ClaimEnds,
     attempt: attempt_lib.Attempt,
 ) -> None:
     answer = result.answer
     if answer.body is None:
-        steps.end_refused(attempt, Reason.CLAIM_HELD, RAN)
+        ends.end_refused(attempt, Reason.CLAIM_HELD, RAN)
         return
-    steps.end_answered(
+    ends.end_answered(
         attempt,
         endpoint_port.CallEnd(answer.status, answer.headers, answer.body, ""),
     )
@@ -74,34 +79,38 @@
 @apply.register
 def _(
     _result: model.Held,
-    steps: AttemptSteps,
+    _call: Call,
+    ends: ClaimEnds,
     attempt: attempt_lib.Attempt,
 ) -> None:
-    steps.end_refused(attempt, Reason.CLAIM_HELD, UNKNOWN)
+    ends.end_refused(attempt, Reason.CLAIM_HELD, UNKNOWN)
 
 
 @apply.register
 def _(
     _result: model.Mismatch,
-    steps: AttemptSteps,
+    _call: Call,
+    ends: ClaimEnds,
     attempt: attempt_lib.Attempt,
 ) -> None:
-    steps.end_refused(attempt, Reason.CLAIM_MISMATCH, NOT_RUN)
+    ends.end_refused(attempt, Reason.CLAIM_MISMATCH, NOT_RUN)
 
 
 @apply.register
 def _(
     _result: model.Sealed,
-    steps: AttemptSteps,
+    _call: Call,
+    ends: ClaimEnds,
     attempt: attempt_lib.Attempt,
 ) -> None:
-    steps.end_refused(attempt, Reason.KEY_SEALED, NOT_RUN)
+    ends.end_refused(attempt, Reason.KEY_SEALED, NOT_RUN)
 
 
 @apply.register
 def _(
     _result: model.Unavailable,
-    steps: AttemptSteps,
+    _call: Call,
+    ends: ClaimEnds,
     attempt: attempt_lib.Attempt,
 ) -> None:
-    steps.end_refused(attempt, Reason.STORE_UNAVAILABLE, NOT_RUN)
+    ends.end_refused(attempt, Reason.STORE_UNAVAILABLE, NOT_RUN)
--- a/packages/sidecar/src/verbenafall_sidecar/dispatcher.py
+++ b/packages/sidecar/src/verbenafall_sidecar/delivery/dispatcher.py
@@ -6,12 +6,9 @@
 """
 
 from collections.abc import Callable
-import concurrent.futures
 import datetime
-import functools
 import random
 import threading
-from typing import Any
 from typing import Final
 from typing import NamedTuple
 
@@ -22,26 +19,21 @@
 from verbenafall_core import metrics as metrics_lib
 from verbenafall_core import outcomes
 from verbenafall_core.claims import model
-from verbenafall_sidecar import admission
-from verbenafall_sidecar import attempt as attempt_lib
-from verbenafall_sidecar import attempt_registry
-from verbenafall_sidecar import claim_results
-from verbenafall_sidecar import endpoint_port
-from verbenafall_sidecar import engine_errors
 from verbenafall_sidecar import event_catalogue
-from verbenafall_sidecar import fair_queue
-from verbenafall_sidecar import service_view
+from verbenafall_sidecar.delivery import admission
+from verbenafall_sidecar.delivery import admission_log
+from verbenafall_sidecar.delivery import attempt as attempt_lib
+from verbenafall_sidecar.delivery import attempt_registry
+from verbenafall_sidecar.delivery import attempt_runner
+from verbenafall_sidecar.delivery import fair_queue
+from verbenafall_sidecar.endpoint import endpoint_port
+from verbenafall_sidecar.endpoint import service_view
 
 NO_TIME: Final = datetime.timedelta()
 RETRY_SOON: Final = datetime.timedelta(seconds=1)
-# A call that must not be repeated is not cut off at the client's deadline,
-# so that its answer can still be recorded for the client's next request.
-RECORD_GRACE: Final = datetime.timedelta(seconds=30)
 FIRST_SERVICE_TIME: Final = datetime.timedelta(milliseconds=500)
 SERVICE_TIME_WEIGHT: Final = 0.1
 COST_BYTES: Final = 4096
-MAX_CALL_THREADS: Final = 4
-MAX_CLAIM_THREADS: Final = 32
 
 NOT_RUN: Final = outcomes.Outcome.NOT_RUN
 UNKNOWN: Final = outcomes.Outcome.UNKNOWN
@@ -95,8 +87,6 @@
     ) -> None:
         """Create a dispatcher without attempts."""
         self.configuration = configuration
-        self.endpoint = endpoint
-        self.claims = claims
         self.view = view
         self.registry = registry
         self.send_load = send_load
@@ -115,12 +105,14 @@
         self.draining = False
         self.stopped = False
         self.endpoint_up = True
-        # A store that does not answer must not hold up idempotent work.
-        self.call_pool: concurrent.futures.Executor = (
-            concurrent.futures.ThreadPoolExecutor(MAX_CALL_THREADS, "calls")
-        )
-        self.claim_pool: concurrent.futures.Executor = (
-            concurrent.futures.ThreadPoolExecutor(MAX_CLAIM_THREADS, "claims")
+        self.runner = attempt_runner.create_attempt_runner(
+            self,
+            endpoint,
+            claims,
+            configuration.endpoint_name,
+            configuration.is_engine,
+            self.lock,
+            clock,
         )
 
     def start(self) -> None:
@@ -131,8 +123,7 @@
         self.begin_drain()
         self.wait_until_idle(limit)
         self.stopped = True
-        self.call_pool.shutdown(wait=False, cancel_futures=True)
-        self.claim_pool.shutdown(wait=False, cancel_futures=True)
+        self.runner.stop()
 
     def begin_drain(self) -> None:
         """Refuse new dispatches from now on."""
@@ -263,7 +254,7 @@
         if isinstance(decision, admission.Refuse):
             closed = attempt_registry.finished(NOT_RUN)
             self.registry.close(dispatch.attempt_id, closed, now)
-            self.log_decision(
+            admission_log.log_decision(
                 event_catalogue.ATTEMPT_REFUSED,
                 dispatch,
                 load,
@@ -273,7 +264,7 @@
                 link, dispatch, decision.reason, decision.retry_after
             )
             return
-        self.log_decision(
+        admission_log.log_decision(
             event_catalogue.ATTEMPT_ADMITTED,
             dispatch,
             load,
@@ -307,11 +298,7 @@
         """Decide whether an attempt is queued."""
         malformed = admission.find_malformed(dispatch)
         if malformed:
-            event_log.emit(
-                event_catalogue.DISPATCH_MALFORMED,
-                attempt=dispatch.attempt_id,
-                problem=malformed,
-            )
+            admission_log.log_malformed(dispatch, malformed)
             return admission.Refuse(Reason.BAD_REQUEST, NO_TIME)
         closed = admission.find_closed_reason(
             admission.Conditions(
@@ -339,27 +326,6 @@
             self.view.shares_of(team),
         )
 
-    def log_decision(
-        self,
-        event: event_log.Event,
-        dispatch: messages.Dispatch,
-        load: admission.Load,
-        **fields: Any,
-    ) -> None:
-        """Write the line of an admission decision."""
-        event_log.emit(
-            event,
-            attempt=dispatch.attempt_id,
-            team=dispatch.team,
-            **fields,
-            remaining_ms=dispatch.remaining_ms,
-            in_flight=load.in_flight,
-            queued=load.queued,
-            slots=load.slots,
-            team_queued=load.team_queued,
-            service_time_ms=attempt_lib.to_ms(load.service_time),
-        )
-
     def reply_refused(
         self,
         link: link_lib.Link,
@@ -418,153 +384,7 @@
             attempt.phase = Phase.STARTING
             attempt.started_at = now
             self.in_flight += 1
-            if attempt.dispatch.idempotent:
-                self.submit(self.call_pool, attempt, self.call)
-            else:
-                self.submit(self.claim_pool, attempt, self.claim)
-
-    def submit(
-        self,
-        pool: concurrent.futures.Executor,
-        attempt: attempt_lib.Attempt,
-        step: Callable[[attempt_lib.Attempt], None],
-    ) -> None:
-        """Run a step of an attempt on a pool."""
-
-        def run() -> None:
-            try:
-                step(attempt)
-            except Exception as error:  # Others must not lose their slots.
-                event_log.emit(
-                    event_catalogue.ATTEMPT_CRASHED,
-                    attempt=attempt.dispatch.attempt_id,
-                    error=repr(error),
-                )
-                self.end_failed(attempt, Reason.ENDPOINT_FAILED)
-
-        pool.submit(run)
-
-    def claim(self, attempt: attempt_lib.Attempt) -> None:
-        """Claim the attempt's key, then call the endpoint if it may run."""
-        with self.lock:
-            reason = self.find_late_reason(attempt)
-        if reason is not None:
-            self.end_unsent(attempt, reason)
-            return
-        dispatch = attempt.dispatch
-        result = self.claims.start(
-            dispatch.team,
-            dispatch.idempotency_key,
-            dispatch.attempt_id,
-            model.digest_request(dispatch.method, dispatch.path, dispatch.body),
-            self.configuration.endpoint_name,
-        )
-        claim_results.apply(result, self, attempt)
-
-    def call(self, attempt: attempt_lib.Attempt) -> None:
-        """Call the endpoint unless it is too late."""
-        with self.lock:
-            reason = self.find_late_reason(attempt)
-            if reason is None:
-                # From here on a cancel does not report "not run".
-                attempt.phase = Phase.RUNNING
-        if reason is not None:
-            self.end_unsent(attempt, reason)
-            return
-        limit = attempt.deadline - self.clock.monotonic()
-        if not attempt.dispatch.idempotent:
-            limit += RECORD_GRACE
-        sink = AttemptSink(self, attempt)
-        try:
-            call = self.endpoint.begin(attempt.dispatch, limit, sink)
-        except ValueError:
-            self.end_unsent(attempt, Reason.BAD_REQUEST)
-            return
-        with self.lock:
-            attempt.call = call
-            if attempt.muted and attempt.dispatch.idempotent:
-                call.cancel()
-
-    def find_late_reason(
-        self, attempt: attempt_lib.Attempt
-    ) -> outcomes.Reason | None:
-        """Return why an attempt may not be started; hold the lock."""
-        if attempt.cancelled:
-            return Reason.CANCELLED
-        if attempt.deadline <= self.clock.monotonic():
-            attempt.cancelled = True
-            return Reason.DEADLINE
-        return None
-
-    def finish_call(
-        self, attempt: attempt_lib.Attempt, end: endpoint_port.CallEnd
-    ) -> None:
-        """Handle a complete answer of the endpoint."""
-        if self.configuration.is_engine and end.status != engine_errors.OK:
-            self.finish_error(attempt, end)
-        elif attempt.claim is None:
-            self.end_answered(attempt, end)
-        else:
-            with self.lock:
-                attempt.phase = Phase.RECORDING
-            record = functools.partial(self.record, end=end)
-            self.submit(self.claim_pool, attempt, record)
-
-    def finish_error(
-        self, attempt: attempt_lib.Attempt, end: endpoint_port.CallEnd
-    ) -> None:
-        """Handle an engine's error answer, which has no tokens."""
-        if not engine_errors.is_bad_request(end.status):
-            self.end_failed(attempt, Reason.ENDPOINT_FAILED)
-            return
-        unsent = functools.partial(
-            self.end_unsent,
-            reason=Reason.BAD_REQUEST,
-            detail=engine_errors.read_message(end.body),
-        )
-        self.submit(self.pool_of(attempt), attempt, unsent)
-
-    def record(
-        self, attempt: attempt_lib.Attempt, end: endpoint_port.CallEnd
-    ) -> None:
-        """Record the answer with the claim, then send it."""
-        if attempt.claim is not None:
-            answer = model.StoredAnswer(end.status, end.headers, end.body)
-            self.claims.finish(attempt.claim, answer)
-        self.end_answered(attempt, end)
-
-    def fail_call(
-        self,
-        attempt: attempt_lib.Attempt,
-        failure: endpoint_port.CallFailure,
-    ) -> None:
-        """Handle a call without a complete answer."""
-        if not failure.sent:
-            unsent = functools.partial(
-                self.end_unsent, reason=Reason.ENDPOINT_REFUSED
-            )
-            self.submit(self.pool_of(attempt), attempt, unsent)
-            return
-        late = attempt.deadline <= self.clock.monotonic()
-        reason = Reason.DEADLINE if late else Reason.ENDPOINT_FAILED
-        self.end_failed(attempt, reason)
-
-    def pool_of(
-        self, attempt: attempt_lib.Attempt
-    ) -> concurrent.futures.Executor:
-        """Return the pool for the next step of an attempt."""
-        return self.call_pool if attempt.claim is None else self.claim_pool
-
-    def end_unsent(
-        self,
-        attempt: attempt_lib.Attempt,
-        reason: outcomes.Reason,
-        detail: str = "",
-    ) -> None:
-        """End an attempt that the endpoint provably did not process."""
-        if attempt.claim is not None:
-            self.claims.abandon(attempt.claim)
-        self.end_refused(attempt, reason, NOT_RUN, detail)
+            self.runner.begin(attempt)
 
     def end_refused(
         self,
@@ -643,29 +463,6 @@
         return outcomes.spread_retry_after(base, self.generator)
 
 
-class AttemptSink:
-    """Passes the endpoint's answer on to the gateway."""
-
-    def __init__(
-        self, dispatcher: Dispatcher, attempt: attempt_lib.Attempt
-    ) -> None:
-        """Create a sink for an attempt that is running."""
-        self.dispatcher = dispatcher
-        self.attempt = attempt
-
-    def on_chunk(self, data: bytes) -> None:
-        """Send the text of the next token."""
-        self.attempt.send_chunk(data)
-
-    def on_end(self, end: endpoint_port.CallEnd) -> None:
-        """Handle a complete answer."""
-        self.dispatcher.finish_call(self.attempt, end)
-
-    def on_failure(self, failure: endpoint_port.CallFailure) -> None:
-        """Handle a call without a complete answer."""
-        self.dispatcher.fail_call(self.attempt, failure)
-
-
 def create_dispatcher(
     configuration: Configuration,
     endpoint: endpoint_port.Endpoint,
--- a/packages/sidecar/src/verbenafall_sidecar/drain.py
+++ b/packages/sidecar/src/verbenafall_sidecar/delivery/drain.py
@@ -6,8 +6,8 @@
 from typing import Protocol
 
 from verbenafall_core import event_log
-from verbenafall_sidecar import dispatcher as dispatcher_lib
 from verbenafall_sidecar import event_catalogue
+from verbenafall_sidecar.delivery import dispatcher as dispatcher_lib
 
 STOP_LIMIT: Final = datetime.timedelta(seconds=120)
 
--- /dev/null
+++ b/packages/sidecar/src/verbenafall_sidecar/endpoint/__init__.py
@@ -0,0 +1,1 @@
+"""Speaks to the endpoint beside this sidecar."""
--- a/packages/sidecar/src/verbenafall_sidecar/endpoint_health.py
+++ b/packages/sidecar/src/verbenafall_sidecar/endpoint/endpoint_health.py
@@ -7,8 +7,8 @@
 
 from verbenafall_core import event_log
 from verbenafall_core import periodic
-from verbenafall_sidecar import endpoint_port
 from verbenafall_sidecar import event_catalogue
+from verbenafall_sidecar.endpoint import endpoint_port
 
 PROBE_INTERVAL: Final = datetime.timedelta(seconds=1)
 # One refused connection can be a full backlog of a busy endpoint.
--- a/packages/sidecar/src/verbenafall_sidecar/engine_http.py
+++ b/packages/sidecar/src/verbenafall_sidecar/endpoint/engine_http.py
@@ -15,11 +15,11 @@
 
 from verbenafall_core import http_client
 from verbenafall_core import messages
-from verbenafall_sidecar import endpoint_port
-from verbenafall_sidecar import engine_port
-from verbenafall_sidecar import http_forwarding
-from verbenafall_sidecar import http_probe
-from verbenafall_sidecar import transfers
+from verbenafall_sidecar.delivery import transfers
+from verbenafall_sidecar.endpoint import endpoint_port
+from verbenafall_sidecar.endpoint import engine_port
+from verbenafall_sidecar.endpoint import http_forwarding
+from verbenafall_sidecar.endpoint import http_probe
 
 MAX_EVENT_BYTES: Final = 1024 * 1024
 CANCEL_LIMIT: Final = datetime.timedelta(seconds=2)
--- a/packages/sidecar/src/verbenafall_sidecar/engine_port.py
+++ b/packages/sidecar/src/verbenafall_sidecar/endpoint/engine_port.py
@@ -7,7 +7,7 @@
 
 import returns.result
 
-from verbenafall_sidecar import endpoint_port
+from verbenafall_sidecar.endpoint import endpoint_port
 
 
 class EngineFailure(NamedTuple):
--- a/packages/sidecar/src/verbenafall_sidecar/http_probe.py
+++ b/packages/sidecar/src/verbenafall_sidecar/endpoint/http_probe.py
@@ -6,7 +6,7 @@
 import pycurl
 
 from verbenafall_core import http_client
-from verbenafall_sidecar import endpoint_port
+from verbenafall_sidecar.endpoint import endpoint_port
 
 PROBE_LIMIT: Final = datetime.timedelta(seconds=1)
 
--- a/packages/sidecar/src/verbenafall_sidecar/service_http.py
+++ b/packages/sidecar/src/verbenafall_sidecar/endpoint/service_http.py
@@ -6,10 +6,10 @@
 
 from verbenafall_core import http_client
 from verbenafall_core import messages
-from verbenafall_sidecar import endpoint_port
-from verbenafall_sidecar import http_forwarding
-from verbenafall_sidecar import http_probe
-from verbenafall_sidecar import transfers
+from verbenafall_sidecar.delivery import transfers
+from verbenafall_sidecar.endpoint import endpoint_port
+from verbenafall_sidecar.endpoint import http_forwarding
+from verbenafall_sidecar.endpoint import http_probe
 
 
 class PlainAnswerSink:
--- a/packages/sidecar/src/verbenafall_sidecar/service_port.py
+++ b/packages/sidecar/src/verbenafall_sidecar/endpoint/service_port.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from verbenafall_sidecar import endpoint_port
+from verbenafall_sidecar.endpoint import endpoint_port
 
 
 class PlainService(endpoint_port.Endpoint, Protocol):
--- /dev/null
+++ b/packages/sidecar/src/verbenafall_sidecar/group/__init__.py
@@ -0,0 +1,1 @@
+"""Takes part in a rank group through the store."""
--- a/packages/sidecar/src/verbenafall_sidecar/group_loads.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group/group_loads.py
@@ -12,7 +12,7 @@
 from verbenafall_core import messages
 from verbenafall_core.expert_maps import load_history
 from verbenafall_core.expert_maps import selection
-from verbenafall_sidecar import order_port
+from verbenafall_sidecar.orders import order_port
 
 # How often a sidecar sends the load of its engine.
 SEND_INTERVAL: Final = datetime.timedelta(seconds=5)
--- a/packages/sidecar/src/verbenafall_sidecar/group_member.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group/group_member.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Mapping
 from collections.abc import Sequence
 import datetime
 import random
@@ -26,15 +25,15 @@
 from verbenafall_core import periodic
 from verbenafall_core.bundles import model
 from verbenafall_core.expert_maps import coordinator as coordinator_lib
-from verbenafall_core.expert_maps import difference
 from verbenafall_core.expert_maps import event_catalogue
 from verbenafall_core.expert_maps import load_history
 from verbenafall_core.expert_maps import record as record_lib
 from verbenafall_core.expert_maps import switch
 from verbenafall_core.object_store import port as store_port
-from verbenafall_sidecar import group_loads
-from verbenafall_sidecar import order_gate
-from verbenafall_sidecar import order_port
+from verbenafall_sidecar.group import group_loads
+from verbenafall_sidecar.group import group_peers
+from verbenafall_sidecar.orders import engine_orders
+from verbenafall_sidecar.orders import order_port
 
 SWITCH_POLL_INTERVAL: Final = datetime.timedelta(milliseconds=100)
 STABLE_POLL_INTERVAL: Final = datetime.timedelta(seconds=1)
@@ -70,16 +69,6 @@
     metrics: metrics_lib.Metrics
 
 
-class Peer:
-    """An open link to another sidecar, and what was heard over it."""
-
-    def __init__(self, link: link_lib.Link, instance: str) -> None:
-        """Create a peer that was not heard from."""
-        self.link = link
-        self.instance = instance
-        self.member: messages.GroupMember | None = None
-
-
 class GroupMemberService:
     """Kernel service. The lock guards what the link callbacks share.
 
@@ -89,11 +78,7 @@
         answered: Whether the store has answered a watch since the start.
         confirmed: See `switch.View`.
         peers: Open links to other sidecars, in the order of opening.
-        released_step: Boundary step for which the engine took a release in
-            this switch, 0 for none. Until that step an engine does not show
-            that it was released.
-        taken: Last order of each kind that the engine took.
-        maps: Known maps by version.
+        orders: Gives orders to the engine.
         changes: Logs conditions that last for many polls once.
     """
 
@@ -105,21 +90,19 @@
         self.absent = False
         self.answered = False
         self.confirmed = False
-        self.peers: list[Peer] = []
+        self.peers = group_peers.GroupPeers()
         self.own: messages.GroupMember | None = None
         self.engine_state: order_port.EngineState | None = None
-        self.gate = order_gate.closed_gate()
-        self.released_step = 0
-        self.taken: dict[switch.OrderKind, switch.Order] = {}
-        self.maps: dict[int, model.MapSpec] = {}
         self.changes = event_log.create_change_log()
+        self.orders = engine_orders.create_engine_orders(
+            setup.group, setup.engine, self.changes, setup.clock
+        )
         self.polled: coordinator_lib.Stored | None = None
         self.sent: messages.GroupMember | None = None
         self.loads = group_loads.create_group_loads(setup.clock)
         self.next_send = setup.clock.monotonic()
         self.next_load = setup.clock.monotonic()
         self.next_poll = setup.clock.monotonic()
-        self.next_order = setup.clock.monotonic()
         self.coordinator = coordinator_lib.create_coordinator(
             setup.group, setup.store, setup.clock
         )
@@ -174,10 +157,7 @@
         if link.peer is None or link.peer.role != SIDECAR_ROLE:
             return
         with self.lock:
-            for peer in self.peers:
-                if peer.instance == link.peer.instance:
-                    peer.member = None
-            self.peers.append(Peer(link, link.peer.instance))
+            self.peers.add(link, link.peer.instance)
             stored, own = self.stored, self.own
         if stored is not None:
             link.send(self.record_message(stored))
@@ -187,7 +167,7 @@
     def on_close(self, link: link_lib.Link, _reason: str) -> None:
         """Forget a peer; its ranks are unclaimed until it is back."""
         with self.lock:
-            self.peers = [peer for peer in self.peers if peer.link is not link]
+            self.peers.remove(link)
 
     def on_record(
         self, _link: link_lib.Link, message: messages.GroupRecord
@@ -203,19 +183,15 @@
         if message.group != self.setup.group:
             return
         with self.lock:
-            for peer in reversed(self.peers):
-                if peer.instance == message.instance:
-                    if peer.link is link:
-                        peer.member = message
-                        self.loads.keep(message)
-                    return
+            if self.peers.take(link, message):
+                self.loads.keep(message)
 
     def broadcast(
         self, message: messages.GroupRecord | messages.GroupMember
     ) -> None:
         """Send to all other sidecars."""
         with self.lock:
-            links = [peer.link for peer in self.peers]
+            links = self.peers.links()
         for link in links:
             link.send(message)
 
@@ -281,7 +257,7 @@
             if self.stored and stored.version <= self.stored.version:
                 return
             self.stored = stored
-            self.gate = order_gate.learn_epoch(self.gate, stored.record.epoch)
+            self.orders.learn_epoch(stored.record.epoch)
         self.broadcast(self.record_message(stored))
         self.poller.run_now()
 
@@ -312,7 +288,9 @@
         spec = self.setup.find_group()
         if spec is None:
             return
-        self.learn_maps(spec)
+        with self.lock:
+            record = self.stored.record if self.stored else None
+        self.orders.learn_maps(spec, record)
         if not self.read_engine():
             return
         self.obey(spec)
@@ -320,18 +298,6 @@
         if self.setup.holds_lease():
             self.lead(spec)
 
-    def learn_maps(self, spec: model.GroupSpec) -> None:
-        """Keep the allowed maps, and those that the record names.
-
-        A rank that is replaced while the group leaves a map that the bundle
-        no longer allows has to be started on that map.
-        """
-        with self.lock:
-            record = self.stored.record if self.stored else None
-        named = (record.map_version, record.target_version) if record else ()
-        kept = {v: self.maps[v] for v in named if v in self.maps}
-        self.maps = kept | {item.version: item for item in spec.maps}
-
     def read_engine(self) -> bool:
         """Read the engine's state; return whether it is known."""
         result = self.setup.engine.read_state()
@@ -355,13 +321,13 @@
         before, self.engine_state = self.engine_state, state
         if before is not None and state.map_version == 0 < before.map_version:
             # The engine was replaced and took none of the earlier orders.
-            self.taken.clear()
+            self.orders.forget_taken()
         self.loads.add_own(state)
         self.report_skew(state)
         with self.lock:
             record = self.stored.record if self.stored else None
             if state.map_version == 0 or state.armed_step:
-                self.released_step = 0
+                self.orders.released_step = 0
             others = self.other_members()
             own = messages.GroupMember(
                 group=self.setup.group,
@@ -375,25 +341,10 @@
                 step=state.step,
             )
             if record is not None:
-                self.report_differences(record, own)
+                self.orders.report_differences(record, own)
                 own = self.complete(record, own, others)
             self.own = own
 
-    def report_differences(
-        self, record: record_lib.MapRecord, own: messages.GroupMember
-    ) -> None:
-        """Log where the engine differs from its orders, once each time."""
-        found = difference.find_differences(record, own, self.taken)
-        self.changes.emit(
-            event_catalogue.ENGINE_DIFFERS,
-            found or None,
-            group=self.setup.group,
-            differences=",".join(found),
-            step=own.step,
-            map_version=own.map_version,
-            armed_step=own.armed_step,
-        )
-
     def complete(
         self,
         record: record_lib.MapRecord,
@@ -404,7 +355,7 @@
         boundary = record.boundary_step
         waits = own.step < boundary and own.map_version == record.map_version
         switching = record.phase is record_lib.Phase.SWITCHING
-        if switching and waits and self.released_step == boundary:
+        if switching and waits and self.orders.released_step == boundary:
             own = own._replace(armed_step=boundary)
         passed = switch.find_passed(record, own, others)
         return own._replace(passed_step=passed)
@@ -432,68 +383,15 @@
         """Give the engine the orders that are due."""
         for _ in range(MAX_ORDERS_PER_POLL):
             view = self.view(spec)
-            if view is None or self.setup.clock.monotonic() < self.next_order:
+            if view is None or not self.orders.may_give():
                 return
             order = switch.decide_order(view)
-            if order is None or self.is_taken(order):
+            if order is None or self.orders.is_taken(order, self.engine_state):
                 return
-            if not self.give(order):
+            state = self.orders.give(order)
+            if state is None:
                 return
-
-    def is_taken(self, order: switch.Order) -> bool:
-        """Return whether the engine took a release that it cannot show."""
-        state = self.engine_state
-        return (
-            order.kind is switch.OrderKind.RELEASE
-            and order.step == self.released_step > 0
-            and state is not None
-            and state.armed_step == 0
-        )
-
-    def give(self, order: switch.Order) -> bool:
-        """Give one order through the gate; return whether it was taken."""
-        placement = find_placement(self.maps, order)
-        verdict = order_gate.judge(self.gate, order)
-        if verdict is not order_gate.Verdict.PASSED or placement is None:
-            reason = "map_not_in_bundle" if placement is None else verdict
-            self.changes.emit(
-                event_catalogue.ORDER_HELD,
-                (reason, order),
-                group=self.setup.group,
-                reason=reason,
-                **order._asdict(),
-            )
-            return False
-        result = self.setup.engine.send_order(order, placement)
-        if isinstance(result, returns.result.Failure):
-            self.note_failure(order, result.failure())
-            return False
-        self.changes.clear(event_catalogue.ORDER_HELD)
-        self.changes.clear(event_catalogue.ORDER_FAILED)
-        event_log.emit(
-            event_catalogue.ORDER_SENT,
-            group=self.setup.group,
-            **order._asdict(),
-        )
-        if order.kind is switch.OrderKind.RELEASE and order.step:
-            self.released_step = order.step
-        self.taken[order.kind] = order
-        self.take_state(result.unwrap())
-        return True
-
-    def note_failure(
-        self, order: switch.Order, failure: order_port.OrderFailure
-    ) -> None:
-        """Log a failed order and wait as long as the engine asks."""
-        self.next_order = self.setup.clock.monotonic() + failure.retry_after
-        self.changes.emit(
-            event_catalogue.ORDER_FAILED,
-            (failure.kind, order),
-            group=self.setup.group,
-            cause=failure.kind,
-            problem=failure.message,
-            **order._asdict(),
-        )
+            self.take_state(state)
 
     def share(self) -> None:
         """Tell the peers the own state when it is due."""
@@ -517,12 +415,7 @@
 
     def other_members(self) -> tuple[messages.GroupMember, ...]:
         """Return the peers' states; called with the lock held."""
-        newest = {peer.instance: peer.member for peer in self.peers}
-        return tuple(
-            member
-            for instance, member in newest.items()
-            if member is not None and instance != self.setup.instance
-        )
+        return self.peers.members_but(self.setup.instance)
 
     def view(self, spec: model.GroupSpec) -> switch.View | None:
         """Return what is known, None before there is a record."""
@@ -573,16 +466,6 @@
                 self.adopt(written)
 
 
-def find_placement(
-    maps: Mapping[int, model.MapSpec], order: switch.Order
-) -> tuple[int, ...] | None:
-    """Return the placement that an order carries, None when not known."""
-    if order.kind is not switch.OrderKind.PREPARE:
-        return ()
-    known = maps.get(order.map_version)
-    return known.placement if known else None
-
-
 def create_group_member(setup: Setup) -> GroupMemberService:
     """Create a member that is not yet running; call before links start."""
     return GroupMemberService(setup)
--- a/packages/sidecar/src/verbenafall_sidecar/load_reports.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group/load_reports.py
@@ -9,8 +9,8 @@
 from verbenafall_core import codec
 from verbenafall_core import link as link_lib
 from verbenafall_core import messages
-from verbenafall_sidecar import attempt as attempt_lib
-from verbenafall_sidecar import dispatcher as dispatcher_lib
+from verbenafall_sidecar.delivery import attempt as attempt_lib
+from verbenafall_sidecar.delivery import dispatcher as dispatcher_lib
 
 GATEWAY_ROLE = "gateway"
 # Every second it would add a third to the control bytes of an idle link.
--- /dev/null
+++ b/packages/sidecar/src/verbenafall_sidecar/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to the engine of a rank."""
--- a/packages/sidecar/src/verbenafall_sidecar/order_http.py
+++ b/packages/sidecar/src/verbenafall_sidecar/orders/order_http.py
@@ -12,7 +12,7 @@
 from verbenafall_core import addresses
 from verbenafall_core import http_client
 from verbenafall_core.expert_maps import switch
-from verbenafall_sidecar import order_port
+from verbenafall_sidecar.orders import order_port
 
 CALL_LIMIT: Final = datetime.timedelta(seconds=2)
 # Loading the weights of a map goes on for as long as the weight store needs.
--- a/packages/sidecar/src/verbenafall_sidecar/platform_services.py
+++ b/packages/sidecar/src/verbenafall_sidecar/platform_services.py
@@ -15,10 +15,10 @@
 from verbenafall_core.object_store import budget
 from verbenafall_core.object_store import http_adapter as store_adapter
 from verbenafall_core.object_store import port as store_port
-from verbenafall_sidecar import group_member
-from verbenafall_sidecar import order_http
 from verbenafall_sidecar import sidecar_settings
 from verbenafall_sidecar import wiring
+from verbenafall_sidecar.group import group_member
+from verbenafall_sidecar.orders import order_http
 
 PlatformResult = returns.result.Result[wiring.Platform, str]
 
--- a/packages/sidecar/src/verbenafall_sidecar/serve_command.py
+++ b/packages/sidecar/src/verbenafall_sidecar/serve_command.py
@@ -8,7 +8,7 @@
 
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import event_log
-from verbenafall_core import link
+from verbenafall_core import link_sockets
 from verbenafall_core import settings as settings_lib
 from verbenafall_core import stop_requests
 from verbenafall_sidecar import platform_services
@@ -42,7 +42,7 @@
     requests.install()
     try:
         sidecar.start()
-    except link.LinkError as error:
+    except link_sockets.LinkError as error:
         print_line(str(error))
         return EXIT_FAILED
     requests.wait()
--- a/packages/sidecar/src/verbenafall_sidecar/steer_command.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steer_command.py
@@ -12,7 +12,7 @@
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import event_log
 from verbenafall_core import http_client
-from verbenafall_core import link
+from verbenafall_core import link_sockets
 from verbenafall_core import prometheus_metrics
 from verbenafall_core import settings as settings_lib
 from verbenafall_core import stop_requests
@@ -58,7 +58,7 @@
         if settings.metrics_listen is not None:
             metrics.serve(settings.metrics_listen)
         steering.start()
-    except (link.LinkError, OSError) as error:
+    except (link_sockets.LinkError, OSError) as error:
         sys.stderr.write(f"{error}\n")
         return EXIT_FAILED
     requests.wait()
--- a/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
@@ -25,7 +25,11 @@
 ORDER_POLL: Final = datetime.timedelta(milliseconds=15)
 # Reading of the report until an armed rank has switched.
 ARMED_POLL: Final = datetime.timedelta(milliseconds=50)
-# An order that shows no effect is given again after this time.
+# How long an engine may take to answer an order. The own one takes a few
+# milliseconds, and while an order is open the group may be held.
+OWN_ORDER_LIMIT: Final = datetime.timedelta(milliseconds=40)
+DIRECT_ORDER_LIMIT: Final = datetime.timedelta(milliseconds=150)
+# An accepted order that shows no effect is given again after this time.
 ORDER_REPEAT: Final = datetime.timedelta(milliseconds=120)
 # A leader that has been silent for this time is not followed any more. While
 # it is silent it may hold the group, and no pass begins.
@@ -72,8 +76,10 @@
         port: rank_port.RankPort,
         clock: clock_lib.Clock,
         listener: Callable[[], RankListener | None],
+        order_limit: datetime.timedelta,
     ) -> None:
         """Create an agent that is not yet running."""
+        self.order_limit = order_limit
         self.count_interval = NO_COUNTS
         self.port = port
         self.clock = clock
@@ -288,7 +294,7 @@
 
     def give(self, order: rank_state.RankOrder) -> None:
         """Give an order to the engine and take its answer."""
-        answer = self.port.give_order(order)
+        answer = self.port.give_order(order, self.order_limit)
         event_log.emit(
             event_catalogue.ORDER_TAKEN,
             kind=order.kind,
@@ -323,6 +329,8 @@
                 reason="fenced",
             )
             self.finish(order)
+        elif answer is rank_state.OrderAnswer.UNANSWERED:
+            self.given_at = _NEVER
         # What the order has changed is told at once.
         self.read_report(self.clock.monotonic())
 
@@ -365,6 +373,7 @@
     port: rank_port.RankPort,
     clock: clock_lib.Clock,
     listener: Callable[[], RankListener | None],
+    order_limit: datetime.timedelta = OWN_ORDER_LIMIT,
 ) -> RankAgent:
     """Create an agent that is not yet running.
 
@@ -374,5 +383,6 @@
         port: Calls to the engine.
         clock: The clock.
         listener: Returns whom to tell, None for nobody.
+        order_limit: How long the engine may take to answer an order.
     """
-    return RankAgent(port, clock, listener)
+    return RankAgent(port, clock, listener, order_limit)
--- a/packages/sidecar/src/verbenafall_sidecar/steering/rank_peers.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/rank_peers.py
@@ -62,7 +62,9 @@
         self.host = host
         self.leader = leader
         listener = OwnListener(leader, self)
-        self.agent = rank_agent.create_rank_agent(port, clock, lambda: listener)
+        self.agent = rank_agent.create_rank_agent(
+            port, clock, lambda: listener, rank_agent.DIRECT_ORDER_LIMIT
+        )
         self.agent.note_leader(leader.term)
 
     def send_order(self, order: rank_state.RankOrder) -> bool:
--- a/packages/sidecar/src/verbenafall_sidecar/steering/rank_port.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/rank_port.py
@@ -1,5 +1,6 @@
 """Port to the engine of one rank."""
 
+import datetime
 from typing import NamedTuple
 from typing import Protocol
 
@@ -46,5 +47,7 @@
     def read_experts(self) -> ExpertsResult:
         """Return the experts that the rank holds, by set."""
 
-    def give_order(self, order: rank_state.RankOrder) -> rank_state.OrderAnswer:
-        """Give an order once."""
+    def give_order(
+        self, order: rank_state.RankOrder, limit: datetime.timedelta
+    ) -> rank_state.OrderAnswer:
+        """Give an order once; without an answer in the limit, say so."""
--- a/packages/sidecar/src/verbenafall_sidecar/wiring.py
+++ b/packages/sidecar/src/verbenafall_sidecar/wiring.py
@@ -13,6 +13,7 @@
 from verbenafall_core import http_client
 from verbenafall_core import kernel as kernel_lib
 from verbenafall_core import link as link_lib
+from verbenafall_core import link_loop
 from verbenafall_core import link_router
 from verbenafall_core import messages
 from verbenafall_core import metrics as metrics_lib
@@ -23,19 +24,19 @@
 from verbenafall_core.claims import service as claim_service
 from verbenafall_core.instance_list import port as list_port
 from verbenafall_core.object_store import port as store_port
-from verbenafall_sidecar import attempt_registry
-from verbenafall_sidecar import dispatcher as dispatcher_lib
-from verbenafall_sidecar import drain
-from verbenafall_sidecar import endpoint_health
-from verbenafall_sidecar import endpoint_port
-from verbenafall_sidecar import engine_http
 from verbenafall_sidecar import event_catalogue
-from verbenafall_sidecar import load_reports
-from verbenafall_sidecar import service_http
-from verbenafall_sidecar import service_view
 from verbenafall_sidecar import sidecar_settings
 from verbenafall_sidecar import status
-from verbenafall_sidecar import transfers
+from verbenafall_sidecar.delivery import attempt_registry
+from verbenafall_sidecar.delivery import dispatcher as dispatcher_lib
+from verbenafall_sidecar.delivery import drain
+from verbenafall_sidecar.delivery import transfers
+from verbenafall_sidecar.endpoint import endpoint_health
+from verbenafall_sidecar.endpoint import endpoint_port
+from verbenafall_sidecar.endpoint import engine_http
+from verbenafall_sidecar.endpoint import service_http
+from verbenafall_sidecar.endpoint import service_view
+from verbenafall_sidecar.group import load_reports
 
 ROLE: Final = "sidecar"
 METRICS_PREFIX: Final = "verbenafall.sidecar"
@@ -136,7 +137,7 @@
             settings.data_centre,
             settings.service,
         )
-        self.links = link_lib.create_link_loop(
+        self.links = link_loop.create_link_loop(
             self.hello, self.heartbeat, self.router, clock
         )
         self.group = self.create_group()
--- a/tests/adapters.py
+++ b/tests/adapters.py
@@ -14,9 +14,9 @@
 from verbenafall_core.instance_list import http_adapter as list_adapter
 from verbenafall_core.instance_list import port as list_port
 from verbenafall_core.object_store import http_adapter as store_adapter
-from verbenafall_sidecar import engine_http
-from verbenafall_sidecar import service_http
-from verbenafall_sidecar import transfers
+from verbenafall_sidecar.delivery import transfers
+from verbenafall_sidecar.endpoint import engine_http
+from verbenafall_sidecar.endpoint import service_http
 from verbenafall_standins import http_serving
 from verbenafall_standins import instance_list
 from verbenafall_standins import object_store
--- a/tests/core/test_link.py
+++ b/tests/core/test_link.py
@@ -11,7 +11,7 @@
 from verbenafall_core import addresses
 from verbenafall_core import clock
 from verbenafall_core import codec
-from verbenafall_core import link as link_lib
+from verbenafall_core import link_loop
 from verbenafall_core import link_router
 from verbenafall_core import messages
 
@@ -38,7 +38,7 @@
 
 def create_loop(name, recorder):
     hello = messages.Hello(1, name, "gateway", "dc", "")
-    return link_lib.create_link_loop(
+    return link_loop.create_link_loop(
         hello,
         lambda: messages.Heartbeat(0, 0, False, False),
         recorder,
@@ -57,8 +57,8 @@
     client.set_targets({address})
     link = client_events.opened.get(timeout=WAIT_SECONDS)
     yield server_events, client_events, link, address
-    client.stop(link_lib.DEAD_AFTER)
-    server.stop(link_lib.DEAD_AFTER)
+    client.stop(link_loop.DEAD_AFTER)
+    server.stop(link_loop.DEAD_AFTER)
 
 
 def next_of(events, kind):
@@ -227,11 +227,11 @@
         second.set_targets({address})
         events = second.handler
         events.opened.get(timeout=WAIT_SECONDS)
-        limit = 2 * link_lib.HEARTBEAT_INTERVAL.total_seconds()
+        limit = 2 * link_loop.HEARTBEAT_INTERVAL.total_seconds()
         assert isinstance(
             events.received.get(timeout=limit), messages.Heartbeat
         )
-        second.stop(link_lib.DEAD_AFTER)
+        second.stop(link_loop.DEAD_AFTER)
 
 
 class TestPause:
@@ -248,7 +248,7 @@
             while recorder.opened.empty():
                 loop.run_pass(loop.selector.select(1))
             sock.sendall(codec.encode(CHUNK))
-            loop.last_pass -= 2 * link_lib.DEAD_AFTER
+            loop.last_pass -= 2 * link_loop.DEAD_AFTER
             loop.run_pass(loop.selector.select(1))
         assert recorder.closed.get_nowait() == "this process was paused"
         assert recorder.received.empty()
@@ -299,7 +299,7 @@
         assert next_chunk(server_events) == CHUNK
         assert clients[1].closed.empty()
         for loop in (*loops, server):
-            loop.stop(link_lib.DEAD_AFTER)
+            loop.stop(link_loop.DEAD_AFTER)
 
     def test_error_in_a_pass_does_not_end_the_thread(self, pair):
         """Guards against a link thread that ends with one failed heartbeat."""
--- a/tests/core/test_store_budget_at_start.py
+++ b/tests/core/test_store_budget_at_start.py
@@ -18,7 +18,7 @@
 from verbenafall_core import periodic
 from verbenafall_core.bundles import service as bundle_service
 from verbenafall_core.expert_maps import record as record_lib
-from verbenafall_sidecar import group_member
+from verbenafall_sidecar.group import group_member
 from verbenafall_standins.fakes import manual_clock
 from verbenafall_standins.fakes import memory_store
 
--- a/tests/expert_maps/group_model.py
+++ b/tests/expert_maps/group_model.py
@@ -13,8 +13,8 @@
 from verbenafall_core.expert_maps import record as record_lib
 from verbenafall_core.expert_maps import switch
 from verbenafall_core.object_store import port as store_port
-from verbenafall_sidecar import group_member
-from verbenafall_sidecar import order_port
+from verbenafall_sidecar.group import group_member
+from verbenafall_sidecar.orders import order_port
 from verbenafall_standins.fakes import manual_clock
 from verbenafall_standins.fakes import memory_store
 
--- a/tests/expert_maps/test_decisions.py
+++ b/tests/expert_maps/test_decisions.py
@@ -12,9 +12,9 @@
 from verbenafall_core.expert_maps import record as record_lib
 from verbenafall_core.expert_maps import selection
 from verbenafall_core.expert_maps import switch
-from verbenafall_sidecar import order_gate
-from verbenafall_sidecar import order_http
-from verbenafall_sidecar import order_port
+from verbenafall_sidecar.orders import order_gate
+from verbenafall_sidecar.orders import order_http
+from verbenafall_sidecar.orders import order_port
 
 MINUTE = datetime.timedelta(minutes=1)
 EVEN = model.MapSpec(1, (0, 0, 1, 1))
--- a/tests/expert_maps/test_group_events.py
+++ b/tests/expert_maps/test_group_events.py
@@ -134,7 +134,7 @@
             (
                 event_catalogue.ORDER_HELD,
                 lambda group: (
-                    group.members[VICTIM].maps.clear()
+                    group.members[VICTIM].orders.maps.clear()
                     or setattr(group, "maps", group_model.MAPS[1:])
                 ),
             ),
--- a/tests/expert_maps/test_group_load.py
+++ b/tests/expert_maps/test_group_load.py
@@ -7,7 +7,7 @@
 from verbenafall_core import messages
 from verbenafall_core.expert_maps import load_history
 from verbenafall_core.expert_maps import selection
-from verbenafall_sidecar import group_loads
+from verbenafall_sidecar.group import group_loads
 
 SECOND = group_model.SECOND
 # 64 experts and 8 ranks behind a sidecar, each value at its largest.
--- a/tests/expert_maps/test_group_member.py
+++ b/tests/expert_maps/test_group_member.py
@@ -9,7 +9,7 @@
 from verbenafall_core import messages
 from verbenafall_core.expert_maps import record as record_lib
 from verbenafall_core.object_store import port
-from verbenafall_sidecar import group_member
+from verbenafall_sidecar.group import group_member
 from verbenafall_standins.fakes import memory_store
 
 
--- a/tests/expert_maps/test_restart_over_http.py
+++ b/tests/expert_maps/test_restart_over_http.py
@@ -11,8 +11,8 @@
 from verbenafall_core import link_router
 from verbenafall_core import metrics
 from verbenafall_core.bundles import model
-from verbenafall_sidecar import group_member
-from verbenafall_sidecar import order_http
+from verbenafall_sidecar.group import group_member
+from verbenafall_sidecar.orders import order_http
 from verbenafall_standins.engines import group as group_lib
 from verbenafall_standins.engines import http_app
 from verbenafall_standins.fakes import manual_clock
--- a/tests/expert_maps/test_restarts.py
+++ b/tests/expert_maps/test_restarts.py
@@ -5,8 +5,8 @@
 
 from verbenafall_core.expert_maps import record as record_lib
 from verbenafall_core.expert_maps import switch
-from verbenafall_sidecar import group_member
-from verbenafall_sidecar import order_gate
+from verbenafall_sidecar.group import group_member
+from verbenafall_sidecar.orders import order_gate
 from verbenafall_standins.fakes import memory_store
 
 VICTIM = 1
@@ -54,15 +54,15 @@
     group.replace_engine(VICTIM)
     old = group.members[VICTIM]
     decided = []
-    give = old.give
+    give = old.orders.give
 
     def pause_at_start(order):
         if not is_start(order):
             return give(order)
         decided.append(order)
-        return False
+        return None
 
-    old.give = pause_at_start
+    old.orders.give = pause_at_start
     group.poll(VICTIM)
     group.kill(VICTIM)
     group.boot(VICTIM)
--- a/tests/faults/flow_leaving.py
+++ b/tests/faults/flow_leaving.py
@@ -10,16 +10,16 @@
 
 from faults import matrix
 from verbenafall_core import addresses
-from verbenafall_core import link as link_lib
+from verbenafall_core import link_loop
 from verbenafall_core import link_router
 from verbenafall_core import messages
 from verbenafall_core import periodic
 from verbenafall_core.instance_list import http_adapter
 from verbenafall_core.instance_list import port
 from verbenafall_core.instance_list import service as list_service
-from verbenafall_gateway import endpoint_view
-from verbenafall_gateway import link_targets
-from verbenafall_gateway import routing
+from verbenafall_gateway.choice import endpoint_view
+from verbenafall_gateway.choice import routing
+from verbenafall_gateway.links import link_targets
 from verbenafall_standins.fakes import manual_clock
 
 Fault = matrix.Fault
@@ -35,7 +35,7 @@
 LINK_STEPS = ("notice", "heartbeat")
 # Time by which a slow or delayed message or read is late.
 LATE = SECOND
-PAUSE = 2 * link_lib.DEAD_AFTER
+PAUSE = 2 * link_loop.DEAD_AFTER
 
 
 class FakeLink:
@@ -192,7 +192,7 @@
     def watch_links(self):
         """Close links that are silent, as the link loop does."""
         for name, link in list(self.open.items()):
-            if self.now - link.heard_at > link_lib.DEAD_AFTER:
+            if self.now - link.heard_at > link_loop.DEAD_AFTER:
                 self.router.on_close(link, "silent")
                 del self.open[name]
 
--- a/tests/faults/flow_stop.py
+++ b/tests/faults/flow_stop.py
@@ -20,13 +20,13 @@
 from verbenafall_core import kernel as kernel_lib
 from verbenafall_core import messages
 from verbenafall_core.bundles import service as bundle_service
-from verbenafall_gateway import activity as activity_lib
-from verbenafall_gateway import drain as gateway_drain
 from verbenafall_gateway import gateway as gateway_lib
 from verbenafall_gateway import serve_command as gateway_command
-from verbenafall_gateway import service_state
-from verbenafall_sidecar import drain as sidecar_drain
+from verbenafall_gateway.choice import service_state
+from verbenafall_gateway.delivery import activity as activity_lib
+from verbenafall_gateway.delivery import drain as gateway_drain
 from verbenafall_sidecar import serve_command as sidecar_command
+from verbenafall_sidecar.delivery import drain as sidecar_drain
 from verbenafall_standins.fakes import memory_store
 
 Fault = matrix.Fault
--- a/tests/faults/request_fleet.py
+++ b/tests/faults/request_fleet.py
@@ -21,11 +21,11 @@
 from verbenafall_core import metrics
 from verbenafall_core import outcomes
 from verbenafall_core.claims import service as claim_service
-from verbenafall_gateway import direct_delivery
-from verbenafall_gateway import http_server
-from verbenafall_sidecar import attempt_registry
-from verbenafall_sidecar import dispatcher as dispatcher_lib
-from verbenafall_sidecar import endpoint_port
+from verbenafall_gateway.client_http import http_server
+from verbenafall_gateway.delivery import direct_delivery
+from verbenafall_sidecar.delivery import attempt_registry
+from verbenafall_sidecar.delivery import dispatcher as dispatcher_lib
+from verbenafall_sidecar.endpoint import endpoint_port
 from verbenafall_standins.fakes import memory_store
 
 Fault = matrix.Fault
@@ -415,7 +415,7 @@
         parts = gateway_fakes.create_gateway(self.simulator.clock, claims)
         flow = parts.flow
         flow.generator = self.generator
-        flow.settle_pool = simulation.SimulatedPool(self.simulator, process)
+        flow.settling.pool = simulation.SimulatedPool(self.simulator, process)
         add = flow.attempts.add
 
         def add_simulated(attempt):
@@ -446,7 +446,7 @@
             self.generator,
         )
         pool = simulation.SimulatedPool(self.simulator, process)
-        dispatcher.call_pool = dispatcher.claim_pool = pool
+        dispatcher.runner.call_pool = dispatcher.runner.claim_pool = pool
         sidecar = Sidecar(name, self.service, process, dispatcher, claims)
         self.sidecars[name] = sidecar
         self.simulator.at(TICK, process, lambda: self.tick(sidecar))
--- a/tests/faults/test_mutations_p4_to_p7.py
+++ b/tests/faults/test_mutations_p4_to_p7.py
@@ -9,11 +9,11 @@
 from verbenafall_core import leases
 from verbenafall_core.bundles import adoption
 from verbenafall_core.expert_maps import switch
-from verbenafall_gateway import drain as gateway_drain
-from verbenafall_gateway import endpoint_view
-from verbenafall_gateway import link_targets
-from verbenafall_gateway import service_state
-from verbenafall_sidecar import drain as sidecar_drain
+from verbenafall_gateway.choice import endpoint_view
+from verbenafall_gateway.choice import service_state
+from verbenafall_gateway.delivery import drain as gateway_drain
+from verbenafall_gateway.links import link_targets
+from verbenafall_sidecar.delivery import drain as sidecar_drain
 
 
 def release_without_arming(patch):
--- a/tests/gateway/gateway_fakes.py
+++ b/tests/gateway/gateway_fakes.py
@@ -9,19 +9,19 @@
 
 from verbenafall_core import addresses
 from verbenafall_core import clock as clock_lib
-from verbenafall_core import link as link_lib
+from verbenafall_core import link_loop
 from verbenafall_core import link_router
 from verbenafall_core import messages
 from verbenafall_core import metrics
 from verbenafall_core import outcomes
 from verbenafall_core.bundles import model
 from verbenafall_core.claims import model as claims_model
-from verbenafall_gateway import activity as activity_lib
-from verbenafall_gateway import endpoint_view
-from verbenafall_gateway import http_app
-from verbenafall_gateway import http_server
-from verbenafall_gateway import request_flow
-from verbenafall_gateway import service_state
+from verbenafall_gateway.choice import endpoint_view
+from verbenafall_gateway.choice import service_state
+from verbenafall_gateway.client_http import http_app
+from verbenafall_gateway.client_http import http_server
+from verbenafall_gateway.delivery import activity as activity_lib
+from verbenafall_gateway.delivery import request_flow
 
 ANY_PORT = addresses.Address("127.0.0.1", 0)
 CREDENTIAL = "credential-one"
@@ -254,14 +254,14 @@
     """
     clock = clock_lib.system_clock()
     limit = datetime.timedelta(seconds=2)
-    sidecar = link_lib.create_link_loop(
+    sidecar = link_loop.create_link_loop(
         messages.Hello(1, "engine-1", "sidecar", "cba-norte", service),
         _beat,
         SidecarHandler(script),
         clock,
     )
     address = sidecar.listen(ANY_PORT)
-    links = link_lib.create_link_loop(
+    links = link_loop.create_link_loop(
         messages.Hello(1, "gateway-1", "gateway", "cba-norte", ""),
         _beat,
         gateway.router,
--- a/tests/gateway/test_direct_delivery.py
+++ b/tests/gateway/test_direct_delivery.py
@@ -16,13 +16,14 @@
 from gateway import gateway_fakes as fakes
 from verbenafall_core import messages
 from verbenafall_core import outcomes
-from verbenafall_gateway import attempt_events
-from verbenafall_gateway import chat
-from verbenafall_gateway import direct_delivery
-from verbenafall_gateway import http_server
-from verbenafall_gateway import open_attempts
-from verbenafall_gateway import request_flow
-from verbenafall_gateway import stream_assembly
+from verbenafall_gateway.client_http import chat
+from verbenafall_gateway.client_http import http_server
+from verbenafall_gateway.client_http import stream_assembly
+from verbenafall_gateway.delivery import attempt_events
+from verbenafall_gateway.delivery import direct_delivery
+from verbenafall_gateway.delivery import flow_events
+from verbenafall_gateway.delivery import open_attempts
+from verbenafall_gateway.delivery import request_progress
 
 WAIT_SECONDS = 20
 # A write that waits for room ends the test by its own limit, as a failure.
@@ -382,7 +383,7 @@
             name = f"e-{number}"
             link = fakes.ScriptedLink(self.gateway.router, name, "s", self.note)
             self.links[name] = link
-        self.request = request_flow.FlowRequest(
+        self.request = request_progress.FlowRequest(
             request_id="req-1",
             service="s",
             team="desk",
@@ -412,9 +413,9 @@
         flow = self.gateway.flow.run(self.request, self.client)
         for event in flow:
             self.last = event
-            if isinstance(event, request_flow.Delta):
+            if isinstance(event, flow_events.Delta):
                 self.parts.append(event.data.decode())
-            elif isinstance(event, request_flow.ClientGone):
+            elif isinstance(event, flow_events.ClientGone):
                 flow.close()
 
     def attempt(self, number):
@@ -545,7 +546,7 @@
         scene.attempt(1)
         client.gone = True
         scene.finish()
-        assert isinstance(scene.last, request_flow.ClientGone)
+        assert isinstance(scene.last, flow_events.ClientGone)
         assert [item.attempt_id for item in scene.cancels] == ["req-1.1"]
 
     def test_error_of_a_flush_cancels_the_attempt(self):
--- a/tests/gateway/test_gateway_process.py
+++ b/tests/gateway/test_gateway_process.py
@@ -10,13 +10,13 @@
 from verbenafall_core import addresses
 from verbenafall_core import messages
 from verbenafall_core.instance_list import port
-from verbenafall_gateway import activity as activity_lib
-from verbenafall_gateway import admin_app
-from verbenafall_gateway import drain as drain_lib
 from verbenafall_gateway import gateway_settings
-from verbenafall_gateway import link_targets
-from verbenafall_gateway import service_state
 from verbenafall_gateway import status as status_lib
+from verbenafall_gateway.choice import service_state
+from verbenafall_gateway.client_http import admin_app
+from verbenafall_gateway.delivery import activity as activity_lib
+from verbenafall_gateway.delivery import drain as drain_lib
+from verbenafall_gateway.links import link_targets
 
 SETTINGS = """
 [instance]
--- a/tests/gateway/test_http_app.py
+++ b/tests/gateway/test_http_app.py
@@ -11,8 +11,8 @@
 from verbenafall_core import messages
 from verbenafall_core import outcomes
 from verbenafall_core.claims import model as claims_model
-from verbenafall_gateway import service_state
-from verbenafall_gateway import validation
+from verbenafall_gateway.choice import service_state
+from verbenafall_gateway.client_http import validation
 
 CHAT = "/v1/chat/completions"
 SEARCH = "/services/mostrador-app/search"
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -10,9 +10,9 @@
 
 from gateway import gateway_fakes as fakes
 from verbenafall_core import clock as clock_lib
-from verbenafall_gateway import activity as activity_lib
-from verbenafall_gateway import http_server
-from verbenafall_gateway import service_state
+from verbenafall_gateway.choice import service_state
+from verbenafall_gateway.client_http import http_server
+from verbenafall_gateway.delivery import activity as activity_lib
 
 HOST = "Host: a\r\n"
 GET = "GET /-/ready HTTP/1.1\r\n"
--- a/tests/gateway/test_report_age.py
+++ b/tests/gateway/test_report_age.py
@@ -8,9 +8,9 @@
 
 from verbenafall_core import addresses
 from verbenafall_core import messages
-from verbenafall_gateway import endpoint_view
-from verbenafall_gateway import report_age
-from verbenafall_gateway import routing
+from verbenafall_gateway.choice import endpoint_view
+from verbenafall_gateway.choice import report_age
+from verbenafall_gateway.choice import routing
 from verbenafall_standins.fakes import manual_clock
 
 DAY = 86_400
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -10,8 +10,9 @@
 from verbenafall_core import messages
 from verbenafall_core import outcomes
 from verbenafall_core.claims import model as claims_model
-from verbenafall_gateway import attempt_events
-from verbenafall_gateway import request_flow
+from verbenafall_gateway.delivery import attempt_events
+from verbenafall_gateway.delivery import flow_events
+from verbenafall_gateway.delivery import request_progress
 from verbenafall_standins.fakes import manual_clock
 
 NOT_RUN, UNKNOWN, RAN = outcomes.Outcome
@@ -24,7 +25,7 @@
 
 
 def create_request(idempotent, resumable=True):
-    return request_flow.FlowRequest(
+    return request_progress.FlowRequest(
         request_id="req-1",
         service="s",
         team="desk",
@@ -249,7 +250,7 @@
     parts, last = [], None
     for event in gateway.flow.run(request):
         last = event
-        if isinstance(event, request_flow.Delta):
+        if isinstance(event, flow_events.Delta):
             parts.append(event.data.decode())
     if isinstance(last, attempt_events.Complete):
         return "".join(parts), last.status
@@ -373,7 +374,7 @@
         gateway, _, _ = create([tokens_then(close), ok])
         request = create_request(True, resumable=False)
         kinds = [type(event) for event in gateway.flow.run(request)]
-        assert kinds.index(request_flow.Restarted) == 1
+        assert kinds.index(flow_events.Restarted) == 1
 
     @pytest.mark.parametrize(
         ("after_cancel", "outcome"),
--- a/tests/gateway/test_routing.py
+++ b/tests/gateway/test_routing.py
@@ -9,11 +9,11 @@
 from verbenafall_core import addresses
 from verbenafall_core import outcomes
 from verbenafall_core.instance_list import port
-from verbenafall_gateway import attempt_events
-from verbenafall_gateway import retry_budget
-from verbenafall_gateway import retry_rules
-from verbenafall_gateway import routing
-from verbenafall_gateway import subsetting
+from verbenafall_gateway.choice import routing
+from verbenafall_gateway.delivery import attempt_events
+from verbenafall_gateway.delivery import retry_budget
+from verbenafall_gateway.delivery import retry_rules
+from verbenafall_gateway.links import subsetting
 from verbenafall_standins.fakes import manual_clock
 
 
--- a/tests/gateway/test_serve_process.py
+++ b/tests/gateway/test_serve_process.py
@@ -16,7 +16,7 @@
 import bundle_helpers
 from gateway import gateway_fakes as fakes
 from verbenafall_core import clock as clock_lib
-from verbenafall_core import link as link_lib
+from verbenafall_core import link_loop
 from verbenafall_core import messages
 from verbenafall_standins import http_serving
 from verbenafall_standins import instance_list
@@ -83,7 +83,7 @@
     bundle_helpers.put_head(store.store, 1)
     instances = instance_list.create_instance_list()
     hello = messages.Hello(1, "engine-1", "sidecar", "dc-1", "chat")
-    loop = link_lib.create_link_loop(
+    loop = link_loop.create_link_loop(
         hello,
         lambda: messages.Heartbeat(1, 0, True, False),
         sidecar,
--- a/tests/gateway/test_subsetting.py
+++ b/tests/gateway/test_subsetting.py
@@ -10,9 +10,9 @@
 
 from verbenafall_core import addresses
 from verbenafall_core.instance_list import port
-from verbenafall_gateway import link_matching
-from verbenafall_gateway import link_shares
-from verbenafall_gateway import subsetting
+from verbenafall_gateway.links import link_matching
+from verbenafall_gateway.links import link_shares
+from verbenafall_gateway.links import subsetting
 
 LINKS = subsetting.DEFAULT_LINKS_PER_GATEWAY
 LIVE = port.InstanceState.LIVE
--- a/tests/platform_adapter/test_rank_engine.py
+++ b/tests/platform_adapter/test_rank_engine.py
@@ -1,5 +1,7 @@
 """The port to a rank against a stand-in engine on a socket."""
 
+import datetime
+
 import pytest
 import returns.pipeline
 
@@ -11,6 +13,7 @@
 
 Kind = rank_state.OrderKind
 Answer = rank_state.OrderAnswer
+LIMIT = datetime.timedelta(seconds=2)
 
 
 @pytest.fixture
@@ -53,18 +56,18 @@
         ids=[case[0] for case in ORDERS],
     )
     def test_answer(self, port, orders, last):
-        assert [port.give_order(item) for item in orders][-1] is last
+        assert [port.give_order(item, LIMIT) for item in orders][-1] is last
 
     def test_state_after_orders(self, port):
         for kind in (Kind.PREPARE, Kind.HOLD, Kind.ARM):
-            port.give_order(order(kind))
+            port.give_order(order(kind), LIMIT)
         report = port.read_report().unwrap()
         assert (report.prepared, report.held) == (7, 3)
         assert report.armed == rank_state.Armed(7, 3)
 
     def test_order_without_answer_may_have_been_taken(self, engine, port):
         engine.silent = 1
-        assert port.give_order(order(Kind.HOLD)) is Answer.UNANSWERED
+        assert port.give_order(order(Kind.HOLD), LIMIT) is Answer.UNANSWERED
         assert port.read_report().unwrap().held == 3
 
 
@@ -84,4 +87,4 @@
     def test_nobody_listens(self, engine, port):
         engine.close()
         assert not returns.pipeline.is_successful(port.read_report())
-        assert port.give_order(order(Kind.HOLD)) is Answer.UNANSWERED
+        assert port.give_order(order(Kind.HOLD), LIMIT) is Answer.UNANSWERED
--- a/tests/sidecar/helpers.py
+++ b/tests/sidecar/helpers.py
@@ -7,10 +7,10 @@
 from verbenafall_core import metrics
 from verbenafall_core import outcomes
 from verbenafall_core.claims import service as claim_service
-from verbenafall_sidecar import attempt_registry
-from verbenafall_sidecar import dispatcher as dispatcher_lib
-from verbenafall_sidecar import endpoint_port
-from verbenafall_sidecar import service_view
+from verbenafall_sidecar.delivery import attempt_registry
+from verbenafall_sidecar.delivery import dispatcher as dispatcher_lib
+from verbenafall_sidecar.endpoint import endpoint_port
+from verbenafall_sidecar.endpoint import service_view
 from verbenafall_standins.fakes import manual_clock
 from verbenafall_standins.fakes import memory_store
 
@@ -126,11 +126,16 @@
             metrics.NullMetrics(),
             random.Random(1),
         )
-        shut = self.dispatcher.call_pool, self.dispatcher.claim_pool
+        shut = (
+            self.dispatcher.runner.call_pool,
+            self.dispatcher.runner.claim_pool,
+        )
         for pool in shut:
             assert isinstance(pool, concurrent.futures.Executor)
             pool.shutdown()
-        self.dispatcher.call_pool = self.dispatcher.claim_pool = self.pool
+        self.dispatcher.runner.call_pool = self.dispatcher.runner.claim_pool = (
+            self.pool
+        )
 
     def dispatch(self, dispatch, run=True):
         self.dispatcher.on_dispatch(self.link, dispatch)
--- a/tests/sidecar/test_dispatcher.py
+++ b/tests/sidecar/test_dispatcher.py
@@ -10,8 +10,8 @@
 from verbenafall_core import outcomes
 from verbenafall_core.claims import model
 from verbenafall_core.claims import record
-from verbenafall_sidecar import attempt_registry
-from verbenafall_sidecar import endpoint_port
+from verbenafall_sidecar.delivery import attempt_registry
+from verbenafall_sidecar.endpoint import endpoint_port
 from verbenafall_standins.fakes import memory_store
 
 DISPATCH = helpers.DISPATCH
--- a/tests/sidecar/test_endpoint_contract.py
+++ b/tests/sidecar/test_endpoint_contract.py
@@ -11,9 +11,9 @@
 import adapters
 from sidecar import helpers
 from verbenafall_core import http_client
-from verbenafall_sidecar import endpoint_port
-from verbenafall_sidecar import engine_http
-from verbenafall_sidecar import service_http
+from verbenafall_sidecar.endpoint import endpoint_port
+from verbenafall_sidecar.endpoint import engine_http
+from verbenafall_sidecar.endpoint import service_http
 
 ENGINE_VARIABLE = "VERBENAFALL_CONTRACT_ENGINE"
 SERVICE_VARIABLE = "VERBENAFALL_CONTRACT_PLAIN_SERVICE"
--- a/tests/sidecar/test_load_reports.py
+++ b/tests/sidecar/test_load_reports.py
@@ -4,8 +4,8 @@
 
 from verbenafall_core import codec
 from verbenafall_core import messages
-from verbenafall_sidecar import dispatcher
-from verbenafall_sidecar import load_reports
+from verbenafall_sidecar.delivery import dispatcher
+from verbenafall_sidecar.group import load_reports
 from verbenafall_standins.fakes import manual_clock
 
 
--- a/tests/sidecar/test_pure_parts.py
+++ b/tests/sidecar/test_pure_parts.py
@@ -7,12 +7,12 @@
 import pytest
 
 from sidecar import helpers
-from verbenafall_sidecar import admission
-from verbenafall_sidecar import attempt_registry
-from verbenafall_sidecar import endpoint_health
-from verbenafall_sidecar import engine_http
-from verbenafall_sidecar import fair_queue
-from verbenafall_sidecar import http_forwarding
+from verbenafall_sidecar.delivery import admission
+from verbenafall_sidecar.delivery import attempt_registry
+from verbenafall_sidecar.delivery import fair_queue
+from verbenafall_sidecar.endpoint import endpoint_health
+from verbenafall_sidecar.endpoint import engine_http
+from verbenafall_sidecar.endpoint import http_forwarding
 
 ZERO = datetime.timedelta()
 SECOND = datetime.timedelta(seconds=1)
--- a/tests/sidecar/test_thin_path.py
+++ b/tests/sidecar/test_thin_path.py
@@ -13,17 +13,17 @@
 from verbenafall_core import addresses
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import http_client
-from verbenafall_core import link as link_lib
+from verbenafall_core import link_loop
 from verbenafall_core import link_router
 from verbenafall_core import messages
 from verbenafall_core import metrics
 from verbenafall_core import outcomes
 from verbenafall_core.claims import service as claim_service
-from verbenafall_sidecar import attempt_registry
-from verbenafall_sidecar import dispatcher as dispatcher_lib
-from verbenafall_sidecar import engine_http
-from verbenafall_sidecar import service_http
-from verbenafall_sidecar import transfers
+from verbenafall_sidecar.delivery import attempt_registry
+from verbenafall_sidecar.delivery import dispatcher as dispatcher_lib
+from verbenafall_sidecar.delivery import transfers
+from verbenafall_sidecar.endpoint import engine_http
+from verbenafall_sidecar.endpoint import service_http
 from verbenafall_standins.fakes import memory_store
 
 WAIT_SECONDS = 10
@@ -86,7 +86,7 @@
 
 def create_loop(name, role, router):
     hello = messages.Hello(1, name, role, "dc", "")
-    return link_lib.create_link_loop(
+    return link_loop.create_link_loop(
         hello,
         lambda: messages.Heartbeat(0, 0, True, False),
         router,
--- a/tests/sidecar/test_transfers.py
+++ b/tests/sidecar/test_transfers.py
@@ -10,7 +10,7 @@
 
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import http_client
-from verbenafall_sidecar import transfers
+from verbenafall_sidecar.delivery import transfers
 
 WAIT_SECONDS = 10
 LIMIT = datetime.timedelta(seconds=10)
--- a/tests/steering/test_agent_and_leader.py
+++ b/tests/steering/test_agent_and_leader.py
@@ -45,6 +45,7 @@
         )
         self.counts = [0] * EXPERTS
         self.lost = 0
+        self.limits = []
         self.reachable = True
 
     def read_report(self):
@@ -62,7 +63,8 @@
     def read_experts(self):
         return returns.result.Success(self.experts)
 
-    def give_order(self, order):
+    def give_order(self, order, limit):
+        self.limits.append(limit)
         if self.lost:
             self.lost -= 1
             return rank_state.OrderAnswer.UNANSWERED
@@ -173,6 +175,22 @@
         fleet.ports[rank].lost = 3
         fleet.run_until(lambda: in_use(fleet) > 0)
 
+    def test_order_without_an_answer_is_given_again_at_once(self, fleet):
+        """The group is held meanwhile, and every stream pauses."""
+        fleet.run_until(
+            lambda: fleet.leader.switch.phase is pass_switch.Phase.HOLD
+        )
+        fleet.ports[3].lost = 1
+        fleet.run_until(lambda: fleet.ports[3].lost == 0)
+        assert fleet.group.ranks[3].armed is None
+        fleet.step()
+        assert fleet.group.ranks[3].armed is not None
+
+    def test_own_engine_has_little_time_to_answer(self, fleet):
+        fleet.run_until(lambda: in_use(fleet) > 0)
+        limits = {item for port in fleet.ports for item in port.limits}
+        assert limits == {rank_agent.OWN_ORDER_LIMIT}
+
     def test_new_epoch_ends_a_switch_and_the_next_one_works(self, fleet):
         fleet.run_until(
             lambda: fleet.leader.switch.phase is pass_switch.Phase.PREPARE
