Let a gateway give the hold of a map switch

The machine whose sidecar has just given a hold freezes for 4 s. Its engine is unreachable meanwhile and may be armed, so the next leader cannot release the group, and no pass begins. Change: the leader asks a linked gateway to give the hold to its own engine; its own agent reads the report every 15 ms and gives the hold itself when it does not show in 120 ms. Terms, epochs and steps are unchanged, so a late hold is refused or recovered as before. The port to a rank moved to the core, as both binaries use it.

--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -400,6 +400,21 @@
     paces: tuple[tuple[str, float], ...]
 
 
+class RankHold(NamedTuple):
+    """Asks a gateway to hold a rank group, sent by the group's leader.
+
+    Attributes:
+        engine_host: Engine that is to hold its group before a pass.
+    """
+
+    group: str
+    engine_host: str
+    engine_port: int
+    term: int
+    epoch: int
+    step: int
+
+
 class OpenRequests(NamedTuple):
     """Requests that a gateway has open, by endpoint."""
 
@@ -460,6 +475,7 @@
     | ConfigurationText
     | EndpointLeaving
     | RankPaces
+    | RankHold
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -491,4 +507,5 @@
     26: ConfigurationText,
     27: EndpointLeaving,
     28: RankPaces,
+    29: RankHold,
 }
--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -95,6 +95,13 @@
     "INFO",
     "An attempt ended without a delivered answer; action says what follows.",
 )
+RANK_HOLD_GIVEN = event_log.define(
+    2135,
+    "rank_hold_given",
+    "INFO",
+    "A rank group was held for its leader before a pass; answer is the"
+    " engine's. The leader gives the hold itself when it does not show.",
+)
 REQUEST_ENDED = event_log.define(
     2132,
     "forward_ended",
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -30,6 +30,7 @@
 from verbenafall_gateway.forwarding import peer_links
 from verbenafall_gateway.forwarding import peer_loads
 from verbenafall_gateway.forwarding import ports as ports_lib
+from verbenafall_gateway.forwarding import rank_holds
 from verbenafall_gateway.forwarding import rank_paces
 from verbenafall_gateway.forwarding import repeat_allowance
 from verbenafall_gateway.forwarding import store_listeners
@@ -100,6 +101,7 @@
             repeat_allowance.create_repeat_allowance(repeat_limits(settings)),
             metrics,
         )
+        self.holds = rank_holds.create_rank_holds(ports.rank_at)
         self.links = peer_links.PeerLinks(
             loop,
             clock_lib.system_clock(),
@@ -110,6 +112,7 @@
             self.directory,
             self.peers,
             self.paces,
+            self.holds,
             self.admission.serve_all_lines,
         )
         self.configuration.changed = self.take_configuration
@@ -228,6 +231,7 @@
             item.stop(datetime.timedelta())
         await self.loop.run_in_executor(None, self.record.stop)
         self.links.stop(datetime.timedelta(milliseconds=200))
+        self.holds.stop()
         for listener in listeners:
             listener.close()
 
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
@@ -21,6 +21,7 @@
 from verbenafall_gateway.forwarding import endpoint_directory
 from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import peer_loads
+from verbenafall_gateway.forwarding import rank_holds
 from verbenafall_gateway.forwarding import rank_paces
 
 ROLE: Final = "gateway"
@@ -48,6 +49,7 @@
         directory: endpoint_directory.EndpointDirectory,
         loads: peer_loads.PeerLoads,
         paces: rank_paces.RankPaces,
+        holds: rank_holds.RankHolds,
         loads_changed: Callable[[], None],
     ) -> None:
         """Create links that are not yet open."""
@@ -72,6 +74,7 @@
         router.subscribe(messages.ConfigurationText, self.on_text)
         router.subscribe(messages.EndpointLeaving, self.on_leaving)
         router.subscribe(messages.RankPaces, self.on_paces)
+        router.subscribe(messages.RankHold, holds.on_hold)
         hello = messages.Hello(
             messages.PROTOCOL_VERSION, name, ROLE, data_centre, ""
         )
--- a/packages/gateway/src/verbenafall_gateway/forwarding/ports.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/ports.py
@@ -1,5 +1,6 @@
 """What an adapter gives to a gateway that forwards."""
 
+from collections.abc import Callable
 import importlib
 from typing import NamedTuple
 from typing import Protocol
@@ -8,6 +9,7 @@
 from verbenafall_core import addresses
 from verbenafall_core import endpoints
 from verbenafall_core import http_client
+from verbenafall_core.expert_maps import rank_port
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import port
 from verbenafall_core.routes import model
@@ -19,6 +21,7 @@
 
     Attributes:
         gateways: Link addresses of the gateways, by name.
+        rank_at: Returns the port to the rank of an engine.
     """
 
     configurations: collection.Collection[model.Configuration]
@@ -26,6 +29,7 @@
     store: port.RecordStore
     gateways: collection.Collection[addresses.Address]
     dialect: dialect.Dialect
+    rank_at: Callable[[addresses.Address], rank_port.RankPort]
 
 
 class GatewayAdapter(Protocol):
--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
@@ -53,7 +53,9 @@
 
     host: str
 
-    def send_order(self, order: rank_state.RankOrder) -> bool:
+    def send_order(
+        self, order: rank_state.RankOrder, given_elsewhere: bool = False
+    ) -> bool:
         """Send an order; return whether it left."""
 
 
@@ -100,6 +102,7 @@
         clock: clock_lib.Clock,
         metrics: metrics_lib.Metrics,
         step_down: Callable[[int], None],
+        hold_elsewhere: Callable[[rank_state.RankOrder], bool],
     ) -> None:
         """Create a leader that knows no rank yet.
 
@@ -111,6 +114,8 @@
             clock: The clock.
             metrics: Where measurements go.
             step_down: Called with a higher term that was heard of.
+            hold_elsewhere: Lets a process beside no rank give a hold to the
+                own rank's engine; returns whether it was asked.
         """
         self.term = term
         self.own_rank = own_rank
@@ -118,6 +123,7 @@
         self.clock = clock
         self.metrics = metrics
         self.step_down = step_down
+        self.hold_elsewhere = hold_elsewhere
         self.inputs: queue.SimpleQueue[Input | None] = queue.SimpleQueue()
         self.members: dict[int, Member] = {}
         self.switch = pass_switch.idle(term)
@@ -273,7 +279,12 @@
             member = self.members.get(rank)
             if member is None or self.sent.get(rank) == order:
                 continue
-            if member.peer.send_order(order):
+            elsewhere = (
+                order.kind is rank_state.OrderKind.HOLD
+                and rank == self.own_rank()
+                and self.hold_elsewhere(order)
+            )
+            if member.peer.send_order(order, elsewhere):
                 self.sent[rank] = order
 
     def enter(
--- a/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
@@ -24,6 +24,7 @@
 from verbenafall_core import messages
 from verbenafall_core import metrics as metrics_lib
 from verbenafall_core.expert_maps import demand
+from verbenafall_core.expert_maps import rank_state
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import follower
 from verbenafall_core.routes import model
@@ -103,6 +104,7 @@
             setup.clock,
             setup.metrics,
             setup.step_down,
+            self.ask_for_hold,
         )
         self.own_listener = rank_peers.OwnListener(
             self.leader,
@@ -166,6 +168,25 @@
         report = self.setup.agent.report
         return -1 if report is None else report.rank
 
+    def ask_for_hold(self, order: rank_state.RankOrder) -> bool:
+        """Ask a gateway to hold the group; return whether one was asked."""
+        with self.setup.lock:
+            links = list(self.gateway_links)
+            report = self.setup.agent.report
+        if not links or report is None:
+            return False
+        engine = self.setup.settings.engine
+        return self.setup.generator.choice(links).send(
+            messages.RankHold(
+                report.group,
+                engine.host,
+                engine.port,
+                order.term,
+                order.epoch,
+                order.step,
+            )
+        )
+
     def order_directly(self, now: datetime.timedelta) -> None:
         """Reach the ranks whose sidecars have no link."""
         linked = {link.address.host for link in self.peers}
--- a/packages/sidecar/src/verbenafall_sidecar/steering/ports.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/ports.py
@@ -9,10 +9,10 @@
 from verbenafall_core import addresses
 from verbenafall_core import endpoints
 from verbenafall_core import http_client
+from verbenafall_core.expert_maps import rank_port
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import port
 from verbenafall_core.routes import model
-from verbenafall_sidecar.steering import rank_port
 
 
 class SidecarPorts(NamedTuple):
--- a/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
@@ -12,9 +12,9 @@
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import event_log
 from verbenafall_core.expert_maps import demand
+from verbenafall_core.expert_maps import rank_port
 from verbenafall_core.expert_maps import rank_state
 from verbenafall_sidecar.steering import event_catalogue
-from verbenafall_sidecar.steering import rank_port
 
 # Counts are fresh and free on the own machine; each reading costs about a
 # millisecond of processor time. The leader of a large group asks for fewer.
@@ -151,8 +151,16 @@
             self.counts = ()
             self.condition.notify()
 
-    def accept(self, order: rank_state.RankOrder) -> bool:
-        """Take an order; return whether its term is high enough."""
+    def accept(
+        self, order: rank_state.RankOrder, given_elsewhere: bool = False
+    ) -> bool:
+        """Take an order; return whether its term is high enough.
+
+        Args:
+            order: The order.
+            given_elsewhere: Another process gives it as well. It is given
+                here only when it shows no effect in time.
+        """
         if not self.note_leader(order.term):
             event_log.emit(
                 event_catalogue.ORDER_REFUSED,
@@ -165,7 +173,9 @@
         with self.condition:
             if order != self.wanted:
                 self.wanted = order
-                self.given_at = _NEVER
+                self.given_at = (
+                    self.clock.monotonic() if given_elsewhere else _NEVER
+                )
                 self.report_due = _NEVER
             self.condition.notify()
         return True
--- a/packages/sidecar/src/verbenafall_sidecar/steering/rank_peers.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/rank_peers.py
@@ -6,12 +6,12 @@
 from verbenafall_core import link as link_lib
 from verbenafall_core import messages
 from verbenafall_core.expert_maps import demand
+from verbenafall_core.expert_maps import rank_port
 from verbenafall_core.expert_maps import rank_state
 from verbenafall_core.expert_maps import replica_map
 from verbenafall_sidecar.steering import group_leader
 from verbenafall_sidecar.steering import rank_agent
 from verbenafall_sidecar.steering import rank_messages
-from verbenafall_sidecar.steering import rank_port
 
 
 class LinkPeer:
@@ -24,8 +24,11 @@
         self.host = link.address.host
         self.base: tuple[int, replica_map.Placement] | None = None
 
-    def send_order(self, order: rank_state.RankOrder) -> bool:
+    def send_order(
+        self, order: rank_state.RankOrder, given_elsewhere: bool = False
+    ) -> bool:
         """Send an order; maps go as changes to the last one."""
+        del given_elsewhere  # Only a leader's own rank holds the group.
         base_version, base = self.base or (0, None)
         sent = self.link.send(
             rank_messages.encode_order(self.group, order, base_version, base)
@@ -43,9 +46,11 @@
         self.agent = agent
         self.host = host
 
-    def send_order(self, order: rank_state.RankOrder) -> bool:
+    def send_order(
+        self, order: rank_state.RankOrder, given_elsewhere: bool = False
+    ) -> bool:
         """Hand an order to the agent."""
-        return self.agent.accept(order)
+        return self.agent.accept(order, given_elsewhere)
 
 
 class DirectPeer:
@@ -67,9 +72,11 @@
         )
         self.agent.note_leader(leader.term)
 
-    def send_order(self, order: rank_state.RankOrder) -> bool:
+    def send_order(
+        self, order: rank_state.RankOrder, given_elsewhere: bool = False
+    ) -> bool:
         """Hand an order to the agent."""
-        return self.agent.accept(order)
+        return self.agent.accept(order, given_elsewhere)
 
     def close(self) -> None:
         """End the thread soon, and let the leader forget the rank."""
--- a/tests/steering/test_agent_and_leader.py
+++ b/tests/steering/test_agent_and_leader.py
@@ -9,11 +9,11 @@
 from verbenafall_core import metrics
 from verbenafall_core.expert_maps import demand
 from verbenafall_core.expert_maps import pass_switch
+from verbenafall_core.expert_maps import rank_port
 from verbenafall_core.expert_maps import rank_state
 from verbenafall_core.routes import model
 from verbenafall_sidecar.steering import group_leader
 from verbenafall_sidecar.steering import rank_agent
-from verbenafall_sidecar.steering import rank_port
 
 SIZE = 4
 EXPERTS = 8
