Let slow ranks give up experts without taking others

The search halved the demand of its experts by copies and exchanged heavy ones for light ones, so four maps in a row (12.0 to 4.1, 2.6, 2.1, 1.6) still left it the slowest rank, and a switch takes a pass of 0.3 to 1 s there. Ruled out: requests at that engine (none are placed there 0.3 s after its pace is known). Change: a rank slower than usual may drop an expert that other ranks hold, which needs no copy.

--- a/packages/core/src/verbenafall_core/expert_maps/replica_search.py
+++ b/packages/core/src/verbenafall_core/expert_maps/replica_search.py
@@ -3,7 +3,9 @@
 A pass of a rank group takes, set by set, as long as its most loaded rank.
 The search relieves the most loaded ranks of a set again and again: another
 rank gets a copy of one of their experts in the place of an expert that other
-ranks hold as well, or the two ranks exchange experts.
+ranks hold as well, or the two ranks exchange experts. A slow rank also gives
+up experts that others hold, without a new one in their place: whatever it
+keeps, all ranks wait for.
 """
 
 from collections.abc import Sequence
@@ -125,6 +127,37 @@
         by = self.share(expert) - self.share(victim)
         return {giver: -by, receiver: by}
 
+    def drop_best(self, rank: int, least_gain: float) -> bool:
+        """Let a rank give up an expert that others hold; return whether."""
+        best: tuple[float, int] | None = None
+        for expert in self.held[rank]:
+            if self.copies[expert] < 2:
+                continue
+            more = self.demand[expert] / (self.copies[expert] - 1)
+            changes = {
+                other: more - self.share(expert)
+                for other in self.holders[expert]
+            }
+            changes[rank] = -self.share(expert)
+            gain = self.gain_of(changes)
+            if gain > least_gain and (best is None or gain > best[0]):
+                best = (gain, expert)
+        if best is None:
+            return False
+        expert = best[1]
+        self.held[rank].discard(expert)
+        self.holders[expert].discard(rank)
+        self.copies[expert] -= 1
+        self.update_loads()
+        return True
+
+    def update_loads(self) -> None:
+        """Compute the ranks' loads from what they hold."""
+        self.loads = [
+            factor * sum(self.share(item) for item in row)
+            for row, factor in zip(self.held, self.pace, strict=True)
+        ]
+
     def apply(self, giver: int, move: Move) -> None:
         """Make a move."""
         receiver, expert, victim = move.receiver, move.expert, move.victim
@@ -143,10 +176,7 @@
         for item in (expert, victim):
             if item is not None:
                 self.copies[item] = len(self.holders[item])
-        self.loads = [
-            factor * sum(self.share(item) for item in row)
-            for row, factor in zip(self.held, self.pace, strict=True)
-        ]
+        self.update_loads()
 
 
 def search(
@@ -199,6 +229,8 @@
     for giver in order[:MOST_GIVERS]:
         if state.loads[giver] <= EVEN_ENOUGH * state.mean:
             return False
+        if state.pace[giver] > 1 and state.drop_best(giver, least_gain):
+            return True
         best = find_move(state, giver, order, left, limits)
         if best is not None and best.gain > least_gain:
             state.apply(giver, best)
--- a/tests/steering/test_replica_search.py
+++ b/tests/steering/test_replica_search.py
@@ -84,6 +84,22 @@
         before = replica_map.imbalance(placement, load, pace)
         assert replica_map.imbalance(found, load, pace) < before
 
+    @pytest.mark.parametrize("seed", range(3))
+    @pytest.mark.parametrize("pace", [4.0, 12.0])
+    def test_slow_rank_does_not_bind_after_two_maps(self, pace, seed):
+        """All ranks wait for it, so what it holds alone must go first."""
+        placement = first_map(16, 4, 64, 5)
+        load = skewed(4, 64, seed)
+        paces = [1.0] * 16
+        paces[6] = pace
+        limits = replica_search.SearchLimits(5, 1, 2)
+        for _ in range(2):
+            placement = replica_search.search(placement, load, paces, limits)
+            assert replica_map.find_problem(placement, 64, 5) == ""
+        for ranks, row in zip(placement, load, strict=True):
+            loads = replica_map.rank_loads(ranks, row, paces)
+            assert loads[6] <= max(loads[:6] + loads[7:])
+
     def test_changes_rebuild_the_map(self):
         placement = first_map(16, 4, 64, 5)
         found = replica_search.search(
