--- a/tests/expert_maps/test_restarts.py
+++ b/tests/expert_maps/test_restarts.py
@@ -1,8 +1,8 @@
 """Restarted sidecars, late orders of old ones, and restarted groups."""
 
-import group_model
 import pytest
 
+from expert_maps import group_model
 from verbenafall_core.expert_maps import record as record_lib
 from verbenafall_core.expert_maps import switch
 from verbenafall_sidecar.group import group_member
--- a/tests/faults/test_mutations_p4_to_p7.py
+++ b/tests/faults/test_mutations_p4_to_p7.py
@@ -5,15 +5,18 @@
 
 import pytest
 
+from expert_maps import test_restarts
 from faults import matrix
 from verbenafall_core import leases
 from verbenafall_core.bundles import adoption
+from verbenafall_core.expert_maps import pass_switch
 from verbenafall_core.expert_maps import switch
 from verbenafall_gateway.choice import endpoint_view
 from verbenafall_gateway.choice import service_state
 from verbenafall_gateway.delivery import drain as gateway_drain
 from verbenafall_gateway.links import link_targets
 from verbenafall_sidecar.delivery import drain as sidecar_drain
+from verbenafall_sidecar.orders import order_gate
 
 
 def release_without_arming(patch):
@@ -102,8 +105,44 @@
     patch.setattr(sidecar_drain, "drain", drain)
 
 
+def gate_without_epochs(patch):
+    patch.setattr(order_gate, "judge", test_restarts.pass_all_known)
+
+
+def release_before_all_are_armed(patch):
+    """Do not wait for the last rank."""
+
+    def finish(plan, ranks):
+        armed = sum(
+            pass_switch.is_armed(plan, view.report) for view in ranks.values()
+        )
+        if armed < len(ranks) - 1:
+            return plan
+        return plan._replace(phase=pass_switch.Phase.RELEASE)
+
+    patch.setitem(pass_switch._STEPS, pass_switch.Phase.ARM, finish)
+
+
+def arm_without_a_hold(patch):
+    patch.setitem(
+        pass_switch._STEPS,
+        pass_switch.Phase.HOLD,
+        lambda plan, _ranks: plan._replace(phase=pass_switch.Phase.ARM),
+    )
+
+
+def leave_holds_without_owner(patch):
+    patch.setattr(
+        pass_switch, "recover", lambda term, _ranks: pass_switch.idle(term)
+    )
+
+
 # Property, flow, mutation, part of the reason of a red cell.
 MUTATIONS = [
+    ("P4", "old_orders_unfenced", gate_without_epochs, "two maps"),
+    ("MAP", "rank_switch_fenced", release_before_all_are_armed, "two maps"),
+    ("MAP", "rank_switch_unfenced", arm_without_a_hold, "two maps"),
+    ("hold", "rank_switch_fenced", leave_holds_without_owner, "for ever"),
     ("P4", "map_switch_fenced", release_without_arming, "two maps"),
     ("P4", "map_switch_unfenced", release_without_arming, "two maps"),
     ("P4", "map_switch_unfenced", ignore_unclaimed_ranks, "map 2 and not 0"),
--- /dev/null
+++ b/tests/forwarding/test_mutations.py
@@ -0,0 +1,167 @@
+"""Weakened rules of forwarding turn the checks of their tests red.
+
+Guards against tests that pass whatever the product does. The two mutations
+for each rule on maps are in tests/faults/test_mutations_p4_to_p7.py.
+"""
+
+import pytest
+
+from forwarding import forwarding_fakes as fakes
+from forwarding import test_directory
+from forwarding import test_forwarder
+from verbenafall_core.routes import table
+from verbenafall_gateway.forwarding import channel_pool
+from verbenafall_gateway.forwarding import configuration_state
+from verbenafall_gateway.forwarding import endpoint_directory
+from verbenafall_gateway.forwarding import exchange
+from verbenafall_gateway.forwarding import retry_decision
+
+Directory = endpoint_directory.EndpointDirectory
+State = configuration_state.ConfigurationState
+
+
+def repeat_whatever_failed(patch):
+    patch.setattr(
+        retry_decision,
+        "wants_retry",
+        lambda progress, outcome: (
+            not isinstance(outcome, retry_decision.Delivered)
+            and progress.runs < progress.max_runs
+        ),
+    )
+
+
+def keep_connections_of_all(patch):
+    acquire = channel_pool.ChannelPool.acquire
+
+    async def reuse(pool, endpoint, fresh):
+        del fresh
+        return await acquire(pool, endpoint, fresh=False)
+
+    patch.setattr(channel_pool.ChannelPool, "acquire", reuse)
+
+
+def refuse_what_may_have_run(patch):
+    decide = retry_decision.final_action
+
+    def refuse(progress, outcome):
+        action = decide(progress, outcome)
+        gave_up = action is retry_decision.Action.GIVE_UP
+        return retry_decision.Action.REFUSE if gave_up else action
+
+    patch.setattr(retry_decision, "final_action", refuse)
+
+
+def forget_sends_at_the_deadline(patch):
+    end_late = exchange.Exchange.end_late
+
+    def forget(served, job):
+        job.runs = 0
+        end_late(served, job)
+
+    patch.setattr(exchange.Exchange, "end_late", forget)
+
+
+def ignore_other_gateways(patch):
+    patch.setattr(Directory, "note_leaving", lambda directory, leaving: None)
+
+
+def use_leaving_endpoints(patch):
+    def rebuild(directory):
+        directory.by_service = {
+            "s": [item.value for item in directory.listed.values()]
+        }
+
+    patch.setattr(Directory, "rebuild", rebuild)
+
+
+def take_any_version(patch):
+    offer = State.offer
+
+    def take(state, offered, source):
+        state.configuration = None
+        return offer(state, offered, source)
+
+    patch.setattr(State, "offer", take)
+
+
+def keep_the_first_routes(patch):
+    offer = State.offer
+
+    def keep(state, offered, source):
+        routes, known = state.routes, state.configuration
+        taken = offer(state, offered, source)
+        if known is not None:
+            state.routes = routes
+        return taken
+
+    patch.setattr(State, "offer", keep)
+
+
+def check_misbehaving(script, kind, status):
+    def check():
+        test_forwarder.TestFaults().test_first_endpoint_misbehaves(
+            script, kind, status, False
+        )
+
+    return check
+
+
+def check_own_connections():
+    subject = test_forwarder.TestForwarding()
+    subject.test_each_non_idempotent_request_has_its_own_connection()
+
+
+def check_deadline():
+    test_forwarder.TestTimeouts().test_final_answer_at_the_deadline()
+
+
+def check_leaving():
+    subject = test_directory.TestOthers()
+    subject.test_leaving_endpoints_are_told_and_taken(
+        endpoint_directory.create_endpoint_directory()
+    )
+
+
+def check_drained():
+    directory = endpoint_directory.create_endpoint_directory()
+    listed = [test_directory.item("a", 5), test_directory.item("b", 5)]
+    test_directory.apply(directory, 5, listed, complete=True)
+    draining = test_directory.item("a", 6, draining=True)
+    test_directory.TestStore().test_change(directory, [draining], ["b"])
+
+
+def check_versions():
+    state = configuration_state.create_configuration_state()
+    for version, path in ((5, "/n/"), (3, "/o/"), (6, "/m/")):
+        route = fakes.route(path_prefix=path)
+        state.offer(fakes.configuration(version, route), "store")
+        assert state.version() == max(version, 5)
+    assert table.find_route(state.routes, fakes.HOST, "/m/x") is not None
+    assert table.find_route(state.routes, fakes.HOST, "/n/x") is None
+
+
+no_answer = check_misbehaving(test_forwarder.no_answer, "non_idempotent", 502)
+MUTATIONS = [
+    ("TWICE", repeat_whatever_failed, no_answer),
+    ("TWICE", keep_connections_of_all, check_own_connections),
+    ("REFUSED", refuse_what_may_have_run, no_answer),
+    ("REFUSED", forget_sends_at_the_deadline, check_deadline),
+    ("DRAIN", ignore_other_gateways, check_leaving),
+    ("DRAIN", use_leaving_endpoints, check_drained),
+    ("CONFIG", take_any_version, check_versions),
+    ("CONFIG", keep_the_first_routes, check_versions),
+]
+
+
+class TestMutations:
+    @pytest.mark.parametrize(
+        ("mutate", "check"),
+        [row[1:] for row in MUTATIONS],
+        ids=[f"{row[0]}-{row[1].__name__}" for row in MUTATIONS],
+    )
+    def test_is_seen(self, monkeypatch, mutate, check):
+        check()
+        mutate(monkeypatch)
+        with pytest.raises(AssertionError):
+            check()
--- a/tests/steering/rank_model.py
+++ b/tests/steering/rank_model.py
@@ -7,7 +7,8 @@
 class ModelRank:
     """One rank; orders follow the rules of the engines."""
 
-    def __init__(self, number, size):
+    def __init__(self, number, size, fences=True):
+        self.fences = fences
         self.number = number
         self.size = size
         self.fence = 0
@@ -37,7 +38,7 @@
 
     def take(self, order):
         """Carry an order out; return the engine's answer."""
-        if order.term < self.fence:
+        if self.fences and order.term < self.fence:
             return rank_state.OrderAnswer.FENCED
         self.fence = order.term
         if order.epoch != self.epoch:
@@ -88,8 +89,8 @@
 class ModelGroup:
     """All ranks; begins passes and checks the rule on maps."""
 
-    def __init__(self, size):
-        self.ranks = [ModelRank(number, size) for number in range(size)]
+    def __init__(self, size, fences=True):
+        self.ranks = [ModelRank(number, size, fences) for number in range(size)]
         self.epoch = 1
         self.step = 0
 
--- a/tests/steering/test_agent_and_leader.py
+++ b/tests/steering/test_agent_and_leader.py
@@ -1,192 +1,31 @@
 """Agent and leader together, step by step, on a model of the engines."""
 
-import datetime
-
 import pytest
-import returns.result
 
-from steering import rank_model
-from verbenafall_core import metrics
-from verbenafall_core.expert_maps import demand
+from steering import rank_fleet
 from verbenafall_core.expert_maps import pass_switch
-from verbenafall_core.expert_maps import rank_port
 from verbenafall_core.expert_maps import rank_state
-from verbenafall_core.routes import model
 from verbenafall_sidecar.steering import group_leader
 from verbenafall_sidecar.steering import rank_agent
 
-SIZE = 4
-EXPERTS = 8
-LAYOUT = model.ExpertLayout(1, EXPERTS, 3, 2, datetime.timedelta())
-TICK = datetime.timedelta(milliseconds=20)
-
-
-class SteppedClock:
-    """A clock that only moves when it is told."""
-
-    def __init__(self):
-        self.time = datetime.timedelta(seconds=100)
-
-    def monotonic(self):
-        return self.time
-
-    def now(self):
-        return datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC) + self.time
-
-
-class ModelPort:
-    """The port to a rank of the model group."""
-
-    def __init__(self, group, number):
-        self.group = group
-        self.rank = group.ranks[number]
-        self.experts = (
-            tuple((number * 2 + offset) % EXPERTS for offset in range(3)),
-        )
-        self.counts = [0] * EXPERTS
-        self.lost = 0
-        self.limits = []
-        self.given = []
-        self.reachable = True
-
-    def read_report(self):
-        if not self.reachable:
-            return returns.result.Failure(rank_port.RankPortFailure("cut"))
-        return returns.result.Success(self.rank.report())
-
-    def read_counts(self):
-        return returns.result.Success(
-            rank_port.ExpertCounts(
-                self.rank.epoch, self.rank.step, tuple(self.counts)
-            )
-        )
-
-    def read_experts(self):
-        return returns.result.Success(self.experts)
-
-    def give_order(self, order, limit):
-        self.limits.append(limit)
-        self.given.append(order)
-        if self.lost:
-            self.lost -= 1
-            return rank_state.OrderAnswer.UNANSWERED
-        return self.rank.take(order)
-
-
-class Peer:
-    """Hands orders of the leader to an agent, and its news back."""
-
-    def __init__(self, fleet, agent):
-        self.fleet = fleet
-        self.agent = agent
-        self.host = "10.0.0.1"
-
-    def send_order(self, order, given_elsewhere=False):
-        return self.agent.accept(order, given_elsewhere)
-
-    def on_news(self, news):
-        if self.fleet.leader is not None:
-            self.fleet.leader.take_news(
-                group_leader.News(self, news), self.fleet.clock.monotonic()
-            )
-
-    def on_counts(self, epoch, counts):
-        if self.fleet.leader is not None:
-            self.fleet.leader.take_counts(
-                group_leader.Counts(epoch, demand.ChosenCounts((), counts)),
-                self.fleet.clock.monotonic(),
-            )
-
-
-class Fleet:
-    """Agents and a leader that run when they are stepped."""
-
-    def __init__(self):
-        self.clock = SteppedClock()
-        self.group = rank_model.ModelGroup(SIZE)
-        self.ports = [ModelPort(self.group, n) for n in range(SIZE)]
-        self.leader = None
-        self.gateway = None
-        self.held_elsewhere = []
-        self.stepped_down = []
-        self.agents = []
-        self.frozen = set()
-        for port in self.ports:
-            holder = []
-            agent = rank_agent.create_rank_agent(
-                port, self.clock, lambda holder=holder: holder[0]
-            )
-            holder.append(Peer(self, agent))
-            self.agents.append(agent)
-        self.lead(1)
-
-    def lead(self, term):
-        self.leader = group_leader.GroupLeader(
-            term,
-            lambda: 0,
-            lambda: LAYOUT,
-            self.clock,
-            metrics.NullMetrics(),
-            self.stepped_down.append,
-            self.hold_elsewhere,
-        )
-
-    def hold_elsewhere(self, order):
-        """Let the gateway of the test, if there is one, give the hold."""
-        self.held_elsewhere.append(order)
-        if self.gateway is None:
-            return False
-        self.gateway(order)
-        return True
-
-    def step(self, passes=True):
-        """Let 20 ms pass for everyone."""
-        self.clock.time += TICK
-        for number, agent in enumerate(self.agents):
-            if number in self.frozen:
-                continue
-            if self.leader is not None:
-                agent.note_leader(self.leader.term, rank_agent.COUNT_INTERVAL)
-            agent.run_once()
-        if self.leader is not None:
-            self.leader.act(self.clock.monotonic())
-        for port in self.ports:
-            port.counts[1] += 400
-            port.counts[5] += 100
-            port.counts[7] += 50
-        if passes and self.clock.time % (4 * TICK) == datetime.timedelta():
-            self.group.begin_pass()
-            assert len(self.group.maps()) == 1
-
-    def run_until(self, condition, steps=1500):
-        for _ in range(steps):
-            if condition():
-                return
-            self.step()
-        raise AssertionError("it did not come to hold")
-
 
 @pytest.fixture
 def fleet():
-    return Fleet()
-
-
-def in_use(fleet):
-    return min(rank.map_version for rank in fleet.group.ranks)
+    return rank_fleet.Fleet()
 
 
 class TestSwitch:
     def test_skewed_demand_leads_to_a_new_map(self, fleet):
-        fleet.run_until(lambda: in_use(fleet) > 0)
+        fleet.run_until(lambda: rank_fleet.in_use(fleet) > 0)
         assert all(rank.held is None for rank in fleet.group.ranks)
 
-    @pytest.mark.parametrize("rank", range(SIZE))
+    @pytest.mark.parametrize("rank", range(rank_fleet.SIZE))
     def test_lost_orders_are_given_again(self, fleet, rank):
         fleet.run_until(
             lambda: fleet.leader.switch.phase is pass_switch.Phase.PREPARE
         )
         fleet.ports[rank].lost = 3
-        fleet.run_until(lambda: in_use(fleet) > 0)
+        fleet.run_until(lambda: rank_fleet.in_use(fleet) > 0)
 
     def test_order_without_an_answer_is_given_again_at_once(self, fleet):
         """The group is held meanwhile, and every stream pauses."""
@@ -200,7 +39,7 @@
         assert fleet.group.ranks[3].armed is not None
 
     def test_own_engine_has_little_time_to_answer(self, fleet):
-        fleet.run_until(lambda: in_use(fleet) > 0)
+        fleet.run_until(lambda: rank_fleet.in_use(fleet) > 0)
         limits = {item for port in fleet.ports for item in port.limits}
         assert limits == {rank_agent.OWN_ORDER_LIMIT}
 
@@ -209,13 +48,13 @@
             lambda: fleet.leader.switch.phase is pass_switch.Phase.PREPARE
         )
         fleet.group.form_anew()
-        fleet.run_until(lambda: in_use(fleet) > 0)
+        fleet.run_until(lambda: rank_fleet.in_use(fleet) > 0)
 
 
 class TestHoldByAGateway:
     def test_own_sidecar_gives_no_hold(self, fleet):
         fleet.gateway = fleet.group.ranks[0].take
-        fleet.run_until(lambda: in_use(fleet) > 0)
+        fleet.run_until(lambda: rank_fleet.in_use(fleet) > 0)
         kinds = [order.kind for order in fleet.ports[0].given]
         assert rank_state.OrderKind.HOLD not in kinds
         assert {order.kind for order in fleet.held_elsewhere} == {
@@ -224,7 +63,7 @@
 
     def test_own_sidecar_gives_a_hold_that_does_not_show(self, fleet):
         fleet.gateway = lambda order: None
-        fleet.run_until(lambda: in_use(fleet) > 0)
+        fleet.run_until(lambda: rank_fleet.in_use(fleet) > 0)
         kinds = [order.kind for order in fleet.ports[0].given]
         assert rank_state.OrderKind.HOLD in kinds
 
@@ -232,7 +71,7 @@
         """A gateway that was paused; passes have gone on, or a map changed."""
         late = []
         fleet.gateway = late.append
-        fleet.run_until(lambda: in_use(fleet) > 0)
+        fleet.run_until(lambda: rank_fleet.in_use(fleet) > 0)
         rank = fleet.group.ranks[0]
         rank.take(late[0]._replace(step=fleet.group.step + 1))
         fleet.run_until(lambda: rank.held is None, steps=200)
@@ -270,7 +109,7 @@
         fleet.run_until(lambda: fleet.group.ranks[0].held is None, steps=60)
 
     def test_hold_by_a_late_order_is_released(self, fleet):
-        fleet.run_until(lambda: in_use(fleet) > 0)
+        fleet.run_until(lambda: rank_fleet.in_use(fleet) > 0)
         rank = fleet.group.ranks[2]
         rank.held = fleet.group.step + 1
         fleet.run_until(lambda: rank.held is None, steps=200)
--- /dev/null
+++ b/tests/tools/test_loss_table.py
@@ -0,0 +1,54 @@
+"""The table of losses from report files."""
+
+import json
+
+import pytest
+
+from tools import loss_table
+
+REPORT = {
+    "G": 0.63,
+    "parts": [["whole day", 0.6, 0.8], ["worst windows", 0.4, 0.5]],
+    "prices": [["machines", 10.0, 0.05], ["orders", 3.0, 0.0004]],
+    "all": {
+        "n": 110,
+        "in_aim": 75,
+        "late": 20,
+        "refused": 4,
+        "failed": 1,
+        "not_owed": 10,
+        "worth": 0.8,
+    },
+    "classes": [],
+}
+
+
+def write(path, report):
+    path.write_text(json.dumps(report))
+    return str(path)
+
+
+class TestLossTable:
+    def test_losses_with_the_worth_make_one(self):
+        report = loss_table.msgspec.convert(REPORT, loss_table.Report)
+        losses = loss_table.find_losses(report)
+        assert [loss.reason for loss in losses] == [
+            "worst windows",
+            "whole day",
+            "machines",
+        ]
+        total = report.G + sum(loss.worth for loss in losses)
+        assert total == pytest.approx(1, abs=2 * loss_table.LEAST_LOSS)
+
+    def test_a_row_for_each_file(self, tmp_path, capsys):
+        files = [write(tmp_path / f"{day}.json", REPORT) for day in "ab"]
+        assert loss_table.main(files) == 0
+        rows = capsys.readouterr().out.splitlines()[2:]
+        assert [row.split(" | ")[0] for row in rows] == ["| a", "| b"]
+        assert "75.0 / 20.0 / 4.0 / 1.0" in rows[0]
+
+    @pytest.mark.parametrize("report", [{}, {"G": "much"}, []])
+    def test_other_files_are_an_error(self, tmp_path, capsys, report):
+        path = write(tmp_path / "x.json", report)
+        assert loss_table.main([path]) == loss_table.EXIT_UNREADABLE
+        assert "x.json" in capsys.readouterr().err
