Count a gateway's own requests three times in placing

With counts of other gateways that are 16 to 30 ms old, several gateways choose the rank that they all see as the least loaded; passes are then longer than when each gateway spreads its own requests only (76 ms against 73 ms at the 95th percentile at twice the usual rate, 16 ms old counts). Ruled out: lag itself (with no lag the sum of all counts is best, 67 ms); a slack of one request (like weight 3 at 16 ranks). Change: own requests weigh three times in the choice; the limit of slots still counts all alike.

--- a/bench/rank_placement.py
+++ b/bench/rank_placement.py
@@ -29,7 +29,8 @@
 USUAL_RATE: Final = 75.0
 RATES: Final = (USUAL_RATE, 2 * USUAL_RATE)
 DURATION: Final = 120.0
-LINK_DELAY: Final = 0.03
+# Changes are told within 30 ms, half of that in the mean.
+LINK_DELAY: Final = 0.016
 REPORT_DELAY: Final = 0.2
 
 
@@ -53,7 +54,9 @@
 def place_by_all_counts(views: Views, generator: random.Random) -> int | None:
     """Choose as the product does, by what all gateways have told."""
     candidates = [
-        placement.Candidate(str(rank), own + told, SLOTS, True, False)
+        placement.Candidate(
+            str(rank), own + told, SLOTS, True, False, False, own
+        )
         for rank, (own, told) in enumerate(
             zip(views.own, views.told, strict=True)
         )
@@ -114,8 +117,7 @@
         times.append(took)
         if sum(loads):
             uneven.append(max(loads) * RANKS / sum(loads))
-        for _ in range(count_arrivals(took, rate, generator)):
-            at = now + generator.uniform(0, took)
+        for at in draw_arrivals(now, now + took, rate, generator):
             gateway = generator.randrange(GATEWAYS)
             asked += 1
             rank = policy(view_of(running, history, gateway, at), generator)
@@ -144,15 +146,16 @@
     return [list(row) for row in running]
 
 
-def count_arrivals(
-    seconds: float, rate: float, generator: random.Random
-) -> int:
-    """Return how many requests come in a time."""
-    count, at = 0, generator.expovariate(rate)
-    while at < seconds:
-        count += 1
+def draw_arrivals(
+    start: float, end: float, rate: float, generator: random.Random
+) -> list[float]:
+    """Return when requests come between two times, in order."""
+    arrivals = []
+    at = start + generator.expovariate(rate)
+    while at < end:
+        arrivals.append(at)
         at += generator.expovariate(rate)
-    return count
+    return arrivals
 
 
 def view_of(
--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -131,15 +131,16 @@
             if endpoint.id in wish.tried:
                 continue
             suspicion = self.suspicions.get(endpoint.id)
+            own = self.open.get(endpoint.id, 0)
             found.append(
                 placement.Candidate(
                     endpoint.id,
-                    self.open.get(endpoint.id, 0)
-                    + self.peers.load_of(endpoint.id, now),
+                    own + self.peers.load_of(endpoint.id, now),
                     endpoint.slots or DEFAULT_SLOTS,
                     endpoint.data_centre == self.data_centre,
                     suspicion is not None and suspicion.until > now,
                     self.paces.is_slow(endpoint.address.host, now),
+                    own,
                 )
             )
         return found
--- a/packages/gateway/src/verbenafall_gateway/forwarding/placement.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/placement.py
@@ -1,8 +1,14 @@
 """Chooses an endpoint for a request; pure."""
 
 from collections.abc import Sequence
+from typing import Final
 from typing import NamedTuple
 
+# Own requests count this often. The counts of other gateways are some tens of
+# milliseconds old; gateways that all take the least loaded endpoint by the
+# same counts send too much there. bench/rank_placement.py compares values.
+OWN_WEIGHT: Final = 3
+
 
 class Candidate(NamedTuple):
     """An endpoint that could take a request.
@@ -13,6 +19,7 @@
         nearby: Whether it is in the gateway's data centre.
         suspect: Whether it failed recently.
         slow: Whether it holds back the other ranks of its group.
+        own: How many of the open requests are this gateway's.
     """
 
     endpoint_id: str
@@ -21,6 +28,7 @@
     nearby: bool
     suspect: bool
     slow: bool = False
+    own: int = 0
 
 
 class Choice(NamedTuple):
@@ -37,7 +45,8 @@
     """Return the candidate with the least load for its slots.
 
     Answers the load of requests that are open at the endpoints: all ranks of
-    a group wait for the one that runs most, so requests are spread evenly.
+    a group wait for the one that runs most, so requests are spread evenly,
+    first of all this gateway's own.
 
     Args:
         candidates: Endpoints that may take the request.
@@ -56,7 +65,8 @@
         return None
 
     def rank(candidate: Candidate) -> tuple[bool, float, bool]:
-        share = candidate.load / candidate.slots
+        weighted = candidate.load + (OWN_WEIGHT - 1) * candidate.own
+        share = weighted / candidate.slots
         return candidate.suspect, share, not candidate.nearby
 
     best = min(rank(candidate) for candidate in open_ones)
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -80,6 +80,60 @@
 ]
 
 
+# Own requests and those of other gateways by endpoint; endpoint that is taken.
+OWN_LOADS = [
+    ("others fill it", {"a": (0, 3), "b": (0, 1)}, "b"),
+    ("own ones weigh more", {"a": (1, 0), "b": (0, 2)}, "b"),
+    ("but do not count alone", {"a": (1, 0), "b": (0, 4)}, "a"),
+    ("no room", {"a": (0, 4), "b": (2, 1)}, "b"),
+]
+
+
+class TestOwnRequests:
+    @pytest.mark.parametrize(
+        ("loads", "name"),
+        [case[1:] for case in OWN_LOADS],
+        ids=[case[0] for case in OWN_LOADS],
+    )
+    def test_choice(self, loads, name):
+        candidates = [
+            placement.Candidate(
+                endpoint, own + others, 4, False, False, False, own
+            )
+            for endpoint, (own, others) in loads.items()
+        ]
+        chosen = placement.choose(candidates, 1.0, 0.5).candidate
+        assert chosen.endpoint_id == name
+
+    def test_gateways_with_old_counts_do_not_all_choose_the_same(self):
+        """Ten gateways know of one rank that has just become free.
+
+        Each sends two requests before it hears of the others'.
+        """
+        total = {f"e{number}": 2 for number in range(10)} | {"free": 0}
+        sent = dict.fromkeys(total, 0)
+        for gateway in range(10):
+            own = dict.fromkeys(total, 0)
+            for number in range(2):
+                candidates = [
+                    placement.Candidate(
+                        name,
+                        load + own[name],
+                        6,
+                        False,
+                        False,
+                        False,
+                        own[name],
+                    )
+                    for name, load in total.items()
+                ]
+                draw = (gateway + number / 2) / 10
+                chosen = placement.choose(candidates, 1.0, draw).candidate
+                own[chosen.endpoint_id] += 1
+                sent[chosen.endpoint_id] += 1
+        assert sent["free"] == 10
+
+
 class TestPlacement:
     @pytest.mark.parametrize(
         ("candidates", "name"),
