--- a/tests/tools/test_loss_table.py
+++ b/tests/tools/test_loss_table.py
@@ -47,6 +47,12 @@
         assert [row.split(" | ")[0] for row in rows] == ["| a", "| b"]
         assert "75.0 / 20.0 / 4.0 / 1.0" in rows[0]
 
+    def test_names_as_many_losses_as_asked(self, tmp_path, capsys):
+        path = write(tmp_path / "a.json", REPORT)
+        assert loss_table.main([path, "--most", "1"]) == 0
+        row = capsys.readouterr().out.splitlines()[2]
+        assert row.endswith("| worst windows 0.200 |")
+
     @pytest.mark.parametrize("report", [{}, {"G": "much"}, []])
     def test_other_files_are_an_error(self, tmp_path, capsys, report):
         path = write(tmp_path / "x.json", report)
--- a/tools/loss_table.py
+++ b/tools/loss_table.py
@@ -78,15 +78,21 @@
     return " / ".join(shares)
 
 
-def build_table(reports: Sequence[tuple[str, Report]]) -> list[str]:
-    """Return the lines of a Markdown table, one row a day."""
+def build_table(reports: Sequence[tuple[str, Report]], most: int) -> list[str]:
+    """Return the lines of a Markdown table, one row a day.
+
+    Args:
+        reports: Days with their reports.
+        most: Losses that a row names.
+    """
     lines = [
         "| day | worth | on time / late / refused / failed, % | losses |",
         "|---|---|---|---|",
     ]
     for day, report in reports:
         losses = ", ".join(
-            f"{loss.reason} {loss.worth:.3f}" for loss in find_losses(report)
+            f"{loss.reason} {loss.worth:.3f}"
+            for loss in find_losses(report)[:most]
         )
         lines.append(
             f"| {day} | {report.G:.3f} | {describe_requests(report.all)}"
@@ -109,6 +115,9 @@
     """Print the table and return the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("reports", nargs="+", type=pathlib.Path)
+    parser.add_argument(
+        "--most", type=int, default=5, help="losses that a row names (5)"
+    )
     options = parser.parse_args(arguments)
     reports = []
     for path in options.reports:
@@ -117,7 +126,9 @@
         except (OSError, msgspec.MsgspecError) as error:
             sys.stderr.write(f"{path}: {error}\n")
             return EXIT_UNREADABLE
-    sys.stdout.writelines(f"{line}\n" for line in build_table(reports))
+    sys.stdout.writelines(
+        f"{line}\n" for line in build_table(reports, options.most)
+    )
     return 0
 
 
