Count the repeat of a stream before it leaves a slow rank

A stream also left when all other ranks were as slow. Ruled out: answers "not run": an attempt that was given up counts as one that may have run, so its end is a cut, 502 or 504, never 503. Change: the repeat is counted first, at most the usual number of sends, and an endpoint that is not slow must have room. stream_assembly moved to delivery, which imported it from client_http; one stale comment. Test: no repeat left, all ranks slow; both cases failed before. Endpoints of the tests have a host each, as ranks have.

--- a/packages/gateway/src/verbenafall_gateway/delivery/attempt_events.py
+++ b/packages/gateway/src/verbenafall_gateway/delivery/attempt_events.py
@@ -7,7 +7,7 @@
 
 from verbenafall_core import messages
 from verbenafall_core import outcomes
-from verbenafall_gateway.client_http import stream_assembly
+from verbenafall_gateway.delivery import stream_assembly
 
 
 class LinkClosed(NamedTuple):
--- a/packages/gateway/src/verbenafall_gateway/delivery/direct_delivery.py
+++ b/packages/gateway/src/verbenafall_gateway/delivery/direct_delivery.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from verbenafall_core import messages
-from verbenafall_gateway.client_http import stream_assembly
+from verbenafall_gateway.delivery import stream_assembly
 
 # A wake-up of each waiting request; the tokens of a request that nobody waits
 # for are produced in vain for this long.
--- a/packages/gateway/src/verbenafall_gateway/delivery/request_flow.py
+++ b/packages/gateway/src/verbenafall_gateway/delivery/request_flow.py
@@ -21,7 +21,6 @@
 from verbenafall_gateway import event_catalogue
 from verbenafall_gateway.choice import endpoint_view
 from verbenafall_gateway.choice import routing
-from verbenafall_gateway.client_http import stream_assembly
 from verbenafall_gateway.delivery import attempt_events
 from verbenafall_gateway.delivery import claim_settling
 from verbenafall_gateway.delivery import direct_delivery
@@ -30,6 +29,7 @@
 from verbenafall_gateway.delivery import request_progress
 from verbenafall_gateway.delivery import retry_budget
 from verbenafall_gateway.delivery import retry_rules
+from verbenafall_gateway.delivery import stream_assembly
 
 # Part of the client's time kept for a cancel to be confirmed, so that the
 # final answer still comes before the deadline.
--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -145,14 +145,11 @@
             )
         return found
 
-    def has_room(self, wish: Wish) -> bool:
-        """Return whether a request could be placed now."""
-        return (
-            placement.choose(
-                self.candidates(wish), self.load_per_slot(wish.service), 0.0
-            )
-            is not None
-        )
+    def has_fast_room(self, wish: Wish) -> bool:
+        """Return whether an endpoint that is not slow has room now."""
+        fast = [item for item in self.candidates(wish) if not item.slow]
+        limit = self.load_per_slot(wish.service)
+        return placement.choose(fast, limit, 0.0) is not None
 
     def try_place(self, wish: Wish) -> Placed | None:
         """Take a place if there is one now."""
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -79,6 +79,8 @@
         self.sends = 0
         self.runs = 0
         self.rejections = 0
+        # Counted in the allowance before the attempt was given up.
+        self.repeat_taken = False
 
     @property
     def urgency(self) -> int:
@@ -302,15 +304,30 @@
                 attempt.place.endpoint.address.host, now
             ):
                 continue
-            if not retry_decision.may_move(
-                self.progress(job), job.admitted.route.resumable
-            ) or not self.admission.has_room(self.wish(job)):
+            if not self.may_move(job, attempt, now):
                 continue
             attempt.channel.fail("the endpoint holds back its group")
             moved += 1
             if moved == MOVES_AT_ONCE:
                 return
 
+    def may_move(self, job: Job, attempt: OpenAttempt, now: float) -> bool:
+        """Return whether a stream may leave, with its repeat counted."""
+        if (
+            not attempt.channel.active
+            or job.sends >= MAX_SENDS
+            or not retry_decision.may_move(
+                self.progress(job), job.admitted.route.resumable
+            )
+            or not self.admission.has_fast_room(self.wish(job))
+        ):
+            return False
+        # A stream that is given up without a repeat left would be cut.
+        job.repeat_taken = self.allowance.try_take(
+            job.admitted.service, self.admission.peers.gateways(), now
+        )
+        return job.repeat_taken
+
     def note_progress(self, service: str) -> None:
         """Take that a service does work."""
         pulse = self.admission.pulse(service)
@@ -391,6 +408,9 @@
             return False
         if isinstance(outcome, retry_decision.Unsent):
             return True
+        if job.repeat_taken:
+            job.repeat_taken = False
+            return True
         return self.allowance.try_take(
             job.admitted.service,
             self.admission.peers.gateways(),
--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
@@ -22,7 +22,7 @@
 from verbenafall_sidecar.steering import rank_agent
 from verbenafall_sidecar.steering import rank_messages
 
-# Longest wait of the leader's thread; new counts come every 200 ms.
+# Longest wait of the leader's thread; new counts come every 100 ms.
 TICK: Final = datetime.timedelta(milliseconds=100)
 SEARCH_INTERVAL: Final = datetime.timedelta(milliseconds=150)
 # A rank whose sidecar has been silent for this time is not counted on.
--- a/tests/faults/test_mutations.py
+++ b/tests/faults/test_mutations.py
@@ -11,10 +11,10 @@
 from verbenafall_core.claims import decisions
 from verbenafall_core.claims import model
 from verbenafall_core.claims import service as claim_service
-from verbenafall_gateway.client_http import stream_assembly
 from verbenafall_gateway.delivery import attempt_events
 from verbenafall_gateway.delivery import open_attempts
 from verbenafall_gateway.delivery import request_flow
+from verbenafall_gateway.delivery import stream_assembly
 from verbenafall_sidecar.delivery import attempt_registry
 
 SEALED = model.ClaimState.SEALED
--- a/tests/forwarding/forwarding_fakes.py
+++ b/tests/forwarding/forwarding_fakes.py
@@ -112,12 +112,12 @@
     The function returns whether the connection is kept.
     """
 
-    def __init__(self, script):
+    def __init__(self, script, host=LOOPBACK):
         self.script = script
         self.requests = []
         self.connections = 0
         self.gone = threading.Event()
-        self.listener = socket.create_server((LOOPBACK, 0))
+        self.listener = socket.create_server((host, 0))
         self.address = addresses.Address(*self.listener.getsockname())
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -239,7 +239,11 @@
         self.listed = MemoryCollection()
         self.gateways = MemoryCollection()
         self.orders = []
-        self.backends = [ScriptedEndpoint(script) for script in scripts]
+        # Each has a host of its own, as ranks have.
+        self.backends = [
+            ScriptedEndpoint(script, f"127.0.0.{number + 1}")
+            for number, script in enumerate(scripts)
+        ]
         for number, backend in enumerate(self.backends):
             self.list_endpoint(f"e{number}", backend)
         if first is not None:
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -11,6 +11,7 @@
 from forwarding import forwarding_fakes as fakes
 from verbenafall_core import settings
 from verbenafall_core.routes import model
+from verbenafall_gateway.forwarding import repeat_allowance
 
 STREAM = {
     "kind": model.RequestKind.STREAM,
@@ -385,6 +386,57 @@
             caller.join(fakes.WAIT_SECONDS)
         assert answers[0].body == b"".join(fakes.event(n) for n in range(5))
 
+    @pytest.mark.parametrize(
+        ("extra", "others_slow"),
+        [(0, False), (50, True)],
+        ids=["no repeat left", "all ranks are slow"],
+    )
+    def test_stream_stays_when_it_could_not_go_on_better(
+        self, extra, others_slow
+    ):
+        """A stream that is broken without a second send is cut."""
+        asked, proceed, swept = (threading.Event() for _ in range(3))
+
+        def wait_after_two(endpoint, connection, request):
+            del endpoint
+            connection.sendall(fakes.stream_head(request))
+            for number in range(5):
+                if number == 2:
+                    asked.set()
+                    proceed.wait(fakes.WAIT_SECONDS)
+                connection.sendall(fakes.chunk(fakes.event(number)))
+            connection.sendall(b"0\r\n\r\n")
+            return True
+
+        route = fakes.route(**STREAM)
+        with running(wait_after_two, wait_after_two, routes=[route]) as up:
+            exchange = up.forwarder.exchange
+            exchange.allowance.limits = repeat_allowance.RepeatLimits(
+                0.0, extra, 10.0
+            )
+            answers = []
+            caller = threading.Thread(target=lambda: answers.append(call(up)))
+            caller.start()
+            assert asked.wait(fakes.WAIT_SECONDS)
+            slow = {
+                backend.address.host: 12.0
+                for backend in up.backends
+                if others_slow or backend.requests
+            }
+
+            def sweep():
+                up.forwarder.paces.take("g", 1, slow, up.loop.time())
+                exchange.leave_slow_ranks()
+                swept.set()
+
+            up.loop.call_soon_threadsafe(sweep)
+            assert swept.wait(fakes.WAIT_SECONDS)
+            proceed.set()
+            caller.join(fakes.WAIT_SECONDS)
+            assert sum(ran(up)) == 1
+        assert answers[0].whole
+        assert answers[0].body == b"".join(fakes.event(n) for n in range(5))
+
     def test_endpoint_is_left_when_the_client_leaves(self):
         left = threading.Event()
 
--- a/tests/gateway/test_direct_delivery.py
+++ b/tests/gateway/test_direct_delivery.py
@@ -18,12 +18,12 @@
 from verbenafall_core import outcomes
 from verbenafall_gateway.client_http import chat
 from verbenafall_gateway.client_http import http_server
-from verbenafall_gateway.client_http import stream_assembly
 from verbenafall_gateway.delivery import attempt_events
 from verbenafall_gateway.delivery import direct_delivery
 from verbenafall_gateway.delivery import flow_events
 from verbenafall_gateway.delivery import open_attempts
 from verbenafall_gateway.delivery import request_progress
+from verbenafall_gateway.delivery import stream_assembly
 
 WAIT_SECONDS = 20
 # A write that waits for room ends the test by its own limit, as a failure.
--- a/tests/gateway/test_stream_assembly.py
+++ b/tests/gateway/test_stream_assembly.py
@@ -5,7 +5,7 @@
 import pytest
 
 from verbenafall_core import messages
-from verbenafall_gateway.client_http import stream_assembly
+from verbenafall_gateway.delivery import stream_assembly
 
 DELIVER = stream_assembly.Verdict.DELIVER
 DROP = stream_assembly.Verdict.DROP
