--- a/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
@@ -65,6 +65,7 @@
             request on an idle connection or for the rest of one. The
             forwarder's sweep compares it with the time limits.
         head_sent: Whether the head of the current answer was written.
+        connected_at: When the connection was accepted.
     """
 
     transport: asyncio.Transport
@@ -99,6 +100,7 @@
         self.waiting_since = 0.0
         self.chunked = False
         self.head_sent = False
+        self.connected_at = 0.0
         self.reset_message(0.0)
 
     def reset_message(self, now: float) -> None:
@@ -118,7 +120,7 @@
         """Store the transport and register the channel."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        self.waiting_since = self.loop.time()
+        self.connected_at = self.waiting_since = self.loop.time()
         self.channels.add(self)
 
     def data_received(self, data: bytes) -> None:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -127,3 +127,12 @@
     "A programming error occurred while a request was served, and its"
     " connection was closed. Report the error with this line.",
 )
+REQUEST_CUT_BY_STOP = event_log.define(
+    2136,
+    "forward_cut_by_stop",
+    "WARNING",
+    "A request was still open when the planned stop ended. received and"
+    " connected are seconds from the start of the stop to the request and to"
+    " its connection, negative if they came before; runs is 0 for a request"
+    " that was still queued.",
+)
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -119,6 +119,7 @@
     """Serves requests; used on the event loop only.
 
     Attributes:
+        jobs: Admitted requests without a final answer.
         open_attempts: The current attempt of each request, by request.
         dropped_headers: Headers of client requests that are not forwarded.
     """
@@ -151,6 +152,7 @@
         self.admission = admission
         self.pool = pool
         self.allowance = allowance
+        self.jobs: set[Job] = set()
         self.open_attempts: dict[Job, OpenAttempt] = {}
         self.dropped_headers = frozenset(
             {
@@ -186,6 +188,7 @@
             admitted.route,
         )
         job = Job(request, client, admitted, times, request_id)
+        self.jobs.add(job)
         try:
             async with asyncio.timeout_at(times.deadline):
                 await self.run(job)
@@ -194,6 +197,8 @@
         except asyncio.CancelledError:
             self.log_end(job, CLIENT_DISCONNECTED, 0, "")
             raise
+        finally:
+            self.jobs.discard(job)
 
     def admit(self, request: http_messages.Request) -> Admitted | Rejection:
         """Find the route, the team and the service of a request.
@@ -557,6 +562,20 @@
             action=action,
         )
 
+    def log_cut_by_stop(self, stop_started: float) -> None:
+        """Log each request that is still open when a planned stop ends."""
+        for job in self.jobs:
+            event_log.emit(
+                event_catalogue.REQUEST_CUT_BY_STOP,
+                request=job.id,
+                route=job.admitted.route.name,
+                received=job.times.received - stop_started,
+                connected=job.client.connected_at - stop_started,
+                runs=job.runs,
+                events=job.relay_state.events,
+                left=job.times.deadline - self.loop.time(),
+            )
+
     def log_end(self, job: Job, action: str, status: int, reason: str) -> None:
         """Log the end of a request and update the metrics."""
         now = self.loop.time()
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -342,6 +342,7 @@
                 break
             await asyncio.sleep(0.05)
         clients.close()
+        self.exchange.log_cut_by_stop(started)
         event_log.emit(
             event_catalogue.FORWARDER_STOPPED, open=self.open_requests()
         )
