Add failing tests of a planned stop that cuts requests

On this commit: - a stream that comes after SIGTERM gets 200 and a truncated body; - a request without a first byte, and one that is queued, get no answer. The harness now closes the connections that are left after serve(), as the end of the process does.

--- a/tests/forwarding/forwarding_fakes.py
+++ b/tests/forwarding/forwarding_fakes.py
@@ -290,6 +290,16 @@
     def run(self):
         asyncio.set_event_loop(self.loop)
         self.loop.run_until_complete(self.forwarder.serve())
+        self.loop.run_until_complete(self.close_connections())
+
+    async def close_connections(self):
+        """Close the connections that are left, as the end of a process does."""
+        left = [*self.forwarder.channels, *self.forwarder.readiness_channels]
+        for channel in left:
+            channel.transport.abort()
+        tasks = [channel.task for channel in left if channel.task is not None]
+        if tasks:
+            await asyncio.wait(tasks)
 
     def list_endpoint(self, name, backend, draining=False):
         self.listed.put(
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -1,6 +1,7 @@
 """Tests forwarding over real sockets, for clients and for endpoints."""
 
 import contextlib
+import datetime
 import socket
 import struct
 import threading
@@ -11,6 +12,7 @@
 from forwarding import forwarding_fakes as fakes
 from verbenafall_core import settings
 from verbenafall_core.routes import model
+from verbenafall_gateway.forwarding import forwarder
 from verbenafall_gateway.forwarding import repeat_allowance
 
 STREAM = {
@@ -546,6 +548,43 @@
             assert call(runner).status == 0
 
 
+def wait_for_close(connection):
+    with contextlib.suppress(OSError):
+        connection.recv(1)
+
+
+def endless_stream(endpoint, connection, request):
+    del endpoint
+    connection.sendall(fakes.stream_head(request))
+    connection.sendall(fakes.chunk(fakes.event(0)))
+    wait_for_close(connection)
+    return False
+
+
+def no_answer_yet(endpoint, connection, request):
+    del endpoint, request
+    wait_for_close(connection)
+    return False
+
+
+def stop_within(runner, seconds):
+    """Start a planned stop with a time limit; return when it has started."""
+    gateway = runner.forwarder
+    gateway.settings = gateway.settings._replace(
+        stop_limit=datetime.timedelta(seconds=seconds)
+    )
+    runner.stop()
+    fakes.wait_until(lambda: gateway.draining)
+
+
+# Test id, script, kind of route, status and completeness for the client. An
+# unfinished stream must not look complete.
+OPEN_AT_STOP_LIMIT = [
+    ("no answer", no_answer_yet, model.RequestKind.NON_IDEMPOTENT, (502, True)),
+    ("stream", endless_stream, model.RequestKind.STREAM, (200, False)),
+]
+
+
 class TestPlannedStop:
     def test_open_request_is_finished_and_gateway_is_not_ready(self):
         entered, proceed = threading.Event(), threading.Event()
@@ -564,3 +603,53 @@
             got = fakes.read_answer(client)
             assert got.status == 200
             assert got.headers["connection"] == "close"
+
+    def test_request_that_cannot_finish_before_the_stop_is_not_cut(
+        self, monkeypatch
+    ):
+        """Guards against LOST: accepted late in a stop, cut at its limit."""
+        monkeypatch.setattr(forwarder, "LISTEN_AFTER_STOP_SECONDS", 3.0)
+        route = fakes.route(kind=model.RequestKind.STREAM)
+        with running(endless_stream, routes=[route]) as runner:
+            stop_within(runner, 1.0)
+            got = call(runner)
+            assert (got.status, got.complete) == (503, True)
+            assert float(got.headers["retry-after"]) > 0
+            assert got.headers["connection"] == "close"
+            assert request_counts(runner) == [0]
+
+    @pytest.mark.parametrize(
+        ("script", "kind", "expected"),
+        [case[1:] for case in OPEN_AT_STOP_LIMIT],
+        ids=[case[0] for case in OPEN_AT_STOP_LIMIT],
+    )
+    def test_open_request_is_answered_at_the_stop_limit(
+        self, script, kind, expected
+    ):
+        """Guards against LOST: connection closed without any answer."""
+        route = fakes.route(kind=kind)
+        with running(script, routes=[route]) as runner:
+            with runner.connect() as client:
+                client.sendall(fakes.request_bytes())
+                fakes.wait_until(lambda: request_counts(runner) == [1])
+                stop_within(runner, 1.0)
+                got = fakes.read_answer(client)
+            assert (got.status, got.complete) == expected
+
+    def test_queued_request_is_refused_when_the_gateway_stops(self):
+        """Guards against LOST: a queued request is closed without answer."""
+        with running(no_answer_yet) as runner, contextlib.ExitStack() as stack:
+            slots = 6  # 4 slots, 1.5 requests a slot.
+            for number in range(slots):
+                client = stack.enter_context(runner.connect())
+                client.sendall(fakes.request_bytes(attempt=f"r{number}"))
+            fakes.wait_until(lambda: request_counts(runner) == [slots])
+            queued = stack.enter_context(runner.connect())
+            queued.sendall(fakes.request_bytes(attempt="queued"))
+            queues = runner.forwarder.admission.queues
+            fakes.wait_until(lambda: len(queues["s"]) == 1)
+            stop_within(runner, 1.0)
+            got = fakes.read_answer(queued)
+            assert (got.status, got.complete) == (503, True)
+            assert float(got.headers["retry-after"]) > 0
+            assert request_counts(runner) == [slots]
