Refuse what a stopping gateway cannot finish, answer what is left

Cause: a stopping gateway had no decision about new requests. The platform takes all gateways of a data centre while fewer than half of them are ready, so a gateway that stops together with its neighbours gets new connections until it is gone. It forwarded whatever came and dropped all open requests at its stop limit without an answer.

Change: stop_decision admits a request only if its deadline, or the mean duration of its service plus four deviations, ends before the stop limit; others are refused at once, truly not run, with a time after which clients reach another gateway. Queued requests are refused by the same decision. What is still open at the limit gets its final answer: 503 if it has not run, 502 if it may have, a stream ends without its last chunk. Idle connections get 0.25 s for their request to arrive, and the stop ends as soon as all answers are sent, although connections still come.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -16,16 +16,16 @@
 from verbenafall_gateway.forwarding import placement
 from verbenafall_gateway.forwarding import rank_slowdowns
 from verbenafall_gateway.forwarding import service_liveness
+from verbenafall_gateway.forwarding import stop_decision
 from verbenafall_gateway.forwarding import wait_queue
 
 # Time for which a failed endpoint is avoided; it doubles with each further
 # failure up to the maximum.
 SUSPECT_FIRST_SECONDS: Final = 0.5
 SUSPECT_MAX_SECONDS: Final = 4.0
-# Weight of the newest value in the exponential moving averages.
+# Weight of the newest value in the exponential moving average.
 SMOOTHING_FACTOR: Final = 0.1
-# Averages assumed until the first answer of a service has been measured.
-DEFAULT_DURATION_SECONDS: Final = 2.0
+# Assumed until the first answer of a service has been measured.
 DEFAULT_FIRST_ANSWER_SECONDS: Final = 0.15
 # Slots assumed for an endpoint that reports none.
 DEFAULT_SLOTS: Final = 8
@@ -44,6 +44,8 @@
         deadline: When the client must have a final answer.
         client_timeout_at: When a client that has received nothing times out.
         tried: Ids of endpoints that have already failed this request.
+        may_have_run: Whether an earlier attempt may have run it, so that a
+            refusal would not be accurate.
     """
 
     request_id: str
@@ -54,6 +56,7 @@
     deadline: float
     client_timeout_at: float
     tried: frozenset[str]
+    may_have_run: bool = False
 
 
 class Placed(NamedTuple):
@@ -76,6 +79,7 @@
     FULL = "full"
     STALLED = "stalled"
     TOO_LATE = "too_late"
+    STOPPING = "stopping"
 
 
 class Refused(NamedTuple):
@@ -98,9 +102,14 @@
 
 
 class Averages(NamedTuple):
-    """Moving averages of a service's answer times, in seconds."""
+    """Moving averages of a service's answer times.
 
-    duration: float
+    Attributes:
+        duration: Seconds that a request occupies its place.
+        first_answer: Seconds until the first byte of the answer.
+    """
+
+    duration: stop_decision.DurationEstimate
     first_answer: float
 
 
@@ -116,6 +125,10 @@
     """Places and wait queues of all services.
 
     Not thread-safe: call it on the event loop only.
+
+    Attributes:
+        finish_by: When a planned stop abandons the open requests; infinite
+            while no stop is planned.
     """
 
     def __init__(
@@ -155,6 +168,7 @@
             str, service_liveness.ServiceLiveness
         ] = {}
         self.numbers = itertools.count()
+        self.finish_by = float("inf")
 
     def candidates(
         self, request: PlacementRequest
@@ -226,6 +240,8 @@
             or cannot serve the request in time.
         """
         queue = self.queues.setdefault(request.service, [])
+        if not self.can_finish(request):
+            return self.stop_refusal()
         stalled = self.check_liveness(request.service)
         if stalled is not None:
             return stalled
@@ -283,6 +299,38 @@
             service_liveness.retry_delay(self.generator.random()),
         )
 
+    def begin_stop(self, finish_by: float) -> None:
+        """Refuse requests that cannot finish before a planned stop ends."""
+        self.finish_by = finish_by
+        for service in self.queues:
+            self.refuse_unfinishable(service)
+
+    def can_finish(self, request: PlacementRequest) -> bool:
+        """Return whether a request that starts now ends before the stop.
+
+        A request that may have run continues in any case, as it cannot be
+        refused.
+        """
+        return request.may_have_run or stop_decision.can_finish(
+            self.loop.time(),
+            self.finish_by,
+            request.deadline,
+            self.averages_of(request.service).duration,
+        )
+
+    def stop_refusal(self) -> Refused:
+        """Return a refusal after which the client tries another gateway."""
+        return Refused(
+            RefusalReason.STOPPING,
+            MIN_RETRY_AFTER_SECONDS * self.generator.uniform(1.0, 2.0),
+        )
+
+    def refuse_unfinishable(self, service: str) -> None:
+        """Refuse queued requests that cannot finish before a planned stop."""
+        for waiter in self.queues[service]:
+            if not waiter.place.done() and not self.can_finish(waiter.request):
+                waiter.place.set_result(self.stop_refusal())
+
     def refuse_expired(self) -> None:
         """Refuse queued requests that can no longer be answered in time."""
         now = self.loop.time()
@@ -330,7 +378,7 @@
         state = wait_queue.QueueState(
             waiting,
             sum(endpoint.slots or DEFAULT_SLOTS for endpoint in usable),
-            self.averages_of(request.service).duration,
+            self.averages_of(request.service).duration.mean,
             self.peers.live_gateways(),
         )
         wait = wait_queue.expected_wait(state)
@@ -352,7 +400,7 @@
         """
         averages = self.averages_of(request.service)
         return min(
-            request.deadline - averages.duration,
+            request.deadline - averages.duration.mean,
             request.client_timeout_at - averages.first_answer,
         )
 
@@ -373,6 +421,8 @@
     def serve_queue(self, service: str) -> None:
         """Place queued requests of a service while endpoints have capacity."""
         queue = self.queues.get(service)
+        if queue:
+            self.refuse_unfinishable(service)
         while queue:
             now = self.loop.time()
             entry = wait_queue.pick_next(
@@ -421,7 +471,7 @@
         """Update the averages of a service with a delivered answer."""
         old = self.averages_of(service)
         self.averages[service] = Averages(
-            old.duration + (duration - old.duration) * SMOOTHING_FACTOR,
+            stop_decision.update_estimate(old.duration, duration),
             old.first_answer
             + (first_answer - old.first_answer) * SMOOTHING_FACTOR,
         )
@@ -430,7 +480,9 @@
         """Return the averages of a service, or the defaults."""
         return self.averages.get(
             service,
-            Averages(DEFAULT_DURATION_SECONDS, DEFAULT_FIRST_ANSWER_SECONDS),
+            Averages(
+                stop_decision.DEFAULT_ESTIMATE, DEFAULT_FIRST_ANSWER_SECONDS
+            ),
         )
 
 
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -76,6 +76,7 @@
         rejections: Attempts after which it has not run.
         repeat_acquired: Whether a repeat was already acquired from the
             allowance, for an attempt that was ended to move its stream.
+        abandoned: Whether a planned stop ends it.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         self.runs = 0
         self.rejections = 0
         self.repeat_acquired = False
+        self.abandoned = False
 
     @property
     def urgency(self) -> int:
@@ -195,8 +197,10 @@
         except TimeoutError:
             self.finish_timed_out(job)
         except asyncio.CancelledError:
-            self.log_end(job, CLIENT_DISCONNECTED, 0, "")
-            raise
+            if not job.abandoned:
+                self.log_end(job, CLIENT_DISCONNECTED, 0, "")
+                raise
+            self.finish_abandoned(job)
         finally:
             self.jobs.discard(job)
 
@@ -290,6 +294,7 @@
             job.times.deadline,
             self.client_timeout_at(job),
             frozenset(job.tried),
+            job.runs > 0,
         )
 
     def client_timeout_at(self, job: Job) -> float:
@@ -562,19 +567,31 @@
             action=action,
         )
 
-    def log_cut_by_stop(self, stop_started: float) -> None:
-        """Log each request that is still open when a planned stop ends."""
+    def abandon_open_requests(self, stop_started: float) -> None:
+        """Make each open request give its final answer, when a stop ends."""
         for job in self.jobs:
-            event_log.emit(
-                event_catalogue.REQUEST_CUT_BY_STOP,
-                request=job.id,
-                route=job.admitted.route.name,
-                received=job.times.received - stop_started,
-                connected=job.client.connected_at - stop_started,
-                runs=job.runs,
-                events=job.relay_state.events,
-                left=job.times.deadline - self.loop.time(),
-            )
+            if job.client.task is not None:
+                self.log_cut_by_stop(job, stop_started)
+                job.abandoned = True
+                job.client.task.cancel()
+
+    def finish_abandoned(self, job: Job) -> None:
+        """Answer a request that a planned stop ends."""
+        action = retry_decision.abandoned_action(self.progress_of(job))
+        self.finish(job, action, None, "stopping", REJECTED_RETRY_AFTER)
+
+    def log_cut_by_stop(self, job: Job, stop_started: float) -> None:
+        """Log a request that is still open when a planned stop ends."""
+        event_log.emit(
+            event_catalogue.REQUEST_CUT_BY_STOP,
+            request=job.id,
+            route=job.admitted.route.name,
+            received=job.times.received - stop_started,
+            connected=job.client.connected_at - stop_started,
+            runs=job.runs,
+            events=job.relay_state.events,
+            left=job.times.deadline - self.loop.time(),
+        )
 
     def log_end(self, job: Job, action: str, status: int, reason: str) -> None:
         """Log the end of a request and update the metrics."""
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -37,6 +37,8 @@
 
 # Interval of the checks of time limits.
 SWEEP_SECONDS: Final = 0.25
+# Interval of the checks whether a planned stop can end.
+DRAIN_INTERVAL_SECONDS: Final = 0.05
 LISTEN_BACKLOG: Final = 1024
 # Duration of one watch call. An unresponsive store is detected after this plus
 # the timeout of the call; the sum must stay below the time within which the
@@ -48,9 +50,14 @@
 # accepted: the external balancer stops sending clients after two failed
 # readiness checks, one second apart.
 LISTEN_AFTER_STOP_SECONDS: Final = 3.0
+# Time for which a connection may stay idle after that, so that the request of
+# a new one can arrive.
+IDLE_AFTER_STOP_SECONDS: Final = 0.25
 # Part of the stop limit that is reserved for the exit. Requests that are still
-# open when it starts are aborted.
+# open when it starts are abandoned.
 EXIT_SECONDS: Final = 0.3
+# Part of that for the answers of abandoned requests.
+ABANDON_SECONDS: Final = 0.1
 # Settings that SIGHUP applies; changes of the others need a restart.
 RELOADABLE_SETTINGS: Final = frozenset(
     {"repeat_ratio", "repeat_extra", "repeat_window", "stop_limit"}
@@ -227,7 +234,7 @@
         """Start all parts, serve until `stopping` is set, then drain."""
         listeners = [
             await self.listen(
-                self.settings.client_listen, self.exchange.serve, self.channels
+                self.settings.client_listen, self.serve_client, self.channels
             ),
             await self.listen(
                 self.settings.readiness_listen,
@@ -276,6 +283,16 @@
             backlog=LISTEN_BACKLOG,
         )
 
+    async def serve_client(
+        self,
+        client: client_channel.ClientChannel,
+        request: http_messages.Request,
+    ) -> None:
+        """Forward a request; close its connection afterwards while stopping."""
+        if self.draining:
+            client.close_after_answer = True
+        await self.exchange.serve(client, request)
+
     async def answer_readiness_check(
         self,
         client: client_channel.ClientChannel,
@@ -323,8 +340,11 @@
         """Finish the open requests within the stop limit.
 
         Each answer closes its connection, so that clients reconnect to other
-        gateways. Connections are still accepted meanwhile; idle ones are
-        closed after LISTEN_AFTER_STOP_SECONDS.
+        gateways. Connections are still accepted meanwhile, as the external
+        balancer may keep sending clients here if few other gateways are ready;
+        requests that cannot finish in time are refused. After
+        LISTEN_AFTER_STOP_SECONDS idle connections are closed, and the stop
+        ends as soon as all answers are sent.
         """
         self.draining = True
         started = self.loop.time()
@@ -332,19 +352,39 @@
         event_log.emit(
             event_catalogue.FORWARDER_DRAINING, open=self.open_requests()
         )
+        self.admission.begin_stop(end)
+        for channel in self.channels:
+            channel.close_after_answer = True
         while self.loop.time() < end:
-            waited = self.loop.time() - started
-            for channel in list(self.channels):
-                channel.close_after_answer = True
-                if waited > LISTEN_AFTER_STOP_SECONDS and is_idle(channel):
-                    channel.close()
-            if waited > LISTEN_AFTER_STOP_SECONDS and not self.channels:
-                break
-            await asyncio.sleep(0.05)
+            if self.loop.time() - started > LISTEN_AFTER_STOP_SECONDS:
+                self.close_idle_channels()
+                if not self.has_unsent_answers():
+                    break
+            await asyncio.sleep(DRAIN_INTERVAL_SECONDS)
         clients.close()
-        self.exchange.log_cut_by_stop(started)
-        event_log.emit(
-            event_catalogue.FORWARDER_STOPPED, open=self.open_requests()
+        left = self.open_requests()
+        self.exchange.abandon_open_requests(started)
+        end = self.loop.time() + ABANDON_SECONDS
+        while self.has_unsent_answers() and self.loop.time() < end:
+            await asyncio.sleep(ABANDON_SECONDS / 10)
+        event_log.emit(event_catalogue.FORWARDER_STOPPED, open=left)
+
+    def close_idle_channels(self) -> None:
+        """Close the connections whose next request should have arrived."""
+        now = self.loop.time()
+        for channel in list(self.channels):
+            if (
+                is_idle(channel)
+                and now - channel.waiting_since >= IDLE_AFTER_STOP_SECONDS
+            ):
+                channel.close()
+
+    def has_unsent_answers(self) -> bool:
+        """Return whether a request is open or an answer is not written."""
+        return any(
+            channel.task is not None
+            or channel.transport.get_write_buffer_size() > 0
+            for channel in self.channels
         )
 
     def open_requests(self) -> int:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/retry_decision.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/retry_decision.py
@@ -105,6 +105,13 @@
     return progress.repeatable and progress.runs < progress.max_runs
 
 
+def abandoned_action(progress: Progress) -> Action:
+    """Return how to end a request whose attempt or wait is abandoned."""
+    if progress.answer_started:
+        return Action.CUT
+    return Action.REFUSE if progress.runs == 0 else Action.GIVE_UP
+
+
 def final_action(progress: Progress, outcome: Outcome) -> Action:
     """Return how to end a request that is not sent again."""
     if isinstance(outcome, Delivered):
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/stop_decision.py
@@ -0,0 +1,60 @@
+"""Decides whether a stopping gateway can finish a request; pure functions."""
+
+from typing import Final
+from typing import NamedTuple
+
+# Weight of the newest value in the moving averages.
+SMOOTHING_FACTOR: Final = 0.1
+# Mean absolute deviations above the mean that nearly all durations stay below,
+# as in the retransmission timeout of TCP (RFC 6298).
+DEVIATIONS: Final = 4
+
+
+class DurationEstimate(NamedTuple):
+    """Moving averages of how long requests of a service take, in seconds.
+
+    Attributes:
+        mean: Average duration.
+        deviation: Average absolute difference from the mean.
+    """
+
+    mean: float
+    deviation: float
+
+
+# Assumed until the first answer of a service has been measured.
+DEFAULT_ESTIMATE: Final = DurationEstimate(2.0, 0.5)
+
+
+def update_estimate(
+    estimate: DurationEstimate, duration: float
+) -> DurationEstimate:
+    """Return the estimate after another request was answered."""
+    error = duration - estimate.mean
+    return DurationEstimate(
+        estimate.mean + error * SMOOTHING_FACTOR,
+        estimate.deviation
+        + (abs(error) - estimate.deviation) * SMOOTHING_FACTOR,
+    )
+
+
+def longest_duration(estimate: DurationEstimate) -> float:
+    """Return the seconds within which nearly all requests are answered."""
+    return estimate.mean + DEVIATIONS * estimate.deviation
+
+
+def can_finish(
+    now: float, finish_by: float, deadline: float, estimate: DurationEstimate
+) -> bool:
+    """Return whether a request that starts now ends before a planned stop.
+
+    It ends at its deadline at the latest. All times are in seconds of one
+    clock.
+
+    Args:
+        now: Current time.
+        finish_by: When the gateway abandons the requests that are still open.
+        deadline: When the client must have a final answer.
+        estimate: Durations of the service's requests.
+    """
+    return min(deadline, now + longest_duration(estimate)) <= finish_by
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -15,6 +15,7 @@
 from verbenafall_gateway.forwarding import retry_decision
 from verbenafall_gateway.forwarding import service_liveness
 from verbenafall_gateway.forwarding import service_share
+from verbenafall_gateway.forwarding import stop_decision
 from verbenafall_gateway.forwarding import times
 from verbenafall_gateway.forwarding import wait_queue
 
@@ -446,3 +447,65 @@
         assert slowdowns.is_slow("10.0.0.1", 1.0) is slow
         assert slowdowns.should_move_streams("10.0.0.1", 1.0) is move
         assert not slowdowns.should_move_streams("10.0.0.1", 9.0)
+
+
+ESTIMATE = stop_decision.DurationEstimate(2.0, 0.25)
+
+# Test id, time of the stop's end, deadline, whether the request can finish. The
+# request starts at 10 s and takes up to 3 s.
+STOPS = [
+    ("no stop", float("inf"), 100.0, True),
+    ("enough time", 13.0, 100.0, True),
+    ("too little time", 12.9, 100.0, False),
+    ("mean duration only", 12.0, 100.0, False),
+    ("deadline before the end", 11.0, 11.0, True),
+    ("deadline after the end", 11.0, 11.1, False),
+    ("stop is over", 9.0, 100.0, False),
+]
+
+# Durations in seconds, and bounds of the longest expected one after them.
+MEASURED = [
+    ([], 4.0, 4.0),
+    ([0.1] * 100, 0.1, 0.2),
+    ([1.0, 3.0] * 100, 3.0, 6.5),
+    ([2.0] * 100 + [8.0], 4.4, 5.1),
+]
+
+
+class TestStopDecision:
+    @pytest.mark.parametrize(
+        ("finish_by", "deadline", "expected"),
+        [case[1:] for case in STOPS],
+        ids=[case[0] for case in STOPS],
+    )
+    def test_can_finish(self, finish_by, deadline, expected):
+        assert (
+            stop_decision.can_finish(10.0, finish_by, deadline, ESTIMATE)
+            is expected
+        )
+
+    @pytest.mark.parametrize(("durations", "low", "high"), MEASURED)
+    def test_longest_duration(self, durations, low, high):
+        estimate = stop_decision.DEFAULT_ESTIMATE
+        for duration in durations:
+            estimate = stop_decision.update_estimate(estimate, duration)
+        assert low <= stop_decision.longest_duration(estimate) <= high
+
+
+# Test id, whether the answer has started, runs, how to end it.
+ABANDONED = [
+    ("queued", False, 0, retry_decision.Action.REFUSE),
+    ("sent", False, 1, retry_decision.Action.GIVE_UP),
+    ("answer started", True, 1, retry_decision.Action.CUT),
+]
+
+
+class TestAbandoned:
+    @pytest.mark.parametrize(
+        ("started", "runs", "expected"),
+        [case[1:] for case in ABANDONED],
+        ids=[case[0] for case in ABANDONED],
+    )
+    def test_action(self, started, runs, expected):
+        progress = retry_decision.Progress(True, 2, runs, 0, started, True)
+        assert retry_decision.abandoned_action(progress) is expected
