Add a fault soak of real gateway processes

Gateways run as processes on loopback between clients that keep their connections, endpoints that misbehave, and a store behind proxies. Signals, restarts, cuts and new configurations come in seeded series that overlap; what clients and endpoints saw is checked against the promises.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SOURCES := packages platform standins tests bench tools
 export PYTHONPATH := packages/core/src:packages/gateway/src:packages/sidecar/src:platform:standins/src:.
 
-.PHONY: setup format lint test check run bench faults docs clean
+.PHONY: setup format lint test check run bench faults soak docs clean
 
 setup: $(SETUP)
 
@@ -36,6 +36,10 @@
 faults: setup
 	PYTHONPATH=$(PYTHONPATH):tests $(PYTHON) -m faults --seed $(or $(SEED),1) $(if $(FLOW),--flow $(FLOW))
 
+# SEED is the first seed, RUNS the number of seeds; about 15 s each.
+soak: setup
+	PYTHONPATH=$(PYTHONPATH):tests $(PYTHON) -m platform_adapter.soak --seed $(or $(SEED),1) --runs $(or $(RUNS),1)
+
 run: setup
 	$(PYTHON) -m verbenafall_standins.demo --directory run $(if $(KEEP),--keep)
 
--- /dev/null
+++ b/tests/platform_adapter/soak/endpoints.py
@@ -0,0 +1,175 @@
+"""Endpoints of the soak: they answer, misbehave, leave and come back."""
+
+import contextlib
+import random
+import socket
+import struct
+import threading
+import time
+
+from forwarding import forwarding_fakes as fakes
+from platform_adapter import standin_store
+from platform_adapter.soak import findings
+from platform_adapter.soak import records as records_lib
+
+ENTRY_KIND = "servers"
+SLOTS = 4
+EVENT_SECONDS = 0.04
+WORK_SECONDS = 0.03
+# Time between the announcement that an endpoint leaves and its end.
+DRAIN_SECONDS = 2.5
+CRASH_SECONDS = 1.0
+# Shares of the requests that an endpoint refuses, and that it breaks off.
+REFUSE_SHARE = 0.02
+BREAK_SHARE = 0.01
+
+
+class SoakEndpoint:
+    """One endpoint with its entry in the store.
+
+    Attributes:
+        leaving: Set when the endpoint is about to end.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        store: standin_store.StandinStore,
+        records: records_lib.Records,
+        generator: random.Random,
+    ) -> None:
+        """Start to listen and write the entry."""
+        self.name = name
+        self.service = service
+        self.store = store
+        self.records = records
+        self.generator = generator
+        self.lock = threading.Lock()
+        self.connections: set[socket.socket] = set()
+        self.leaving = threading.Event()
+        self.backend = fakes.ScriptedEndpoint(self.serve)
+        self.announce("ready")
+
+    def announce(self, state: str) -> None:
+        """Write the entry."""
+        self.store.put(
+            ENTRY_KIND,
+            self.name,
+            {
+                "service": self.service,
+                "address": str(self.backend.address),
+                "zone": "z1",
+                "slots": SLOTS,
+                "state": state,
+            },
+        )
+
+    def draw(self) -> float:
+        """Return a random number from 0 to 1; the threads share it."""
+        with self.lock:
+            return self.generator.random()
+
+    def serve(self, _backend, connection, request) -> bool:
+        """Answer one request; return whether to keep the connection."""
+        with self.lock:
+            self.connections.add(connection)
+        attempt = request.headers.get("verbenafall-attempt-id", "")
+        expected = request.headers.get("verbenafall-expect-instance")
+        if expected not in (None, self.name):
+            return self.refuse(connection, attempt, 421)
+        if self.draw() < REFUSE_SHARE:
+            return self.refuse(connection, attempt, 503)
+        started = time.monotonic()
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        broken = self.draw() < BREAK_SHARE
+        delivered = False
+        try:
+            if request.target.startswith(("/stream/", "/resumable/")):
+                self.send_stream(connection, attempt, first, broken)
+            else:
+                time.sleep(WORK_SECONDS)
+                if not broken:
+                    connection.sendall(self.plain_answer(attempt))
+            delivered = not broken
+        finally:
+            self.records.add(
+                records_lib.Run(
+                    attempt,
+                    self.name,
+                    request.target,
+                    started,
+                    first,
+                    delivered,
+                    broken or self.leaving.is_set(),
+                )
+            )
+        return delivered
+
+    def head(self, attempt: str, status: int, extra: str) -> bytes:
+        """Encode the head of an answer."""
+        return (
+            f"HTTP/1.1 {status} X\r\nVerbenafall-Attempt-Id: {attempt}\r\n"
+            f"{extra}\r\n"
+        ).encode()
+
+    def refuse(self, connection, attempt: str, status: int) -> bool:
+        """Answer that the request was not run."""
+        connection.sendall(
+            self.head(
+                attempt,
+                status,
+                "Verbenafall-Not-Executed: 1\r\nContent-Length: 0\r\n",
+            )
+        )
+        return True
+
+    def plain_answer(self, attempt: str) -> bytes:
+        """Encode an answer that is not a stream."""
+        body = findings.expected_body(attempt)
+        extra = (
+            f"Verbenafall-Engine-Signature: {self.name}\r\n"
+            f"Content-Length: {len(body)}\r\n"
+        )
+        return self.head(attempt, 200, extra) + body
+
+    def send_stream(
+        self, connection, attempt: str, first: int, broken: bool
+    ) -> None:
+        """Send the events from a number on; break off in the middle if told."""
+        extra = (
+            f"Verbenafall-Engine-Signature: {self.name}\r\n"
+            "Content-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n"
+        )
+        connection.sendall(self.head(attempt, 200, extra))
+        count = findings.events_of(attempt)
+        for number in range(first, count):
+            if broken and number >= count // 2:
+                return
+            time.sleep(EVENT_SECONDS)
+            connection.sendall(fakes.chunk(findings.event(attempt, number)))
+        if not broken:
+            connection.sendall(b"0\r\n\r\n")
+
+    def drain(self) -> None:
+        """Announce the end, wait, remove the entry and end."""
+        self.announce("draining")
+        time.sleep(DRAIN_SECONDS)
+        self.store.remove(ENTRY_KIND, self.name)
+        self.end()
+
+    def end(self) -> None:
+        """Stop listening and reset the connections."""
+        self.leaving.set()
+        self.backend.close()
+        with self.lock:
+            connections = list(self.connections)
+        for connection in connections:
+            with contextlib.suppress(OSError):
+                connection.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_LINGER,
+                    struct.pack("ii", 1, 0),
+                )
+                connection.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/tests/platform_adapter/soak/findings.py
@@ -0,0 +1,145 @@
+"""Finds broken promises in the records of a run; pure functions."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import Final
+
+from platform_adapter.soak import records as records_lib
+
+# Statuses that promise that a request has not run.
+NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
+DENIED_STATUSES: Final = frozenset({401, 403, 404})
+# A gateway counts as disturbed for this long after a kill or a freeze.
+CONTACT_SECONDS: Final = 3.0
+# A request whose connection closes within this time may not have been read.
+LOSS_SLACK_SECONDS: Final = 0.2
+# Requests sent so soon after SIGTERM may be cut in the last sixth of the grace
+# period, if their endpoint is still at work.
+EARLY_SECONDS: Final = 3.0
+LAST_PART: Final = 1 / 6
+# Engines to which one attempt of the soak's routes may be sent.
+MAX_ATTEMPTS: Final = 3
+# Least time by which a client's deadline counts as not reached.
+DEADLINE_SLACK_SECONDS: Final = 0.3
+
+
+def find_all(records: records_lib.Records, grace_seconds: float) -> list[str]:
+    """Return one line for each broken promise."""
+    runs: dict[str, list[records_lib.Run]] = defaultdict(list)
+    for run in records.runs:
+        runs[run.attempt].append(run)
+    known = {attempt.id: attempt for attempt in records.attempts}
+    found = list(records.problems)
+    found += unasked(records.runs, known)
+    for attempt in records.attempts:
+        own = runs[attempt.id]
+        found += check_runs(attempt, own)
+        found += check_answer(attempt, own)
+        found += check_loss(attempt, own, records, grace_seconds)
+    return found
+
+
+def unasked(
+    runs: Iterable[records_lib.Run], known: dict[str, records_lib.Attempt]
+) -> Iterator[str]:
+    """Find runs that no client has asked for."""
+    for run in runs:
+        attempt = known.get(run.attempt)
+        if attempt is None:
+            yield f"UNASKED {run.attempt} at {run.endpoint}"
+        elif run.path != attempt.kind + attempt.id:
+            yield f"UNASKED {run.attempt} changed to {run.path}"
+
+
+def check_runs(
+    attempt: records_lib.Attempt, runs: list[records_lib.Run]
+) -> Iterator[str]:
+    """Check how often an attempt ran."""
+    if len(runs) > 1 and not attempt.kind.repeatable:
+        yield f"TWICE {attempt.id} ran {len(runs)} times"
+    refused = attempt.status in NOT_RUN_STATUSES
+    if runs and refused and not attempt.kind.repeatable:
+        yield f"REFUSED {attempt.id} got {attempt.status} and ran"
+    if len({run.endpoint for run in runs}) > MAX_ATTEMPTS:
+        yield f"BUDGET {attempt.id} ran on {len(runs)} endpoints"
+
+
+def check_answer(
+    attempt: records_lib.Attempt, runs: list[records_lib.Run]
+) -> Iterator[str]:
+    """Check an answer against what the endpoints sent."""
+    if attempt.status in DENIED_STATUSES:
+        yield f"DENIED {attempt.id} got {attempt.status} at {attempt.gateway}"
+    if not 200 <= attempt.status < 300:
+        return
+    if attempt.signature not in {run.endpoint for run in runs}:
+        yield f"MIXED {attempt.id} has signature {attempt.signature!r}"
+    if not attempt.kind.streaming:
+        if attempt.complete and attempt.body != expected_body(attempt.id):
+            yield f"MIXED {attempt.id} has body {attempt.body!r}"
+        return
+    whole = b"".join(event(attempt.id, n) for n in range(events_of(attempt.id)))
+    if attempt.complete and attempt.body != whole:
+        yield f"ORDER {attempt.id} is complete with {attempt.body[-60:]!r}"
+    if not whole.startswith(attempt.body):
+        yield f"ORDER {attempt.id} has {attempt.body[-60:]!r}"
+
+
+def check_loss(
+    attempt: records_lib.Attempt,
+    runs: list[records_lib.Run],
+    records: records_lib.Records,
+    grace_seconds: float,
+) -> Iterator[str]:
+    """Check that a planned stop has not ended an attempt without an answer."""
+    stopped = records.stops.get(attempt.gateway)
+    if (
+        stopped is None
+        or attempt.left
+        or (attempt.status and attempt.complete)
+        or attempt.ended_at < stopped
+        or attempt.ended_at > attempt.deadline - DEADLINE_SLACK_SECONDS
+        or any(run.broken for run in runs)
+        or is_disturbed(attempt, records.disturbances)
+    ):
+        return
+    if not runs and attempt.ended_at - attempt.sent_at < LOSS_SLACK_SECONDS:
+        return
+    cut_late = attempt.ended_at >= stopped + grace_seconds * (1 - LAST_PART)
+    if runs and attempt.sent_at <= stopped + EARLY_SECONDS and cut_late:
+        return
+    yield (
+        f"LOST {attempt.id} ({attempt.kind}) at {attempt.gateway}: sent"
+        f" {attempt.sent_at - stopped:.2f} s and closed"
+        f" {attempt.ended_at - stopped:.2f} s after SIGTERM, status"
+        f" {attempt.status}, {len(runs)} runs"
+    )
+
+
+def is_disturbed(
+    attempt: records_lib.Attempt,
+    disturbances: Iterable[records_lib.Disturbance],
+) -> bool:
+    """Return whether the gateway was killed or frozen around an attempt."""
+    return any(
+        item.gateway == attempt.gateway
+        and item.start <= attempt.ended_at
+        and item.end + CONTACT_SECONDS >= attempt.sent_at
+        for item in disturbances
+    )
+
+
+def events_of(attempt_id: str) -> int:
+    """Return the number of events of an attempt's stream."""
+    return 4 + sum(attempt_id.encode()) % 20
+
+
+def event(attempt_id: str, number: int) -> bytes:
+    """Return one event of an attempt's stream."""
+    return f"id: {number}\ndata: {attempt_id}.{number}\n\n".encode()
+
+
+def expected_body(attempt_id: str) -> bytes:
+    """Return the body of an attempt's answer that is not a stream."""
+    return f"body of {attempt_id}".encode()
--- /dev/null
+++ b/tests/platform_adapter/soak/records.py
@@ -0,0 +1,109 @@
+"""What a run's clients, endpoints and fault injector have seen."""
+
+import enum
+import threading
+from typing import NamedTuple
+
+
+class RequestKind(enum.StrEnum):
+    """Kind of a client's request; the value is its path prefix."""
+
+    STREAM = "/stream/"
+    RESUMABLE = "/resumable/"
+    LOOKUP = "/lookup/"
+    BOOKING = "/booking/"
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self in (RequestKind.RESUMABLE, RequestKind.LOOKUP)
+
+    @property
+    def streaming(self) -> bool:
+        """Return whether the answer is a stream."""
+        return self in (RequestKind.STREAM, RequestKind.RESUMABLE)
+
+
+class Attempt(NamedTuple):
+    """A client's request and how it ended; times are in seconds.
+
+    Attributes:
+        gateway: Name of the gateway's lifetime that it was sent to.
+        status: Status of the answer, 0 if there was none.
+        complete: Whether the answer ended as it should.
+        left: Whether the client closed the connection early.
+    """
+
+    id: str
+    kind: RequestKind
+    gateway: str
+    sent_at: float
+    ended_at: float
+    deadline: float
+    status: int
+    complete: bool
+    body: bytes
+    signature: str
+    left: bool
+
+
+class Run(NamedTuple):
+    """A request that an endpoint has run.
+
+    Attributes:
+        path: Request target that the endpoint received.
+        first_event: Number of the first event sent, for a stream.
+        delivered: Whether the endpoint has written its whole answer.
+        broken: Whether the endpoint itself broke off the answer.
+    """
+
+    attempt: str
+    endpoint: str
+    path: str
+    started_at: float
+    first_event: int
+    delivered: bool
+    broken: bool
+
+
+class Disturbance(NamedTuple):
+    """A time in which a gateway's lifetime was killed or frozen."""
+
+    gateway: str
+    start: float
+    end: float
+
+
+class Records:
+    """Collects the records of a run; thread-safe.
+
+    Attributes:
+        stops: Time of the first SIGTERM by name of a gateway's lifetime.
+        problems: Other findings, as text.
+    """
+
+    def __init__(self) -> None:
+        """Create empty records."""
+        self.lock = threading.Lock()
+        self.attempts: list[Attempt] = []
+        self.runs: list[Run] = []
+        self.disturbances: list[Disturbance] = []
+        self.stops: dict[str, float] = {}
+        self.problems: list[str] = []
+
+    def add(self, record: Attempt | Run | Disturbance | str) -> None:
+        """Add a record to the list of its type."""
+        with self.lock:
+            if isinstance(record, Attempt):
+                self.attempts.append(record)
+            elif isinstance(record, Run):
+                self.runs.append(record)
+            elif isinstance(record, Disturbance):
+                self.disturbances.append(record)
+            else:
+                self.problems.append(record)
+
+    def add_stop(self, gateway: str, now: float) -> None:
+        """Record the first SIGTERM of a gateway's lifetime."""
+        with self.lock:
+            self.stops.setdefault(gateway, now)
--- /dev/null
+++ b/tests/platform_adapter/soak/test_soak.py
@@ -0,0 +1,36 @@
+"""Short seeded runs of the soak, and the seeds that have failed before."""
+
+import random
+
+import pytest
+
+from platform_adapter.soak import run as run_lib
+from platform_adapter.soak import schedule
+
+SIZE = run_lib.Size(seconds=10.0)
+SEEDS = (1, 2, 3)
+
+
+class TestSchedule:
+    def test_same_seed_draws_the_same_faults(self):
+        first, second = (
+            schedule.draw_faults(random.Random(7), 4, 5, 12.0) for _ in range(2)
+        )
+        assert first == second
+
+    def test_all_kinds_are_drawn(self):
+        drawn = {
+            fault.kind
+            for seed in range(200)
+            for fault in schedule.draw_faults(random.Random(seed), 4, 5, 12.0)
+        }
+        assert drawn == set(schedule.Kind)
+
+
+class TestSoak:
+    @pytest.mark.system
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_no_promise_is_broken(self, seed, tmp_path):
+        result = run_lib.run_seed(seed, SIZE, tmp_path)
+        assert result.findings == []
+        assert result.answered > 0
