--- a/tests/platform_adapter/soak/endpoints.py
+++ b/tests/platform_adapter/soak/endpoints.py
@@ -29,6 +29,7 @@
 
     Attributes:
         leaving: Set when the endpoint is about to end.
+        open: Requests that are being run.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         self.lock = threading.Lock()
         self.connections: set[socket.socket] = set()
         self.leaving = threading.Event()
+        self.open = 0
         self.backend = fakes.ScriptedEndpoint(self.serve)
         self.announce("ready")
 
@@ -84,6 +86,8 @@
         first = int(request.headers.get("last-event-id", "-1")) + 1
         broken = self.draw() < BREAK_SHARE
         delivered = False
+        with self.lock:
+            self.open += 1
         try:
             if request.target.startswith(("/stream/", "/resumable/")):
                 self.send_stream(connection, attempt, first, broken)
@@ -104,6 +108,8 @@
                     broken or self.leaving.is_set(),
                 )
             )
+            with self.lock:
+                self.open -= 1
         return delivered
 
     def head(self, attempt: str, status: int, extra: str) -> bytes:
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -6,6 +6,7 @@
 import time
 from typing import NamedTuple
 
+from forwarding import forwarding_fakes as fakes
 from platform_adapter import standin_store
 from platform_adapter.soak import clients as clients_lib
 from platform_adapter.soak import endpoints as endpoints_lib
@@ -63,6 +64,7 @@
         # The proxies reset connections to it.
         self.store.server.handle_error = lambda *_args: None
         self.ports = plan.Ports()
+        self.all_endpoints: list[endpoints_lib.SoakEndpoint] = []
         self.version = 0
         self.routes = 0
         self.configure()
@@ -90,13 +92,15 @@
 
     def start_endpoint(self, name: str) -> endpoints_lib.SoakEndpoint:
         """Start an endpoint with a generator of its own."""
-        return endpoints_lib.SoakEndpoint(
+        endpoint = endpoints_lib.SoakEndpoint(
             name,
             SERVICE,
             self.store,
             self.records,
             random.Random(self.generator.random()),
         )
+        self.all_endpoints.append(endpoint)
+        return endpoint
 
     def configure(self) -> None:
         """Write the next version of the configuration, with one more route."""
@@ -194,6 +198,9 @@
         for client in clients:
             client.thread.join()
         self.check_recovery()
+        # The records of runs are complete when no endpoint works any more.
+        for endpoint in self.all_endpoints:
+            fakes.wait_until(lambda endpoint=endpoint: not endpoint.open)
         attempts = self.records.attempts
         return Result(
             len(attempts),
