--- a/packages/core/src/verbenafall_core/object_store/event_catalogue.py
+++ b/packages/core/src/verbenafall_core/object_store/event_catalogue.py
@@ -52,3 +52,19 @@
     "A collection could not be followed because of a programming error; the"
     " complete collection is read again. Report the error with this line.",
 )
+STORE_RESTORED = event_log.define(
+    1107,
+    "store_restored",
+    "WARNING",
+    "The store was restored from a copy: what was written since the copy was"
+    " made is gone, and revision numbers are given out again. Collections are"
+    " read again and this process writes its own records again. Logged once per"
+    " process and restore.",
+)
+STORE_ERA_MISSING = event_log.define(
+    1108,
+    "store_era_missing",
+    "WARNING",
+    "A response of the store states no readable era although earlier ones did;"
+    " the last known era is assumed. Logged once per process.",
+)
