--- a/tests/faults/flow_stop.py
+++ b/tests/faults/flow_stop.py
@@ -14,6 +14,7 @@
 import loguru
 
 import bundle_helpers
+from core import signal_tests
 from faults import matrix
 from sidecar import helpers
 from verbenafall_core import clock as clock_lib
@@ -102,18 +103,12 @@
 
 def run_command(command):
     """Run a command, restore the signal handlers, and return its exit code."""
-    signals = (signal.SIGTERM, signal.SIGINT)
-    previous_handlers = {
-        signal_number: signal.getsignal(signal_number)
-        for signal_number in signals
-    }
     loguru.logger.disable("verbenafall_core")
     try:
-        return command()
+        with signal_tests.restored_handlers(signal.SIGTERM, signal.SIGINT):
+            return command()
     finally:
         loguru.logger.enable("verbenafall_core")
-        for signal_number, handler in previous_handlers.items():
-            signal.signal(signal_number, handler)
 
 
 def send_stop_signal(faults):
