Let the demonstration end on a signal just before its wait

As in StopRequests before, a signal just before that call or on another thread was not handled until a later one arrived.

Change: it waits with StopRequests.

--- a/standins/src/verbenafall_standins/demo/__main__.py
+++ b/standins/src/verbenafall_standins/demo/__main__.py
@@ -8,9 +8,9 @@
 import pathlib
 import signal
 import sys
-import threading
 from typing import Final
 
+from verbenafall_core import stop_requests
 from verbenafall_standins.demo import client
 from verbenafall_standins.demo import fleet as fleet_lib
 from verbenafall_standins.demo import plan as plan_lib
@@ -136,7 +136,9 @@
 
 
 def keep_serving(fleet: fleet_lib.Fleet) -> None:
-    """Print an example call and wait for an interrupt."""
+    """Print an example call and wait for SIGTERM or an interrupt."""
+    requests = stop_requests.create_stop_requests()
+    requests.install()
     address = fleet.plan.gateways[0].client
     print(f"""serving; stop with Ctrl-C. Try:
 
@@ -146,10 +148,8 @@
     -d '{{"model": "asistente-llm", "stream": true, "max_tokens": 20,
          "messages": [{{"role": "user", "content": "Draft a quote"}}]}}'
 """)
-    try:
-        threading.Event().wait()
-    except KeyboardInterrupt:
-        print("stopping", file=sys.stderr)
+    requests.wait()
+    print("stopping", file=sys.stderr)
 
 
 def report_details(
