Finish requests that are being read when a stop would end

Callers saw their connection closed while they were still sending a request, and connections accepted a moment before the end of a stop were closed before the 0.25 s for their first request had passed.

A connection whose request has arrived in part, or has yet to arrive, has no unsent answer.

Change: the stop ends when no connection is left, at its limit at the latest. Connections that only stay open do not delay it: they are closed after 0.25 s without a request, each answer closes its own, and refusals take no time.

Before: the new test fails, "assert (0, False) == (200, True)". After: it and the other tests of TestPlannedStop pass; the new one passed five times alone.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -344,7 +344,7 @@
         balancer may keep sending clients here if few other gateways are ready;
         requests that cannot finish in time are refused. After
         LISTEN_AFTER_STOP_SECONDS idle connections are closed, and the stop
-        ends as soon as all answers are sent.
+        ends as soon as no connection is left.
         """
         self.draining = True
         started = self.loop.time()
@@ -358,7 +358,7 @@
         while self.loop.time() < end:
             if self.loop.time() - started > LISTEN_AFTER_STOP_SECONDS:
                 self.close_idle_channels()
-                if not self.has_unsent_answers():
+                if not self.channels:
                     break
             await asyncio.sleep(DRAIN_INTERVAL_SECONDS)
         clients.close()
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -567,6 +567,10 @@
     return False
 
 
+def is_reading_body(gateway):
+    return any(channel.reading_body for channel in gateway.channels)
+
+
 def stop_within(runner, seconds):
     """Start a planned stop with a time limit; return when it has started."""
     gateway = runner.forwarder
@@ -653,3 +657,28 @@
             assert (got.status, got.complete) == (503, True)
             assert float(got.headers["retry-after"]) > 0
             assert request_counts(runner) == [slots]
+
+    def test_request_that_is_being_read_is_answered(self, monkeypatch):
+        """Guards against a stop that ends while a request is being sent."""
+        checks = []
+        with running(fakes.answer_ok) as runner, runner.connect() as client:
+            gateway = runner.forwarder
+            data = fakes.request_bytes("/a/x", "POST", b"payload")
+            client.sendall(data[:-3])
+            fakes.wait_until(lambda: is_reading_body(gateway))
+            close_idle_channels = gateway.close_idle_channels
+
+            def check():
+                checks.append(gateway.loop.time())
+                close_idle_channels()
+
+            monkeypatch.setattr(gateway, "close_idle_channels", check)
+            monkeypatch.setattr(forwarder, "LISTEN_AFTER_STOP_SECONDS", 0.0)
+            runner.stop()
+            fakes.wait_until(
+                lambda: len(checks) > 1 or not runner.thread.is_alive()
+            )
+            client.sendall(data[-3:])
+            got = fakes.read_answer(client)
+            assert (got.status, got.complete) == (200, True)
+            assert got.headers["connection"] == "close"
