Refuse requests that come while a stopped gateway exits

A request could be forwarded by a gateway whose planned stop had ended, and lose its connection, as the process exits a moment later (LOST).

Cause: a stop that ends before its limit left the limit in the admission, so the exit (the gateway's record is deleted in the store, the links are closed) still admitted every request that could end before that limit. Connections that were accepted just as the stop ended are served meanwhile, for as long as the store takes to answer.

Change: the end of the stop is the end of admission; such requests get 503.

Before: the new test fails, "assert (200, True) == (503, True)", and the endpoint got the request. After: it and the other tests of TestPlannedStop pass; the new one passed five times alone.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -362,6 +362,8 @@
                     break
             await asyncio.sleep(DRAIN_INTERVAL_SECONDS)
         clients.close()
+        # A request may still come while the process exits.
+        self.admission.begin_stop(self.loop.time())
         left = self.open_requests()
         self.exchange.abandon_open_requests(started)
         end = self.loop.time() + ABANDON_SECONDS
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -682,3 +682,28 @@
             got = fakes.read_answer(client)
             assert (got.status, got.complete) == (200, True)
             assert got.headers["connection"] == "close"
+
+    def test_request_after_the_end_of_the_stop_is_not_forwarded(
+        self, monkeypatch
+    ):
+        """Guards against LOST: forwarded while the process exits."""
+        exiting, proceed = threading.Event(), threading.Event()
+
+        def delete_record():
+            exiting.set()
+            proceed.wait(fakes.WAIT_SECONDS)
+
+        with running(fakes.answer_ok) as runner, runner.connect() as client:
+            gateway = runner.forwarder
+            fakes.wait_until(lambda: gateway.channels)
+            monkeypatch.setattr(gateway.record, "stop", delete_record)
+            # As if the connection were accepted just as the stop ends.
+            monkeypatch.setattr(gateway, "channels", set())
+            monkeypatch.setattr(forwarder, "LISTEN_AFTER_STOP_SECONDS", 0.0)
+            runner.stop()
+            assert exiting.wait(fakes.WAIT_SECONDS)
+            client.sendall(fakes.request_bytes())
+            got = fakes.read_answer(client)
+            proceed.set()
+            assert (got.status, got.complete) == (503, True)
+            assert request_counts(runner) == [0]
