Log a client that leaves as a stop abandons its request

If a client closed its connection in the same step of the event loop in which the stop reached its limit, no line told how the request had ended, and the counters of outcomes missed it: the answer of the abandoned request failed on the closed connection.

Before: the new test fails, "assert [] == ['client_left']". After: it and the other tests of TestPlannedStop pass.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -197,7 +197,7 @@
         except TimeoutError:
             self.finish_timed_out(job)
         except asyncio.CancelledError:
-            if not job.abandoned:
+            if not job.abandoned or client.lost:
                 self.log_end(job, CLIENT_DISCONNECTED, 0, "")
                 raise
             self.finish_abandoned(job)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -707,3 +707,25 @@
             proceed.set()
             assert (got.status, got.complete) == (503, True)
             assert request_counts(runner) == [0]
+
+    def test_client_that_leaves_at_the_stop_limit_is_logged(self, monkeypatch):
+        """Guards against a request without a line about its end."""
+        ends = []
+        with running(no_answer_yet) as runner, runner.connect() as client:
+            exchange = runner.forwarder.exchange
+            client.sendall(fakes.request_bytes())
+            fakes.wait_until(lambda: request_counts(runner) == [1])
+            monkeypatch.setattr(
+                exchange,
+                "log_end",
+                lambda job, action, status, reason: ends.append(action),
+            )
+
+            def leave_and_abandon():
+                for channel in runner.forwarder.channels:
+                    channel.transport.abort()
+                exchange.abandon_open_requests(0.0)
+
+            runner.loop.call_soon_threadsafe(leave_and_abandon)
+            fakes.wait_until(lambda: not exchange.jobs)
+            assert ends == ["client_left"]
