Release a held group before its leader stops

A leader that got SIGTERM while its rank group was held left it held: no pass of the group started until the other sidecars missed the leader (900 ms), one of them had claimed the term and completed or cleared the switch.

Steering.stop() ended the leader's thread after its current cycle and then the agent, whatever phase the switch was in.

Change: a stop first lets the leader complete a switch that has reached HOLD, within one second; a switch that still prepares is abandoned, and no other is started. A group that cannot be released in time is logged (group_left_held).

Before: test_held_group_is_released[None] fails, "assert 1 is None" (rank.held after the stop); [armed1] passes, as its release was already with the agent. After: tests/steering passes (95), the new file five more times alone.

--- a/packages/sidecar/src/verbenafall_sidecar/steering/event_catalogue.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/event_catalogue.py
@@ -119,6 +119,13 @@
     "The leader's thread caught an unexpected exception and continues to run."
     " Report the error with this line.",
 )
+GROUP_LEFT_HELD = event_log.define(
+    3139,
+    "group_left_held",
+    "WARNING",
+    "The leader stops as planned, but could not release its group in time. No"
+    " pass starts until the next leader releases the group.",
+)
 SETTINGS_CHANGED = event_log.define(
     3102,
     "settings_changed",
--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
@@ -96,8 +96,19 @@
     last_contact: datetime.timedelta
 
 
+# Phases in which the group is neither held nor about to be.
+UNHELD_PHASES: Final = frozenset(
+    {pass_switch.Phase.IDLE, pass_switch.Phase.SETTLE}
+)
+
+
 class GroupLeader:
-    """Leads one group for one term, on a thread of its own."""
+    """Leads one group for one term, on a thread of its own.
+
+    Attributes:
+        finishing: Whether no further switch is started, as this process stops.
+        finished: Set when the group is not held any more while finishing.
+    """
 
     def __init__(
         self,
@@ -140,6 +151,8 @@
         self.known_map: tuple[int, int, replica_map.Placement] | None = None
         self.wait_log = event_log.create_condition_log()
         self.stopped = False
+        self.finishing = False
+        self.finished = threading.Event()
         self.thread = threading.Thread(
             target=self.run, name="group-leader", daemon=True
         )
@@ -151,7 +164,18 @@
     def stop(self) -> None:
         """Make the thread end after its current cycle, without waiting."""
         self.stopped = True
+        self.finished.set()
+        self.inputs.put(None)
+
+    def finish(self, limit: datetime.timedelta) -> bool:
+        """Release the group if it is held, and start no further switch.
+
+        Returns:
+            Whether the group was released within the limit.
+        """
+        self.finishing = True
         self.inputs.put(None)
+        return self.finished.wait(limit.total_seconds())
 
     def put(self, item: LeaderInput) -> None:
         """Queue an input for the leader's thread; call on any thread."""
@@ -261,6 +285,10 @@
         A hold left by an earlier leader is resolved before the next search.
         """
         views = self.recent_views(now)
+        if self.finishing and self.switch.phase is pass_switch.Phase.PREPARE:
+            idle = pass_switch.idle(self.term)
+            self.record_phase_change(self.switch, idle, now)
+            self.set_switch(idle, now)
         if self.switch.phase is pass_switch.Phase.IDLE:
             recovered = pass_switch.recover(self.term, views)
             if recovered.phase is not pass_switch.Phase.IDLE:
@@ -272,11 +300,13 @@
                     holder=recovered.holder,
                 )
                 self.set_switch(recovered, now)
-            elif now >= self.search_due:
+            elif not self.finishing and now >= self.search_due:
                 self.search_due = now + SEARCH_INTERVAL
                 self.log_wait_reason(self.choose_map(views, now))
         if self.switch.phase is not pass_switch.Phase.IDLE:
             self.advance_switch(views, now)
+        if self.finishing and self.switch.phase in UNHELD_PHASES:
+            self.finished.set()
 
     def advance_switch(
         self, views: dict[int, pass_switch.RankView], now: datetime.timedelta
--- a/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
@@ -29,6 +29,9 @@
 # not compete for the term.
 CLAIM_DELAY_PER_RANK: Final = datetime.timedelta(milliseconds=60)
 CLAIM_RETRY_INTERVAL: Final = datetime.timedelta(seconds=1)
+# Time to release a held group before a planned stop. The other sidecars notice
+# that the leader is gone after nearly as long.
+RELEASE_LIMIT: Final = datetime.timedelta(seconds=1)
 MILLISECOND: Final = datetime.timedelta(milliseconds=1)
 ROLE: Final = "sidecar"
 
@@ -100,7 +103,11 @@
         )
 
     def stop(self, limit: datetime.timedelta) -> None:
-        """Stop leading and stop all parts; each may take the time limit."""
+        """Stop leading and stop all parts; each may take the time limit.
+
+        A group that this sidecar holds is released first.
+        """
+        self.finish_switch(min(limit, RELEASE_LIMIT))
         self.task.stop(limit)
         self.resign()
         self.agent.stop(limit)
@@ -183,6 +190,17 @@
             self.resign()
             self.agent.accept_leader(term)
 
+    def finish_switch(self, limit: datetime.timedelta) -> None:
+        """Release the group, if this sidecar leads, within a limit."""
+        with self.lock:
+            leadership = self.leadership
+        if leadership is not None and not leadership.leader.finish(limit):
+            event_log.emit(
+                event_catalogue.GROUP_LEFT_HELD,
+                phase=leadership.leader.switch.phase,
+                term=leadership.term,
+            )
+
     def resign(self) -> None:
         """Stop leading, if this sidecar leads."""
         with self.lock:
