Answer the requests that are open at the limit of serve's stop

A gateway with the product's own interface did not end at stop_limit: with a limit of 3 s and an open stream it ended 30 s after SIGTERM, at the stream's own deadline.

Cause: Drain.run() only waited for the open requests. Stopping the HTTP server then waits another 5 s for its threads, shuts down the reading side of their connections, and waits for them without a limit; the flows of their requests end at the requests' deadlines.

Each request ends with reason "draining" and its known outcome, is not retried, and is cancelled at its endpoint.

Tests: create_drain() has a new parameter, so its three calls in tests pass one; their checks are unchanged.

--- a/packages/gateway/src/verbenafall_gateway/delivery/attempt_events.py
+++ b/packages/gateway/src/verbenafall_gateway/delivery/attempt_events.py
@@ -16,6 +16,10 @@
     reason: str
 
 
+class Abandoned(NamedTuple):
+    """This process stops before the attempt has ended."""
+
+
 class PartialWrite(NamedTuple):
     """A token was written in part; the rest must be flushed."""
 
@@ -80,6 +84,7 @@
     | messages.Failed
     | messages.CancelConfirmed
     | LinkClosed
+    | Abandoned
     | PartialWrite
 )
 
@@ -180,6 +185,17 @@
     )
 
 
+@react.register
+def _(_event: Abandoned, assembly: stream_assembly.Assembly) -> Reaction:
+    return Broken(
+        effective_outcome(outcomes.Outcome.UNKNOWN, assembly),
+        outcomes.Reason.DRAINING,
+        "this gateway stops before the answer is complete",
+        None,
+        open_at_sidecar=True,
+    )
+
+
 @react.register
 def _(_event: PartialWrite, _: stream_assembly.Assembly) -> Reaction:
     return Continue(dropped=False)
--- a/packages/gateway/src/verbenafall_gateway/delivery/open_attempts.py
+++ b/packages/gateway/src/verbenafall_gateway/delivery/open_attempts.py
@@ -160,6 +160,13 @@
             return
         attempt.deliver(message)
 
+    def abandon(self) -> None:
+        """Deliver Abandoned to all attempts."""
+        with self.lock:
+            affected = list(self.attempts.values())
+        for attempt in affected:
+            attempt.deliver(attempt_events.Abandoned())
+
     def on_close(self, link: endpoint_view.LinkPort, reason: str) -> None:
         """Deliver LinkClosed to all attempts on a link."""
         with self.lock:
--- a/packages/gateway/src/verbenafall_gateway/delivery/request_flow.py
+++ b/packages/gateway/src/verbenafall_gateway/delivery/request_flow.py
@@ -41,7 +41,12 @@
 
 
 class RequestFlow:
-    """Runs requests; thread-safe."""
+    """Runs requests; thread-safe.
+
+    Attributes:
+        abandoned: Whether open requests get their final answer at once, as
+            this process stops.
+    """
 
     def __init__(
         self,
@@ -63,6 +68,7 @@
         self.settling = claim_settling.create_claim_settling(claims, clock)
         self.lock = threading.Lock()
         self.open_keys: dict[tuple[str, str], int] = {}
+        self.abandoned = False
 
     def attach(self, router: link_router.LinkRouter) -> None:
         """Subscribe to attempt messages on links."""
@@ -76,6 +82,11 @@
         del limit  # The store's adapter limits the duration of a settle.
         self.settling.stop()
 
+    def abandon(self) -> None:
+        """End all open requests with a refusal, and start no attempts."""
+        self.abandoned = True
+        self.attempts.abandon()
+
     def run(
         self,
         request: request_progress.FlowRequest,
@@ -152,9 +163,12 @@
     ) -> open_attempts.OpenAttempt | None:
         """Send the request to an endpoint.
 
-        Returns None if no endpoint is usable or the time is up.
+        Returns None if no endpoint is usable, the time is up or this process
+        stops.
         """
-        while self.clock.monotonic() < progress.cancel_at:
+        while (
+            self.clock.monotonic() < progress.cancel_at and not self.abandoned
+        ):
             choice = self.choose(progress)
             if choice is None:
                 return None
@@ -171,6 +185,10 @@
                 link,
             )
             self.attempts.add(attempt)
+            if self.abandoned:
+                # It may have been added too late for abandon().
+                self.discard(attempt)
+                return None
             message = self.build_dispatch(progress, attempt.attempt_id)
             if link.send(message):
                 return attempt
@@ -395,7 +413,9 @@
             progress.request.idempotent,
             len(progress.delivered) > progress.resume_index,
             progress.retries,
-            progress.cancel_at - self.clock.monotonic(),
+            _ZERO
+            if self.abandoned
+            else progress.cancel_at - self.clock.monotonic(),
         )
         action = retry_rules.decide(broken, context)
         if (
@@ -437,6 +457,9 @@
         elif progress.last is not None:
             reason = progress.last.reason
             message = f"{progress.last.message}; no other endpoint is left"
+        elif self.abandoned:
+            reason = outcomes.Reason.DRAINING
+            message = "this gateway is stopping; use another connection"
         else:
             reason = outcomes.Reason.NO_ENDPOINT
             message = "no endpoint of the service can take the request now"
--- a/packages/gateway/src/verbenafall_gateway/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/event_catalogue.py
@@ -17,7 +17,8 @@
     "gateway_stopped",
     "INFO",
     "The gateway has stopped. The field open counts the requests that were"
-    " aborted at the stop limit; if it is not 0, consider a longer stop_limit.",
+    " refused at the stop limit before their answers were complete; if it is"
+    " not 0, consider a longer stop_limit.",
 )
 ROUTE_CHOSEN = event_log.define(
     2010,
--- a/packages/gateway/src/verbenafall_gateway/gateway.py
+++ b/packages/gateway/src/verbenafall_gateway/gateway.py
@@ -126,7 +126,7 @@
     kernel.register(service_names.LINK_TARGETS, targets)
     kernel.register(service_names.ADMIN_SERVER, admin_server)
     kernel.register(service_names.HTTP_SERVER, client_server)
-    drain = drain_lib.create_drain(state, activity)
+    drain = drain_lib.create_drain(state, activity, flow.abandon)
     return Gateway(kernel, drain, client_server, admin_server)
 
 
--- a/tests/faults/flow_stop.py
+++ b/tests/faults/flow_stop.py
@@ -162,7 +162,9 @@
         faults.inject_at("leaving")
         phases.append(state.phase)
 
-    drain = gateway_drain.create_drain(state, activity, wait_for_readiness)
+    drain = gateway_drain.create_drain(
+        state, activity, lambda: None, wait_for_readiness
+    )
     server = ClientServer(faults, responses)
     kernel = kernel_lib.create_kernel(clock)
     kernel.register("bundles", bundles)
--- a/tests/gateway/test_gateway_process.py
+++ b/tests/gateway/test_gateway_process.py
@@ -215,7 +215,7 @@
             seen.append((duration, state.phase, state.not_ready_reason()))
             activity.record_end()
 
-        drain = drain_lib.create_drain(state, activity, wait)
+        drain = drain_lib.create_drain(state, activity, lambda: None, wait)
         assert drain.run(datetime.timedelta(seconds=120)) == 0
         assert seen == [
             (drain_lib.READINESS_PROPAGATION_DELAY, "leaving", "draining")
@@ -227,8 +227,21 @@
         state = service_state.create_service_state(fakes.FakeBundles())
         activity = activity_lib.create_activity()
         activity.record_start()
-        drain = drain_lib.create_drain(state, activity, lambda _limit: None)
+        drain = drain_lib.create_drain(
+            state, activity, lambda: None, lambda _limit: None
+        )
+        assert drain.run(datetime.timedelta()) == 1
+
+    def test_abandons_what_is_open_at_the_limit(self):
+        """Guards against connections closed without a final answer."""
+        state = service_state.create_service_state(fakes.FakeBundles())
+        activity = activity_lib.create_activity()
+        activity.record_start()
+        drain = drain_lib.create_drain(
+            state, activity, activity.record_end, lambda _limit: None
+        )
         assert drain.run(datetime.timedelta()) == 1
+        assert activity.count == 0
 
 
 class TestSettings:
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -477,3 +477,42 @@
         )
         result = run(gateway, create_request(True))
         assert result == ("", (UNKNOWN, Reason.DEADLINE))
+
+
+def accepted(message):
+    return [messages.Accepted(*fakes.ids(message), 0)]
+
+
+# Steps of the first attempt, whether the request is idempotent, its end.
+ABANDONED = [
+    ("accepted", accepted, True, ("", (UNKNOWN, Reason.DRAINING))),
+    ("non-idempotent", accepted, False, ("", (UNKNOWN, Reason.DRAINING))),
+    ("tokens", tokens_then(), True, (TOKENS[0], (RAN, Reason.DRAINING))),
+]
+
+
+class TestAbandon:
+    @pytest.mark.parametrize(
+        ("step", "idempotent", "end"),
+        [case[1:] for case in ABANDONED],
+        ids=[case[0] for case in ABANDONED],
+    )
+    def test_open_request_ends_without_a_retry(self, step, idempotent, end):
+        """Guards against requests that outlast a planned stop."""
+        gateway, script, _ = create([])
+
+        def abandon_after(message):
+            yield from step(message)
+            gateway.flow.abandon()
+
+        script.steps.append(abandon_after)
+        assert run(gateway, create_request(idempotent)) == end
+        assert script.cancels == ["req-1.1"]
+        assert gateway.flow.attempts.attempts == {}
+
+    def test_no_attempt_starts_afterwards(self):
+        gateway, script, _ = create([])
+        gateway.flow.abandon()
+        result = run(gateway, create_request(True))
+        assert result == ("", (NOT_RUN, Reason.DRAINING))
+        assert script.seen == []
--- a/tests/gateway/test_serve_process.py
+++ b/tests/gateway/test_serve_process.py
@@ -34,11 +34,13 @@
 instance_list = {instances}
 [bundles]
 public_keys = {key}
+[limits]
+{limits}
 """
 ANSWER = ["one ", "two ", "three"]
 
 
-def start(directory, store, instances, *flags):
+def start(directory, store, instances, *flags, limits=""):
     key = directory / "key.pem"
     key.write_bytes(
         bundle_helpers.PUBLIC_KEYS[0].public_bytes(
@@ -47,7 +49,11 @@
         )
     )
     path = directory / "gateway.ini"
-    path.write_text(SETTINGS.format(store=store, instances=instances, key=key))
+    path.write_text(
+        SETTINGS.format(
+            store=store, instances=instances, key=key, limits=limits
+        )
+    )
     command = (sys.executable, "-m", "verbenafall_gateway", "serve")
     return subprocess.Popen(
         [*command, "--settings", str(path), *flags],
@@ -180,3 +186,30 @@
                 process.kill()
         assert text == "".join(ANSWER)
         assert "gateway_stopped open=0" in last_line
+
+    def test_open_requests_are_answered_at_the_stop_limit(self, tmp_path):
+        """Guards against connections closed without a final answer."""
+
+        def answer_in_part(message):
+            return fakes.answer(message, ANSWER)[:2]
+
+        with (
+            platform(fakes.SidecarHandler(answer_in_part)) as urls,
+            start(tmp_path, *urls, limits="stop_limit = 3 s") as process,
+        ):
+            try:
+                address = read_until(
+                    process,
+                    r"gateway_started client=(\S+)",
+                    "bundle_in_force",
+                    "link_opened",
+                )
+                with pytest.raises(openai.APIError) as error:
+                    read_stream_during_stop(address, process, threading.Event())
+                last_line = process.stderr.readlines()[-1]
+                assert process.wait(60) == 0
+            finally:
+                process.kill()
+        assert error.value.code == "draining"
+        assert error.value.body["outcome"] == "ran"
+        assert "gateway_stopped open=1" in last_line
