Report the known outcomes of attempts at the sidecar's stop limit

A gateway learnt of attempts that were still open at the stop limit of a sidecar only from the closed link, as "unknown", even of those that still waited in the sidecar's queue and had not run. Without the object store such a non-idempotent request ended with an unknown outcome for its client.

Change: 0.5 s before the limit, attempts for which the endpoint has not been called are refused as not run, the others fail as unknown, both with reason "draining", and calls of idempotent ones are cancelled. No further attempt is started.

Before: test_reports_what_is_open_at_the_stop_limit fails, "_queue.Empty": the link was reset without a message.

--- a/packages/sidecar/src/verbenafall_sidecar/delivery/dispatcher.py
+++ b/packages/sidecar/src/verbenafall_sidecar/delivery/dispatcher.py
@@ -141,6 +141,27 @@
         with self.lock:
             self.draining = True
 
+    def abandon(self) -> None:
+        """End all open attempts, as the process stops.
+
+        An attempt that the endpoint has not been called for has not run.
+        """
+        with self.lock:
+            self.draining = True
+            self.stopped = True
+            for attempt in list(self.attempts.values()):
+                if attempt.phase in (Phase.QUEUED, Phase.STARTING):
+                    attempt.cancelled = True
+                    self.queue.remove(attempt.dispatch.attempt_id)
+                    self.end_refused(attempt, Reason.DRAINING, NOT_RUN)
+                    continue
+                # A non-idempotent call continues, so that its response is
+                # recorded if it ends in time.
+                if attempt.dispatch.idempotent and attempt.call is not None:
+                    attempt.call.cancel()
+                self.end_failed(attempt, Reason.DRAINING)
+                attempt.suppress_messages = True
+
     def wait_until_idle(self, limit: datetime.timedelta) -> int:
         """Wait until no attempt is open; return the number still open."""
         with self.attempt_ended:
--- a/packages/sidecar/src/verbenafall_sidecar/delivery/drain.py
+++ b/packages/sidecar/src/verbenafall_sidecar/delivery/drain.py
@@ -10,6 +10,8 @@
 from verbenafall_sidecar.delivery import dispatcher as dispatcher_lib
 
 STOP_LIMIT: Final = datetime.timedelta(seconds=120)
+# Part of the limit for reporting the attempts that are still open.
+REPORT_TIME: Final = datetime.timedelta(milliseconds=500)
 
 
 class Drainable(Protocol):
@@ -21,6 +23,9 @@
     def wait_until_idle(self, limit: datetime.timedelta) -> int:
         """Wait until no attempt is open; return the number still open."""
 
+    def abandon(self) -> None:
+        """End all open attempts and report what is known about them."""
+
     def snapshot(self) -> dispatcher_lib.Snapshot:
         """Return the current load."""
 
@@ -30,10 +35,10 @@
     announce: Callable[[dispatcher_lib.Snapshot], None],
     limit: datetime.timedelta,
 ) -> int:
-    """Announce the shutdown and wait until the open attempts have ended.
+    """Announce the shutdown, then complete or abandon the open attempts.
 
     Returns:
-        The number of attempts still open when the time limit was reached.
+        The number of attempts that were abandoned near the time limit.
     """
     dispatcher.start_drain()
     snapshot = dispatcher.snapshot()
@@ -43,4 +48,9 @@
         in_flight=snapshot.in_flight,
         queued=snapshot.queued,
     )
-    return dispatcher.wait_until_idle(limit)
+    abandoned = dispatcher.wait_until_idle(
+        max(limit - REPORT_TIME, datetime.timedelta())
+    )
+    if abandoned:
+        dispatcher.abandon()
+    return abandoned
--- a/tests/sidecar/test_dispatcher.py
+++ b/tests/sidecar/test_dispatcher.py
@@ -440,6 +440,35 @@
             ("r.2", 1),
         ]
 
+    @pytest.mark.parametrize(
+        ("dispatch", "cancelled"), [(DISPATCH, ["r.1"]), (NON_IDEMPOTENT, [])]
+    )
+    def test_abandons_attempts_with_their_outcomes(self, dispatch, cancelled):
+        """Guards against unknown outcomes of what has not run."""
+        harness = helpers.DispatcherHarness(slots=2)
+        harness.dispatch(dispatch)
+        for number in (2, 3):
+            other = dispatch._replace(
+                attempt_id=f"r.{number}", idempotency_key=f"key-{number}"
+            )
+            harness.dispatch(other, run=False)
+        sent = len(harness.link.sent)
+        harness.dispatcher.abandon()
+        harness.pool.run()
+        harness.endpoint.sinks["r.1"].on_chunk(b"late")
+        harness.respond("r.1")
+        assert [
+            (item.attempt_id, item.reason, item.outcome)
+            for item in harness.link.sent[sent:]
+        ] == [
+            ("r.1", Reason.DRAINING, UNKNOWN),
+            ("r.2", Reason.DRAINING, NOT_RUN),
+            ("r.3", Reason.DRAINING, NOT_RUN),
+        ]
+        assert harness.endpoint.started == ["r.1"]
+        assert harness.endpoint.cancelled == cancelled
+        assert harness.dispatcher.in_flight == 0
+
     def test_reports_attempts_still_open_at_the_limit(self):
         harness = helpers.DispatcherHarness()
         harness.dispatch(DISPATCH)
--- a/tests/sidecar/test_process.py
+++ b/tests/sidecar/test_process.py
@@ -1,5 +1,6 @@
 """Settings, command line and wiring of the sidecar process."""
 
+import datetime
 import pathlib
 import queue
 import threading
@@ -150,6 +151,14 @@
             return message
 
 
+def wait_for_phases(sidecar, phases):
+    dispatcher = sidecar.dispatcher
+    deadline = sidecar.clock.monotonic() + test_thin_path.STOP
+    while [item.phase for item in list(dispatcher.attempts.values())] != phases:
+        assert sidecar.clock.monotonic() < deadline
+        threading.Event().wait(0.01)
+
+
 class TestSidecar:
     def test_reports_the_load_with_each_heartbeat(self, running):
         """Guards against old loads, and against a separate write for each."""
@@ -189,3 +198,39 @@
         assert wait_for_message(received, messages.End).status == 201
         stopper.join(test_thin_path.WAIT_SECONDS)
         assert not stopper.is_alive()
+
+    def test_reports_what_is_open_at_the_stop_limit(self, running):
+        """Guards against a link that closes without the known outcomes."""
+        sidecar, link, received = running
+        sidecar.settings = sidecar.settings._replace(
+            stop_limit=datetime.timedelta(seconds=1)
+        )
+        released = threading.Event()
+        start_call = sidecar.endpoint.start_call
+
+        def start_call_later(dispatch, limit, sink):
+            released.wait(test_thin_path.WAIT_SECONDS)
+            return start_call(dispatch, limit, sink)
+
+        sidecar.endpoint.start_call = start_call_later
+        for number in (1, 2, 3):
+            attempt = helpers.DISPATCH._replace(attempt_id=f"r.{number}")
+            link.send(attempt)
+            wait_for_message(received, messages.Accepted)
+        wait_for_phases(sidecar, ["running", "running", "queued"])
+        stopper = threading.Thread(target=sidecar.stop)
+        stopper.start()
+        try:
+            failed = [
+                wait_for_message(received, messages.Failed) for _ in range(2)
+            ]
+            refused = wait_for_message(received, messages.Refused)
+        finally:
+            released.set()
+            stopper.join(test_thin_path.WAIT_SECONDS)
+        assert refused.attempt_id == "r.3"
+        assert (refused.reason, refused.outcome) == ("draining", "not_run")
+        assert {item.attempt_id for item in failed} == {"r.1", "r.2"}
+        assert {(item.reason, item.outcome) for item in failed} == {
+            ("draining", "unknown")
+        }
