Refuse late streams that are not certain to finish before a stop

A stopping gateway could still cut a stream that came late (LOST): admission compares the remaining time with the mean duration of the service plus four deviations, which part of the streams exceed.

Cause: the estimate is a likely bound, not a certain one, and a stream that has started cannot be given a final answer any more.

Change: once LISTEN_AFTER_STOP_SECONDS have passed, so that few clients still come, a stream is admitted only if its deadline is before the limit. Earlier streams and all other requests are admitted by the estimate as before; others always get a final answer.

Before: the new test fails, "assert (200, False) == (503, True)".

--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -46,6 +46,8 @@
         tried: Ids of endpoints that have already failed this request.
         may_have_run: Whether an earlier attempt may have run it, so that a
             refusal would not be accurate.
+        is_stream: Whether its answer is sent as it arrives, so that a planned
+            stop can cut it.
     """
 
     request_id: str
@@ -57,6 +59,7 @@
     client_timeout_at: float
     tried: frozenset[str]
     may_have_run: bool = False
+    is_stream: bool = False
 
 
 class Placed(NamedTuple):
@@ -129,6 +132,8 @@
     Attributes:
         finish_by: When a planned stop abandons the open requests; infinite
             while no stop is planned.
+        last_streams_at: When the planned stop begins to refuse streams whose
+            deadline is later than `finish_by`.
     """
 
     def __init__(
@@ -168,7 +173,7 @@
             str, service_liveness.ServiceLiveness
         ] = {}
         self.numbers = itertools.count()
-        self.finish_by = float("inf")
+        self.finish_by = self.last_streams_at = float("inf")
 
     def candidates(
         self, request: PlacementRequest
@@ -299,9 +304,17 @@
             service_liveness.retry_delay(self.generator.random()),
         )
 
-    def begin_stop(self, finish_by: float) -> None:
-        """Refuse requests that cannot finish before a planned stop ends."""
+    def begin_stop(self, finish_by: float, last_streams_at: float) -> None:
+        """Refuse requests that cannot finish before a planned stop ends.
+
+        Args:
+            finish_by: When the open requests are abandoned.
+            last_streams_at: When to begin to refuse streams that are not
+                certain to finish. Other requests get a final answer even if
+                they are abandoned.
+        """
         self.finish_by = finish_by
+        self.last_streams_at = last_streams_at
         for service in self.queues:
             self.refuse_unfinishable(service)
 
@@ -311,11 +324,15 @@
         A request that may have run continues in any case, as it cannot be
         refused.
         """
+        now = self.loop.time()
+        must_be_certain = request.is_stream and now >= self.last_streams_at
         return request.may_have_run or stop_decision.can_finish(
-            self.loop.time(),
+            now,
             self.finish_by,
             request.deadline,
-            self.averages_of(request.service).duration,
+            None
+            if must_be_certain
+            else self.averages_of(request.service).duration,
         )
 
     def stop_refusal(self) -> Refused:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -295,6 +295,7 @@
             self.client_timeout_at(job),
             frozenset(job.tried),
             job.runs > 0,
+            job.admitted.route.kind is model.RequestKind.STREAM,
         )
 
     def client_timeout_at(self, job: Job) -> float:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -343,8 +343,9 @@
         gateways. Connections are still accepted meanwhile, as the external
         balancer may keep sending clients here if few other gateways are ready;
         requests that cannot finish in time are refused. After
-        LISTEN_AFTER_STOP_SECONDS idle connections are closed, and the stop
-        ends as soon as no connection is left.
+        LISTEN_AFTER_STOP_SECONDS, when few clients should still come, streams
+        are refused unless their deadline is in time, idle connections are
+        closed, and the stop ends as soon as no connection is left.
         """
         self.draining = True
         started = self.loop.time()
@@ -352,7 +353,7 @@
         event_log.emit(
             event_catalogue.FORWARDER_DRAINING, open=self.open_requests()
         )
-        self.admission.begin_stop(end)
+        self.admission.begin_stop(end, started + LISTEN_AFTER_STOP_SECONDS)
         for channel in self.channels:
             channel.close_after_answer = True
         while self.loop.time() < end:
@@ -363,7 +364,7 @@
             await asyncio.sleep(DRAIN_INTERVAL_SECONDS)
         clients.close()
         # A request may still come while the process exits.
-        self.admission.begin_stop(self.loop.time())
+        self.admission.begin_stop(self.loop.time(), self.loop.time())
         left = self.open_requests()
         self.exchange.abandon_open_requests(started)
         end = self.loop.time() + ABANDON_SECONDS
--- a/packages/gateway/src/verbenafall_gateway/forwarding/stop_decision.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/stop_decision.py
@@ -44,7 +44,10 @@
 
 
 def can_finish(
-    now: float, finish_by: float, deadline: float, estimate: DurationEstimate
+    now: float,
+    finish_by: float,
+    deadline: float,
+    estimate: DurationEstimate | None,
 ) -> bool:
     """Return whether a request that starts now ends before a planned stop.
 
@@ -55,6 +58,11 @@
         now: Current time.
         finish_by: When the gateway abandons the requests that are still open.
         deadline: When the client must have a final answer.
-        estimate: Durations of the service's requests.
+        estimate: Durations of the service's requests; None if the request
+            must certainly end in time.
     """
-    return min(deadline, now + longest_duration(estimate)) <= finish_by
+    if deadline <= finish_by:
+        return True
+    return estimate is not None and now + longest_duration(estimate) <= (
+        finish_by
+    )
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -484,6 +484,16 @@
             is expected
         )
 
+    @pytest.mark.parametrize(
+        ("finish_by", "deadline", "expected"),
+        [(13.0, 100.0, False), (11.0, 11.0, True), (11.0, 11.1, False)],
+    )
+    def test_only_the_deadline_is_certain(self, finish_by, deadline, expected):
+        assert (
+            stop_decision.can_finish(10.0, finish_by, deadline, None)
+            is expected
+        )
+
     @pytest.mark.parametrize(("durations", "low", "high"), MEASURED)
     def test_longest_duration(self, durations, low, high):
         estimate = stop_decision.DEFAULT_ESTIMATE
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -571,6 +571,10 @@
     return any(channel.reading_body for channel in gateway.channels)
 
 
+def is_reading(gateway):
+    return any(channel.reading_head for channel in gateway.channels)
+
+
 def stop_within(runner, seconds):
     """Start a planned stop with a time limit; return when it has started."""
     gateway = runner.forwarder
@@ -729,3 +733,37 @@
             runner.loop.call_soon_threadsafe(leave_and_abandon)
             fakes.wait_until(lambda: not exchange.jobs)
             assert ends == ["client_left"]
+
+    def test_late_stream_that_may_last_beyond_the_stop_is_refused(
+        self, monkeypatch
+    ):
+        """Guards against LOST: a stream far longer than those before it."""
+        monkeypatch.setattr(forwarder, "LISTEN_AFTER_STOP_SECONDS", 0.0)
+        route = fakes.route(kind=model.RequestKind.STREAM)
+        with running(endless_stream, routes=[route]) as runner:
+            gateway = runner.forwarder
+            for _ in range(100):
+                gateway.admission.record_answer("s", 0.01, 0.01)
+            with runner.connect() as client:
+                client.sendall(fakes.request_bytes()[:20])
+                fakes.wait_until(lambda: is_reading(gateway))
+                stop_within(runner, 2.0)
+                client.sendall(fakes.request_bytes()[20:])
+                got = fakes.read_answer(client)
+            assert (got.status, got.complete) == (503, True)
+            assert request_counts(runner) == [0]
+
+    def test_late_request_is_finished_as_usual(self, monkeypatch):
+        """Guards against refusals of requests that surely get an answer."""
+        monkeypatch.setattr(forwarder, "LISTEN_AFTER_STOP_SECONDS", 0.0)
+        with running(fakes.answer_ok) as runner:
+            gateway = runner.forwarder
+            for _ in range(100):
+                gateway.admission.record_answer("s", 0.01, 0.01)
+            with runner.connect() as client:
+                client.sendall(fakes.request_bytes()[:20])
+                fakes.wait_until(lambda: is_reading(gateway))
+                stop_within(runner, 2.0)
+                client.sendall(fakes.request_bytes()[20:])
+                got = fakes.read_answer(client)
+            assert (got.status, got.complete) == (200, True)
