--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -197,7 +197,7 @@
         except TimeoutError:
             self.finish_timed_out(job)
         except asyncio.CancelledError:
-            if not job.abandoned:
+            if not job.abandoned or client.lost:
                 self.log_end(job, CLIENT_DISCONNECTED, 0, "")
                 raise
             self.finish_abandoned(job)
@@ -295,6 +295,7 @@
             self.client_timeout_at(job),
             frozenset(job.tried),
             job.runs > 0,
+            job.admitted.route.kind is model.RequestKind.STREAM,
         )
 
     def client_timeout_at(self, job: Job) -> float:
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -567,6 +567,14 @@
     return False
 
 
+def is_reading_body(gateway):
+    return any(channel.reading_body for channel in gateway.channels)
+
+
+def is_reading(gateway):
+    return any(channel.reading_head for channel in gateway.channels)
+
+
 def stop_within(runner, seconds):
     """Start a planned stop with a time limit; return when it has started."""
     gateway = runner.forwarder
@@ -653,3 +661,109 @@
             assert (got.status, got.complete) == (503, True)
             assert float(got.headers["retry-after"]) > 0
             assert request_counts(runner) == [slots]
+
+    def test_request_that_is_being_read_is_answered(self, monkeypatch):
+        """Guards against a stop that ends while a request is being sent."""
+        checks = []
+        with running(fakes.answer_ok) as runner, runner.connect() as client:
+            gateway = runner.forwarder
+            data = fakes.request_bytes("/a/x", "POST", b"payload")
+            client.sendall(data[:-3])
+            fakes.wait_until(lambda: is_reading_body(gateway))
+            close_idle_channels = gateway.close_idle_channels
+
+            def check():
+                checks.append(gateway.loop.time())
+                close_idle_channels()
+
+            monkeypatch.setattr(gateway, "close_idle_channels", check)
+            monkeypatch.setattr(forwarder, "LISTEN_AFTER_STOP_SECONDS", 0.0)
+            runner.stop()
+            fakes.wait_until(
+                lambda: len(checks) > 1 or not runner.thread.is_alive()
+            )
+            client.sendall(data[-3:])
+            got = fakes.read_answer(client)
+            assert (got.status, got.complete) == (200, True)
+            assert got.headers["connection"] == "close"
+
+    def test_request_after_the_end_of_the_stop_is_not_forwarded(
+        self, monkeypatch
+    ):
+        """Guards against LOST: forwarded while the process exits."""
+        exiting, proceed = threading.Event(), threading.Event()
+
+        def delete_record():
+            exiting.set()
+            proceed.wait(fakes.WAIT_SECONDS)
+
+        with running(fakes.answer_ok) as runner, runner.connect() as client:
+            gateway = runner.forwarder
+            fakes.wait_until(lambda: gateway.channels)
+            monkeypatch.setattr(gateway.record, "stop", delete_record)
+            # As if the connection were accepted just as the stop ends.
+            monkeypatch.setattr(gateway, "channels", set())
+            monkeypatch.setattr(forwarder, "LISTEN_AFTER_STOP_SECONDS", 0.0)
+            runner.stop()
+            assert exiting.wait(fakes.WAIT_SECONDS)
+            client.sendall(fakes.request_bytes())
+            got = fakes.read_answer(client)
+            proceed.set()
+            assert (got.status, got.complete) == (503, True)
+            assert request_counts(runner) == [0]
+
+    def test_client_that_leaves_at_the_stop_limit_is_logged(self, monkeypatch):
+        """Guards against a request without a line about its end."""
+        ends = []
+        with running(no_answer_yet) as runner, runner.connect() as client:
+            exchange = runner.forwarder.exchange
+            client.sendall(fakes.request_bytes())
+            fakes.wait_until(lambda: request_counts(runner) == [1])
+            monkeypatch.setattr(
+                exchange,
+                "log_end",
+                lambda job, action, status, reason: ends.append(action),
+            )
+
+            def leave_and_abandon():
+                for channel in runner.forwarder.channels:
+                    channel.transport.abort()
+                exchange.abandon_open_requests(0.0)
+
+            runner.loop.call_soon_threadsafe(leave_and_abandon)
+            fakes.wait_until(lambda: not exchange.jobs)
+            assert ends == ["client_left"]
+
+    def test_late_stream_that_may_last_beyond_the_stop_is_refused(
+        self, monkeypatch
+    ):
+        """Guards against LOST: a stream far longer than those before it."""
+        monkeypatch.setattr(forwarder, "LISTEN_AFTER_STOP_SECONDS", 0.0)
+        route = fakes.route(kind=model.RequestKind.STREAM)
+        with running(endless_stream, routes=[route]) as runner:
+            gateway = runner.forwarder
+            for _ in range(100):
+                gateway.admission.record_answer("s", 0.01, 0.01)
+            with runner.connect() as client:
+                client.sendall(fakes.request_bytes()[:20])
+                fakes.wait_until(lambda: is_reading(gateway))
+                stop_within(runner, 2.0)
+                client.sendall(fakes.request_bytes()[20:])
+                got = fakes.read_answer(client)
+            assert (got.status, got.complete) == (503, True)
+            assert request_counts(runner) == [0]
+
+    def test_late_request_is_finished_as_usual(self, monkeypatch):
+        """Guards against refusals of requests that surely get an answer."""
+        monkeypatch.setattr(forwarder, "LISTEN_AFTER_STOP_SECONDS", 0.0)
+        with running(fakes.answer_ok) as runner:
+            gateway = runner.forwarder
+            for _ in range(100):
+                gateway.admission.record_answer("s", 0.01, 0.01)
+            with runner.connect() as client:
+                client.sendall(fakes.request_bytes()[:20])
+                fakes.wait_until(lambda: is_reading(gateway))
+                stop_within(runner, 2.0)
+                client.sendall(fakes.request_bytes()[20:])
+                got = fakes.read_answer(client)
+            assert (got.status, got.complete) == (200, True)
