Share one store era among all store calls of a process

Several parts must act on a restore of the store: they need the era that the store's responses state, and it must be the same for all of them.

A new test in tests/platform_adapter/test_store.py checks that all ports share it.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/ports.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/ports.py
@@ -12,6 +12,7 @@
 from verbenafall_core.expert_maps import rank_port
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import port
+from verbenafall_core.object_store import store_era
 from verbenafall_core.routes import model
 from verbenafall_gateway.forwarding import dialect
 
@@ -22,6 +23,7 @@
     Attributes:
         gateways: Link addresses of the gateways, by name.
         rank_at: Returns the port to the rank of an engine.
+        era: The store's era, shared by all store calls of the process.
     """
 
     configurations: collection.Collection[model.Configuration]
@@ -30,6 +32,7 @@
     gateways: collection.Collection[addresses.Address]
     dialect: dialect.Dialect
     rank_at: Callable[[addresses.Address], rank_port.RankPort]
+    era: store_era.StoreEra
 
 
 class GatewayAdapter(Protocol):
--- a/packages/sidecar/src/verbenafall_sidecar/steering/ports.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/ports.py
@@ -12,6 +12,7 @@
 from verbenafall_core.expert_maps import rank_port
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import port
+from verbenafall_core.object_store import store_era
 from verbenafall_core.routes import model
 
 
@@ -21,6 +22,7 @@
     Attributes:
         gateways: Link addresses of the gateways by name.
         rank_at: Returns the port to the rank on an engine's address.
+        era: The store's era, shared by all store calls of the process.
     """
 
     configurations: collection.Collection[model.Configuration]
@@ -28,6 +30,7 @@
     store: port.RecordStore
     gateways: collection.Collection[addresses.Address]
     rank_at: Callable[[addresses.Address], rank_port.RankPort]
+    era: store_era.StoreEra
 
 
 class SidecarAdapter(Protocol):
--- a/tests/forwarding/forwarding_fakes.py
+++ b/tests/forwarding/forwarding_fakes.py
@@ -14,6 +14,7 @@
 from verbenafall_core.expert_maps import rank_state
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import port
+from verbenafall_core.object_store import store_era
 from verbenafall_core.routes import model
 from verbenafall_gateway.forwarding import dialect
 from verbenafall_gateway.forwarding import forwarder
@@ -239,6 +240,7 @@
         self.configurations = MemoryCollection()
         self.listed = MemoryCollection()
         self.gateways = MemoryCollection()
+        self.era = store_era.create_store_era()
         self.orders = []
         # Slowdowns are reported by host, so each endpoint needs its own.
         self.backends = [
@@ -279,6 +281,7 @@
                 self.gateways,
                 dialect.DEFAULT,
                 lambda address: FakeRank(self.orders, address),
+                self.era,
             ),
             metrics.NullMetrics(),
         )
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -9,7 +9,10 @@
 from verbenafall_core import http_client
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import port
+from verbenafall_core.object_store import store_era
 from verbenafall_platform import decoding
+from verbenafall_platform import gateway
+from verbenafall_platform import sidecar
 from verbenafall_platform import store
 
 WAIT = datetime.timedelta(milliseconds=200)
@@ -23,8 +26,13 @@
 
 
 @pytest.fixture
-def calls(standin):
-    return store.StoreCalls(http_client.create_http_client(), standin.url)
+def era():
+    return store_era.create_store_era()
+
+
+@pytest.fixture
+def calls(standin, era):
+    return store.StoreCalls(http_client.create_http_client(), standin.url, era)
 
 
 @pytest.fixture
@@ -117,3 +125,15 @@
         standin.close()
         failure = records.read("kind/a").failure()
         assert failure.kind is port.FailureKind.UNAVAILABLE
+
+
+class TestStorePorts:
+    @pytest.mark.parametrize(
+        "create",
+        [gateway.create_gateway_ports, sidecar.create_sidecar_ports],
+    )
+    def test_store_restored_is_known_to_all_ports(self, standin, create):
+        ports = create(http_client.create_http_client(), standin.url)
+        collections = (ports.configurations, ports.endpoints, ports.gateways)
+        for port_to_store in (*collections, ports.store):
+            assert port_to_store.calls.era is ports.era
