Restore the store's stand-ins from a copy

The users' store may come back from a copy: what was written since is gone, revisions are given out again, and the header Store-Era rises by one. No stand-in could do that.

--- a/standins/src/verbenafall_standins/fakes/memory_store.py
+++ b/standins/src/verbenafall_standins/fakes/memory_store.py
@@ -1,19 +1,33 @@
 """An object store in memory, with faults that a test sets."""
 
+import collections
 from collections.abc import Callable
 import datetime
 import enum
 import threading
 from typing import Any
+from typing import Final
 from typing import NamedTuple
 from typing import TypeVar
 
+import returns.pipeline
 import returns.result
 
+from verbenafall_core import clock as clock_lib
 from verbenafall_core.object_store import port
+from verbenafall_core.object_store import revisions
+from verbenafall_core.object_store import store_era
 
 T = TypeVar("T")
 
+FIRST_ERA: Final = 1
+# The number of changes that a restore can undo at most.
+MAX_CHANGES: Final = 10_000
+_UNANSWERED: Final = (
+    port.FailureKind.UNAVAILABLE,
+    port.FailureKind.UNCERTAIN,
+)
+
 
 class Fault(enum.StrEnum):
     """Fault of a call.
@@ -37,6 +51,20 @@
     name: str
 
 
+class Change(NamedTuple):
+    """A change to one object, with what is needed to undo it.
+
+    Attributes:
+        before: The object before the change, None if there was none.
+        number: The store's own revision number before the change.
+    """
+
+    name: str
+    before: port.StoredObject | None
+    number: int
+    made_at: datetime.timedelta
+
+
 FaultPlan = Callable[[Call], Fault | None]
 
 
@@ -51,15 +79,24 @@
     Attributes:
         plan: Returns the fault of a call, None for none.
         calls: All calls in order, including those with faults.
+        era: Part of all versions; grows with each restore.
+        number: The store's own revision number; versions consist of the era
+            and of this number.
+        changes: The latest changes, oldest first.
         changed: Guards all state; notified when it may have changed.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: clock_lib.Clock) -> None:
         """Create an empty store without faults."""
+        self.clock = clock
         self.objects: dict[str, port.StoredObject] = {}
         self.plan: FaultPlan = no_faults
         self.calls: list[Call] = []
-        self.version = 0
+        self.era = FIRST_ERA
+        self.number = 0
+        self.changes: collections.deque[Change] = collections.deque(
+            maxlen=MAX_CHANGES
+        )
         self.closed = False
         self.changed = threading.Condition()
 
@@ -109,6 +146,30 @@
             )
         return self._serve(call, lambda: self._newer(name, known_version))
 
+    def restore(self, changes: int) -> None:
+        """Return to the state before the latest changes, in a new era.
+
+        Revision numbers given out since are given out again. The versions of
+        all objects are in the new era, so waiting watches return them.
+        """
+        with self.changed:
+            for _ in range(min(changes, len(self.changes))):
+                self._undo(self.changes.pop())
+            self.era += 1
+            self.objects = {
+                name: stored._replace(
+                    version=self._version(revisions.number_of(stored.version))
+                )
+                for name, stored in self.objects.items()
+            }
+            self.changed.notify_all()
+
+    def restore_age(self, age: datetime.timedelta) -> None:
+        """Return to the state of some time ago, in a new era."""
+        with self.changed:
+            since = self.clock.monotonic() - age
+            self.restore(sum(made.made_at > since for made in self.changes))
+
     def close(self) -> None:
         """End all waiting watches; later ones return at once."""
         with self.changed:
@@ -135,6 +196,29 @@
                 return _failure(port.FailureKind.UNCERTAIN, call)
             return result
 
+    def _undo(self, change: Change) -> None:
+        self.number = change.number
+        if change.before is None:
+            self.objects.pop(change.name, None)
+        else:
+            self.objects[change.name] = change.before
+
+    def _record_change(self, name: str) -> None:
+        self.changes.append(
+            Change(
+                name,
+                self.objects.get(name),
+                self.number,
+                self.clock.monotonic(),
+            )
+        )
+
+    def _version(self, number: int) -> int:
+        return revisions.create_revision(self.era, number)
+
+    def _is_of_older_era(self, version: int) -> bool:
+        return revisions.era_of(version) < self.era
+
     def _version_of(self, name: str) -> int:
         stored = self.objects.get(name)
         return stored.version if stored else 0
@@ -163,6 +247,8 @@
     def _update(
         self, name: str, value: bytes, expected_version: int
     ) -> port.ObjectResult:
+        if self._is_of_older_era(expected_version):
+            return _failure(port.FailureKind.CONFLICT, Call("update", name))
         if name not in self.objects:
             return _failure(port.FailureKind.MISSING, Call("update", name))
         if self._version_of(name) != expected_version:
@@ -172,20 +258,76 @@
     def _put(self, name: str, value: bytes) -> port.ObjectResult:
         if len(value) > port.MAX_VALUE_BYTES:
             return _failure(port.FailureKind.INVALID, Call("put", name))
-        self.version += 1
-        stored = port.StoredObject(name, self.version, value)
+        self._record_change(name)
+        self.number += 1
+        stored = port.StoredObject(name, self._version(self.number), value)
         self.objects[name] = stored
         return returns.result.Success(stored)
 
     def _delete(self, name: str, expected_version: int) -> port.DeleteResult:
+        if self._is_of_older_era(expected_version):
+            return _failure(port.FailureKind.CONFLICT, Call("delete", name))
         if name not in self.objects:
             return _failure(port.FailureKind.MISSING, Call("delete", name))
         if self._version_of(name) != expected_version:
             return _failure(port.FailureKind.CONFLICT, Call("delete", name))
+        self._record_change(name)
         del self.objects[name]
         return returns.result.Success(None)
 
 
+class MemoryStoreClient:
+    """Access of one process to a MemoryStore; implements port.ObjectStore.
+
+    Attributes:
+        era: The era that the process has seen; each answer is reported to it.
+    """
+
+    def __init__(self, store: MemoryStore, era: store_era.StoreEra) -> None:
+        """Create a client that has called nothing yet."""
+        self.store = store
+        self.era = era
+
+    def read(self, name: str) -> port.ObjectResult:
+        """Return an object; MISSING if it does not exist."""
+        return self._observe(self.store.read(name))
+
+    def list_objects(self, prefix: str, limit: int) -> port.ListResult:
+        """List up to limit objects with a name prefix, sorted by name."""
+        return self._observe(self.store.list_objects(prefix, limit))
+
+    def create(self, name: str, value: bytes) -> port.ObjectResult:
+        """Create an object; CONFLICT if it exists."""
+        return self._observe(self.store.create(name, value))
+
+    def update(
+        self, name: str, value: bytes, expected_version: int
+    ) -> port.ObjectResult:
+        """Replace a value; CONFLICT if the version differs."""
+        return self._observe(self.store.update(name, value, expected_version))
+
+    def delete(self, name: str, expected_version: int) -> port.DeleteResult:
+        """Delete an object; CONFLICT if the version differs."""
+        return self._observe(self.store.delete(name, expected_version))
+
+    def watch(
+        self, name: str, known_version: int, wait: datetime.timedelta
+    ) -> port.ObjectResult:
+        """Return an object as soon as its version exceeds the known one."""
+        return self._observe(self.store.watch(name, known_version, wait))
+
+    def _observe(
+        self, result: returns.result.Result[T, port.StoreFailure]
+    ) -> returns.result.Result[T, port.StoreFailure]:
+        answered = (
+            returns.pipeline.is_successful(result)
+            or result.failure().kind not in _UNANSWERED
+        )
+        if answered:
+            self.era.observe(self.store.era)
+        return result
+
+
 def _failure(
     kind: port.FailureKind, call: Call
 ) -> returns.result.Result[Any, port.StoreFailure]:
@@ -193,6 +335,13 @@
     return returns.result.Failure(port.StoreFailure(kind, message))
 
 
-def create_memory_store() -> MemoryStore:
+def create_memory_store(clock: clock_lib.Clock | None = None) -> MemoryStore:
     """Create an empty store without faults."""
-    return MemoryStore()
+    return MemoryStore(clock or clock_lib.system_clock())
+
+
+def create_client(
+    store: MemoryStore, era: store_era.StoreEra | None = None
+) -> MemoryStoreClient:
+    """Create the access of one process to a store."""
+    return MemoryStoreClient(store, era or store_era.create_store_era())
