Keep at most once when the store loses claims in a restore

A claim that was acknowledged and then lost looked like a key that was never used. The next request with the key ran again, and an outcome query sealed the key and said not_run. An older record (void, sealed, or started with another digest) misled in the same way.

After a restore, a claim proves that a key has not run only if the key is confirmed in the store's era: it begins with era-<n>. for the current era, or the restore was noticed longer ago than claims are kept. Otherwise no claim is made and the answer is unknown (409, claim_unconfirmed); only a done claim is used. The era is that of the response to the write, so a restore between the check and the write is noticed. A sidecar whose claim was lost while its call ran writes it again with the response.

Ruled out: the sidecars' and gateways' memory of their keys, as a key is lost when both end with the store (docs/design.md, 6.10).

The fault matrix has the fault restore. Three mutations turn cells red again.

test_claims_machine.py creates its claims in a method, so that the machine with restores can extend it. Run: tests/core, tests/gateway, tests/sidecar.

--- a/packages/core/src/verbenafall_core/claims/decisions.py
+++ b/packages/core/src/verbenafall_core/claims/decisions.py
@@ -131,22 +131,46 @@
     return Write(sealed_claim(sealer, now), stored.version)
 
 
+def find_final_result(
+    body_digest: str, stored: Stored | None
+) -> model.Replay | model.Mismatch | None:
+    """Return the result of a start that no restore of the store can change.
+
+    Only a claim that is done is final. After a restore, any other state may
+    be older than one that was lost.
+    """
+    if stored is None or stored.claim.answer is None:
+        return None
+    if stored.claim.body_digest != body_digest:
+        return model.Mismatch()
+    return model.Replay(stored.claim.answer)
+
+
 def next_finish_step(
-    token: str,
+    started: model.Claim,
     answer: model.StoredAnswer,
     stored: Stored | None,
     now: datetime.datetime,
 ) -> FinishStep:
-    """Decide to record the answer if the token's claim is still started."""
-    current = find_started_claim(token, stored)
-    if current is None:
+    """Decide to record the answer of the attempt that ran under a claim.
+
+    The claim is written again if a restore of the store has lost it.
+    """
+    if not may_record_answer(started.token, stored):
         return Complete()
-    claim = current.claim._replace(
+    claim = started._replace(
         state=model.ClaimState.DONE,
         answer=drop_large_body(answer),
         changed_at=now,
     )
-    return Write(claim, current.version)
+    return Write(claim, None if stored is None else stored.version)
+
+
+def may_record_answer(token: str, stored: Stored | None) -> bool:
+    """Return whether the record is absent, void, or started by the token."""
+    if stored is None or stored.claim.state is model.ClaimState.VOID:
+        return True
+    return find_started_claim(token, stored) is not None
 
 
 def next_abandon_step(
--- a/packages/core/src/verbenafall_core/claims/event_catalogue.py
+++ b/packages/core/src/verbenafall_core/claims/event_catalogue.py
@@ -44,3 +44,11 @@
     "INFO",
     "The claim of an attempt that did not run was voided by a retry.",
 )
+CLAIMS_UNCONFIRMED = event_log.define(
+    1307,
+    "claims_unconfirmed",
+    "WARNING",
+    "The object store was restored from an older copy and may have lost"
+    " claims. Until the time given, non-idempotent requests get the outcome"
+    " unknown unless their keys begin with the prefix of the era.",
+)
--- a/packages/core/src/verbenafall_core/claims/model.py
+++ b/packages/core/src/verbenafall_core/claims/model.py
@@ -79,7 +79,8 @@
     """The operation is refused; whether the key ran is not known.
 
     An attempt was started under the key, the attempt being started was voided
-    before, or the record lists too many voided attempts to add another.
+    before, the record lists too many voided attempts to add another, or a
+    restore of the store may have lost the claim.
 
     Attributes:
         attempt_id: The refused attempt if it was voided, else the one in the
@@ -97,6 +98,18 @@
     """A client has been sent the outcome not_run, so no attempt may run."""
 
 
+class Unconfirmed(NamedTuple):
+    """The start is refused; whether the key ran is not known.
+
+    A restore of the store may have lost the claim of the key.
+
+    Attributes:
+        key_prefix: How keys begin that may be started now.
+    """
+
+    key_prefix: str
+
+
 class Unavailable(NamedTuple):
     """The store gave no final result; a start must not call the endpoint."""
 
@@ -107,7 +120,9 @@
     """No attempt has run so far, and the given attempt never will."""
 
 
-StartResult = StartedClaim | Replay | Held | Mismatch | Sealed | Unavailable
+StartResult = (
+    StartedClaim | Replay | Held | Mismatch | Sealed | Unconfirmed | Unavailable
+)
 SettleResult = Voided | Replay | Held | Unavailable
 SealResult = Sealed | Replay | Held | Unavailable
 
--- a/packages/core/src/verbenafall_core/claims/service.py
+++ b/packages/core/src/verbenafall_core/claims/service.py
@@ -17,7 +17,9 @@
 from verbenafall_core.claims import event_catalogue
 from verbenafall_core.claims import model
 from verbenafall_core.claims import record
+from verbenafall_core.claims import restores
 from verbenafall_core.object_store import port
+from verbenafall_core.object_store import revisions
 
 # A round is a conditional write, after a read if the record is not known.
 MAX_ROUNDS: Final = 3
@@ -50,7 +52,12 @@
 
 
 class ClaimService:
-    """Claims in the object store; thread-safe."""
+    """Claims in the object store; thread-safe.
+
+    Attributes:
+        era: The newest era of the store, as the versions of claims state it.
+        restore_record: When the current era began.
+    """
 
     def __init__(
         self,
@@ -62,6 +69,8 @@
         self.store = store
         self.clock = clock
         self.new_token = new_token
+        self.era = 0
+        self.restore_record = restores.create_restore_record(store, clock)
         self.lock = threading.Lock()
         self.unresolved: collections.deque[Unresolved] = collections.deque(
             maxlen=MAX_UNRESOLVED
@@ -77,6 +86,8 @@
     ) -> model.StartResult:
         """Claim a key for an attempt, just before the endpoint is called."""
         name = model.object_name(team, key)
+        if not self.may_write(key):
+            return self.refuse_unconfirmed(name, body_digest)
         start = decisions.Start(
             attempt_id, body_digest, endpoint, self.new_token()
         )
@@ -88,14 +99,71 @@
         step: decisions.StartEnd | Undecided = self.write_until_decided(
             name, decide, first=decide(None)
         )
-        if isinstance(step, decisions.Acquired):
-            return model.StartedClaim(
-                name, step.stored.version, step.stored.claim
-            )
         if isinstance(step, Undecided):
             return self.fail_start(name, start, step)
+        if isinstance(step, decisions.Acquired):
+            return self.confirm_start(name, key, step.stored)
+        if not self.is_confirmed(key, self.era):
+            return self.refuse_unconfirmed(name, body_digest)
         return step
 
+    def confirm_start(
+        self, name: str, key: str, stored: decisions.Stored
+    ) -> model.StartedClaim | model.Unconfirmed:
+        """Check a claim that was written against the era of the write.
+
+        The store may have been restored since the previous check. The claim
+        then stays started, so that nothing runs under it.
+        """
+        if not self.is_confirmed(key, revisions.era_of(stored.version)):
+            return model.Unconfirmed(restores.key_prefix(self.era))
+        return model.StartedClaim(name, stored.version, stored.claim)
+
+    def may_write(self, key: str) -> bool:
+        """Return whether a claim may be written for a key.
+
+        A key from an era that this process does not know yet may be right;
+        the response to the write states the era.
+        """
+        if restores.is_from_later_era(key, self.era):
+            return True
+        return self.is_confirmed(key, self.era)
+
+    def is_confirmed(self, key: str, era: int) -> bool:
+        """Return whether the claim of a key proves that it has not run.
+
+        Args:
+            key: The client's idempotency key.
+            era: The era of the store in which the claim was read or written.
+        """
+        if restores.is_confirmed_without_record(key, era):
+            return True
+        if restores.is_from_later_era(key, era):
+            return False
+        restore = self.restore_record.find(era)
+        if restore is None:
+            return False
+        return restores.is_over(restore, era, self.clock.now())
+
+    def refuse_unconfirmed(
+        self, name: str, body_digest: str
+    ) -> model.StartResult:
+        """Return the result of a start whose key is not confirmed."""
+        stored = self.read(name).value_or(None)
+        final = decisions.find_final_result(body_digest, stored)
+        if final is not None:
+            return final
+        return model.Unconfirmed(restores.key_prefix(self.era))
+
+    def read_unconfirmed(self, name: str) -> model.Replay | model.Held:
+        """Return the outcome of a key that is not confirmed."""
+        stored = self.read(name).value_or(None)
+        if stored is None:
+            return model.Held("")
+        if stored.claim.answer is not None:
+            return model.Replay(stored.claim.answer)
+        return model.Held(stored.claim.attempt_id)
+
     def fail_start(
         self, name: str, start: decisions.Start, undecided: Undecided
     ) -> model.Unavailable:
@@ -116,11 +184,10 @@
         self, started: model.StartedClaim, answer: model.StoredAnswer
     ) -> None:
         """Record the answer; the claim stays started if this fails."""
-        token = started.claim.token
 
         def decide(stored: decisions.Stored | None) -> decisions.FinishStep:
             return decisions.next_finish_step(
-                token, answer, stored, self.clock.now()
+                started.claim, answer, stored, self.clock.now()
             )
 
         current = decisions.Stored(started.version, started.claim)
@@ -157,11 +224,15 @@
                 attempt_id, stored, self.clock.now()
             )
 
+        if not self.may_write(key):
+            return self.read_unconfirmed(name)
         step: decisions.SettleEnd | Undecided = self.write_until_decided(
             name, decide
         )
         if isinstance(step, Undecided):
             return model.Unavailable(step.message)
+        if not self.is_confirmed(key, self.era):
+            return self.read_unconfirmed(name)
         return step
 
     def seal(self, team: str, key: str, sealer: str) -> model.SealResult:
@@ -171,11 +242,15 @@
         def decide(stored: decisions.Stored | None) -> decisions.SealStep:
             return decisions.next_seal_step(sealer, stored, self.clock.now())
 
+        if not self.may_write(key):
+            return self.read_unconfirmed(name)
         step: decisions.SealEnd | Undecided = self.write_until_decided(
             name, decide
         )
         if isinstance(step, Undecided):
             return model.Unavailable(step.message)
+        if not self.is_confirmed(key, self.era):
+            return self.read_unconfirmed(name)
         return step
 
     def resolve(self) -> None:
@@ -286,10 +361,16 @@
                 error=claim.failure(),
             )
             return returns.result.Failure("claim is malformed")
+        self.observe(stored.version)
         return returns.result.Success(
             decisions.Stored(stored.version, claim.unwrap())
         )
 
+    def observe(self, version: int) -> None:
+        """Take note of the era in which the store gave out a version."""
+        with self.lock:
+            self.era = max(self.era, revisions.era_of(version))
+
     def write(
         self, name: str, step: decisions.Write
     ) -> returns.result.Result[decisions.Stored, port.StoreFailure]:
@@ -299,6 +380,8 @@
             result = self.store.create(name, value)
         else:
             result = self.store.update(name, value, step.expected_version)
+        if returns.pipeline.is_successful(result):
+            self.observe(result.unwrap().version)
         return result.map(
             lambda stored: decisions.Stored(stored.version, step.claim)
         )
--- a/packages/core/src/verbenafall_core/outcomes.py
+++ b/packages/core/src/verbenafall_core/outcomes.py
@@ -26,6 +26,7 @@
     CANCELLED = "cancelled"
     CLAIM_HELD = "claim_held"
     CLAIM_MISMATCH = "claim_mismatch"
+    CLAIM_UNCONFIRMED = "claim_unconfirmed"
     DEADLINE = "deadline"
     DRAINING = "draining"
     DUPLICATE_ATTEMPT = "duplicate_attempt"
--- a/packages/gateway/src/verbenafall_gateway/client_http/answers.py
+++ b/packages/gateway/src/verbenafall_gateway/client_http/answers.py
@@ -20,6 +20,7 @@
     outcomes.Reason.CANCELLED: 503,
     outcomes.Reason.CLAIM_HELD: 409,
     outcomes.Reason.CLAIM_MISMATCH: 422,
+    outcomes.Reason.CLAIM_UNCONFIRMED: 409,
     outcomes.Reason.DEADLINE: 504,
     outcomes.Reason.DRAINING: 503,
     outcomes.Reason.DUPLICATE_ATTEMPT: 503,
@@ -39,6 +40,7 @@
     {
         outcomes.Reason.BAD_REQUEST,
         outcomes.Reason.CLAIM_MISMATCH,
+        outcomes.Reason.CLAIM_UNCONFIRMED,
         outcomes.Reason.KEY_SEALED,
     }
 )
--- a/packages/gateway/src/verbenafall_gateway/delivery/attempt_events.py
+++ b/packages/gateway/src/verbenafall_gateway/delivery/attempt_events.py
@@ -197,6 +197,8 @@
 
 def describe_refusal(event: messages.Refused) -> str:
     """Return the message to the client for a refused attempt."""
+    if event.reason is outcomes.Reason.CLAIM_UNCONFIRMED:
+        return event.detail
     if event.detail:
         return f"the endpoint refused the request: {event.detail}"
     if event.reason is outcomes.Reason.KEY_SEALED:
--- a/packages/gateway/src/verbenafall_gateway/delivery/retry_rules.py
+++ b/packages/gateway/src/verbenafall_gateway/delivery/retry_rules.py
@@ -17,6 +17,7 @@
         outcomes.Reason.CANCELLED,
         outcomes.Reason.CLAIM_HELD,
         outcomes.Reason.CLAIM_MISMATCH,
+        outcomes.Reason.CLAIM_UNCONFIRMED,
         outcomes.Reason.DEADLINE,
         outcomes.Reason.KEY_SEALED,
         outcomes.Reason.STORE_UNAVAILABLE,
--- a/packages/sidecar/src/verbenafall_sidecar/delivery/claim_results.py
+++ b/packages/sidecar/src/verbenafall_sidecar/delivery/claim_results.py
@@ -107,6 +107,23 @@
     callbacks.end_refused(attempt, Reason.KEY_SEALED, NOT_RUN)
 
 
+@continue_attempt.register
+def _(
+    result: model.Unconfirmed,
+    _call: CallEndpoint,
+    callbacks: ClaimCallbacks,
+    attempt: attempt_lib.Attempt,
+) -> None:
+    callbacks.end_refused(
+        attempt,
+        Reason.CLAIM_UNCONFIRMED,
+        UNKNOWN,
+        "the object store was restored, and it cannot be told whether this"
+        " request has run; a new request runs under a key that begins with"
+        f" {result.key_prefix!r}",
+    )
+
+
 @continue_attempt.register
 def _(
     _result: model.Unavailable,
--- a/tests/core/test_claims_machine.py
+++ b/tests/core/test_claims_machine.py
@@ -63,9 +63,12 @@
         self.store_is_down = False
         self.unresolved = [[] for _ in range(CLAIMERS)]
 
+    def create_claims(self, store):
+        return service.create_claim_service(store, self.clock)
+
     def start_operation(self, function):
         stepping_store = stepping.SteppingStore(self.store, self.delayed_calls)
-        claims = service.create_claim_service(stepping_store, self.clock)
+        claims = self.create_claims(stepping_store)
 
         def run(operation):
             stepping_store.operation = operation
--- a/tests/faults/flow_claim.py
+++ b/tests/faults/flow_claim.py
@@ -13,10 +13,15 @@
     Fault.STORE_DOWN: memory_store.Fault.DOWN,
 }
 STEPS = ("first_create", "second_create")
+# More than all changes of the flow.
+RESTORED_CHANGES = 10
 
 
 def run(cell: matrix.Cell) -> matrix.Report:
-    """Claim a key in two attempts with the fault and in a third without."""
+    """Claim a key in two attempts with the fault and in a third without.
+
+    A restore comes after the call of its step.
+    """
     store = memory_store.create_memory_store()
     claims = service.create_claim_service(
         store, manual_clock.create_manual_clock()
@@ -31,13 +36,15 @@
         )
         if is_outage or (step, call.operation) == (injection.step, "create"):
             injected.add(injection)
-            return STORE_FAULTS[injection.fault]
+            return STORE_FAULTS.get(injection.fault)
         return None
 
     store.plan = plan
     results = []
     for step in STEPS:
         results.append(claims.start("t", "k", f"{step}.1", "d", "ep"))
+        if injection == (step, Fault.RESTORE):
+            store.restore(RESTORED_CHANGES)
     store.plan = memory_store.no_faults
     results.append(claims.start("t", "k", "third.1", "d", "ep"))
     started = sum(isinstance(item, model.StartedClaim) for item in results)
@@ -47,7 +54,7 @@
 
 def exclusion_reason(_step: str, fault: Fault) -> str | None:
     """Exclude faults that do not apply to a single store call."""
-    if fault in STORE_FAULTS:
+    if fault in STORE_FAULTS or fault is Fault.RESTORE:
         return None
     return "covered by the flows with processes, links and time"
 
--- a/tests/faults/flow_leaving.py
+++ b/tests/faults/flow_leaving.py
@@ -308,7 +308,7 @@
     """Exclude faults that do not apply to messages on a link."""
     if fault is Fault.LOST_ANSWER:
         return "messages on a link have no answers"
-    if fault is Fault.STORE_DOWN:
+    if fault in (Fault.STORE_DOWN, Fault.RESTORE):
         return "the flow does not use the store"
     return None
 
@@ -317,7 +317,7 @@
     """Exclude faults that do not apply to the polls of one gateway."""
     if fault is Fault.REORDER:
         return "a gateway makes one poll of the list at a time"
-    if fault is Fault.STORE_DOWN:
+    if fault in (Fault.STORE_DOWN, Fault.RESTORE):
         return "the flow does not use the store"
     return None
 
--- a/tests/faults/flow_rank_switch.py
+++ b/tests/faults/flow_rank_switch.py
@@ -8,6 +8,7 @@
 from faults import matrix
 from steering import rank_fleet
 from verbenafall_core.expert_maps import rank_state
+from verbenafall_core.object_store import revisions
 
 Fault = matrix.Fault
 UNANSWERED = rank_state.OrderAnswer.UNANSWERED
@@ -17,8 +18,12 @@
 GATEWAY_HOLD = "gateway_hold"
 STEPS = ("prepare", "hold", GATEWAY_HOLD, "arm", "release")
 LEADER_STEPS = ("hold", "release")
-# In ticks of 20 ms: time without a leader, downtime of a stopped sidecar, delay
-# of a late order or of a lost connection, and limit for the recovery.
+# The store gives out the number of the first leader's term again.
+ERA_AFTER_RESTORE, NUMBER_OF_FIRST_TERM = 2, 1
+# In ticks of 20 ms: time for which a former leader sends orders, time without a
+# leader, downtime of a stopped sidecar, delay of a late order or of a lost
+# connection, and limit for the recovery.
+FORMER_LEADER_TICKS = 10
 LEADERLESS_TICKS, DOWNTIME_TICKS, DELAY_TICKS, RECOVERY_TICKS = 50, 100, 60, 250
 
 
@@ -32,6 +37,8 @@
         self.scheduled = []
         self.held_back = None
         self.ignored_orders = {}
+        # The rank to which gateways send a hold.
+        self.held_rank = LEADER
         self.fleet = rank_fleet.Fleet(fences)
         for port in self.fleet.ports:
             port.on_order = self.on_order
@@ -63,8 +70,11 @@
         return answer
 
     def on_gateway_hold(self, order):
-        rank = self.fleet.group.ranks[LEADER]
+        rank = self.fleet.group.ranks[self.held_rank]
         fault = self.next_fault(GATEWAY_HOLD)
+        if fault is Fault.RESTORE:
+            restore(self, self.fleet.ports[LEADER], order)
+            return
         if fault in (Fault.KILL, Fault.CUT_OUT):
             return
         if fault in (Fault.PAUSE, Fault.DELAY, Fault.REORDER, Fault.SLOW):
@@ -160,6 +170,25 @@
     return UNANSWERED
 
 
+def restore(model, port, order):
+    """Lose the leader's term; another sidecar takes the next one.
+
+    The former leader sends orders for some time.
+    """
+    former = model.fleet.leader
+    model.held_rank = FOLLOWER
+    answer = port.rank.handle_order(order)
+    model.fleet.start_leader(
+        revisions.create_revision(ERA_AFTER_RESTORE, NUMBER_OF_FIRST_TERM),
+        FOLLOWER,
+    )
+    for tick in range(1, FORMER_LEADER_TICKS + 1):
+        model.schedule(
+            tick, lambda: former.run_cycle(model.fleet.clock.monotonic())
+        )
+    return answer
+
+
 def ignore_orders(model, port, order):
     del order
     model.ignored_orders[port.rank.number] = 3
@@ -176,6 +205,7 @@
     Fault.REORDER: reorder,
     Fault.LOST_ANSWER: lose_answer,
     Fault.SLOW: ignore_orders,
+    Fault.RESTORE: restore,
 }
 
 
--- a/tests/faults/flow_requests.py
+++ b/tests/faults/flow_requests.py
@@ -23,7 +23,9 @@
 NOT_RUN = outcomes.Outcome.NOT_RUN
 RAN = outcomes.Outcome.RAN
 
-PROCESS_FAULTS = frozenset({Fault.KILL, Fault.PAUSE, Fault.STORE_DOWN})
+PROCESS_FAULTS = frozenset(
+    {Fault.KILL, Fault.PAUSE, Fault.STORE_DOWN, Fault.RESTORE}
+)
 MESSAGE_FAULTS = PROCESS_FAULTS | {
     Fault.CUT_OUT,
     Fault.CUT_IN,
--- a/tests/faults/flow_stop.py
+++ b/tests/faults/flow_stop.py
@@ -34,6 +34,8 @@
 GATEWAY_STEPS = ("signal", "leaving", "waiting")
 SIDECAR_STEPS = ("signal", "announcing", "waiting")
 ATTEMPTS = ("r.1", "r.2")
+# More than all changes of the store in a run.
+ALL_CHANGES = 100
 EXCLUSION_REASONS = {
     Fault.KILL: "a kill is not a planned stop",
     Fault.PAUSE: "a pause counts towards stop_limit, which limits the wait",
@@ -62,6 +64,8 @@
             os.kill(os.getpid(), signal.SIGTERM)
         if self.injection.fault is Fault.STORE_DOWN:
             self.store.plan = lambda _call: memory_store.Fault.DOWN
+        if self.injection.fault is Fault.RESTORE:
+            self.store.restore(ALL_CHANGES)
 
 
 class OpenResponses:
--- a/tests/faults/matrix.py
+++ b/tests/faults/matrix.py
@@ -27,7 +27,8 @@
     CUT_OUT loses everything that the acting process sends, and CUT_IN
     everything that it receives. LOST_ANSWER loses the answer of a call that
     took effect. STORE_DOWN lasts until the end of the flow unless the flow
-    sets another duration.
+    sets another duration. RESTORE undoes some of the latest changes of the
+    store and begins its next era.
     """
 
     KILL = "kill"
@@ -40,6 +41,7 @@
     LOST_ANSWER = "lost_answer"
     SLOW = "slow"
     STORE_DOWN = "store_down"
+    RESTORE = "restore"
 
 
 class Injection(NamedTuple):
--- a/tests/faults/request_fleet.py
+++ b/tests/faults/request_fleet.py
@@ -40,6 +40,8 @@
 # deadline and the outage.
 PAUSE_SECONDS = (6, 14)
 DELAY_SECONDS = (0.5, 2.8, 12.0)
+# Numbers of the latest changes that a restore of the store undoes.
+RESTORED_CHANGES = (1, 10)
 SLOW_CALL_TIME = seconds(2.5)
 SLOW_SERVICE_TIME = seconds(12)
 TICK_INTERVAL = seconds(1)
@@ -551,6 +553,8 @@
             self.disrupted.add(process.name)
         if Fault.STORE_DOWN in faults:
             self.store_down_until = self.simulator.now() + OUTAGE_DURATION
+        if Fault.RESTORE in faults:
+            self.store.restore(self.generator.choice(RESTORED_CHANGES))
         if Fault.PAUSE in faults:
             self.pause(process)
         if Fault.KILL in faults:
--- a/tests/faults/test_mutations.py
+++ b/tests/faults/test_mutations.py
@@ -10,6 +10,7 @@
 from verbenafall_core import outcomes
 from verbenafall_core.claims import decisions
 from verbenafall_core.claims import model
+from verbenafall_core.claims import restores
 from verbenafall_core.claims import service as claim_service
 from verbenafall_gateway.delivery import attempt_events
 from verbenafall_gateway.delivery import open_attempts
@@ -156,6 +157,24 @@
     )
 
 
+def store_restored_claims_are_trusted(_fleet, monkeypatch):
+    """Treat every key as confirmed in every era of the store."""
+    monkeypatch.setattr(
+        restores, "is_confirmed_without_record", lambda _key, _era: True
+    )
+
+
+def store_restored_claim_is_checked_before_the_write(_fleet, monkeypatch):
+    """Do not check the era of the store in which a claim was written."""
+    monkeypatch.setattr(
+        claim_service.ClaimService,
+        "confirm_start",
+        lambda _claims, name, _key, stored: model.StartedClaim(
+            name, stored.version, stored.claim
+        ),
+    )
+
+
 class Mutation(NamedTuple):
     """A mutation and the violation that a cell of a flow must report."""
 
@@ -168,6 +187,21 @@
 MUTATIONS = [
     Mutation("P1", create_claims_unconditionally, "reservation", "the key ran"),
     Mutation("P1", start_without_claims, "reservation", "the key ran"),
+    Mutation(
+        "P1", store_restored_claims_are_trusted, "reservation", "the key ran"
+    ),
+    Mutation(
+        "P1",
+        store_restored_claim_is_checked_before_the_write,
+        "reservation",
+        "the key ran",
+    ),
+    Mutation(
+        "P2",
+        store_restored_claims_are_trusted,
+        "outcome_after_claim",
+        "not_run",
+    ),
     Mutation(
         "P2",
         ignore_cancels_of_unseen_attempts,
--- a/tests/gateway/test_http_app.py
+++ b/tests/gateway/test_http_app.py
@@ -167,6 +167,7 @@
     (Reason.DEADLINE, NOT_RUN, 504, True),
     (Reason.CLAIM_HELD, UNKNOWN, 409, True),
     (Reason.CLAIM_MISMATCH, NOT_RUN, 422, False),
+    (Reason.CLAIM_UNCONFIRMED, UNKNOWN, 409, False),
     (Reason.KEY_SEALED, NOT_RUN, 409, False),
     (Reason.STORE_UNAVAILABLE, NOT_RUN, 503, True),
 ]
@@ -264,6 +265,19 @@
         error = call(gateway, RESERVE, headers=headers).json["error"]
         assert "use a new key" in error["message"]
 
+    def test_refusal_after_a_store_restored_states_the_prefix(self):
+        """Guards against clients that cannot make a key that runs."""
+
+        def refuse_key(message):
+            refused = fakes.refused(message, Reason.CLAIM_UNCONFIRMED, UNKNOWN)
+            return [refused._replace(detail="keys begin with 'era-2.'")]
+
+        gateway, _ = create("mostrador-app", refuse_key)
+        headers = {"Idempotency-Key": "k"}
+        error = call(gateway, RESERVE, headers=headers).json["error"]
+        assert error["code"] == "claim_unconfirmed"
+        assert error["message"] == "keys begin with 'era-2.'"
+
     @pytest.mark.parametrize("phase", list(service_state.Phase)[::2])
     def test_refused_query_has_the_outcome_unknown(self, phase):
         """Guards against a not_run that is meant for the query, not its key."""
--- a/tests/gateway/test_routing.py
+++ b/tests/gateway/test_routing.py
@@ -229,6 +229,7 @@
     (False, NOT_RUN, Reason.LINK_LOST, False, 0, 100, WITH_BUDGET),
     (False, UNKNOWN, Reason.CLAIM_HELD, False, 0, 100, GIVE_UP),
     (False, NOT_RUN, Reason.CLAIM_MISMATCH, False, 0, 100, GIVE_UP),
+    (False, UNKNOWN, Reason.CLAIM_UNCONFIRMED, False, 0, 100, GIVE_UP),
     (False, NOT_RUN, Reason.KEY_SEALED, False, 0, 100, GIVE_UP),
     (False, NOT_RUN, Reason.STORE_UNAVAILABLE, False, 0, 100, GIVE_UP),
     (True, NOT_RUN, Reason.DEADLINE, False, 0, 100, GIVE_UP),
--- a/tests/sidecar/test_dispatcher.py
+++ b/tests/sidecar/test_dispatcher.py
@@ -174,6 +174,20 @@
         if reply[0] == "End":
             assert harness.link.sent[-2].data == b"xxxxx"
 
+    def test_key_of_a_store_restored_is_unknown(self):
+        """Guards against "not run", and against a second run."""
+        harness = helpers.DispatcherHarness()
+        harness.claims.start("team", "key", "other.1", "digest", "ep")
+        harness.store.restore(1)
+        harness.dispatch(NON_IDEMPOTENT)
+        assert describe_last_message(harness) == (
+            "Refused",
+            UNKNOWN,
+            Reason.CLAIM_UNCONFIRMED,
+        )
+        assert "'era-2.'" in harness.link.sent[-1].detail
+        assert harness.endpoint.started == []
+
     def test_deadline_is_checked_again_after_the_claim(self):
         harness = helpers.DispatcherHarness()
 
