Write the bundle head and texts again after a restore of the store

A restored store has an older head, and may lack the text of the accepted version. Processes kept their version, but a process that started took the older one for good, and bundle roll gave out the same number for another text.

A process that reads a head older than the versions it knows now creates the missing texts that it holds and updates the head conditionally. A delayed read of a current head leads to a conflict. bundle roll creates no text while a process has a newer version than the head, and stores its text again when the era of the head is another than that in which it last saw the text.

The restore cells of rank_switch, with a second leader whose term has the same number in the next era, hold; without the era in the revision they are red ("no map came into use").

The stores of the processes in test_fleet.py can also write; its checks are unchanged.

--- a/packages/core/src/verbenafall_core/bundles/event_catalogue.py
+++ b/packages/core/src/verbenafall_core/bundles/event_catalogue.py
@@ -51,3 +51,17 @@
     "INFO",
     "The bundle head could be read again after bundle_store_failed.",
 )
+BUNDLE_HEAD_WRITTEN_AGAIN = event_log.define(
+    4009,
+    "bundle_head_written_again",
+    "WARNING",
+    "The bundle head in the store was older than the versions that this process"
+    " knows, and was written again. Expected after a restore of the store.",
+)
+BUNDLE_NUMBER_REUSED = event_log.define(
+    4010,
+    "bundle_number_reused",
+    "ERROR",
+    "The store has another text than this process under a version that was"
+    " accepted or pending. Roll out a higher version.",
+)
--- a/packages/core/src/verbenafall_core/bundles/roll.py
+++ b/packages/core/src/verbenafall_core/bundles/roll.py
@@ -21,6 +21,7 @@
 from verbenafall_core.bundles import roll_plan
 from verbenafall_core.instance_list import port as instance_port
 from verbenafall_core.object_store import port
+from verbenafall_core.object_store import revisions
 
 RETRY_INTERVAL: Final = datetime.timedelta(milliseconds=250)
 # Notices are repeated because one can be lost and processes of a large fleet
@@ -98,6 +99,7 @@
 
     Attributes:
         next_notice: Monotonic time of the next repeated notice.
+        text_era: Era of the store in which it was last seen to have the text.
         last_problem: Error of the last failed store call, cleared once the
             stored state could be read.
         last_line: Last progress line that was reported.
@@ -123,6 +125,7 @@
         self.version = signed.version
         self.deadline = clock.monotonic() + limit
         self.next_notice = clock.monotonic()
+        self.text_era = 0
         self.last_problem = ""
         self.last_line = ""
 
@@ -163,6 +166,28 @@
             " Run the same command again to continue",
         )
 
+    def check_head(self) -> bool:
+        """Return whether the head is as new as what the processes have.
+
+        After a restore of the store it is not, until a process has written it
+        again. A text created before that could reuse the number of another.
+        """
+        state = self.read_head()
+        if state is None:
+            return False
+        statuses = self.fleet.read().statuses
+        newest = max((max(s.in_force, s.pending) for s in statuses), default=0)
+        if newest <= max(state.head):
+            self.last_problem = ""
+            return True
+        self.last_problem = (
+            f"processes have version {newest}, but the head in the store does"
+            " not; they write it again"
+        )
+        self.report(self.last_problem)
+        self.repeat_notice()
+        return False
+
     def put_text(self) -> RolloutResult | bool:
         """Store the bundle under its version.
 
@@ -170,6 +195,8 @@
             True when the store has this bundle, False to try again, and a
             result when the rollout has failed.
         """
+        if not self.check_head():
+            return False
         name = records.bundle_name(self.version)
         value = records.encode_bundle(self.signed)
         if len(value) > port.MAX_VALUE_BYTES:
@@ -180,6 +207,7 @@
             )
         created = self.store.create(name, value)
         if isinstance(created, returns.result.Success):
+            self.text_era = revisions.era_of(created.unwrap().version)
             self.report(f"version {self.version} is in the store")
             return True
         self.last_problem = created.failure().message
@@ -201,6 +229,7 @@
             self.last_problem = read.failure().message
             return False
         self.last_problem = ""
+        self.text_era = revisions.era_of(read.unwrap().version)
         stored = records.decode_bundle(self.version, read.unwrap().value)
         if stored.value_or(None) == self.signed:
             self.report(f"version {self.version} is in the store")
@@ -220,6 +249,18 @@
         state = self.read_head()
         if state is None:
             return False
+        if revisions.era_of(state.object_version) != self.text_era:
+            # A restore of the store may have lost the text.
+            stored = self.put_text()
+            if stored is not True:
+                return stored
+        return self.act_on_head(state)
+
+    def act_on_head(self, state: _HeadState) -> RolloutResult | bool:
+        """Perform the action that follows from the head.
+
+        Returns the same values as advance().
+        """
         used = self.find_used_versions(state.head)
         if used is None:
             return False
--- a/packages/core/src/verbenafall_core/bundles/service.py
+++ b/packages/core/src/verbenafall_core/bundles/service.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 import datetime
 import random
 import threading
@@ -19,6 +20,7 @@
 from verbenafall_core import periodic
 from verbenafall_core.bundles import adoption
 from verbenafall_core.bundles import event_catalogue
+from verbenafall_core.bundles import head_repair
 from verbenafall_core.bundles import model
 from verbenafall_core.bundles import records
 from verbenafall_core.bundles import signing
@@ -101,6 +103,7 @@
     ) -> None:
         """Create a service that is not yet running."""
         self.store = store
+        self.head_repair = head_repair.create_head_repair(store)
         self.public_keys = public_keys
         self.clock = clock
         self.interval = poll_interval
@@ -353,22 +356,36 @@
         )
         result = self.store.read(records.HEAD_NAME)
         if isinstance(result, returns.result.Success):
-            self.handle_head(result.unwrap().value, sent_at)
+            stored = result.unwrap()
+            head = records.decode_head(stored.value)
+            if isinstance(head, returns.result.Success):
+                self.handle_head(head.unwrap(), stored.version, sent_at)
+            else:
+                self.record_store_result(head.failure())
         elif result.failure().kind is port.FailureKind.MISSING:
-            self.record_store_result("")
-            self.handle_event(adoption.HeadRead(0, 0, sent_at))
+            self.handle_head(records.Head(0, 0), 0, sent_at)
         else:
             self.record_store_result(result.failure().message)
 
-    def handle_head(self, value: bytes, sent_at: datetime.timedelta) -> None:
-        """Decode the head and apply it to the state."""
-        head = records.decode_head(value)
-        if not isinstance(head, returns.result.Success):
-            self.record_store_result(head.failure())
-            return
+    def handle_head(
+        self,
+        head: records.Head,
+        object_version: int,
+        sent_at: datetime.timedelta,
+    ) -> None:
+        """Apply the head to the state; write it again if it is too old."""
         self.record_store_result("")
-        accepted, pending = head.unwrap()
-        self.handle_event(adoption.HeadRead(accepted, pending, sent_at))
+        self.handle_event(
+            adoption.HeadRead(head.accepted, head.pending, sent_at)
+        )
+        with self.lock:
+            known = records.Head(self.state.accepted, self.state.pending)
+            texts = dict(self.texts)
+        newer = head_repair.find_newer_head(head, known)
+        if newer is not None:
+            self.head_repair.write(
+                newer, object_version, decompress_texts(newer, texts)
+            )
 
     def record_store_result(self, problem: str) -> None:
         """Log when store reads start to fail and when they work again.
@@ -525,6 +542,18 @@
         self.logged_ready = ready
 
 
+def decompress_texts(
+    head: records.Head, texts: Mapping[int, HeldText]
+) -> dict[int, model.SignedBundle]:
+    """Return the signed texts of a head's versions, as far as they are held."""
+    held = {version: texts[version] for version in head if version in texts}
+    return {
+        version: model.SignedBundle(version, data, text.signature)
+        for version, text in held.items()
+        if (data := records.decompress(text.data).value_or(None)) is not None
+    }
+
+
 def regular_interval(process_count: int) -> datetime.timedelta:
     """Return the poll interval that caps the fleet at MAX_POLLS_PER_SECOND."""
     spread = datetime.timedelta(seconds=process_count / MAX_POLLS_PER_SECOND)
--- a/tests/core/bundles/test_fleet.py
+++ b/tests/core/bundles/test_fleet.py
@@ -45,14 +45,31 @@
         self.name = name
 
     def read(self, name):
-        if self.name in self.fleet.store_cut or self.fleet.outage:
-            failure = port.StoreFailure(port.FailureKind.UNAVAILABLE, "cut")
-            return returns.result.Failure(failure)
+        if self.is_cut():
+            return fail_as_cut()
         result = self.fleet.store.read(name)
         if name == records.HEAD_NAME:
             self.fleet.record_head_read(self.name)
         return result
 
+    def create(self, name, value):
+        if self.is_cut():
+            return fail_as_cut()
+        return self.fleet.store.create(name, value)
+
+    def update(self, name, value, version):
+        if self.is_cut():
+            return fail_as_cut()
+        return self.fleet.store.update(name, value, version)
+
+    def is_cut(self):
+        return self.name in self.fleet.store_cut or self.fleet.outage
+
+
+def fail_as_cut():
+    failure = port.StoreFailure(port.FailureKind.UNAVAILABLE, "cut")
+    return returns.result.Failure(failure)
+
 
 class ModelLink:
     """One end of a link."""
--- a/tests/faults/flow_bundle_roll.py
+++ b/tests/faults/flow_bundle_roll.py
@@ -4,6 +4,7 @@
 runs an unsigned bundle, or accepts new work after it missed a version.
 """
 
+from core.bundles import restored_fleet
 from core.bundles import test_fleet
 from faults import matrix
 from verbenafall_standins.fakes import memory_store
@@ -18,6 +19,10 @@
 # it was accepted or the fault ended.
 CONVERGENCE_LIMIT_S = 7
 PAUSE_S = 8
+# Numbers of the latest changes that a restore of the store undoes.
+RESTORED_CHANGES = (1, 2, 4)
+# The text, and the head with the pending and with the accepted version.
+ROLLOUT_CHANGES = 3
 
 
 class Rollout:
@@ -26,7 +31,7 @@
     def __init__(self, cell):
         self.injection = cell.injections[0]
         self.generator = cell.create_generator()
-        self.model = test_fleet.FleetMachine()
+        self.model = restored_fleet.RestorableFleet()
         self.injected = False
         self.violations = []
 
@@ -65,9 +70,26 @@
             model.lose_operator_call(memory_store.Fault.LOST_ANSWER, 0)
         if fault is Fault.STORE_DOWN:
             model.toggle_outage()
+        if fault is Fault.RESTORE:
+            self.restore_store()
+
+    def restore_store(self):
+        self.model.restore_store(self.generator.choice(RESTORED_CHANGES))
+
+    def restore_store_at_process_step(self):
+        if self.injection.step != "activate":
+            self.restore_store()
+            return
+        # Nobody but the processes knows of the version any more.
+        self.advance(2)
+        self.model.rollouts.clear()
+        self.model.restore_store(ROLLOUT_CHANGES)
 
     def apply_process_fault(self, fault):
         model = self.model
+        if fault is Fault.RESTORE:
+            self.restore_store_at_process_step()
+            return
         match fault:
             case Fault.KILL:
                 model.restart(TARGET)
@@ -144,6 +166,7 @@
             self.advance(1)
         self.advance(CONVERGENCE_LIMIT_S)
         self.check_versions(test_fleet.NAMES, "after the fault")
+        self.check_store()
 
     def is_prepared(self):
         """Return whether each process has the version prepared or in force."""
@@ -163,7 +186,12 @@
         model.outage = False
         model.store.plan = memory_store.no_faults
         model.sync_links()
-        if not model.rollouts and self.head().accepted < VERSION:
+        is_restored = self.injection.fault is Fault.RESTORE
+        if (
+            not is_restored
+            and not model.rollouts
+            and self.head().accepted < VERSION
+        ):
             self.start_rollout(OTHER_OPERATOR)
 
     def reachable(self):
@@ -172,6 +200,14 @@
             return ()
         return [n for n in self.model.running() if n not in self.model.isolated]
 
+    def check_store(self):
+        """Check that processes that start now find what is accepted."""
+        name = test_fleet.records.bundle_name(VERSION)
+        if self.head().accepted != VERSION:
+            self.violations.append(f"the store has the head {self.head()}")
+        if name not in self.model.store.objects:
+            self.violations.append("the store has no text of the version")
+
     def check_versions(self, names, when):
         for name in names:
             service = self.model.processes[name].service
--- a/tests/faults/test_mutations_p4_to_p7.py
+++ b/tests/faults/test_mutations_p4_to_p7.py
@@ -9,8 +9,10 @@
 from faults import matrix
 from verbenafall_core import leases
 from verbenafall_core.bundles import adoption
+from verbenafall_core.bundles import head_repair
 from verbenafall_core.expert_maps import pass_switch
 from verbenafall_core.expert_maps import switch
+from verbenafall_core.object_store import revisions
 from verbenafall_gateway.choice import endpoint_view
 from verbenafall_gateway.choice import service_state
 from verbenafall_gateway.delivery import drain as gateway_drain
@@ -145,6 +147,21 @@
     )
 
 
+def store_restored_revisions_go_back(patch):
+    """Take the store's own number as the revision."""
+    patch.setattr(revisions, "create_revision", lambda _era, number: number)
+
+
+def store_restored_head_stays_old(patch):
+    patch.setattr(head_repair, "find_newer_head", lambda _stored, _known: None)
+
+
+def store_restored_text_stays_lost(patch):
+    patch.setattr(
+        head_repair.HeadRepair, "write_text", lambda _repair, _signed: True
+    )
+
+
 # Property, flow, mutation, expected part of the reason of a red cell.
 MUTATIONS = [
     ("P4", "old_orders_unfenced", ignore_order_epochs, "two maps"),
@@ -155,6 +172,14 @@
     ("P4", "map_switch_unfenced", release_without_arming, "two maps"),
     ("P4", "map_switch_unfenced", ignore_unclaimed_ranks, "map 2 and not 0"),
     ("lease", "lease", hold_lease_past_expiry, "two holders"),
+    (
+        "MAP",
+        "rank_switch_fenced",
+        store_restored_revisions_go_back,
+        "no map came into use",
+    ),
+    ("P5", "bundle_roll", store_restored_head_stays_old, "store has the head"),
+    ("P5", "bundle_roll", store_restored_text_stays_lost, "has no text"),
     ("P5", "bundle_roll", ignore_accepted_version, "with the fault"),
     ("P5", "bundle_roll", assume_permanent_contact, "check failed: p1"),
     ("P5", "bundle_roll", activate_before_accepted, "p1 runs 1 after the"),
