Keep map versions within 53 bits when terms contain an era

A term is a store revision, which has the era in its high bits. The first map version of a term was the term times 10,000, which exceeds 2**53 in the first era already: two versions in a row have one value as a 64-bit floating-point number, and from era 1,678 on the codec of the links cannot encode them.

The era now counts once and only the store's number is multiplied. Versions of later terms stay higher, also those of the first term after a restore.

Ruled out: the messages of the links and the JSON body of an order keep terms of the last revision of the last era; both have a test, which passed before.

--- a/packages/core/src/verbenafall_core/expert_maps/pass_switch.py
+++ b/packages/core/src/verbenafall_core/expert_maps/pass_switch.py
@@ -15,6 +15,7 @@
 
 from verbenafall_core.expert_maps import rank_state
 from verbenafall_core.expert_maps import replica_map
+from verbenafall_core.object_store import revisions
 
 # Distance of the held pass from the last started one. The next pass may start
 # while the order is in transit.
@@ -293,5 +294,12 @@
 
 
 def next_version(term: int, last: int) -> int:
-    """Return a map version above all that earlier terms may have used."""
-    return max(term * VERSIONS_PER_TERM, last) + 1
+    """Return a map version above all that earlier terms may have used.
+
+    A term is a store revision. The eras of the versions are as far apart as
+    those of the terms, so a version stays exact in JSON. That holds the order
+    unless a restore takes back 2**NUMBER_BITS / VERSIONS_PER_TERM changes.
+    """
+    start_of_era = revisions.create_revision(revisions.era_of(term), 0)
+    first = start_of_era + revisions.number_of(term) * VERSIONS_PER_TERM
+    return max(first, last) + 1
--- a/tests/core/test_codec.py
+++ b/tests/core/test_codec.py
@@ -8,7 +8,9 @@
 from verbenafall_core import codec
 from verbenafall_core import messages
 from verbenafall_core import outcomes
+from verbenafall_core.object_store import revisions
 
+LAST = revisions.create_revision(revisions.MAX_ERA, revisions.MAX_NUMBER)
 SAMPLES = [
     messages.Hello(1, "i", "gateway", "d", "s"),
     messages.Heartbeat(3, 4, True, False),
@@ -130,6 +132,34 @@
             list(decoder.feed(bytes(codec.MAX_MESSAGE_BYTES + 1)))
 
 
+# Messages that carry terms, map versions or versions of records.
+LARGE_REVISIONS = [
+    messages.GroupRecord("g", LAST, b"{}"),
+    messages.GroupMember("g", "i", (0,), LAST, 3, (3, 4), 100, 0, 99),
+    messages.StatusReply(
+        9, "i", "sidecar", "d", "s", 1, 2, (), True, "", False,
+        (messages.GroupStatus("g", LAST, "stable", 2, 100, ()),),
+    ),
+    messages.Leading("g", LAST, 100),
+    messages.RankStatus(
+        "g", 1, 2, 3, True, 40, LAST, LAST, LAST, 42, -1, LAST, LAST, LAST
+    ),
+    messages.RankOrder("g", "prepare", LAST, 3, LAST, 0, LAST, (), (((1,),),)),
+    messages.RankSlowdowns("g", LAST, ()),
+    messages.RankHold("g", "10.0.0.1", 8000, LAST, 2, 31),
+    messages.EndpointLeaving((("e", LAST),)),
+]  # fmt: skip
+
+
+class TestRevisions:
+    @pytest.mark.parametrize(
+        "sample", LARGE_REVISIONS, ids=lambda s: type(s).__name__
+    )
+    def test_store_restored_revisions_are_kept(self, sample):
+        found = list(codec.create_decoder().feed(codec.encode(sample)))
+        assert found == [sample]
+
+
 VALUES = strategies.recursive(
     strategies.none()
     | strategies.booleans()
--- a/tests/platform_adapter/test_decoders.py
+++ b/tests/platform_adapter/test_decoders.py
@@ -3,9 +3,11 @@
 import copy
 import datetime
 
+import msgspec
 import pytest
 
 from verbenafall_core.expert_maps import rank_state
+from verbenafall_core.object_store import revisions
 from verbenafall_core.routes import model
 from verbenafall_platform import configuration
 from verbenafall_platform import decoding
@@ -206,3 +208,14 @@
             "version": 10,
             "step": 60,
         }
+
+    def test_store_restored_term_is_exact_in_the_body(self):
+        term = revisions.create_revision(
+            revisions.MAX_ERA, revisions.MAX_NUMBER
+        )
+        order = rank_state.RankOrder(
+            rank_state.OrderKind.HOLD, term, 2, 0, 60, ()
+        )
+        body = msgspec.json.encode(rank_engine.encode_order(order))
+        assert msgspec.json.decode(body)["fencing-token"] == term
+        assert int(float(term)) == term
--- a/tests/steering/test_pass_switch.py
+++ b/tests/steering/test_pass_switch.py
@@ -4,6 +4,7 @@
 
 from verbenafall_core.expert_maps import pass_switch
 from verbenafall_core.expert_maps import rank_state
+from verbenafall_core.object_store import revisions
 
 Phase = pass_switch.Phase
 ARMED = rank_state.Armed(7, 20)
@@ -166,3 +167,41 @@
         for _ in range(50):
             last = pass_switch.next_version(4, last)
         assert pass_switch.next_version(5, 0) > last
+
+
+# Test id, term of the earlier leader, term of the later one. The first number
+# of a pair is the store's era.
+LATER_TERMS = [
+    ("next number", (0, 4), (0, 5)),
+    ("next number in an era", (1, 4), (1, 5)),
+    ("restored, same number", (1, 5_000), (2, 5_000)),
+    ("restored, numbers of a minute taken back", (1, 500_000), (2, 440_000)),
+    ("restored, first number", (1, 50_000), (2, 1)),
+    ("two restores", (1, 70_000), (3, 60_000)),
+]
+# Terms of a store that has written for years and was restored often.
+LARGE_TERMS = [(0, 10**10), (1, 10**10), (100, 10**10), (4000, 10**8)]
+
+
+class TestVersionsOfStoreRestored:
+    @pytest.mark.parametrize(
+        ("earlier", "later"),
+        [case[1:] for case in LATER_TERMS],
+        ids=[case[0] for case in LATER_TERMS],
+    )
+    def test_store_restored_versions_of_later_terms_are_higher(
+        self, earlier, later
+    ):
+        last = 0
+        for _ in range(pass_switch.VERSIONS_PER_TERM):
+            last = pass_switch.next_version(
+                revisions.create_revision(*earlier), last
+            )
+        first = pass_switch.next_version(revisions.create_revision(*later), 0)
+        assert first > last
+
+    @pytest.mark.parametrize("term", LARGE_TERMS)
+    def test_store_restored_versions_are_exact_in_json(self, term):
+        """Engines may parse a JSON number as a 64-bit floating-point number."""
+        version = pass_switch.next_version(revisions.create_revision(*term), 0)
+        assert version < 2**53
