End a leadership whose orders an engine refuses as fenced

An agent whose engine refused an order because of its term only logged it. A leader without contact to the later leader then gave new orders under the refused term for as long as it ran: the later leader may reach the engine by direct calls while the sidecars have no link to it.

The agent now refuses leaders up to that term, and its next update states a higher one, upon which the leader steps down and the election starts again.

Tested: test_store_restored_leader_of_a_refused_term_steps_down failed for each of the four ranks on the unchanged code (condition not met within 200 steps); tests/steering passes.

--- a/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
@@ -364,6 +364,9 @@
                 reason="fenced",
             )
             self.clear_order(order)
+            # Without contact to the later leader, the sender of the order would
+            # keep giving orders that the engine refuses.
+            self.raise_term(order.term + 1)
         elif answer is rank_state.OrderAnswer.UNANSWERED:
             self.order_sent_at = _LONG_AGO
         # The leader waits for the effect: read and send it without delay.
@@ -392,6 +395,14 @@
             if self.current_order is order:
                 self.current_order = None
 
+    def raise_term(self, term: int) -> None:
+        """Refuse leaders of lower terms; no leader of this one is known."""
+        with self.condition:
+            if term > self.term:
+                self.term = term
+                self.current_order = None
+                self.last_update = None
+
     def read_counts(self) -> None:
         """Read the counts; send the increments since the last reading."""
         listener = self.listener()
--- a/tests/steering/test_agent_and_leader.py
+++ b/tests/steering/test_agent_and_leader.py
@@ -131,6 +131,30 @@
         )
         assert fleet.stepped_down == [9]
 
+    @pytest.mark.parametrize("rank", range(rank_fleet.SIZE))
+    def test_store_restored_leader_of_a_refused_term_steps_down(
+        self, fleet, rank
+    ):
+        """An engine knows a higher term, but no sidecar does."""
+        fleet.group.ranks[rank].fence = 9
+        fleet.run_until(lambda: fleet.stepped_down, steps=200)
+        refused = len(fleet.ports[rank].submitted_orders)
+        for _ in range(500):
+            fleet.step()
+        assert len(fleet.ports[rank].submitted_orders) == refused
+
+    def test_refused_order_does_not_lower_a_known_term(self, fleet):
+        agent = fleet.agents[2]
+        fleet.group.ranks[2].fence = 9
+
+        def learn_term(port, order):
+            agent.accept_leader(7)
+            return port.rank.handle_order(order)
+
+        fleet.ports[2].on_order = learn_term
+        fleet.run_until(lambda: agent.term > 1)
+        assert agent.term == 7
+
     def test_rank_with_a_new_number_is_listed_once(self, fleet):
         for _ in range(60):
             fleet.step()
