Write the record of a group's leader again after a restore

The store may come back from a copy without the record of the leader or with that of an earlier one. The leader keeps its term: every later claim gets a version of the new era, which is higher. Nothing wrote the record again before the next claim.

The leadership now compares the era of the store with that of its last write and writes the record again within two seconds, at a random time, on a thread of its own: two store calls may take longer than the 0.9 s for which a leader may be silent. A record of another process that was written in between stands.

--- a/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
@@ -23,6 +23,7 @@
 from verbenafall_core import link_loop
 from verbenafall_core import messages
 from verbenafall_core import metrics as metrics_lib
+from verbenafall_core import periodic
 from verbenafall_core.expert_maps import demand
 from verbenafall_core.expert_maps import rank_state
 from verbenafall_core.object_store import collection
@@ -31,6 +32,7 @@
 from verbenafall_sidecar.steering import count_plan
 from verbenafall_sidecar.steering import event_catalogue
 from verbenafall_sidecar.steering import group_leader
+from verbenafall_sidecar.steering import group_term
 from verbenafall_sidecar.steering import ports as ports_lib
 from verbenafall_sidecar.steering import rank_agent
 from verbenafall_sidecar.steering import rank_messages
@@ -45,6 +47,7 @@
 LAYOUT_RETRY_INTERVAL: Final = datetime.timedelta(milliseconds=500)
 # Gateways discard slowdowns that are not sent again.
 SLOWDOWNS_RESEND_INTERVAL: Final = datetime.timedelta(seconds=1)
+TERM_CHECK_INTERVAL: Final = datetime.timedelta(milliseconds=250)
 MILLISECOND: Final = datetime.timedelta(milliseconds=1)
 GATEWAY_ROLE: Final = "gateway"
 
@@ -92,13 +95,15 @@
 class Leadership:
     """Leadership of a group under one term; the lock guards its state."""
 
-    def __init__(self, term: int, dependencies: Dependencies) -> None:
+    def __init__(
+        self, claim: group_term.Claim, dependencies: Dependencies
+    ) -> None:
         """Create a leadership whose threads are not started."""
-        self.term = term
+        self.term = claim.term
         self.dependencies = dependencies
         self.stopped = False
         self.leader = group_leader.GroupLeader(
-            term,
+            claim.term,
             self.own_rank,
             lambda: self.layout,
             dependencies.clock,
@@ -139,10 +144,26 @@
                 dependencies.generator,
             ),
         ]
+        self.term_record = group_term.TermRecord(
+            claim,
+            dependencies.ports.store,
+            dependencies.ports.era,
+            dependencies.clock,
+            dependencies.generator,
+        )
+        # A store call may take longer than the leader may be silent, so it
+        # has its own thread.
+        self.term_task = periodic.create_periodic_task(
+            "term-record",
+            TERM_CHECK_INTERVAL,
+            self.term_record.run_once,
+            dependencies.generator,
+        )
 
     def start(self) -> None:
         """Start the leader and follow the lists of engines and gateways."""
         self.leader.start()
+        self.term_task.start()
         for item in self.followers:
             item.start()
 
@@ -153,6 +174,7 @@
         """
         self.stopped = True
         self.leader.stop()
+        self.term_task.stop(datetime.timedelta())
         for item in self.followers:
             item.stop(datetime.timedelta())
         for peer in self.direct_peers.values():
@@ -383,6 +405,8 @@
         """Keep the known records."""
 
 
-def create_leadership(term: int, dependencies: Dependencies) -> Leadership:
+def create_leadership(
+    claim: group_term.Claim, dependencies: Dependencies
+) -> Leadership:
     """Create a leadership whose threads are not started."""
-    return Leadership(term, dependencies)
+    return Leadership(claim, dependencies)
--- a/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
@@ -145,14 +145,14 @@
         event_log.emit(
             event_catalogue.TERM_TAKEN, group=group, term=term, rank=report.rank
         )
-        self.start_leadership(term)
+        self.start_leadership(group_term.Claim(group, holder, term))
 
-    def start_leadership(self, term: int) -> None:
+    def start_leadership(self, claim: group_term.Claim) -> None:
         """Start to lead under a term, unless a higher one is known."""
-        if not self.agent.accept_leader(term):
+        if not self.agent.accept_leader(claim.term):
             return
         self.leadership = leadership_lib.create_leadership(
-            term,
+            claim,
             leadership_lib.Dependencies(
                 self.settings,
                 self.ports,
