End and renew a lease when its holder learns of a restore

A restored store may lack the last write of a lease. Another process can then acquire the lease while its holder still acts. Tokens stay unique and ordered, as a version has the era in its high bits, and the holder could not renew. But it acted until the end of its lease although its process knew of the restore, and it read the lease again only with the next renewal.

A holder now stops acting once its process has seen a later era than that of its token, and reads the lease again within a second, at a random time; it creates the lease if the store lacks it. Processes without the lease keep their interval. Without this knowledge a holder acts until its lease ends, so a token is undercut for less than a lease duration.

--- a/packages/core/src/verbenafall_core/lease_events.py
+++ b/packages/core/src/verbenafall_core/lease_events.py
@@ -13,8 +13,8 @@
     "lease_lost",
     "WARNING",
     "This process no longer holds a lease: it could not renew it in time, or"
-    " another process holds it. Expected after a pause of the process or a"
-    " store outage.",
+    " another process holds it. Expected after a pause of the process, a store"
+    " outage or a restore of the store.",
 )
 LEASE_RELEASED = event_log.define(
     1142,
--- a/packages/core/src/verbenafall_core/leases.py
+++ b/packages/core/src/verbenafall_core/leases.py
@@ -5,6 +5,12 @@
 it sends the write that creates or renews the lease; every other process
 measures it from when it first sees that version. The holder's measurement
 starts earlier, so the lease ends earlier for the holder than for the others.
+
+A store that is restored from a copy may have lost the write of a holder, and
+another process may acquire the lease before the holder learns of the restore.
+The other process then has the higher token, as its version is of a later era.
+The holder's lease ends when it learns of the restore, and at the latest when it
+would have ended without one; it acquires the lease again at once if it is free.
 """
 
 import datetime
@@ -24,6 +30,8 @@
 from verbenafall_core import lease_events
 from verbenafall_core import periodic
 from verbenafall_core.object_store import port
+from verbenafall_core.object_store import revisions
+from verbenafall_core.object_store import store_era
 
 DURATION: Final = datetime.timedelta(seconds=10)
 RENEW_INTERVAL: Final = datetime.timedelta(seconds=3)
@@ -31,6 +39,9 @@
 # of holds() and the action that depends on it.
 EXPIRY_MARGIN: Final = datetime.timedelta(seconds=1)
 
+# Time within which the holders of leases read them again after a restore.
+RESTORE_SPREAD: Final = datetime.timedelta(seconds=1)
+
 # Bounds how long a faulty record can block the lease.
 MAX_DURATION: Final = datetime.timedelta(minutes=1)
 
@@ -175,10 +186,12 @@
         clock: clock_lib.Clock,
         name: str,
         holder: str,
+        era: store_era.StoreEra,
         generator: random.Random,
     ) -> None:
         """Create a service that does not hold the lease."""
         self.store = store
+        self.era = era
         self.clock = clock
         self.name = name
         self.object_name = f"leases/{name}"
@@ -195,6 +208,7 @@
             # Spreads the first store calls of processes that start together.
             first_delay=generator.uniform(0, 1) * RENEW_INTERVAL,
         )
+        era.listeners.append(self.on_restore)
 
     def start(self) -> None:
         """Start to acquire and renew the lease."""
@@ -209,17 +223,25 @@
         """Return the lease if this process holds it now.
 
         The clock is read on each call, so that a process that was paused
-        beyond the end of the lease finds out before it acts.
+        beyond the end of the lease finds out before it acts. A lease of an
+        earlier era of the store may have been acquired by another process.
         """
         last = self.last_held
         if last is None or self.clock.monotonic() >= last.until:
             return None
+        if revisions.era_of(last.version) < self.era.current:
+            return None
         return last
 
     def holds(self) -> bool:
         """Return whether this process holds the lease now."""
         return self.held() is not None
 
+    def on_restore(self, _era: int) -> None:
+        """Read the lease again soon if this process held it."""
+        if self.last_held is not None:
+            self.task.run_within(RESTORE_SPREAD)
+
     def run_once(self) -> None:
         """Acquire or renew the lease if possible; log a change."""
         with self.lock:
@@ -320,13 +342,28 @@
     name: str,
     instance: str,
     generator: random.Random | None = None,
+    era: store_era.StoreEra | None = None,
 ) -> LeaseService:
     """Create a service with a holder id that is unique to this process.
 
     A restarted process counts as another holder: its monotonic clock differs,
     and it does not know what its predecessor was about to do.
+
+    Args:
+        store: The object store.
+        clock: The clock.
+        name: Name of the lease.
+        instance: Name of this process.
+        generator: Spreads the store calls of many processes.
+        era: The era that the store's adapter reports to; None for a store
+            without eras.
     """
     holder = f"{instance}/{uuid.uuid4().hex}"
     return LeaseService(
-        store, clock, name, holder, generator or random.Random()
+        store,
+        clock,
+        name,
+        holder,
+        era or store_era.create_store_era(),
+        generator or random.Random(),
     )
--- a/packages/core/src/verbenafall_core/periodic.py
+++ b/packages/core/src/verbenafall_core/periodic.py
@@ -31,6 +31,7 @@
         self.generator = generator
         self.first_delay = first_delay
         self.wake = threading.Event()
+        self.wake_delay = NO_DELAY
         self.stopped = False
         self.thread = threading.Thread(target=self.run, name=name, daemon=True)
 
@@ -49,6 +50,11 @@
         """Start the next call without waiting for the interval."""
         self.wake.set()
 
+    def run_within(self, limit: datetime.timedelta) -> None:
+        """Start the next call after a random part of a time limit."""
+        self.wake_delay = self.generator.uniform(0, 1) * limit
+        self.wake.set()
+
     def run(self) -> None:
         """Call the function until stopped."""
         if self.first_delay:
@@ -65,6 +71,12 @@
                 )
             if not self.stopped:
                 self.wake.wait(self.next_delay())
+            delay, self.wake_delay = self.wake_delay, NO_DELAY
+            if delay:
+                self.wake.clear()
+                # stop() sets both, so that one of them is seen.
+                if not self.stopped:
+                    self.wake.wait(delay.total_seconds())
 
     def next_delay(self) -> float:
         """Return the seconds until the next call: the interval with jitter."""
