Run the lease flow and all flows with a restore of the store

At the step renew, the other process takes the lease that the store has lost before its holder calls again: "two holders" on the unchanged check.

test_store_restored_at_any_step runs the cells of all flows with further seeds.

--- a/tests/faults/test_matrix.py
+++ b/tests/faults/test_matrix.py
@@ -6,6 +6,9 @@
 import known_red
 
 Fault = matrix.Fault
+RESTORE = Fault.RESTORE
+# Seeds beyond that of the whole matrix; they vary what a restore loses.
+RESTORE_SEEDS = (2, 3, 4)
 INJECTION = matrix.Injection("step", Fault.KILL)
 CELL = matrix.Cell("flow", (INJECTION,), 1)
 
@@ -28,6 +31,26 @@
         assert summary.steps_without_cells == []
 
 
+class TestRestore:
+    @pytest.mark.parametrize("flow", matrix.find_flows(), ids=lambda f: f.name)
+    @pytest.mark.parametrize("seed", RESTORE_SEEDS)
+    def test_store_restored_at_any_step(self, flow, seed):
+        """Guards against flows that rely on what a restore has lost."""
+        cells = [
+            matrix.Cell(flow.name, (matrix.Injection(step, RESTORE),), seed)
+            for step in flow.steps
+            if flow.exclusion_reason(step, RESTORE) is None
+        ]
+        known_red_text = known_red.read_text().split()
+        red = [
+            verdict
+            for cell in cells
+            if cell.name not in known_red_text
+            and (verdict := matrix.judge(cell, flow.run(cell))).reason
+        ]
+        assert red == []
+
+
 class TestRules:
     @pytest.mark.parametrize(
         ("report", "state"),
