--- a/packages/core/src/verbenafall_core/endpoints.py
+++ b/packages/core/src/verbenafall_core/endpoints.py
@@ -12,6 +12,8 @@
         id: Unique among the endpoints of all services.
         slots: Number of requests that it runs concurrently, 0 if unknown.
         draining: Whether it accepts no new requests.
+        started_at: Start of its process in Unix milliseconds, None if unknown.
+            It may start again under the same id.
     """
 
     id: str
@@ -20,3 +22,4 @@
     data_centre: str
     slots: int
     draining: bool
+    started_at: int | None = None
--- a/tests/platform_adapter/test_decoders.py
+++ b/tests/platform_adapter/test_decoders.py
@@ -112,6 +112,17 @@
     ("slots are text", "slots", "6"),
 ]
 
+# Start as decoded, by the value in the entry.
+STARTS = [
+    (1764826141000, 1764826141000),
+    (0, 0),
+    (None, None),
+    ("1764826141000", None),
+    (1.5, None),
+    (True, None),
+    ([], None),
+]
+
 
 def changed(source, path, value):
     """Return a copy with one field changed, or removed if value is None."""
@@ -164,6 +175,13 @@
         assert not found.draining
         assert str(found.address) == "10.0.0.9:8080"
 
+    @pytest.mark.parametrize(("value", "expected"), STARTS)
+    def test_store_restored_start_of_the_engine(self, value, expected):
+        """A start that is missing or malformed counts as unknown."""
+        entry = changed(ENTRY, ("born",), value)
+        found = listed_endpoints.decode_endpoint("i-1", entry)
+        assert found.started_at == expected
+
     @pytest.mark.parametrize(
         ("name", "value"),
         [case[1:] for case in BAD_ENTRIES],
