Keep departures of endpoints across a restore of the store

Entries of a restored store get versions of its new era, which order after all earlier ones. A copied entry from before an endpoint left therefore made it usable again, a copy that lacked an endpoint removed it at once unless a call had failed, and a departure reported by a gateway that had not yet seen the restore was ignored.

A departure now keeps the start of the endpoint and whether it was draining. An entry of a later era counts as a return if its engine started later, if it was written after the first read of that era or has a higher number than the departure, or if it is still listed after the platform would have removed it; an endpoint that was draining needs a later start. Departures of unknown endpoints are remembered, as a restore may list them. Endpoints that the copy lacks, or shows in an earlier life, stay in use for the grace period, which starts again after each outage and does not end during one. The same holds for addresses that answered under another id.

Ruled out: `sequence` as evidence. Reports that change nothing else raise it without a revision, so a copied entry may show a higher one than was read.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -87,6 +87,24 @@
     "An attempt at an endpoint failed; the endpoint is avoided for the stated"
     " number of seconds.",
 )
+ENDPOINT_RETURNED = event_log.define(
+    2123,
+    "endpoint_returned",
+    "INFO",
+    "An endpoint that had left in an earlier era of the store accepts requests"
+    " again: its engine started again, wrote its entry after the restore, or"
+    " maintains the copied entry.",
+)
+ENDPOINTS_RESTORED = event_log.define(
+    2124,
+    "endpoints_restored",
+    "WARNING",
+    "The endpoints were read from a store that was restored from a copy: before"
+    " and revision are the store's revisions, kept are endpoints without an"
+    " entry that stay in use for two seconds, withheld are endpoints with an"
+    " entry from before they left, which get no requests. Logged once per"
+    " process and restore.",
+)
 ATTEMPT_PLACED = event_log.define(
     2130,
     "forward_placed",
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
@@ -206,7 +206,7 @@
         if not is_gateway(link):
             return
         link.send(messages.ConfigurationVersion(self.configuration.version()))
-        leaving = dict(self.directory.leaving)
+        leaving = self.directory.leaving_versions()
         if leaving:
             link.send(messages.EndpointLeaving(tuple(leaving.items())))
         link.send(messages.OpenRequests(tuple(dict(self.loads.own).items())))
--- a/packages/gateway/src/verbenafall_gateway/forwarding/store_listeners.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/store_listeners.py
@@ -79,6 +79,7 @@
 
     def on_outage(self) -> None:
         """Keep the known endpoints during the outage."""
+        self.loop.call_soon_threadsafe(self.directory.mark_store_lost)
 
 
 class RecordListener:
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -8,10 +8,12 @@
 
 from forwarding import forwarding_fakes as fakes
 from forwarding import test_directory
+from forwarding import test_directory_store_restored
 from forwarding import test_forwarder
 from verbenafall_core.routes import table
 from verbenafall_gateway.forwarding import channel_pool
 from verbenafall_gateway.forwarding import configuration_state
+from verbenafall_gateway.forwarding import departures
 from verbenafall_gateway.forwarding import endpoint_directory
 from verbenafall_gateway.forwarding import exchange
 from verbenafall_gateway.forwarding import retry_decision
@@ -75,6 +77,16 @@
     patch.setattr(Directory, "rebuild", rebuild)
 
 
+def trust_copied_entries(patch):
+    patch.setattr(
+        departures,
+        "has_returned",
+        lambda departure, version, endpoint, copied_until: (
+            version > departure.version
+        ),
+    )
+
+
 def accept_any_version(patch):
     offer = State.offer
 
@@ -131,6 +143,11 @@
     test_directory.TestStore().test_change(directory, [draining], ["b"])
 
 
+def check_copied_entry():
+    restored = test_directory_store_restored
+    restored.TestStoreRestored().test_second_restore()
+
+
 def check_versions():
     state = configuration_state.create_configuration_state()
     for version, path in ((5, "/n/"), (3, "/o/"), (6, "/m/")):
@@ -149,6 +166,7 @@
     ("REFUSED", reset_runs_at_the_deadline, check_deadline),
     ("DRAIN", ignore_other_gateways, check_leaving),
     ("DRAIN", use_leaving_endpoints, check_drained),
+    ("DRAIN", trust_copied_entries, check_copied_entry),
     ("CONFIG", accept_any_version, check_versions),
     ("CONFIG", keep_the_first_routes, check_versions),
 ]
