Keep links to peers that a restored store lacks for a while

After a restore the complete lists of gateways and engines lack those that registered after the copy was made. Gateways and leaders dropped their links to them at once, and with them the counts of open requests and the state of the ranks, until the records were written again.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
@@ -21,6 +21,8 @@
 from verbenafall_core import link_router
 from verbenafall_core import messages
 from verbenafall_core.object_store import collection
+from verbenafall_core.object_store import known_items
+from verbenafall_core.object_store import records
 from verbenafall_core.routes import model
 from verbenafall_gateway.forwarding import configuration_state
 from verbenafall_gateway.forwarding import endpoint_directory
@@ -45,7 +47,8 @@
     work to the event loop; everything else runs on the event loop.
 
     Attributes:
-        records: Link address of each gateway that is registered in the store.
+        records: Link addresses of the gateways that are registered in the
+            store, by name.
     """
 
     def __init__(
@@ -85,7 +88,9 @@
         self.loads = loads
         self.slowdowns = slowdowns
         self.loads_changed = loads_changed
-        self.records: dict[str, addresses.Address] = {}
+        self.records: known_items.KnownItems[addresses.Address] = (
+            known_items.create_known_items(records.GATEWAY_RECORD_RETENTION)
+        )
         self.lock = threading.Lock()
         self.counts_timer: asyncio.TimerHandle | None = None
         self.repeat_timer: asyncio.TimerHandle | None = None
@@ -142,16 +147,11 @@
             batch: Changed records; those without a value were deleted.
             complete: Whether the batch contains all records.
         """
-        if complete:
-            self.records.clear()
-        for item in batch.items:
-            if item.value is None:
-                self.records.pop(item.name, None)
-            else:
-                self.records[item.name] = item.value
+        now = datetime.timedelta(seconds=self.loop.time())
+        self.records.apply(batch, complete, now)
         others = {
             address
-            for name, address in self.records.items()
+            for name, address in self.records.values.items()
             if name != self.name and address != self.listen_address
         }
         self.loads.set_gateway_count(len(others) + 1)
--- a/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
@@ -27,6 +27,8 @@
 from verbenafall_core.expert_maps import rank_state
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import follower
+from verbenafall_core.object_store import known_items
+from verbenafall_core.object_store import records
 from verbenafall_core.routes import model
 from verbenafall_sidecar.steering import count_plan
 from verbenafall_sidecar.steering import event_catalogue
@@ -42,6 +44,9 @@
 # calls to its engine, which cost more and bring no counts.
 DIRECT_ORDER_DELAY: Final = datetime.timedelta(milliseconds=300)
 WATCH_WAIT: Final = datetime.timedelta(seconds=10)
+# Time after a restore of the store in which running engines have written their
+# entries again.
+ENTRY_RETENTION: Final = datetime.timedelta(seconds=2)
 LAYOUT_RETRY_INTERVAL: Final = datetime.timedelta(milliseconds=500)
 # Gateways discard slowdowns that are not sent again.
 SLOWDOWNS_RESEND_INTERVAL: Final = datetime.timedelta(seconds=1)
@@ -116,8 +121,12 @@
         self.gateway_links: set[link_lib.Link] = set()
         self.unlinked_since: dict[addresses.Address, datetime.timedelta] = {}
         self.direct_peers: dict[addresses.Address, rank_peers.DirectPeer] = {}
-        self.gateways: dict[str, addresses.Address] = {}
-        self.listed_endpoints: dict[str, endpoints.Endpoint] = {}
+        self.gateways: known_items.KnownItems[addresses.Address] = (
+            known_items.create_known_items(records.GATEWAY_RECORD_RETENTION)
+        )
+        self.listed_endpoints: known_items.KnownItems[endpoints.Endpoint] = (
+            known_items.create_known_items(ENTRY_RETENTION)
+        )
         self.layout: model.ExpertLayout | None = None
         self.layout_due = datetime.timedelta()
         self.announcement_due = datetime.timedelta()
@@ -205,7 +214,7 @@
         linked.add(self.dependencies.settings.link_listen.host)
         engines = {
             endpoint.address
-            for endpoint in self.listed_endpoints.values()
+            for endpoint in self.engines()
             if endpoint.address.host not in linked
         }
         for address in list(self.direct_peers):
@@ -343,13 +352,8 @@
         with self.dependencies.lock:
             if self.stopped:
                 return
-            if complete:
-                self.listed_endpoints.clear()
-            for item in batch.items:
-                if item.value is None:
-                    self.listed_endpoints.pop(item.name, None)
-                elif item.value.service == self.dependencies.settings.service:
-                    self.listed_endpoints[item.name] = item.value
+            now = self.dependencies.clock.monotonic()
+            self.listed_endpoints.apply(batch, complete, now)
             self.set_targets()
 
     def on_gateways(
@@ -359,24 +363,27 @@
         with self.dependencies.lock:
             if self.stopped:
                 return
-            if complete:
-                self.gateways.clear()
-            for item in batch.items:
-                if item.value is None:
-                    self.gateways.pop(item.name, None)
-                else:
-                    self.gateways[item.name] = item.value
+            now = self.dependencies.clock.monotonic()
+            self.gateways.apply(batch, complete, now)
             self.set_targets()
 
+    def engines(self) -> list[endpoints.Endpoint]:
+        """Return the listed engines of this sidecar's service."""
+        return [
+            endpoint
+            for endpoint in self.listed_endpoints.values.values()
+            if endpoint.service == self.dependencies.settings.service
+        ]
+
     def set_targets(self) -> None:
         """Make the other sidecars and all gateways the targets of the links."""
         own = self.dependencies.settings.link_listen
         sidecars = {
             addresses.Address(endpoint.address.host, own.port)
-            for endpoint in self.listed_endpoints.values()
+            for endpoint in self.engines()
         }
         self.dependencies.links.set_targets(
-            (sidecars | set(self.gateways.values())) - {own}
+            (sidecars | set(self.gateways.values.values())) - {own}
         )
 
     def on_outage(self) -> None:
--- a/tests/forwarding/forwarding_fakes.py
+++ b/tests/forwarding/forwarding_fakes.py
@@ -5,6 +5,7 @@
 import datetime
 import socket
 import threading
+import typing
 
 import returns.result
 
@@ -14,6 +15,7 @@
 from verbenafall_core.expert_maps import rank_state
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import port
+from verbenafall_core.object_store import revisions
 from verbenafall_core.object_store import store_era
 from verbenafall_core.routes import model
 from verbenafall_gateway.forwarding import dialect
@@ -27,6 +29,13 @@
 HOST = "app.example"
 
 
+class Copy(typing.NamedTuple):
+    """A copy of a collection from which it can be restored."""
+
+    number: int
+    items: dict[str, collection.Item]
+
+
 class MemoryCollection:
     """An in-memory collection; put() completes pending watches."""
 
@@ -36,6 +45,28 @@
         self.revision = 1
         self.closed = False
 
+    def copy(self):
+        with self.condition:
+            return Copy(revisions.number_of(self.revision), dict(self.items))
+
+    def restore(self, copy):
+        """Return to a copy, in the next era of the store."""
+        with self.condition:
+            era = revisions.era_of(self.revision) + 1
+            self.revision = revisions.create_revision(era, copy.number)
+            self.items = {}
+            for name, item in copy.items.items():
+                number = revisions.number_of(item.version)
+                version = revisions.create_revision(era, number)
+                self.items[name] = item._replace(version=version)
+            self.condition.notify_all()
+
+    def remove(self, name):
+        with self.condition:
+            self.revision += 1
+            self.items[name] = collection.Item(name, self.revision, None)
+            self.condition.notify_all()
+
     def put(self, name, value):
         with self.condition:
             self.revision += 1
@@ -55,6 +86,8 @@
                 lambda: self.revision > revision or self.closed,
                 wait.total_seconds(),
             )
+            if revisions.era_of(self.revision) > revisions.era_of(revision):
+                return returns.result.Failure(collection.HistoryGone())
             items = tuple(
                 item for item in self.items.values() if item.version > revision
             )
--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from forwarding import forwarding_fakes as fakes
+from verbenafall_core import addresses
 from verbenafall_core import clock
 from verbenafall_core import link_loop
 from verbenafall_core import link_router
@@ -77,6 +78,18 @@
         # It may still be running, so it counts when repeats are shared out.
         assert (peers.gateways(), peers.live_gateways()) == (2, 1)
 
+    def test_store_restored_without_gateway_records(self, pair):
+        """Gateways stay linked until each has written its record again."""
+        lists = [runner.forwarder.links.links.open_links for runner in pair]
+        fakes.wait_until(lambda: all(links() for links in lists))
+        before = [links() for links in lists]
+        for runner in pair:
+            runner.gateways.restore(fakes.MemoryCollection().copy())
+            runner.gateways.put("g3", addresses.Address("127.0.0.1", 9))
+        peers = [runner.forwarder.peers for runner in pair]
+        fakes.wait_until(lambda: all(item.gateways() == 3 for item in peers))
+        assert [links() for links in lists] == before
+
 
 def hold(step):
     return messages.RankHold("g", "10.0.0.9", 8000, 7, 2, step)
