Write a gateway's record again after a restore of the store

The record was written once at the start. A restore from a copy that lacks it hid the gateway from the others for good, and the deletion at a planned stop named a version that the restored store does not have.

The record's thread now runs until the stop. After each restore it reads the record and writes it if it is missing or has another value, after a random delay over the number of gateways by 100 a second: a third of the store's write rate, 3.7 s for 370 gateways. It takes over the new version. The deletion runs on the same thread, so it cannot overtake a write, and looks for the record again if the store was restored. A failed deletion gets a log line.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -57,7 +57,8 @@
     2113,
     "own_record_written",
     "INFO",
-    "The gateway wrote its record to the store, so other gateways can find it.",
+    "The gateway's record is in the store, so other gateways can find it."
+    " Logged at the start and after each restore of the store, with its era.",
 )
 OWN_RECORD_FAILED = event_log.define(
     2114,
@@ -66,6 +67,13 @@
     "The gateway could not write its record to the store, so other gateways may"
     " not find it. It retries; check the store if the record is not written.",
 )
+OWN_RECORD_NOT_DELETED = event_log.define(
+    2115,
+    "own_record_not_deleted",
+    "WARNING",
+    "The gateway could not delete its record at a planned stop. Other gateways"
+    " try to link to it until the next start replaces the record.",
+)
 ENDPOINT_LISTED = event_log.define(
     2120,
     "endpoint_listed",
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -130,7 +130,13 @@
         self.configuration.changed = self.apply_configuration
         self.directory.leaving_changed = self.links.announce_leaving
         self.record = own_record.OwnRecord(
-            ports.store, settings.name, settings.link_listen
+            ports.store,
+            ports.era,
+            settings.name,
+            settings.link_listen,
+            clock_lib.system_clock(),
+            self.peers.gateways,
+            random.Random(),
         )
         self.channels: set[client_channel.ClientChannel] = set()
         self.readiness_channels: set[client_channel.ClientChannel] = set()
--- a/tests/forwarding/forwarding_fakes.py
+++ b/tests/forwarding/forwarding_fakes.py
@@ -269,11 +269,11 @@
 class RunningForwarder:
     """A forwarder on its own thread, with its endpoints and stores."""
 
-    def __init__(self, first, scripts, name="g1"):
+    def __init__(self, first, scripts, name="g1", store=None):
         self.configurations = MemoryCollection()
         self.listed = MemoryCollection()
         self.gateways = MemoryCollection()
-        self.era = store_era.create_store_era()
+        self.era = store.era if store else store_era.create_store_era()
         self.orders = []
         # Slowdowns are reported by host, so each endpoint needs its own.
         self.backends = [
@@ -310,7 +310,7 @@
             ports.GatewayPorts(
                 self.configurations,
                 self.listed,
-                NoStore(),
+                store or NoStore(),
                 self.gateways,
                 dialect.DEFAULT,
                 lambda address: FakeRank(self.orders, address),
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -10,8 +10,12 @@
 
 from forwarding import forwarding_fakes as fakes
 from verbenafall_core import settings
+from verbenafall_core.object_store import records
+from verbenafall_core.object_store import revisions
+from verbenafall_core.object_store import store_era
 from verbenafall_core.routes import model
 from verbenafall_gateway.forwarding import repeat_allowance
+from verbenafall_standins.fakes import memory_store
 
 STREAM = {
     "kind": model.RequestKind.STREAM,
@@ -20,10 +24,10 @@
 
 
 @contextlib.contextmanager
-def running(*scripts, routes=None, teams=None):
+def running(*scripts, routes=None, teams=None, store=None):
     routes = routes or (fakes.route(),)
     runner = fakes.RunningForwarder(
-        fakes.configuration(1, *routes, teams=teams), scripts
+        fakes.configuration(1, *routes, teams=teams), scripts, store=store
     )
     try:
         yield runner
@@ -545,6 +549,22 @@
             assert call(runner).status == 404
             assert len(runner.backends[0].requests) == before
 
+    def test_store_restored_without_the_own_record(self):
+        """The record is written again, and deleted at the planned stop."""
+        store = memory_store.create_memory_store()
+        client = memory_store.MemoryStoreClient(
+            store, store_era.create_store_era()
+        )
+        name = f"{records.GATEWAY_KIND}/g1"
+        with running(fakes.answer_ok, store=client) as runner:
+            record = runner.forwarder.record
+            fakes.wait_until(lambda: record.version)
+            store.restore(1)
+            client.read("another call of the process")
+            fakes.wait_until(lambda: revisions.era_of(record.version) == 2)
+            assert store.objects[name].value == record.value
+        assert name not in store.objects
+
 
 class TestReload:
     def test_valid_settings_take_effect_and_invalid_ones_do_not(self):
