Spread the reads of all gateways after a restore of the store

After a restore every follower gets 410 and reads its collection again at once.

A follower now waits for a random time before this read, over the number of gateways by 150 a second: 2.5 s for 370, less than 0.1 s for 12. A read after a mere loss of history is not delayed.

--- a/packages/core/src/verbenafall_core/object_store/follower.py
+++ b/packages/core/src/verbenafall_core/object_store/follower.py
@@ -1,5 +1,6 @@
 """Background thread that reads a collection and watches its changes."""
 
+from collections.abc import Callable
 import datetime
 import random
 import threading
@@ -14,6 +15,8 @@
 from verbenafall_core import event_log
 from verbenafall_core.object_store import collection as collection_lib
 from verbenafall_core.object_store import event_catalogue
+from verbenafall_core.object_store import revisions
+from verbenafall_core.object_store import store_era
 
 T = TypeVar("T")
 T_contra = TypeVar("T_contra", contravariant=True)
@@ -22,6 +25,15 @@
 # the store is available again.
 FIRST_RETRY_DELAY: Final = datetime.timedelta(milliseconds=50)
 MAX_RETRY_DELAY: Final = datetime.timedelta(milliseconds=800)
+# After a restore of the store, each process makes about eight reads: the pages
+# of its collections and the watches that follow. The store serves 2,000 reads
+# a second for all callers.
+MAX_PROCESSES_PER_SECOND: Final = 150
+NO_DELAY: Final = datetime.timedelta()
+
+# Returns how long to wait before a collection is read again, given the last
+# revision that was read.
+ReadDelay = Callable[[int], datetime.timedelta]
 
 
 class FollowerListener(Protocol[T]):
@@ -56,6 +68,7 @@
         listener: FollowerListener[T],
         wait: datetime.timedelta,
         generator: random.Random,
+        read_delay: ReadDelay,
     ) -> None:
         """Create a follower that is not yet running."""
         self.name = name
@@ -63,6 +76,8 @@
         self.listener = listener
         self.wait = wait
         self.generator = generator
+        self.read_delay = read_delay
+        self.next_delay: datetime.timedelta | None = None
         self.revision: int | None = None
         self.failures = 0
         self.stopped = threading.Event()
@@ -118,8 +133,9 @@
                 collection=self.name,
                 revision=self.revision,
             )
+            self.next_delay = self.read_delay(self.revision or 0)
             self.revision = None
-            return True
+            return not self.next_delay
         if self.failures == 0:
             event_log.emit(
                 event_catalogue.STORE_LOST,
@@ -155,20 +171,65 @@
         self.listener.on_batch(batch, complete, after_outage)
 
     def next_retry_delay(self) -> datetime.timedelta:
-        """Return the exponential backoff before a retry, with jitter."""
+        """Return the delay before the next call.
+
+        That is the chosen delay of a read, or else an exponential backoff with
+        jitter.
+        """
+        if self.next_delay:
+            delay, self.next_delay = self.next_delay, None
+            return delay
         exponent = min(max(self.failures - 1, 0), 8)
         delay = min(FIRST_RETRY_DELAY * int(2**exponent), MAX_RETRY_DELAY)
         return delay * self.generator.uniform(0.5, 1.0)
 
 
+def read_at_once(revision: int) -> datetime.timedelta:
+    """Return no delay."""
+    del revision
+    return NO_DELAY
+
+
+def spread_reads(
+    era: store_era.StoreEra,
+    process_count: Callable[[], int],
+    generator: random.Random,
+) -> ReadDelay:
+    """Spread the reads of many processes after a restore of the store.
+
+    Args:
+        era: The store's era.
+        process_count: Returns the number of processes that read.
+        generator: Source of the random delays.
+
+    Returns:
+        A function that returns a random delay if the store was restored since
+        the revision, and none if only its history is gone.
+    """
+
+    def draw_delay(revision: int) -> datetime.timedelta:
+        if era.current <= revisions.era_of(revision):
+            return NO_DELAY
+        seconds = process_count() / MAX_PROCESSES_PER_SECOND
+        return datetime.timedelta(seconds=generator.uniform(0, seconds))
+
+    return draw_delay
+
+
 def create_follower(
     name: str,
     collection: collection_lib.Collection[T],
     listener: FollowerListener[T],
     wait: datetime.timedelta,
     generator: random.Random | None = None,
+    read_delay: ReadDelay = read_at_once,
 ) -> Follower[T]:
     """Create a follower that is not yet running."""
     return Follower(
-        name, collection, listener, wait, generator or random.Random()
+        name,
+        collection,
+        listener,
+        wait,
+        generator or random.Random(),
+        read_delay,
     )
--- a/packages/core/src/verbenafall_core/object_store/known_items.py
+++ b/packages/core/src/verbenafall_core/object_store/known_items.py
@@ -18,7 +18,7 @@
     thread-safe.
 
     Attributes:
-        values: Values of the items, by name.
+        by_name: Values of the items, by name.
         missing_until: Kept items that the store lacks, with the time after
             which the next batch drops them.
     """
@@ -30,7 +30,7 @@
             retention: Time for which items stay known after a restore.
         """
         self.retention = retention
-        self.values: dict[str, T] = {}
+        self.by_name: dict[str, T] = {}
         self.missing_until: dict[str, datetime.timedelta] = {}
         self.revision: int | None = None
         self.restored_at: datetime.timedelta | None = None
@@ -60,22 +60,22 @@
         for item in batch.items:
             self.missing_until.pop(item.name, None)
             if item.value is None:
-                self.values.pop(item.name, None)
+                self.by_name.pop(item.name, None)
             else:
-                self.values[item.name] = item.value
+                self.by_name[item.name] = item.value
         for name, until in list(self.missing_until.items()):
             if now >= until:
                 del self.missing_until[name]
-                del self.values[name]
+                del self.by_name[name]
 
     def remove_all(self, now: datetime.timedelta) -> None:
         """Remove all items, or schedule that if the store was just restored."""
         self.missing_until.clear()
         if self.restored_at is None or now >= self.restored_at + self.retention:
-            self.values.clear()
+            self.by_name.clear()
             return
         until = self.restored_at + self.retention
-        self.missing_until = dict.fromkeys(self.values, until)
+        self.missing_until = dict.fromkeys(self.by_name, until)
 
 
 def create_known_items(retention: datetime.timedelta) -> KnownItems[T]:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -140,12 +140,16 @@
         )
         self.channels: set[client_channel.ClientChannel] = set()
         self.readiness_channels: set[client_channel.ClientChannel] = set()
+        read_delay = follower.spread_reads(
+            ports.era, self.peers.gateways, random.Random()
+        )
         self.followers: list[follower.Follower[Any]] = [
             follower.create_follower(
                 "configuration",
                 ports.configurations,
                 store_listeners.ConfigurationListener(loop, self.configuration),
                 WATCH_WAIT,
+                read_delay=read_delay,
             ),
             follower.create_follower(
                 "endpoints",
@@ -154,12 +158,14 @@
                     loop, self.directory, self.admission
                 ),
                 WATCH_WAIT,
+                read_delay=read_delay,
             ),
             follower.create_follower(
                 "gateways",
                 ports.gateways,
                 store_listeners.RecordListener(loop, self.links),
                 RECORDS_WAIT,
+                read_delay=read_delay,
             ),
         ]
         self.draining = False
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
@@ -151,7 +151,7 @@
         self.records.apply(batch, complete, now)
         others = {
             address
-            for name, address in self.records.values.items()
+            for name, address in self.records.by_name.items()
             if name != self.name and address != self.listen_address
         }
         self.loads.set_gateway_count(len(others) + 1)
--- a/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
@@ -132,6 +132,11 @@
         self.announcement_due = datetime.timedelta()
         self.slowdowns_due = datetime.timedelta()
         self.sent_slowdowns: tuple[tuple[str, float], ...] = ()
+        read_delay = follower.spread_reads(
+            dependencies.ports.era,
+            lambda: len(self.gateways.by_name),
+            dependencies.generator,
+        )
         self.followers: list[follower.Follower[Any]] = [
             follower.create_follower(
                 "endpoints",
@@ -139,6 +144,7 @@
                 self,
                 WATCH_WAIT,
                 dependencies.generator,
+                read_delay,
             ),
             follower.create_follower(
                 "gateways",
@@ -146,6 +152,7 @@
                 GatewayListener(self),
                 WATCH_WAIT,
                 dependencies.generator,
+                read_delay,
             ),
         ]
 
@@ -371,7 +378,7 @@
         """Return the listed engines of this sidecar's service."""
         return [
             endpoint
-            for endpoint in self.listed_endpoints.values.values()
+            for endpoint in self.listed_endpoints.by_name.values()
             if endpoint.service == self.dependencies.settings.service
         ]
 
@@ -383,7 +390,7 @@
             for endpoint in self.engines()
         }
         self.dependencies.links.set_targets(
-            (sidecars | set(self.gateways.values.values())) - {own}
+            (sidecars | set(self.gateways.by_name.values())) - {own}
         )
 
     def on_outage(self) -> None:
--- a/tests/core/test_follower.py
+++ b/tests/core/test_follower.py
@@ -3,11 +3,14 @@
 import datetime
 import random
 
+import pytest
 import returns.result
 
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import follower
 from verbenafall_core.object_store import port
+from verbenafall_core.object_store import revisions
+from verbenafall_core.object_store import store_era
 
 DOWN = returns.result.Failure(
     port.StoreFailure(port.FailureKind.UNAVAILABLE, "down")
@@ -19,6 +22,16 @@
     return returns.result.Success(collection.Batch(revision, (), ()))
 
 
+# Test id, last revision as era and number, era seen since, whether the read
+# is delayed.
+READ_DELAYS = [
+    ("only the history is gone", (1, 50), 1, False),
+    ("no era", (0, 50), None, False),
+    ("restored", (1, 50), 2, True),
+    ("restored twice", (1, 50), 3, True),
+]
+
+
 class ScriptedCollection:
     """A collection that returns given results in order."""
 
@@ -88,3 +101,33 @@
         _, _, created = run(*[DOWN] * 20)
         assert created.next_retry_delay() <= follower.MAX_RETRY_DELAY
         assert created.next_retry_delay() >= follower.MAX_RETRY_DELAY / 2
+
+    def test_store_restored_read_is_delayed(self):
+        source = ScriptedCollection(batch(5), GONE, batch(9))
+        created = follower.create_follower(
+            *("x", source, Recorder(), datetime.timedelta(), random.Random(1)),
+            lambda revision: revision * datetime.timedelta(seconds=1),
+        )
+        assert created.run_once()
+        assert not created.run_once()
+        assert created.next_retry_delay() == datetime.timedelta(seconds=5)
+        assert created.next_retry_delay() < follower.MAX_RETRY_DELAY
+        assert created.run_once()
+        assert source.calls == ["all", 5, "all"]
+
+    @pytest.mark.parametrize(
+        ("revision", "era", "delayed"),
+        [case[1:] for case in READ_DELAYS],
+        ids=[case[0] for case in READ_DELAYS],
+    )
+    def test_store_restored_reads_are_spread(self, revision, era, delayed):
+        state = store_era.create_store_era()
+        state.observe(era)
+        draw = follower.spread_reads(state, lambda: 300, random.Random(1))
+        spread = datetime.timedelta(
+            seconds=300 / follower.MAX_PROCESSES_PER_SECOND
+        )
+        delays = {draw(revisions.create_revision(*revision)) for _ in range(99)}
+        assert len(delays) == (99 if delayed else 1)
+        assert (max(delays) > spread * 0.9) is delayed
+        assert max(delays) <= spread
--- a/tests/core/test_known_items_store_restored.py
+++ b/tests/core/test_known_items_store_restored.py
@@ -88,5 +88,5 @@
                 complete=bool(complete),
                 removed=removed,
             )
-        assert known.values == expected
-        assert set(known.missing_until) <= set(known.values)
+        assert known.by_name == expected
+        assert set(known.missing_until) <= set(known.by_name)
--- a/tests/steering/test_leadership_store_restored.py
+++ b/tests/steering/test_leadership_store_restored.py
@@ -13,6 +13,7 @@
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import records
 from verbenafall_core.object_store import revisions
+from verbenafall_core.object_store import store_era
 from verbenafall_sidecar.steering import leadership as leadership_lib
 
 LINK_PORT = 7000
@@ -42,7 +43,10 @@
         link_listen=addresses.Address(OWN, LINK_PORT),
     )
     ports = types.SimpleNamespace(
-        endpoints=None, gateways=None, configurations=None
+        endpoints=None,
+        gateways=None,
+        configurations=None,
+        era=store_era.create_store_era(),
     )
     dependencies = leadership_lib.Dependencies(
         settings=settings,
