Extend the store budget test to the moment after a restore

All 980 processes have links when the store returns from a copy of 0, 5 or 60 s ago; the group watches end at once. The loop of the start test moved into a class; its window still spans the moment at which links open.

--- a/tests/core/test_store_budget_at_start.py
+++ b/tests/core/test_store_budget_at_start.py
@@ -1,8 +1,9 @@
-"""Object store calls when all processes restart at once.
+"""Object store calls when all processes restart or the store is restored.
 
-Guards against a restart of the whole fleet that exceeds the store's limits of
-2,000 reads and 300 writes a second for all callers together. A watch counts as
-a read.
+Guards against a restart of the whole fleet, or a restore of the store, that
+exceeds its limits of 2,000 reads and 300 writes a second for all callers
+together. A watch counts as a read. The calls of the processes that forward are
+in forwarding/test_budget_store_restored.py.
 """
 
 import collections
@@ -75,6 +76,11 @@
         if now >= self.due.get("watch", now + SECOND):
             self.watch(now)
 
+    def end_watch(self):
+        """Make the next watch at once, as after a lost connection."""
+        if "watch" in self.due:
+            self.due["watch"] = self.clock.monotonic() - self.started
+
     def watch(self, now):
         """Make one watch; without a change, the next is due after the wait."""
         wait = self.member.spread(group_member.WATCH_WAIT)
@@ -92,8 +98,8 @@
         return self.store.watch(name, known_version, datetime.timedelta())
 
 
-def create_store():
-    store = memory_store.create_memory_store()
+def create_store(clock=None):
+    store = memory_store.create_memory_store(clock)
     bundle_helpers.put_bundle(store, bundle_helpers.signed())
     bundle_helpers.put_head(store, 1)
     return store
@@ -153,35 +159,74 @@
         assert process.bundles.current() is not None
 
 
-class TestAllProcesses:
-    def test_rates_of_the_store(self, monkeypatch):
-        """980 processes start at once and have no links for 10 s."""
-        clock = manual_clock.create_manual_clock()
-        store = create_store()
+class Fleet:
+    """All processes and their store, run in steps of a manual clock."""
+
+    def __init__(self, monkeypatch):
+        self.clock = manual_clock.create_manual_clock()
+        self.store = create_store(self.clock)
         groups = [f"g{number}" for number in range(-(-ENGINES // GROUP_SIZE))]
-        write_previous_state(store, groups)
+        write_previous_state(self.store, groups)
         cache_verification(monkeypatch)
-        processes = [Process(n, clock, store) for n in range(GATEWAYS)]
-        processes += [
-            Process(GATEWAYS + n, clock, store, groups[n // GROUP_SIZE])
+        self.per_tick = collections.deque(maxlen=4)
+        self.processes = [
+            Process(n, self.clock, self.store) for n in range(GATEWAYS)
+        ]
+        self.processes += [
+            Process(
+                GATEWAYS + n, self.clock, self.store, groups[n // GROUP_SIZE]
+            )
             for n in range(ENGINES)
         ]
-        per_tick = collections.deque(maxlen=4)
+
+    def run(self, seconds, links=()):
+        """Return the reads and writes of the busiest second.
+
+        The links, if any, bring a heartbeat every second.
+        """
         peak_rates = [0, 0]
-        for tick in range(SECONDS * 4):
-            store.calls.clear()
-            if tick == 4 * 10:
-                open_links(processes)
-            for process in processes:
+        for tick in range(seconds * 4):
+            self.store.calls.clear()
+            if tick % 4 == 0:
+                send_heartbeats(links)
+            for process in self.processes:
                 process.step()
-            per_tick.append(count(store.calls))
+            self.per_tick.append(count(self.store.calls))
             for kind in (0, 1):
-                rate = sum(entry[kind] for entry in per_tick)
+                rate = sum(entry[kind] for entry in self.per_tick)
                 peak_rates[kind] = max(peak_rates[kind], rate)
-            clock.advance(TICK)
-        assert all(process.bundles.current() for process in processes)
-        assert peak_rates[0] <= MAX_READS
-        assert peak_rates[1] <= MAX_WRITES
+            self.clock.advance(TICK)
+        return peak_rates
+
+    def has_bundle(self):
+        return all(process.bundles.current() for process in self.processes)
+
+
+class TestAllProcesses:
+    def test_rates_of_the_store(self, monkeypatch):
+        """980 processes start at once and have no links for 10 s."""
+        fleet = Fleet(monkeypatch)
+        unlinked = fleet.run(10)
+        open_links(fleet.processes)
+        linked = fleet.run(SECONDS - 10)
+        assert fleet.has_bundle()
+        for reads, writes in (unlinked, linked):
+            assert reads <= MAX_READS
+            assert writes <= MAX_WRITES
+
+    @pytest.mark.parametrize("age", [0, 5, 60])
+    def test_rates_of_a_store_restored(self, monkeypatch, age):
+        """The store returns from a copy that is some seconds old."""
+        fleet = Fleet(monkeypatch)
+        links = open_links(fleet.processes)
+        fleet.run(30, links)
+        fleet.store.restore_age(age * SECOND)
+        for process in fleet.processes:
+            process.end_watch()
+        reads, writes = fleet.run(30, links)
+        assert fleet.has_bundle()
+        assert reads <= MAX_READS
+        assert writes <= MAX_WRITES
 
 
 def cache_verification(monkeypatch):
@@ -198,14 +243,26 @@
 
 
 def open_links(processes):
-    """Give each process links to two peers and the number of processes."""
-    heartbeat = messages.Heartbeat(1, 0, True, False)
+    """Give each process links to two peers and the number of processes.
+
+    Returns:
+        The links, with the bundle service that each belongs to.
+    """
+    links = []
     for process in processes:
         process.bundles.set_process_count(PROCESSES)
         for peer in ("a", "b"):
             link = bundle_helpers.FakeLink(peer)
             process.bundles.on_open(link)
-            process.bundles.on_heartbeat(link, heartbeat)
+            links.append((process.bundles, link))
+    send_heartbeats(links)
+    return links
+
+
+def send_heartbeats(links):
+    heartbeat = messages.Heartbeat(1, 0, True, False)
+    for bundles, link in links:
+        bundles.on_heartbeat(link, heartbeat)
 
 
 class TestJitter:
