Export the store's era and describe a restored store for operators

The era is a gauge and the restores are a counter on the metrics address of forward and steer; both have a value from the start. StoreEra.observers are also called with the first era, which is no restore.

test_command_metrics.py failed before the programs exported them (KeyError: 'store.era', 2 failed). After: tests/platform_adapter and tests/core/test_era_metrics.py passed.

--- a/packages/core/src/verbenafall_core/object_store/store_era.py
+++ b/packages/core/src/verbenafall_core/object_store/store_era.py
@@ -17,12 +17,14 @@
         current: The newest era; 0 until a response has stated one.
         listeners: Called with the new era after each restore of the store, on
             the thread that received the response.
+        observers: Called like the listeners, also with the first era.
     """
 
     def __init__(self) -> None:
         """Create a state in which no era is known."""
         self.current = 0
         self.listeners: list[Callable[[int], None]] = []
+        self.observers: list[Callable[[int], None]] = []
         self.missing_logged = False
         self.lock = threading.Lock()
 
@@ -45,6 +47,8 @@
             if era <= before:
                 return era == before
             self.current = era
+        for observer in list(self.observers):
+            observer(era)
         if before:
             event_log.emit(
                 event_catalogue.STORE_RESTORED, before=before, era=era
--- a/packages/gateway/src/verbenafall_gateway/forward_command.py
+++ b/packages/gateway/src/verbenafall_gateway/forward_command.py
@@ -12,6 +12,7 @@
 from verbenafall_core import http_client
 from verbenafall_core import prometheus_metrics
 from verbenafall_core import settings as settings_lib
+from verbenafall_core.object_store import era_metrics
 from verbenafall_gateway.forwarding import forwarder
 from verbenafall_gateway.forwarding import forwarder_settings
 from verbenafall_gateway.forwarding import ports
@@ -68,12 +69,14 @@
     event_log.configure_json(settings.log_level, settings.name)
     metrics = prometheus_metrics.create_prometheus_metrics()
     client = http_client.create_http_client()
+    gateway_ports = adapter.create_gateway_ports(client, settings.object_store)
+    era_metrics.export_era(gateway_ports.era, metrics)
     try:
         if settings.metrics_listen is not None:
             metrics.serve(settings.metrics_listen)
         forwarder.run_forwarder(
             settings,
-            adapter.create_gateway_ports(client, settings.object_store),
+            gateway_ports,
             metrics,
             lambda: forwarder_settings.read_forwarder_settings(
                 arguments.settings
--- a/packages/sidecar/src/verbenafall_sidecar/steer_command.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steer_command.py
@@ -16,6 +16,7 @@
 from verbenafall_core import prometheus_metrics
 from verbenafall_core import settings as settings_lib
 from verbenafall_core import stop_requests
+from verbenafall_core.object_store import era_metrics
 from verbenafall_sidecar.steering import event_catalogue
 from verbenafall_sidecar.steering import ports as ports_lib
 from verbenafall_sidecar.steering import steering as steering_lib
@@ -50,6 +51,7 @@
     ports = adapter.create_sidecar_ports(
         http_client.create_http_client(), settings.object_store
     )
+    era_metrics.export_era(ports.era, metrics)
     steering = steering_lib.create_steering(
         settings, ports, clock_lib.system_clock(), metrics
     )
