Compose and decompose store revisions in the adapters

After a restore the store gives out revision numbers again. The adapters used them as versions, so a conditional write with a version of before the restore could overwrite a later object, a watch could miss everything up to its old number, a list could consist of pages from before and after, and a delayed response could bring back a state that no longer exists.

Both adapters now decode the header Store-Era once per response. Versions and revisions are composed of the era and the store's number, and only the number is sent. A response of an earlier era than one already seen is UNAVAILABLE for a read and UNCERTAIN for a write. A conditional write with a version of an earlier era is a CONFLICT and is not sent; if the restore shows only in the response, the store has compared the number of another version, and the write is UNCERTAIN. A collection's watch across a restore is HistoryGone; the watch of an object returns what the new era has. A list whose pages are of different eras is read again. A response without a readable era counts as one of the era known when the request was sent.

Revisions of the wrong type no longer raise or pass as numbers: an object gets version 0 as before, a list without a revision or whose page ends without a name is INVALID (the latter was read forever), and changes without one keep the revision of the watch.

Changed tests, equally strict: those that compared a batch's revision with the stand-in's number compare the composed one; parse_object and parse_list get the adapter's response.

--- a/packages/core/src/verbenafall_core/object_store/event_catalogue.py
+++ b/packages/core/src/verbenafall_core/object_store/event_catalogue.py
@@ -65,6 +65,6 @@
     1108,
     "store_era_missing",
     "WARNING",
-    "A response of the store states no readable era although earlier ones did;"
-    " the last known era is assumed. Logged once per process.",
+    "A response of the store states an unreadable era, or none although earlier"
+    " ones did; the last known era is assumed. Logged once per process.",
 )
--- a/packages/core/src/verbenafall_core/object_store/port.py
+++ b/packages/core/src/verbenafall_core/object_store/port.py
@@ -3,6 +3,12 @@
 An object has a name, which may contain slashes, a value of at most 1 MB, and a
 version that grows with each change. The platform limits the rate of calls; a
 watch counts as one call, however long it waits.
+
+A version is a revision of the module revisions: the store's era, then the
+store's own number. After the store was restored from a copy, the versions of
+all objects are in the new era, also of those that did not change since. A
+conditional write with a version of an earlier era fails as CONFLICT, and a
+watch with one returns the object as soon as it exists.
 """
 
 import datetime
--- a/packages/core/src/verbenafall_core/object_store/revisions.py
+++ b/packages/core/src/verbenafall_core/object_store/revisions.py
@@ -7,11 +7,14 @@
 the 53 bits that JSON implementations represent exactly.
 """
 
+from typing import Any
 from typing import Final
+from typing import TypeGuard
 
 NUMBER_BITS: Final = 40
 MAX_NUMBER: Final = 2**NUMBER_BITS - 1
 MAX_ERA: Final = 2 ** (53 - NUMBER_BITS) - 1
+_MAX_DIGITS: Final = len(str(MAX_NUMBER))
 
 
 def create_revision(era: int, number: int) -> int:
@@ -35,3 +38,16 @@
 def number_of(revision: int) -> int:
     """Return the store's own number of a revision."""
     return revision & MAX_NUMBER
+
+
+def is_number(value: Any) -> TypeGuard[int]:
+    """Return whether a value can be a store's own revision number."""
+    return type(value) is int and 0 <= value <= MAX_NUMBER
+
+
+def parse_number(text: str) -> int | None:
+    """Return the decimal number in a text, None if it is out of range."""
+    if not (text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS):
+        return None
+    number = int(text)
+    return number if is_number(number) else None
--- a/packages/core/src/verbenafall_core/object_store/store_era.py
+++ b/packages/core/src/verbenafall_core/object_store/store_era.py
@@ -5,6 +5,7 @@
 
 from verbenafall_core import event_log
 from verbenafall_core.object_store import event_catalogue
+from verbenafall_core.object_store import revisions
 
 
 class StoreEra:
@@ -26,6 +27,28 @@
         self.missing_logged = False
         self.lock = threading.Lock()
 
+    def is_past(self, revision: int) -> bool:
+        """Return whether a revision is of an earlier era than the current."""
+        return revisions.era_of(revision) < self.current
+
+    def receive(self, text: str, era_before: int) -> int | None:
+        """Record the era that a response states; return the one it counts as.
+
+        Args:
+            text: The era as stated, empty if the response states none.
+            era_before: The current era when the request was sent. A response
+                without a readable era counts as one of this era.
+
+        Returns:
+            None if the response must not be used; see observe.
+        """
+        era = parse_era(text)
+        if era is None and text:
+            self.log_missing(text)
+        if not self.observe(era):
+            return None
+        return era_before if era is None else era
+
     def observe(self, era: int | None) -> bool:
         """Record the era of a response; return whether it is current.
 
@@ -53,13 +76,24 @@
                 listener(era)
         return True
 
-    def log_missing(self) -> None:
-        """Log once that responses state no era although earlier ones did."""
+    def log_missing(self, text: str = "") -> None:
+        """Log once that a response states no readable era.
+
+        A store that has never stated anything is not worth a log line.
+        """
         with self.lock:
-            if self.missing_logged or not self.current:
+            if self.missing_logged or not (self.current or text):
                 return
             self.missing_logged = True
-        event_log.emit(event_catalogue.STORE_ERA_MISSING, era=self.current)
+        event_log.emit(
+            event_catalogue.STORE_ERA_MISSING, era=self.current, stated=text
+        )
+
+
+def parse_era(text: str) -> int | None:
+    """Return the era in a text, None if it is not a valid one."""
+    era = revisions.parse_number(text)
+    return era if era and era <= revisions.MAX_ERA else None
 
 
 def create_store_era() -> StoreEra:
--- a/tests/core/test_object_store_contract.py
+++ b/tests/core/test_object_store_contract.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import datetime
+import functools
 import uuid
 
 import pytest
@@ -168,6 +169,230 @@
         assert store.read(name).unwrap() == won[0].unwrap()
 
 
+def restore(backend, changes):
+    """Restore the store behind a memory or HTTP adapter."""
+    getattr(backend, "store", backend).restore(changes)
+
+
+@pytest.fixture(params=["memory", "http"])
+def opened(request):
+    """Yield an adapter, and a function that restores its store.
+
+    A restore goes back to the state before the given number of changes.
+    """
+    with adapters.open_store(request.param) as (adapter, backend):
+        yield adapter, functools.partial(restore, backend)
+
+
+# Test id, a conditional write.
+WRITES = [
+    ("update", lambda store, version: store.update("a", b"late", version)),
+    ("delete", lambda store, version: store.delete("a", version)),
+]
+
+
+class TestStoreRestored:
+    """A version of before a restore must never match one of after it."""
+
+    def test_store_restored_versions_grow(self, opened):
+        store, restore = opened
+        kept = store.create("a", b"a").unwrap()
+        lost = store.create("b", b"b").unwrap()
+        restore(1)
+        again = store.read("a").unwrap()
+        written = store.create("b", b"b").unwrap()
+        assert again == kept._replace(version=again.version)
+        assert kept.version < lost.version < again.version < written.version
+        assert store.list_objects("", 9).unwrap() == (again, written)
+
+    @pytest.mark.parametrize(
+        "write", [case[1] for case in WRITES], ids=[case[0] for case in WRITES]
+    )
+    @pytest.mark.parametrize("changes", [0, 1])
+    def test_store_restored_refuses_earlier_versions(
+        self, opened, write, changes
+    ):
+        store, restore = opened
+        version = store.create("a", b"a").unwrap().version
+        restore(changes)
+        if changes:
+            store.create("a", b"a").unwrap()
+        present = store.read("a").unwrap()
+        assert outcome(write(store, version)) is Kind.CONFLICT
+        assert store.read("a").unwrap() == present
+        assert returns.pipeline.is_successful(write(store, present.version))
+
+    def test_store_restored_refuses_earlier_versions_of_absent_objects(
+        self, opened
+    ):
+        store, restore = opened
+        version = store.create("a", b"a").unwrap().version
+        restore(1)
+        assert outcome(store.read("a")) is Kind.MISSING
+        assert outcome(store.update("a", b"b", version)) is Kind.CONFLICT
+        assert outcome(store.delete("a", version)) is Kind.CONFLICT
+
+    @pytest.mark.parametrize("noticed", [False, True])
+    @pytest.mark.parametrize("written_again", [0, 2, 9])
+    def test_store_restored_watch_of_an_earlier_version(
+        self, opened, noticed, written_again
+    ):
+        store, restore = opened
+        first = store.create("a", b"a").unwrap().version
+        known = store.update("a", b"b", first).unwrap().version
+        restore(1)
+        for number in range(written_again):
+            store.create(f"other/{number}", b"").unwrap()
+        if noticed:
+            assert outcome(store.read("none")) is Kind.MISSING
+        found = store.watch("a", known, NO_WAIT).unwrap()
+        assert found.value == b"a"
+        assert outcome(store.watch("a", found.version, NO_WAIT)) is Kind.MISSING
+
+    @pytest.mark.parametrize("noticed", [False, True])
+    def test_store_restored_watch_of_an_absent_object(self, opened, noticed):
+        store, restore = opened
+        known = store.create("a", b"a").unwrap().version
+        restore(1)
+        if noticed:
+            assert outcome(store.read("a")) is Kind.MISSING
+        assert outcome(store.watch("a", known, NO_WAIT)) is Kind.MISSING
+
+    def test_store_restored_ends_a_waiting_watch(self, opened):
+        store, restore = opened
+        first = store.create("a", b"a").unwrap().version
+        known = store.update("a", b"b", first).unwrap().version
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            watched = pool.submit(store.watch, "a", known, LONG_WAIT)
+            restore(1)
+            assert watched.result().unwrap().value == b"a"
+
+
+# Test id, a call of the HTTP adapter, and its result if its response is of an
+# earlier era.
+DELAYED = [
+    ("read", lambda store, last: store.read("a"), Kind.UNAVAILABLE),
+    ("list", lambda store, last: store.list_objects("", 1), Kind.UNAVAILABLE),
+    (
+        "watch",
+        lambda store, last: store.watch("a", 0, NO_WAIT),
+        Kind.UNAVAILABLE,
+    ),
+    ("create", lambda store, last: store.create("b", b""), Kind.UNCERTAIN),
+    (
+        "update",
+        lambda store, last: store.update("a", b"", last),
+        Kind.UNCERTAIN,
+    ),
+    ("delete", lambda store, last: store.delete("a", last), Kind.UNCERTAIN),
+]
+
+UNREADABLE_ERAS = [(), *[(("store-era", text),) for text in ("", "x", "0")]]
+
+
+class HeaderClient:
+    """Replaces the eras that a stand-in states, and records the calls.
+
+    Attributes:
+        eras: Era headers of the next responses, in place of the real one.
+    """
+
+    def __init__(self):
+        self.client = http_client.create_http_client()
+        self.eras = []
+        self.requests = []
+
+    def call(self, request):
+        self.requests.append(request)
+        result = self.client.call(request)
+        if not self.eras:
+            return result
+        headers = self.eras.pop(0)
+        return result.map(
+            lambda response: response._replace(
+                headers=headers
+                + tuple(
+                    line for line in response.headers if line[0] != "store-era"
+                )
+            )
+        )
+
+
+@pytest.fixture
+def http_store():
+    """Yield an HTTP adapter, its client and the stand-in that it calls."""
+    standin, client = object_store.create_object_store(), HeaderClient()
+    with adapters.serving(standin.handle) as url:
+        yield (
+            http_adapter.create_http_object_store(client, url),
+            client,
+            standin,
+        )
+
+
+class TestEraOfResponses:
+    @pytest.mark.parametrize(
+        ("call", "kind"),
+        [case[1:] for case in DELAYED],
+        ids=[case[0] for case in DELAYED],
+    )
+    def test_store_restored_before_a_delayed_response(
+        self, http_store, call, kind
+    ):
+        store, client, standin = http_store
+        store.create("a", b"").unwrap()
+        standin.store.restore(0)
+        last = store.read("a").unwrap().version
+        client.eras = [(("store-era", "1"),)]
+        assert outcome(call(store, last)) is kind
+        assert store.era.current == 2
+
+    @pytest.mark.parametrize(
+        "write", [case[1] for case in WRITES], ids=[case[0] for case in WRITES]
+    )
+    def test_store_restored_has_given_out_the_version_again(
+        self, http_store, write
+    ):
+        store, client, standin = http_store
+        version = store.create("a", b"a").unwrap().version
+        standin.store.restore(1)
+        standin.store.create("a", b"other").unwrap()
+        assert outcome(write(store, version)) is Kind.UNCERTAIN
+        client.requests.clear()
+        assert outcome(write(store, version)) is Kind.CONFLICT
+        assert client.requests == []
+
+    def test_store_restored_is_watched_from_no_earlier_version(
+        self, http_store
+    ):
+        store, client, standin = http_store
+        known = store.create("a", b"a").unwrap().version
+        standin.store.restore(0)
+        store.read("a").unwrap()
+        client.requests.clear()
+        store.watch("a", known, NO_WAIT).unwrap()
+        paths = [request.url.rpartition("/")[2] for request in client.requests]
+        assert paths == ["a?watch_after=0&wait_ms=1"]
+
+    @pytest.mark.parametrize("headers", UNREADABLE_ERAS)
+    def test_unreadable_era_counts_as_the_last(self, http_store, headers):
+        store, client, _ = http_store
+        made = store.create("a", b"a").unwrap()
+        client.eras = [headers]
+        assert store.read("a").unwrap() == made
+
+    def test_store_without_eras(self, http_store):
+        store, client, _ = http_store
+        client.eras = [()] * 4
+        made = store.create("a", b"a").unwrap()
+        changed = store.update("a", b"b", made.version).unwrap()
+        assert (made.version, changed.version) == (1, 2)
+        assert store.watch("a", made.version, NO_WAIT).unwrap() == changed
+        assert outcome(store.watch("a", changed.version, NO_WAIT)) is (
+            Kind.MISSING
+        )
+
+
 FAULTS = [
     ("down", memory_store.Fault.DOWN, Kind.UNAVAILABLE, False),
     ("lose_answer", memory_store.Fault.LOST_ANSWER, Kind.UNCERTAIN, True),
@@ -248,15 +473,25 @@
     def test_status(self, status, kind):
         assert http_adapter.classify_status(status) is kind
 
-    @pytest.mark.parametrize("etag", ["", '"x"', '"-1"', '"²"'])
+    @pytest.mark.parametrize(
+        "etag", ["", '"x"', '"-1"', '"²"', f'"{2**40}"', f'"{"9" * 5000}"']
+    )
     def test_write_without_a_version_is_uncertain(self, etag):
-        response = http_client.HttpResponse(200, (("etag", etag),), b"")
+        response = http_adapter.StoreResponse(1, (("etag", etag),), b"")
         result = http_adapter.parse_object("a", response, b"")
         assert outcome(result) is Kind.UNCERTAIN
 
     @pytest.mark.parametrize(
-        "body", [b"", b"{}", b'[{"name":"a"}]', b'[{"name":1}]']
+        "body",
+        [
+            b"",
+            b"{}",
+            b'[{"name":"a"}]',
+            b'[{"name":1}]',
+            b'[{"name":"a","version":-1,"value":""}]',
+            b'[{"name":"a","version":2000000000000,"value":""}]',
+        ],
     )
     def test_malformed_list_is_a_failure(self, body):
-        response = http_client.HttpResponse(200, (), body)
+        response = http_adapter.StoreResponse(1, (), body)
         assert outcome(http_adapter.parse_list(response)) is Kind.UNCERTAIN
--- a/tests/core/test_store_era.py
+++ b/tests/core/test_store_era.py
@@ -69,3 +69,52 @@
         assert results[-1] is usable
         assert state.current == current
         assert reported == restores
+
+    @pytest.mark.parametrize(
+        ("stated", "era_before", "expected", "current"),
+        [
+            ("4", 3, 4, 4),
+            ("3", 3, 3, 3),
+            ("2", 3, None, 3),
+            ("", 3, 3, 3),
+            ("", 2, 2, 3),
+            ("x", 2, 2, 3),
+        ],
+    )
+    def test_receive(self, stated, era_before, expected, current):
+        state = store_era.create_store_era()
+        state.observe(3)
+        assert state.receive(stated, era_before) == expected
+        assert state.current == current
+
+    @pytest.mark.parametrize(
+        ("revision", "expected"),
+        [
+            (0, True),
+            (revisions.create_revision(1, revisions.MAX_NUMBER), True),
+            (revisions.create_revision(2, 0), False),
+            (revisions.create_revision(3, 0), False),
+        ],
+    )
+    def test_is_past(self, revision, expected):
+        state = store_era.create_store_era()
+        state.observe(2)
+        assert state.is_past(revision) is expected
+
+    @pytest.mark.parametrize(
+        ("text", "expected"),
+        [
+            ("1", 1),
+            (str(revisions.MAX_ERA), revisions.MAX_ERA),
+            (str(revisions.MAX_ERA + 1), None),
+            ("0", None),
+            ("", None),
+            (" 1", None),
+            ("+1", None),
+            ("1.0", None),
+            ("²", None),
+            ("9" * 5000, None),
+        ],
+    )
+    def test_parse_era(self, text, expected):
+        assert store_era.parse_era(text) == expected
