Run starts and lost entries with a restore of the store

The flow start: a process starts beside a running fleet while the store loses the roll-out of the accepted version. The flow entries: an engine starts, drains, removes its entry and starts again; each step is followed by a restore that loses none to three changes, and by the engines writing theirs again.

Each flow is red under two mutations, the lease flow under one ("two holders").

--- a/tests/faults/test_mutations_p4_to_p7.py
+++ b/tests/faults/test_mutations_p4_to_p7.py
@@ -16,9 +16,12 @@
 from verbenafall_gateway.choice import endpoint_view
 from verbenafall_gateway.choice import service_state
 from verbenafall_gateway.delivery import drain as gateway_drain
+from verbenafall_gateway.forwarding import departures
+from verbenafall_gateway.forwarding import endpoint_directory
 from verbenafall_gateway.links import link_targets
 from verbenafall_sidecar.delivery import drain as sidecar_drain
 from verbenafall_sidecar.orders import order_gate
+from verbenafall_standins.fakes import memory_store
 
 
 def release_without_arming(patch):
@@ -162,6 +165,31 @@
     )
 
 
+def store_restored_copies_count_as_written(patch):
+    """Take each entry of the new era for one that was written after it."""
+    patch.setattr(
+        departures,
+        "has_returned",
+        lambda departure, version, _endpoint, _copied_until: (
+            version > departure.version
+        ),
+    )
+
+
+def store_restored_entries_have_no_grace(patch):
+    patch.setattr(endpoint_directory, "REGISTRATION_GRACE_SECONDS", 0.0)
+
+
+def store_restored_lease_has_no_era(patch):
+    """Let an update succeed whose version is of an earlier era."""
+    patch.setattr(
+        memory_store.MemoryStore, "_is_of_older_era", lambda *_arguments: False
+    )
+    patch.setattr(
+        memory_store.MemoryStore, "_version", lambda _store, number: number
+    )
+
+
 # Property, flow, mutation, expected part of the reason of a red cell.
 MUTATIONS = [
     ("P4", "old_orders_unfenced", ignore_order_epochs, "two maps"),
@@ -183,6 +211,11 @@
     ("P5", "bundle_roll", ignore_accepted_version, "with the fault"),
     ("P5", "bundle_roll", assume_permanent_contact, "check failed: p1"),
     ("P5", "bundle_roll", activate_before_accepted, "p1 runs 1 after the"),
+    ("lease", "lease", store_restored_lease_has_no_era, "two holders"),
+    ("P5", "start", store_restored_head_stays_old, "the store has Head"),
+    ("P5", "start", store_restored_text_stays_lost, "has no text"),
+    ("P6", "entries", store_restored_copies_count_as_written, "uses"),
+    ("entries", "entries", store_restored_entries_have_no_grace, "lacks"),
     ("P6", "leaving_by_links", ignore_draining, "new work after 3 s"),
     ("P6", "leaving_by_list", ignore_instance_list, "new work after 3 s"),
     (
