Read followed collections again as soon as a restore is seen

A follower kept its revision across a restore of the store unless its watch got a 410: if the revision had been given out again, it never read what it had missed, and its listener kept entries that the store had lost.

A batch of another era than the watched revision now counts as a lost history, and the complete batch after a restore is reported as one after an outage, so that listeners give entries their time to come back. Followers listen to the era that all store calls of the process share: when another call shows a restore, a new thread reads the collection and the result of the waiting call is dropped. Shorter waits were ruled out, as each halving doubles the reading calls of the whole fleet; so was interrupting the waiting call, for which the HTTP client has no means.

A store that is restored without cutting off any waiting watch is noticed only when the first watch of the process ends.

--- a/packages/core/src/verbenafall_core/object_store/follower.py
+++ b/packages/core/src/verbenafall_core/object_store/follower.py
@@ -51,7 +51,9 @@
             batch: All objects of the collection, or those that changed.
             complete: Whether the batch has all objects, so that objects that
                 are not in it no longer exist.
-            after_outage: Whether calls failed since the last batch.
+            after_outage: Whether calls failed or the store was restored since
+                the last batch. Objects may be missing that their writers are
+                about to write again.
         """
 
     def on_outage(self) -> None:
@@ -59,7 +61,19 @@
 
 
 class Follower(Generic[T]):
-    """Reads a collection once, then watches for changes."""
+    """Reads a collection once, then watches for changes.
+
+    When another call of the process shows that the store was restored, a new
+    thread replaces the one whose watch may still wait, and reads the
+    collection again.
+
+    Attributes:
+        revision: Revision that the next watch continues from; None if the
+            complete collection is read next.
+        delivered: Revision of the last batch passed to the listener.
+        generation: Number of replaced threads. A call made in an earlier
+            generation has no effect.
+    """
 
     def __init__(
         self,
@@ -69,6 +83,7 @@
         wait: datetime.timedelta,
         generator: random.Random,
         read_delay: ReadDelay,
+        era: store_era.StoreEra,
     ) -> None:
         """Create a follower that is not yet running."""
         self.name = name
@@ -78,8 +93,13 @@
         self.generator = generator
         self.read_delay = read_delay
         self.next_delay: datetime.timedelta | None = None
+        self.era = era
         self.revision: int | None = None
+        self.delivered: int | None = None
         self.failures = 0
+        self.generation = 0
+        # Guards the state and the calls of the listener.
+        self.lock = threading.Lock()
         self.stopped = threading.Event()
         self.thread = threading.Thread(
             target=self.run, name=f"follow-{name}", daemon=True
@@ -87,18 +107,45 @@
 
     def start(self) -> None:
         """Start the thread."""
+        self.era.listeners.append(self.on_restored)
         self.thread.start()
 
     def stop(self, limit: datetime.timedelta) -> None:
         """Stop after the current call, without waiting for it."""
         del limit
         self.stopped.set()
+        if self.on_restored in self.era.listeners:
+            self.era.listeners.remove(self.on_restored)
+
+    def on_restored(self, _era: int) -> None:
+        """Replace the thread, unless the call is made on it.
 
-    def run(self) -> None:
-        """Read and watch the collection until stopped."""
-        while not self.stopped.is_set():
+        A new thread takes the lock, as the caller may hold locks that the
+        listener needs.
+        """
+        if threading.current_thread() is not self.thread:
+            threading.Thread(
+                target=self.replace_thread,
+                name=f"follow-{self.name}",
+                daemon=True,
+            ).start()
+
+    def replace_thread(self) -> None:
+        """Continue on the calling thread, with a read of the collection."""
+        with self.lock:
+            self.generation += 1
+            generation = self.generation
+            self.thread = threading.current_thread()
+            proceed = self.schedule_read()
+        if not proceed:
+            self.wait_for_retry()
+        self.run(generation)
+
+    def run(self, generation: int = 0) -> None:
+        """Read and watch the collection until stopped or replaced."""
+        while not self.has_ended(generation):
             try:
-                proceed = self.run_once()
+                proceed = self.run_once(generation)
             except Exception as error:  # The thread must survive any error.
                 event_log.emit(
                     event_catalogue.FOLLOWER_FAILED,
@@ -108,22 +155,32 @@
                 self.revision = None
                 proceed = False
             if not proceed:
-                self.stopped.wait(self.next_retry_delay().total_seconds())
+                self.wait_for_retry()
+
+    def has_ended(self, generation: int) -> bool:
+        """Return whether the thread of a generation must end."""
+        return self.stopped.is_set() or generation != self.generation
 
-    def run_once(self) -> bool:
+    def run_once(self, generation: int = 0) -> bool:
         """Make one call; return whether to make the next without a delay."""
-        complete = self.revision is None
+        revision = self.revision
         result: Any
-        if self.revision is None:
+        if revision is None:
             result = self.collection.read_all()
         else:
-            result = self.collection.read_changes(self.revision, self.wait)
-        if self.stopped.is_set():
-            return True
-        if not returns.pipeline.is_successful(result):
-            return self.handle_failure(result.failure())
-        self.handle_batch(result.unwrap(), complete)
-        return True
+            result = self.collection.read_changes(revision, self.wait)
+        with self.lock:
+            if self.has_ended(generation):
+                return True
+            if not returns.pipeline.is_successful(result):
+                return self.handle_failure(result.failure())
+            return self.handle_batch(result.unwrap(), revision)
+
+    def schedule_read(self) -> bool:
+        """Read the collection next; return whether to do so without a delay."""
+        self.next_delay = self.read_delay(self.revision or 0)
+        self.revision = None
+        return not self.next_delay
 
     def handle_failure(self, failure: Any) -> bool:
         """Handle a failed call; return whether to retry without a delay."""
@@ -133,9 +190,7 @@
                 collection=self.name,
                 revision=self.revision,
             )
-            self.next_delay = self.read_delay(self.revision or 0)
-            self.revision = None
-            return not self.next_delay
+            return self.schedule_read()
         if self.failures == 0:
             event_log.emit(
                 event_catalogue.STORE_LOST,
@@ -148,9 +203,21 @@
         return False
 
     def handle_batch(
-        self, batch: collection_lib.Batch[T], complete: bool
-    ) -> None:
-        """Log the end of an outage and pass the batch to the listener."""
+        self, batch: collection_lib.Batch[T], watched: int | None
+    ) -> bool:
+        """Pass a batch to the listener, and log the end of an outage.
+
+        Args:
+            batch: What the call returned.
+            watched: Revision after which the collection was watched; None if
+                it was read completely.
+
+        Returns:
+            Whether to make the next call without a delay.
+        """
+        era = revisions.era_of(batch.revision)
+        if watched is not None and era != revisions.era_of(watched):
+            return self.handle_failure(collection_lib.HistoryGone())
         if self.failures:
             event_log.emit(
                 event_catalogue.STORE_REGAINED,
@@ -165,10 +232,18 @@
                 name=item.name,
                 problem=item.problem,
             )
-        after_outage = self.failures > 0
+        restored = self.delivered is not None and (
+            era > revisions.era_of(self.delivered)
+        )
+        after_outage = self.failures > 0 or restored
         self.failures = 0
-        self.revision = batch.revision
-        self.listener.on_batch(batch, complete, after_outage)
+        self.revision = self.delivered = batch.revision
+        self.listener.on_batch(batch, watched is None, after_outage)
+        return True
+
+    def wait_for_retry(self) -> None:
+        """Wait before the next call, or until stopped."""
+        self.stopped.wait(self.next_retry_delay().total_seconds())
 
     def next_retry_delay(self) -> datetime.timedelta:
         """Return the delay before the next call.
@@ -223,8 +298,13 @@
     wait: datetime.timedelta,
     generator: random.Random | None = None,
     read_delay: ReadDelay = read_at_once,
+    era: store_era.StoreEra | None = None,
 ) -> Follower[T]:
-    """Create a follower that is not yet running."""
+    """Create a follower that is not yet running.
+
+    Without the era that the store's calls report to, it notices a restore of
+    the store only when its watch ends.
+    """
     return Follower(
         name,
         collection,
@@ -232,4 +312,5 @@
         wait,
         generator or random.Random(),
         read_delay,
+        era or store_era.create_store_era(),
     )
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -150,6 +150,7 @@
                 store_listeners.ConfigurationListener(loop, self.configuration),
                 WATCH_WAIT,
                 read_delay=read_delay,
+                era=ports.era,
             ),
             follower.create_follower(
                 "endpoints",
@@ -159,6 +160,7 @@
                 ),
                 WATCH_WAIT,
                 read_delay=read_delay,
+                era=ports.era,
             ),
             follower.create_follower(
                 "gateways",
@@ -166,6 +168,7 @@
                 store_listeners.RecordListener(loop, self.links),
                 RECORDS_WAIT,
                 read_delay=read_delay,
+                era=ports.era,
             ),
         ]
         self.draining = False
--- a/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
@@ -145,6 +145,7 @@
                 WATCH_WAIT,
                 dependencies.generator,
                 read_delay,
+                dependencies.ports.era,
             ),
             follower.create_follower(
                 "gateways",
@@ -153,6 +154,7 @@
                 WATCH_WAIT,
                 dependencies.generator,
                 read_delay,
+                dependencies.ports.era,
             ),
         ]
 
--- a/tests/core/test_follower.py
+++ b/tests/core/test_follower.py
@@ -1,6 +1,7 @@
 """Followers of a collection: order of calls, outages, lost history."""
 
 import datetime
+import queue
 import random
 
 import pytest
@@ -49,6 +50,43 @@
         return self.results.pop(0)
 
 
+WAIT_SECONDS = 30
+
+
+class WaitingCollection:
+    """A collection whose watches wait until the test completes them."""
+
+    def __init__(self):
+        self.batches = queue.SimpleQueue()
+        self.watches = queue.SimpleQueue()
+
+    def read_all(self):
+        return self.batches.get(timeout=WAIT_SECONDS)
+
+    def read_changes(self, revision, wait):
+        del wait
+        response = queue.SimpleQueue()
+        self.watches.put((revision, response))
+        result = response.get(timeout=WAIT_SECONDS)
+        return result() if callable(result) else result
+
+
+class QueueListener:
+    """Passes the batches that it gets to the test."""
+
+    def __init__(self):
+        self.batches = queue.SimpleQueue()
+
+    def on_batch(self, received, complete, after_outage):
+        self.batches.put((received.revision, complete, after_outage))
+
+    def on_outage(self):
+        self.batches.put("outage")
+
+    def next(self):
+        return self.batches.get(timeout=WAIT_SECONDS)
+
+
 class Recorder:
     """Records the calls of the listener methods."""
 
@@ -62,6 +100,10 @@
         self.callbacks.append("outage")
 
 
+def revision(era, number):
+    return revisions.create_revision(era, number)
+
+
 def run(*results):
     source, recorder = ScriptedCollection(*results), Recorder()
     created = follower.create_follower(
@@ -131,3 +173,104 @@
         assert len(delays) == (99 if delayed else 1)
         assert (max(delays) > spread * 0.9) is delayed
         assert max(delays) <= spread
+
+    def test_store_restored_is_read_again_without_a_lost_history(self):
+        """Guards against a store that has given out the revision again."""
+        old, again, new = revision(1, 5), revision(2, 5), revision(2, 6)
+        calls, callbacks, _ = run(batch(old), batch(again), batch(new))
+        assert calls == ["all", old, "all"]
+        assert callbacks == [(old, True, False), (new, True, True)]
+
+    def test_store_restored_counts_as_an_outage_until_it_is_read(self):
+        old, new = revision(1, 5), revision(2, 3)
+        calls, callbacks, _ = run(
+            batch(old), GONE, DOWN, batch(new), batch(new)
+        )
+        assert calls == ["all", old, "all", "all", new]
+        assert callbacks == [
+            (old, True, False),
+            "outage",
+            (new, True, True),
+            (new, False, False),
+        ]
+
+    def test_history_lost_without_a_restore_is_no_outage(self):
+        _, callbacks, _ = run(
+            batch(revision(1, 5)), GONE, batch(revision(1, 9))
+        )
+        assert callbacks[-1] == (revision(1, 9), True, False)
+
+
+class TestWaitingFollower:
+    """A follower whose watch may wait for long when the store is restored."""
+
+    def setup_method(self):
+        self.source, self.listener = WaitingCollection(), QueueListener()
+        self.era = store_era.create_store_era()
+        self.era.observe(1)
+        self.follower = follower.create_follower(
+            "x",
+            self.source,
+            self.listener,
+            datetime.timedelta(seconds=WAIT_SECONDS),
+            era=self.era,
+        )
+        self.follower.start()
+        self.source.batches.put(batch(revision(1, 5)))
+        assert self.listener.next() == (revision(1, 5), True, False)
+        self.watched, self.response = self.next_watch()
+
+    def teardown_method(self):
+        self.follower.stop(datetime.timedelta())
+        self.response.put(GONE)
+
+    def next_watch(self):
+        return self.source.watches.get(timeout=WAIT_SECONDS)
+
+    def test_store_restored_is_read_while_the_watch_waits(self):
+        assert self.era.observe(2)
+        self.source.batches.put(batch(revision(2, 4)))
+        assert self.listener.next() == (revision(2, 4), True, True)
+
+    def test_store_restored_makes_the_waiting_watch_ineffective(self):
+        replaced = self.follower.thread
+        self.era.observe(2)
+        self.source.batches.put(batch(revision(2, 4)))
+        self.listener.next()
+        watched, response = self.next_watch()
+        assert watched == revision(2, 4)
+        self.response.put(batch(revision(1, 9)))
+        replaced.join(WAIT_SECONDS)
+        assert not replaced.is_alive()
+        self.response = response
+        response.put(batch(revision(2, 7)))
+        assert self.listener.next() == (revision(2, 7), False, False)
+
+    def test_store_restored_twice(self):
+        self.era.observe(2)
+        self.source.batches.put(batch(revision(2, 4)))
+        self.listener.next()
+        self.response.put(GONE)
+        _, self.response = self.next_watch()
+        self.era.observe(3)
+        self.source.batches.put(batch(revision(3, 1)))
+        assert self.listener.next() == (revision(3, 1), True, True)
+
+    def test_store_restored_after_the_stop(self):
+        self.follower.stop(datetime.timedelta())
+        assert self.era.listeners == []
+        self.follower.on_restored(2)
+        self.response.put(GONE)
+        self.follower.thread.join(WAIT_SECONDS)
+        assert not self.follower.thread.is_alive()
+
+    def test_store_restored_as_seen_by_the_own_watch(self):
+        def show_restore():
+            self.era.observe(2)
+            return GONE
+
+        self.response.put(show_restore)
+        self.source.batches.put(batch(revision(2, 4)))
+        assert self.listener.next() == (revision(2, 4), True, True)
+        assert self.follower.generation == 0
+        _, self.response = self.next_watch()
