--- a/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
@@ -150,6 +150,7 @@
                 WATCH_WAIT,
                 dependencies.generator,
                 read_delay,
+                dependencies.ports.era,
             ),
             follower.create_follower(
                 "gateways",
@@ -158,6 +159,7 @@
                 WATCH_WAIT,
                 dependencies.generator,
                 read_delay,
+                dependencies.ports.era,
             ),
         ]
         self.term_record = group_term.TermRecord(
