--- a/tests/core/test_claims_store_restored.py
+++ b/tests/core/test_claims_store_restored.py
@@ -6,10 +6,14 @@
 from hypothesis import strategies
 import pytest
 
+import adapters
 from core import test_claims_machine
+from verbenafall_core import http_client
 from verbenafall_core.claims import model
 from verbenafall_core.claims import restores
 from verbenafall_core.claims import service
+from verbenafall_core.object_store import http_adapter
+from verbenafall_standins import object_store
 from verbenafall_standins.fakes import manual_clock
 from verbenafall_standins.fakes import memory_store
 
@@ -227,6 +231,33 @@
         assert operations == ["create", "update"]
 
 
+class TestHttp:
+    def test_key_does_not_start_again(self):
+        """Guards against an adapter that hides the era from the claims."""
+        standin = object_store.create_object_store()
+        clock = manual_clock.create_manual_clock()
+        with adapters.serving(standin.handle) as url:
+            first, second = (
+                service.create_claim_service(
+                    http_adapter.create_http_object_store(
+                        http_client.create_http_client(), url
+                    ),
+                    clock,
+                )
+                for _ in range(2)
+            )
+            started = first.start("t", "k", "r.1", "d", "ep")
+            standin.store.restore(1)
+            again = second.start("t", "k", "r.2", "d", "ep")
+            first.finish(started, ANSWER)
+            later = second.start("t", "k", "r.3", "d", "ep")
+            new = second.start("t", "era-2.k", "r.4", "d", "ep")
+        assert isinstance(started, model.StartedClaim)
+        assert again == UNCONFIRMED
+        assert later in (UNCONFIRMED, model.Replay(ANSWER))
+        assert isinstance(new, model.StartedClaim)
+
+
 class RestoredMachine(test_claims_machine.ClaimsMachine):
     """Adds restores of the store, and keys that state an era."""
 
