--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -57,7 +57,8 @@
     2113,
     "own_record_written",
     "INFO",
-    "The gateway wrote its record to the store, so other gateways can find it.",
+    "The gateway's record is in the store, so other gateways can find it."
+    " Logged at the start and after each restore of the store, with its era.",
 )
 OWN_RECORD_FAILED = event_log.define(
     2114,
@@ -66,6 +67,13 @@
     "The gateway could not write its record to the store, so other gateways may"
     " not find it. It retries; check the store if the record is not written.",
 )
+OWN_RECORD_NOT_DELETED = event_log.define(
+    2115,
+    "own_record_not_deleted",
+    "WARNING",
+    "The gateway could not delete its record at a planned stop. Other gateways"
+    " try to link to it until the next start replaces the record.",
+)
 ENDPOINT_LISTED = event_log.define(
     2120,
     "endpoint_listed",
@@ -87,6 +95,24 @@
     "An attempt at an endpoint failed; the endpoint is avoided for the stated"
     " number of seconds.",
 )
+ENDPOINT_RETURNED = event_log.define(
+    2123,
+    "endpoint_returned",
+    "INFO",
+    "An endpoint that had left in an earlier era of the store accepts requests"
+    " again: its engine started again, wrote its entry after the restore, or"
+    " maintains the copied entry.",
+)
+ENDPOINTS_RESTORED = event_log.define(
+    2124,
+    "endpoints_restored",
+    "WARNING",
+    "The endpoints were read from a store that was restored from a copy: before"
+    " and revision are the store's revisions, kept are endpoints without an"
+    " entry that stay in use for two seconds, withheld are endpoints with an"
+    " entry from before they left, which get no requests. Logged once per"
+    " process and restore.",
+)
 ATTEMPT_PLACED = event_log.define(
     2130,
     "forward_placed",
--- a/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
@@ -23,14 +23,18 @@
 from verbenafall_core import link_loop
 from verbenafall_core import messages
 from verbenafall_core import metrics as metrics_lib
+from verbenafall_core import periodic
 from verbenafall_core.expert_maps import demand
 from verbenafall_core.expert_maps import rank_state
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import follower
+from verbenafall_core.object_store import known_items
+from verbenafall_core.object_store import records
 from verbenafall_core.routes import model
 from verbenafall_sidecar.steering import count_plan
 from verbenafall_sidecar.steering import event_catalogue
 from verbenafall_sidecar.steering import group_leader
+from verbenafall_sidecar.steering import group_term
 from verbenafall_sidecar.steering import ports as ports_lib
 from verbenafall_sidecar.steering import rank_agent
 from verbenafall_sidecar.steering import rank_messages
@@ -42,9 +46,13 @@
 # calls to its engine, which cost more and bring no counts.
 DIRECT_ORDER_DELAY: Final = datetime.timedelta(milliseconds=300)
 WATCH_WAIT: Final = datetime.timedelta(seconds=10)
+# Time after a restore of the store in which running engines have written their
+# entries again.
+ENTRY_RETENTION: Final = datetime.timedelta(seconds=2)
 LAYOUT_RETRY_INTERVAL: Final = datetime.timedelta(milliseconds=500)
 # Gateways discard slowdowns that are not sent again.
 SLOWDOWNS_RESEND_INTERVAL: Final = datetime.timedelta(seconds=1)
+TERM_CHECK_INTERVAL: Final = datetime.timedelta(milliseconds=250)
 MILLISECOND: Final = datetime.timedelta(milliseconds=1)
 GATEWAY_ROLE: Final = "gateway"
 
@@ -92,13 +100,15 @@
 class Leadership:
     """Leadership of a group under one term; the lock guards its state."""
 
-    def __init__(self, term: int, dependencies: Dependencies) -> None:
+    def __init__(
+        self, claim: group_term.Claim, dependencies: Dependencies
+    ) -> None:
         """Create a leadership whose threads are not started."""
-        self.term = term
+        self.term = claim.term
         self.dependencies = dependencies
         self.stopped = False
         self.leader = group_leader.GroupLeader(
-            term,
+            claim.term,
             self.own_rank,
             lambda: self.layout,
             dependencies.clock,
@@ -116,13 +126,22 @@
         self.gateway_links: set[link_lib.Link] = set()
         self.unlinked_since: dict[addresses.Address, datetime.timedelta] = {}
         self.direct_peers: dict[addresses.Address, rank_peers.DirectPeer] = {}
-        self.gateways: dict[str, addresses.Address] = {}
-        self.listed_endpoints: dict[str, endpoints.Endpoint] = {}
+        self.gateways: known_items.KnownItems[addresses.Address] = (
+            known_items.create_known_items(records.GATEWAY_RECORD_RETENTION)
+        )
+        self.listed_endpoints: known_items.KnownItems[endpoints.Endpoint] = (
+            known_items.create_known_items(ENTRY_RETENTION)
+        )
         self.layout: model.ExpertLayout | None = None
         self.layout_due = datetime.timedelta()
         self.announcement_due = datetime.timedelta()
         self.slowdowns_due = datetime.timedelta()
         self.sent_slowdowns: tuple[tuple[str, float], ...] = ()
+        read_delay = follower.spread_reads(
+            dependencies.ports.era,
+            lambda: len(self.gateways.by_name),
+            dependencies.generator,
+        )
         self.followers: list[follower.Follower[Any]] = [
             follower.create_follower(
                 "endpoints",
@@ -130,6 +149,8 @@
                 self,
                 WATCH_WAIT,
                 dependencies.generator,
+                read_delay,
+                dependencies.ports.era,
             ),
             follower.create_follower(
                 "gateways",
@@ -137,12 +158,30 @@
                 GatewayListener(self),
                 WATCH_WAIT,
                 dependencies.generator,
+                read_delay,
+                dependencies.ports.era,
             ),
         ]
+        self.term_record = group_term.TermRecord(
+            claim,
+            dependencies.ports.store,
+            dependencies.ports.era,
+            dependencies.clock,
+            dependencies.generator,
+        )
+        # A store call may take longer than the leader may be silent, so it
+        # has its own thread.
+        self.term_task = periodic.create_periodic_task(
+            "term-record",
+            TERM_CHECK_INTERVAL,
+            self.term_record.run_once,
+            dependencies.generator,
+        )
 
     def start(self) -> None:
         """Start the leader and follow the lists of engines and gateways."""
         self.leader.start()
+        self.term_task.start()
         for item in self.followers:
             item.start()
 
@@ -153,6 +192,7 @@
         """
         self.stopped = True
         self.leader.stop()
+        self.term_task.stop(datetime.timedelta())
         for item in self.followers:
             item.stop(datetime.timedelta())
         for peer in self.direct_peers.values():
@@ -205,7 +245,7 @@
         linked.add(self.dependencies.settings.link_listen.host)
         engines = {
             endpoint.address
-            for endpoint in self.listed_endpoints.values()
+            for endpoint in self.engines()
             if endpoint.address.host not in linked
         }
         for address in list(self.direct_peers):
@@ -343,13 +383,8 @@
         with self.dependencies.lock:
             if self.stopped:
                 return
-            if complete:
-                self.listed_endpoints.clear()
-            for item in batch.items:
-                if item.value is None:
-                    self.listed_endpoints.pop(item.name, None)
-                elif item.value.service == self.dependencies.settings.service:
-                    self.listed_endpoints[item.name] = item.value
+            now = self.dependencies.clock.monotonic()
+            self.listed_endpoints.apply(batch, complete, now)
             self.set_targets()
 
     def on_gateways(
@@ -359,30 +394,35 @@
         with self.dependencies.lock:
             if self.stopped:
                 return
-            if complete:
-                self.gateways.clear()
-            for item in batch.items:
-                if item.value is None:
-                    self.gateways.pop(item.name, None)
-                else:
-                    self.gateways[item.name] = item.value
+            now = self.dependencies.clock.monotonic()
+            self.gateways.apply(batch, complete, now)
             self.set_targets()
 
+    def engines(self) -> list[endpoints.Endpoint]:
+        """Return the listed engines of this sidecar's service."""
+        return [
+            endpoint
+            for endpoint in self.listed_endpoints.by_name.values()
+            if endpoint.service == self.dependencies.settings.service
+        ]
+
     def set_targets(self) -> None:
         """Make the other sidecars and all gateways the targets of the links."""
         own = self.dependencies.settings.link_listen
         sidecars = {
             addresses.Address(endpoint.address.host, own.port)
-            for endpoint in self.listed_endpoints.values()
+            for endpoint in self.engines()
         }
         self.dependencies.links.set_targets(
-            (sidecars | set(self.gateways.values())) - {own}
+            (sidecars | set(self.gateways.by_name.values())) - {own}
         )
 
     def on_outage(self) -> None:
         """Keep the known records."""
 
 
-def create_leadership(term: int, dependencies: Dependencies) -> Leadership:
+def create_leadership(
+    claim: group_term.Claim, dependencies: Dependencies
+) -> Leadership:
     """Create a leadership whose threads are not started."""
-    return Leadership(term, dependencies)
+    return Leadership(claim, dependencies)
--- a/tests/faults/test_mutations_p4_to_p7.py
+++ b/tests/faults/test_mutations_p4_to_p7.py
@@ -9,14 +9,19 @@
 from faults import matrix
 from verbenafall_core import leases
 from verbenafall_core.bundles import adoption
+from verbenafall_core.bundles import head_repair
 from verbenafall_core.expert_maps import pass_switch
 from verbenafall_core.expert_maps import switch
+from verbenafall_core.object_store import revisions
 from verbenafall_gateway.choice import endpoint_view
 from verbenafall_gateway.choice import service_state
 from verbenafall_gateway.delivery import drain as gateway_drain
+from verbenafall_gateway.forwarding import departures
+from verbenafall_gateway.forwarding import endpoint_directory
 from verbenafall_gateway.links import link_targets
 from verbenafall_sidecar.delivery import drain as sidecar_drain
 from verbenafall_sidecar.orders import order_gate
+from verbenafall_standins.fakes import memory_store
 
 
 def release_without_arming(patch):
@@ -145,6 +150,46 @@
     )
 
 
+def store_restored_revisions_go_back(patch):
+    """Take the store's own number as the revision."""
+    patch.setattr(revisions, "create_revision", lambda _era, number: number)
+
+
+def store_restored_head_stays_old(patch):
+    patch.setattr(head_repair, "find_newer_head", lambda _stored, _known: None)
+
+
+def store_restored_text_stays_lost(patch):
+    patch.setattr(
+        head_repair.HeadRepair, "write_text", lambda _repair, _signed: True
+    )
+
+
+def store_restored_copies_count_as_written(patch):
+    """Take each entry of the new era for one that was written after it."""
+    patch.setattr(
+        departures,
+        "has_returned",
+        lambda departure, version, _endpoint, _copied_until: (
+            version > departure.version
+        ),
+    )
+
+
+def store_restored_entries_have_no_grace(patch):
+    patch.setattr(endpoint_directory, "REGISTRATION_GRACE_SECONDS", 0.0)
+
+
+def store_restored_lease_has_no_era(patch):
+    """Let an update succeed whose version is of an earlier era."""
+    patch.setattr(
+        memory_store.MemoryStore, "_is_of_older_era", lambda *_arguments: False
+    )
+    patch.setattr(
+        memory_store.MemoryStore, "_version", lambda _store, number: number
+    )
+
+
 # Property, flow, mutation, expected part of the reason of a red cell.
 MUTATIONS = [
     ("P4", "old_orders_unfenced", ignore_order_epochs, "two maps"),
@@ -155,9 +200,22 @@
     ("P4", "map_switch_unfenced", release_without_arming, "two maps"),
     ("P4", "map_switch_unfenced", ignore_unclaimed_ranks, "map 2 and not 0"),
     ("lease", "lease", hold_lease_past_expiry, "two holders"),
+    (
+        "MAP",
+        "rank_switch_fenced",
+        store_restored_revisions_go_back,
+        "no map came into use",
+    ),
+    ("P5", "bundle_roll", store_restored_head_stays_old, "store has the head"),
+    ("P5", "bundle_roll", store_restored_text_stays_lost, "has no text"),
     ("P5", "bundle_roll", ignore_accepted_version, "with the fault"),
     ("P5", "bundle_roll", assume_permanent_contact, "check failed: p1"),
     ("P5", "bundle_roll", activate_before_accepted, "p1 runs 1 after the"),
+    ("lease", "lease", store_restored_lease_has_no_era, "two holders"),
+    ("P5", "start", store_restored_head_stays_old, "the store has Head"),
+    ("P5", "start", store_restored_text_stays_lost, "has no text"),
+    ("P6", "entries", store_restored_copies_count_as_written, "uses"),
+    ("entries", "entries", store_restored_entries_have_no_grace, "lacks"),
     ("P6", "leaving_by_links", ignore_draining, "new work after 3 s"),
     ("P6", "leaving_by_list", ignore_instance_list, "new work after 3 s"),
     (
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -11,9 +11,13 @@
 
 from forwarding import forwarding_fakes as fakes
 from verbenafall_core import settings
+from verbenafall_core.object_store import records
+from verbenafall_core.object_store import revisions
+from verbenafall_core.object_store import store_era
 from verbenafall_core.routes import model
 from verbenafall_gateway.forwarding import forwarder
 from verbenafall_gateway.forwarding import repeat_allowance
+from verbenafall_standins.fakes import memory_store
 
 STREAM = {
     "kind": model.RequestKind.STREAM,
@@ -22,10 +26,10 @@
 
 
 @contextlib.contextmanager
-def running(*scripts, routes=None, teams=None):
+def running(*scripts, routes=None, teams=None, store=None):
     routes = routes or (fakes.route(),)
     runner = fakes.RunningForwarder(
-        fakes.configuration(1, *routes, teams=teams), scripts
+        fakes.configuration(1, *routes, teams=teams), scripts, store=store
     )
     try:
         yield runner
@@ -521,6 +525,49 @@
             assert len(runner.backends[0].requests) == before
 
 
+class TestStoreRestored:
+    def test_store_restored_to_before_a_change(self):
+        """Neither an older route nor a draining endpoint is used again."""
+        with running(fakes.answer_ok, fakes.answer_ok) as runner:
+            collections = (runner.configurations, runner.listed)
+            copies = [item.copy() for item in collections]
+            runner.configurations.put(
+                "main", fakes.configuration(5, fakes.route(path_prefix="/n/"))
+            )
+            runner.list_endpoint("e0", runner.backends[0], draining=True)
+            directory = runner.forwarder.directory
+            fakes.wait_until(lambda: len(directory.usable("s")) == 1)
+            new = fakes.request_bytes("/n/x")
+            fakes.wait_until(lambda: call(runner, new).status == 200)
+            before = len(runner.backends[0].requests)
+            for item, copy in zip(collections, copies, strict=True):
+                item.restore(copy)
+            runner.list_endpoint("e2", runner.backends[1])
+            fakes.wait_until(
+                lambda: "e2" in {item.id for item in directory.usable("s")}
+            )
+            for _ in range(6):
+                assert call(runner, new).status == 200
+            assert call(runner).status == 404
+            assert len(runner.backends[0].requests) == before
+
+    def test_store_restored_without_the_own_record(self):
+        """The record is written again, and deleted at the planned stop."""
+        store = memory_store.create_memory_store()
+        client = memory_store.MemoryStoreClient(
+            store, store_era.create_store_era()
+        )
+        name = f"{records.GATEWAY_KIND}/g1"
+        with running(fakes.answer_ok, store=client) as runner:
+            record = runner.forwarder.record
+            fakes.wait_until(lambda: record.version)
+            store.restore(1)
+            client.read("another call of the process")
+            fakes.wait_until(lambda: revisions.era_of(record.version) == 2)
+            assert store.objects[name].value == record.value
+        assert name not in store.objects
+
+
 class TestReload:
     def test_valid_settings_take_effect_and_invalid_ones_do_not(self):
         with running(fakes.answer_ok) as runner:
--- a/tests/platform_adapter/test_decoders.py
+++ b/tests/platform_adapter/test_decoders.py
@@ -3,9 +3,11 @@
 import copy
 import datetime
 
+import msgspec
 import pytest
 
 from verbenafall_core.expert_maps import rank_state
+from verbenafall_core.object_store import revisions
 from verbenafall_core.routes import model
 from verbenafall_platform import configuration
 from verbenafall_platform import decoding
@@ -112,6 +114,17 @@
     ("slots are text", "slots", "6"),
 ]
 
+# Start as decoded, by the value in the entry.
+STARTS = [
+    (1764826141000, 1764826141000),
+    (0, 0),
+    (None, None),
+    ("1764826141000", None),
+    (1.5, None),
+    (True, None),
+    ([], None),
+]
+
 
 def changed(source, path, value):
     """Return a copy with one field changed, or removed if value is None."""
@@ -164,6 +177,13 @@
         assert not found.draining
         assert str(found.address) == "10.0.0.9:8080"
 
+    @pytest.mark.parametrize(("value", "expected"), STARTS)
+    def test_store_restored_start_of_the_engine(self, value, expected):
+        """A start that is missing or malformed counts as unknown."""
+        entry = changed(ENTRY, ("born",), value)
+        found = listed_endpoints.decode_endpoint("i-1", entry)
+        assert found.started_at == expected
+
     @pytest.mark.parametrize(
         ("name", "value"),
         [case[1:] for case in BAD_ENTRIES],
@@ -206,3 +226,14 @@
             "version": 10,
             "step": 60,
         }
+
+    def test_store_restored_term_is_exact_in_the_body(self):
+        term = revisions.create_revision(
+            revisions.MAX_ERA, revisions.MAX_NUMBER
+        )
+        order = rank_state.RankOrder(
+            rank_state.OrderKind.HOLD, term, 2, 0, 60, ()
+        )
+        body = msgspec.json.encode(rank_engine.encode_order(order))
+        assert msgspec.json.decode(body)["fencing-token"] == term
+        assert int(float(term)) == term
