Log a gateway record that stays in the store after a stop

If the store did not delete the record of a stopping gateway, nothing was logged, and the other gateways and the leaders went on counting and calling a gateway that was gone.

Before: the new test fails, "assert ['own_record_written'] == ['own_record_written', 'own_record_left']". After: it passes.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -66,6 +66,13 @@
     "The gateway could not write its record to the store, so other gateways may"
     " not find it. It retries; check the store if the record is not written.",
 )
+OWN_RECORD_LEFT = event_log.define(
+    2115,
+    "own_record_left",
+    "WARNING",
+    "The gateway stops, but could not delete its record from the store. Other"
+    " gateways and leaders try to reach it until it starts again.",
+)
 ENDPOINT_LISTED = event_log.define(
     2120,
     "endpoint_listed",
--- a/packages/gateway/src/verbenafall_gateway/forwarding/own_record.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/own_record.py
@@ -50,8 +50,13 @@
     def stop(self) -> None:
         """Delete the record; after a failure the next start replaces it."""
         self.stopped.set()
-        if self.version:
-            self.store.delete(self.name, self.version)
+        if not self.version:
+            return
+        result = self.store.delete(self.name, self.version)
+        if not returns.pipeline.is_successful(result):
+            event_log.emit(
+                event_catalogue.OWN_RECORD_LEFT, error=result.failure().message
+            )
 
     def run(self) -> None:
         """Retry until the record is written; log only the first failure."""
