--- a/tests/forwarding/test_own_record.py
+++ b/tests/forwarding/test_own_record.py
@@ -227,3 +227,18 @@
         assert operations(gateway) == ["delete"]
         read = gateway.store.read(NAME)
         assert not returns.pipeline.is_successful(read)
+
+    def test_record_that_stays_is_logged(self, gateway, monkeypatch):
+        """Guards against a failed delete that nobody notices."""
+        lines = []
+        monkeypatch.setattr(
+            own_record.event_log,
+            "emit",
+            lambda event, **fields: lines.append(event.name),
+        )
+        gateway.store.plan = lambda call: (
+            memory_store.Fault.DOWN if call.operation == "delete" else None
+        )
+        gateway.record.delete()
+        assert gateway.value() == VALUE
+        assert lines == ["own_record_not_deleted"]
