Keep the rank groups of one service apart

Cause: nothing compared the group of a message with one's own. A leader links with all sidecars of its service and announced its term to them, so sidecars of both groups followed whichever leader had the higher term. An update of the other group's rank replaced the member of the same rank, and its higher term made the leader step down. Sites with one group per service did not show it.

Ruled out: terms that collide (they are revisions of the whole store, so two groups never have the same one).

Change: a sidecar follows, and executes orders of, leaders of its own group only, and tells others its group; before its engine has reported a group it follows nobody. A leader drops updates and counts of other groups, and asks their sidecars and engines again after 10 s, as groups are formed anew. It ends its leadership when its own engine changes groups. Gateways get the name with the service, as two services may have a group of one name.

--- a/packages/sidecar/src/verbenafall_sidecar/steering/event_catalogue.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/event_catalogue.py
@@ -126,6 +126,13 @@
     "The leader stops as planned, but could not release its group in time. No"
     " pass starts until the next leader releases the group.",
 )
+GROUP_CHANGED = event_log.define(
+    3140,
+    "group_changed",
+    "INFO",
+    "The engine of a leader belongs to another rank group now, so it no longer"
+    " leads the one before.",
+)
 SETTINGS_CHANGED = event_log.define(
     3102,
     "settings_changed",
--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
@@ -112,6 +112,7 @@
 
     def __init__(
         self,
+        group: str,
         term: int,
         own_rank: Callable[[], int],
         layout: Callable[[], model.ExpertLayout | None],
@@ -123,6 +124,7 @@
         """Create a leader without ranks; they join by their updates.
 
         Args:
+            group: Name of the group, unique within its service.
             term: Term of this leader, the fencing token of its orders.
             own_rank: Returns the rank of this process's engine, which holds
                 the group. It may change when the group is formed again.
@@ -133,6 +135,7 @@
             delegate_hold: Asks a gateway to send the hold order to this
                 process's engine; returns whether one was asked.
         """
+        self.group = group
         self.term = term
         self.own_rank = own_rank
         self.layout = layout
@@ -223,8 +226,12 @@
     ) -> None:
         """Store a rank's state, or step down when its term is higher.
 
-        An update without experts keeps the known ones.
+        An update without experts keeps the known ones. A rank of another group
+        is not a member, and its term does not compete with this one.
         """
+        if item.update.report.group != self.group:
+            self.remove_peer(item.peer)
+            return
         if item.update.term > self.term:
             self.step_down(item.update.term)
             return
--- a/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
@@ -52,6 +52,9 @@
 LAYOUT_RETRY_INTERVAL: Final = datetime.timedelta(milliseconds=500)
 # Gateways discard slowdowns that are not sent again.
 SLOWDOWNS_RESEND_INTERVAL: Final = datetime.timedelta(seconds=1)
+# Sidecars and engines of other groups are asked for their group again after
+# this time, as groups are formed anew.
+OTHER_GROUP_RETRY_INTERVAL: Final = datetime.timedelta(seconds=10)
 TERM_CHECK_INTERVAL: Final = datetime.timedelta(milliseconds=250)
 MILLISECOND: Final = datetime.timedelta(milliseconds=1)
 GATEWAY_ROLE: Final = "gateway"
@@ -98,16 +101,30 @@
 
 
 class Leadership:
-    """Leadership of a group under one term; the lock guards its state."""
+    """Leadership of a group under one term; the lock guards its state.
+
+    The engines of the service may belong to several groups.
+
+    Attributes:
+        group: Name of the group, unique within its service.
+        group_id: Name of the group, unique among all services.
+        other_groups_until: Sidecars and engines of other groups, with the time
+            until which they are not called.
+    """
 
     def __init__(
         self, claim: group_term.Claim, dependencies: Dependencies
     ) -> None:
         """Create a leadership whose threads are not started."""
         self.term = claim.term
+        self.group_id = claim.group
+        self.group = claim.group.removeprefix(
+            f"{dependencies.settings.service}."
+        )
         self.dependencies = dependencies
         self.stopped = False
         self.leader = group_leader.GroupLeader(
+            self.group,
             claim.term,
             self.own_rank,
             lambda: self.layout,
@@ -126,6 +143,9 @@
         self.gateway_links: set[link_lib.Link] = set()
         self.unlinked_since: dict[addresses.Address, datetime.timedelta] = {}
         self.direct_peers: dict[addresses.Address, rank_peers.DirectPeer] = {}
+        self.other_groups_until: dict[
+            addresses.Address, datetime.timedelta
+        ] = {}
         self.gateways: known_items.KnownItems[addresses.Address] = (
             known_items.create_known_items(records.GATEWAY_RECORD_RETENTION)
         )
@@ -208,7 +228,7 @@
         self.update_direct_peers(now)
         if now >= self.announcement_due:
             self.announcement_due = now + ANNOUNCE_INTERVAL
-            self.announce_leader()
+            self.announce_leader(now)
         self.send_slowdowns(now)
 
     def own_rank(self) -> int:
@@ -224,13 +244,12 @@
         """
         with self.dependencies.lock:
             links = list(self.gateway_links)
-            report = self.dependencies.agent.report
-        if not links or report is None:
+        if not links:
             return False
         engine = self.dependencies.settings.engine
         return self.dependencies.generator.choice(links).send(
             messages.RankHold(
-                report.group,
+                self.group_id,
                 engine.host,
                 engine.port,
                 order.term,
@@ -241,12 +260,17 @@
 
     def update_direct_peers(self, now: datetime.timedelta) -> None:
         """Call the engines whose sidecars lack a link; close other peers."""
+        for address, peer in self.direct_peers.items():
+            report = peer.agent.report
+            if report is not None and report.group != self.group:
+                self.mark_other_group(address, now)
         linked = {link.address.host for link in self.peers}
         linked.add(self.dependencies.settings.link_listen.host)
         engines = {
             endpoint.address
             for endpoint in self.engines()
             if endpoint.address.host not in linked
+            and not self.is_in_other_group(endpoint.address, now)
         }
         for address in list(self.direct_peers):
             if address not in engines:
@@ -268,33 +292,43 @@
             self.direct_peers[address] = peer
             peer.agent.start()
 
-    def announce_leader(self) -> None:
+    def mark_other_group(
+        self, address: addresses.Address, now: datetime.timedelta
+    ) -> None:
+        """Leave out a sidecar or an engine of another group for a time."""
+        self.other_groups_until[address] = now + OTHER_GROUP_RETRY_INTERVAL
+
+    def is_in_other_group(
+        self, address: addresses.Address, now: datetime.timedelta
+    ) -> bool:
+        """Return whether a sidecar or an engine is left out."""
+        return now < self.other_groups_until.get(address, datetime.timedelta())
+
+    def announce_leader(self, now: datetime.timedelta) -> None:
         """Send the term, and how often to report counts, to linked sidecars."""
-        report = self.dependencies.agent.report
-        if report is None:
-            return
-        links = list(self.peers)
+        links = [
+            link
+            for link in self.peers
+            if not self.is_in_other_group(link.address, now)
+        ]
         sampling = count_plan.choose_sampling(len(links) + 1)
         with self.dependencies.links.batch_sends():
             for number, link in enumerate(links):
                 interval = count_plan.choose_interval(sampling, number)
                 link.send(
                     messages.Leading(
-                        report.group, self.term, interval // MILLISECOND
+                        self.group, self.term, interval // MILLISECOND
                     )
                 )
 
     def send_slowdowns(self, now: datetime.timedelta) -> None:
         """Send slowdowns to the gateways after a change, and periodically."""
-        report = self.dependencies.agent.report
         slowdowns = self.leader.slowdowns()
-        if report is None or (
-            slowdowns == self.sent_slowdowns and now < self.slowdowns_due
-        ):
+        if slowdowns == self.sent_slowdowns and now < self.slowdowns_due:
             return
         self.slowdowns_due = now + SLOWDOWNS_RESEND_INTERVAL
         self.sent_slowdowns = slowdowns
-        message = messages.RankSlowdowns(report.group, self.term, slowdowns)
+        message = messages.RankSlowdowns(self.group_id, self.term, slowdowns)
         with self.dependencies.links.batch_sends():
             for link in list(self.gateway_links):
                 link.send(message)
@@ -320,15 +354,12 @@
 
     def add_link(self, link: link_lib.Link) -> None:
         """Add an outgoing link, to a gateway or to the sidecar of a rank."""
-        report = self.dependencies.agent.report
-        if report is None:
-            return
         if link.peer is not None and link.peer.role == GATEWAY_ROLE:
             self.gateway_links.add(link)
             self.slowdowns_due = datetime.timedelta()
             return
-        self.peers[link] = rank_peers.LinkPeer(report.group, link)
-        link.send(messages.Leading(report.group, self.term))
+        self.peers[link] = rank_peers.LinkPeer(self.group, link)
+        link.send(messages.Leading(self.group, self.term))
         self.announcement_due = datetime.timedelta()
 
     def remove_link(self, link: link_lib.Link) -> None:
@@ -346,6 +377,10 @@
         """Queue a rank's state for the leader if its link is known."""
         with self.dependencies.lock:
             peer = self.peers.get(link)
+            if message.group != self.group:
+                self.mark_other_group(
+                    link.address, self.dependencies.clock.monotonic()
+                )
         if peer is None:
             return
         if message.impossible_version:
@@ -362,7 +397,7 @@
         """Queue a rank's counts for the leader if its link is known."""
         with self.dependencies.lock:
             known = link in self.peers
-        if known:
+        if known and message.group == self.group:
             self.leader.put(
                 group_leader.CountsReceived(
                     message.epoch,
--- a/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
@@ -122,6 +122,14 @@
         with self.lock:
             report = self.agent.report
             if self.leadership is not None:
+                if report is not None and report.group != self.leadership.group:
+                    event_log.emit(
+                        event_catalogue.GROUP_CHANGED,
+                        before=self.leadership.group,
+                        group=report.group,
+                    )
+                    self.resign()
+                    return
                 if self.agent.term > self.leadership.term:
                     self.step_down(self.agent.term)
                     return
@@ -231,21 +239,23 @@
     def on_leading(
         self, link: link_lib.Link, message: messages.Leading
     ) -> None:
-        """Follow the leader, or answer with the higher term that is known."""
+        """Follow the leader of this sidecar's group.
+
+        A leader of another group, or one with a lower term, gets the group and
+        the term that are known here.
+        """
         with self.lock:
+            report = self.agent.report
+            if report is None:
+                return
+            if message.group != report.group:
+                link.send(self.encode_own_status(report))
+                return
             self.step_down(message.term)
             interval = message.count_interval_ms * MILLISECOND
             if not self.agent.accept_leader(message.term, interval):
-                report = self.agent.report
-                if report is not None:
-                    # The higher term makes the sender step down.
-                    link.send(
-                        rank_messages.encode_update(
-                            rank_agent.RankUpdate(
-                                report, self.agent.term, 0, 0, ()
-                            )
-                        )
-                    )
+                # The higher term makes the sender step down.
+                link.send(self.encode_own_status(report))
                 return
             if self.leadership is None and self.listener_link is not link:
                 self.listener_link = link
@@ -255,28 +265,43 @@
     def on_order(
         self, link: link_lib.Link, message: messages.RankOrder
     ) -> None:
-        """Pass an order to the agent; refuse it if its map cannot be built."""
+        """Pass an order to the agent.
+
+        Refuse it if it is for another group or its map cannot be built.
+        """
+        report = self.agent.report
+        if report is None or message.group != report.group:
+            self.log_refused_order(message, "group")
+            return
         order = self.maps.decode_order(message)
         if order is not None:
             self.agent.accept(order)
             return
+        self.log_refused_order(message, "base map unknown")
+        link.send(self.encode_own_status(report, message.version))
+
+    def log_refused_order(
+        self, message: messages.RankOrder, reason: str
+    ) -> None:
+        """Log an order that is not passed to the agent."""
         event_log.emit(
             event_catalogue.ORDER_REFUSED,
             kind=message.kind,
             term=message.term,
             version=message.version,
             known_term=self.agent.term,
-            reason="base map unknown",
+            reason=reason,
         )
-        report = self.agent.report
-        if report is not None:
-            link.send(
-                rank_messages.encode_update(
-                    rank_agent.RankUpdate(
-                        report, self.agent.term, 0, message.version, ()
-                    )
-                )
+
+    def encode_own_status(
+        self, report: rank_state.RankReport, impossible_version: int = 0
+    ) -> messages.RankStatus:
+        """Return the message with the group and the term known here."""
+        return rank_messages.encode_update(
+            rank_agent.RankUpdate(
+                report, self.agent.term, 0, impossible_version, ()
             )
+        )
 
     def on_status(
         self, link: link_lib.Link, message: messages.RankStatus
--- a/tests/steering/rank_fleet.py
+++ b/tests/steering/rank_fleet.py
@@ -129,6 +129,7 @@
 
     def start_leader(self, term, own_rank=0):
         self.leader = group_leader.GroupLeader(
+            rank_model.GROUP,
             term,
             lambda: own_rank,
             lambda: LAYOUT,
--- a/tests/steering/rank_model.py
+++ b/tests/steering/rank_model.py
@@ -3,6 +3,9 @@
 from verbenafall_core.expert_maps import pass_switch
 from verbenafall_core.expert_maps import rank_state
 
+# Name of the group.
+GROUP = "g"
+
 
 class ModelRank:
     """One rank; with fences it rejects orders of a lower term."""
@@ -24,7 +27,7 @@
 
     def report(self, is_open=True):
         return rank_state.RankReport(
-            "g",
+            GROUP,
             self.number,
             self.size,
             self.epoch,
--- a/tests/steering/test_group_term.py
+++ b/tests/steering/test_group_term.py
@@ -197,7 +197,7 @@
         leadership = leadership_lib.create_leadership(
             CLAIM,
             leadership_lib.Dependencies(
-                settings=types.SimpleNamespace(engine=ENGINE),
+                settings=types.SimpleNamespace(engine=ENGINE, service="s"),
                 ports=ports.SidecarPorts(
                     configurations=None,
                     endpoints=None,
--- a/tests/steering/test_planned_stop.py
+++ b/tests/steering/test_planned_stop.py
@@ -14,6 +14,7 @@
 from verbenafall_core import metrics
 from verbenafall_core.expert_maps import pass_switch
 from verbenafall_core.expert_maps import rank_state
+from verbenafall_core.object_store import store_era
 from verbenafall_sidecar.steering import ports as ports_lib
 from verbenafall_sidecar.steering import steering as steering_lib
 from verbenafall_sidecar.steering import steering_settings
@@ -63,6 +64,7 @@
             memory_store.create_memory_store(),
             listed[2],
             lambda _address: port,
+            store_era.create_store_era(),
         ),
         clock_lib.system_clock(),
         metrics.NullMetrics(),
--- a/tests/steering/test_two_groups.py
+++ b/tests/steering/test_two_groups.py
@@ -89,6 +89,9 @@
     def read_report(self):
         return returns.result.Success(report(self.group, 3))
 
+    def read_experts(self):
+        return returns.result.Success(((0, 1),))
+
     def send_order(self, order, limit):
         del limit
         self.orders.append(order)
