--- a/bench/store_restore.py
+++ b/bench/store_restore.py
@@ -3,8 +3,9 @@
 Runs in one process: the gateways' followers and own records and the leaders'
 followers and term records are the real ones, each process with its own access
 to a stand-in of the platform's store. The store is away for a second, and comes
-back from an older copy. Prints one JSON line per figure; times start at the
-return of the store.
+back from an older copy. All processes but the leaders are gateways, which make
+the most calls; in a fleet, most processes are sidecars that do not lead and
+make none. Prints one JSON line per figure; times start at the return.
 
 - term: until a group without a leader has one, which can then give orders. One
   sidecar claims the term; in a group, all do so, each at another time;
