Write a group record again from what sidecars and ranks know

After a restore the store has an earlier record of a group, or none. The sidecar adopted the earlier record, as its version is of a later era, and the lease holder wrote its successor under the next epoch, which ranks had already accepted for another record. If the record was gone, nothing wrote it again.

- The epoch of a record has the era in its high bits, so no epoch of an earlier era is used again.
Orders are not given under a record that came back.
- A sidecar keeps the newest content that it or a peer knows under the version that came back.
The lease holder writes it once all ranks are claimed by sidecars that know of the restore and whose record it has received.
- If the ranks accepted orders of a record that nobody knows, their states decide: an armed rank shows the switch, which is completed.
States now contain the map that the ranks are armed for.
- Sidecars read the record within four seconds, at random times; a watch that waits does not return at a restore.

A record without an era in its epoch is from a release without eras. Orders are still given under it, and it is written again when all sidecars are upgraded.

Changed tests: the group model gives each sidecar its own client and era.

--- a/packages/core/src/verbenafall_core/expert_maps/coordinator.py
+++ b/packages/core/src/verbenafall_core/expert_maps/coordinator.py
@@ -15,6 +15,7 @@
 from verbenafall_core.expert_maps import selection
 from verbenafall_core.expert_maps import switch
 from verbenafall_core.object_store import port
+from verbenafall_core.object_store import revisions
 
 SELECTION_INTERVAL: Final = datetime.timedelta(seconds=60)
 # At the weight store's rate, the largest map must load within this time.
@@ -88,10 +89,14 @@
             wanted = self.select(spec, stored.record, load)
         overdue = self.clock.monotonic() - self.changed_at > PREPARE_TIMEOUT
         record = switch.decide_write(view, wanted, allowed, overdue)
-        if record is None or self.clock.monotonic() < self.next_write:
+        if record is None or not self.may_write():
             return None
         return self.write(record, stored.version)
 
+    def may_write(self) -> bool:
+        """Return whether the delay after a failed write has passed."""
+        return self.clock.monotonic() >= self.next_write
+
     def select(
         self,
         spec: model.GroupSpec,
@@ -135,13 +140,15 @@
     ) -> Stored | None:
         """Write a record if the store still has the expected version.
 
+        The record is created if the number of the version is 0.
+
         Returns:
             The record as stored, None after a failure; writes are then
             suspended for RETRY_INTERVAL.
         """
         name = record_lib.object_name(self.group)
         value = record_lib.encode(record)
-        if expected_version:
+        if revisions.number_of(expected_version):
             result = self.store.update(name, value, expected_version)
         else:
             result = self.store.create(name, value)
--- a/packages/core/src/verbenafall_core/expert_maps/event_catalogue.py
+++ b/packages/core/src/verbenafall_core/expert_maps/event_catalogue.py
@@ -70,6 +70,14 @@
     " a map switch waits until each rank is claimed once. Check the sidecars"
     " of these ranks.",
 )
+RECORD_RESTORED = event_log.define(
+    5012,
+    "group_record_restored",
+    "WARNING",
+    "The store was restored from a copy, and the lease holder wrote the group"
+    " record again from what the sidecars and the ranks know. The line gives"
+    " the record.",
+)
 STRAGGLER = event_log.define(
     5011,
     "rank_straggles",
--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -298,6 +298,9 @@
         expert_load: Tokens per expert, decayed over time; empty in most
             messages.
         rank_step_us: Mean step time of each rank; empty if expert_load is.
+        armed_version: Map that the ranks are armed for, 0 for none.
+        record_version: Version of the newest group record known, 0 for none.
+        record_epoch: Epoch of that record.
     """
 
     group: str
@@ -311,6 +314,9 @@
     step: int
     expert_load: tuple[int, ...] = ()
     rank_step_us: tuple[int, ...] = ()
+    armed_version: int = 0
+    record_version: int = 0
+    record_epoch: int = 0
 
 
 class Leading(NamedTuple):
--- a/packages/sidecar/src/verbenafall_sidecar/group/group_member.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group/group_member.py
@@ -28,8 +28,11 @@
 from verbenafall_core.expert_maps import event_catalogue
 from verbenafall_core.expert_maps import load_history
 from verbenafall_core.expert_maps import record as record_lib
+from verbenafall_core.expert_maps import restored_record
 from verbenafall_core.expert_maps import switch
 from verbenafall_core.object_store import port as store_port
+from verbenafall_core.object_store import revisions
+from verbenafall_core.object_store import store_era
 from verbenafall_sidecar.group import group_loads
 from verbenafall_sidecar.group import group_peers
 from verbenafall_sidecar.orders import engine_orders
@@ -45,6 +48,8 @@
 NO_WAIT: Final = datetime.timedelta()
 # Maximum random delay of the first watch, as many sidecars may start together.
 WATCH_START_SPREAD: Final = datetime.timedelta(seconds=2)
+# Time within which all sidecars read their records after a restore.
+RESTORE_SPREAD: Final = datetime.timedelta(seconds=4)
 MAX_ORDERS_PER_POLL: Final = 4
 SIDECAR_ROLE: Final = "sidecar"
 
@@ -56,6 +61,7 @@
         find_group: Returns the group in the bundle in force, None without one.
         open_links: Returns the open links of this process.
         holds_lease: Returns whether this process holds the group's lease.
+        era: The era that the store's adapter reports to.
     """
 
     group: str
@@ -68,6 +74,7 @@
     holds_lease: Callable[[], bool]
     clock: clock_lib.Clock
     metrics: metrics_lib.Metrics
+    era: store_era.StoreEra
 
 
 class GroupMemberService:
@@ -88,6 +95,8 @@
         orders: Sends orders to the engine.
         polled_record: Record at the last poll.
         last_sent: Last state of this sidecar that was sent to the peers.
+        restored_era: Era of the last restore after which a read was planned.
+        next_read: When to read the record next if it is of an earlier era.
     """
 
     def __init__(self, setup: Setup) -> None:
@@ -111,6 +120,8 @@
         self.next_send = setup.clock.monotonic()
         self.next_load_send = setup.clock.monotonic()
         self.next_poll = setup.clock.monotonic()
+        self.restored_era = 0
+        self.next_read = setup.clock.monotonic()
         self.coordinator = coordinator_lib.create_coordinator(
             setup.group, setup.store, setup.clock
         )
@@ -213,7 +224,8 @@
         while not self.stopping.is_set():
             # The first call must not wait: until it returns, it is not known
             # whether the record is missing, and a new group gets no record.
-            wait = self.spread(WATCH_WAIT) if self.store_answered else NO_WAIT
+            waits = self.store_answered and not self.is_record_outdated()
+            wait = self.spread(WATCH_WAIT) if waits else NO_WAIT
             answered_before = self.store_answered
             found = self.watch_once(wait)
             if not found and answered_before == self.store_answered:
@@ -226,8 +238,10 @@
 
     def watch_once(self, wait: datetime.timedelta) -> bool:
         """Wait for a newer record; return whether the store returned one."""
+        era = self.setup.era.current
         with self.lock:
-            known = self.stored.version if self.stored else 0
+            known_record = self.stored
+        known = known_record.version if known_record else 0
         name = record_lib.object_name(self.setup.group)
         result = self.setup.store.watch(name, known, wait)
         if returns.pipeline.is_successful(result):
@@ -239,10 +253,30 @@
         if result.failure().kind is store_port.FailureKind.MISSING:
             self.store_answered = True
             self.record_missing = known == 0
-            if known:
+            if known_record and revisions.era_of(known) < era:
+                self.adopt(restored_record.mark_missing(known_record, era))
+            elif known:
                 self.confirm()
         return False
 
+    def is_record_outdated(self) -> bool:
+        """Return whether the store was restored after the record was read."""
+        with self.lock:
+            version = self.stored.version if self.stored else None
+        era = self.setup.era.current
+        return version is not None and revisions.era_of(version) < era
+
+    def read_record_after_restore(self, now: datetime.timedelta) -> None:
+        """Read the record if it is outdated; the watch may still wait."""
+        if not self.is_record_outdated():
+            return
+        if self.restored_era != self.setup.era.current:
+            self.restored_era = self.setup.era.current
+            self.next_read = now + self.generator.uniform(0, 1) * RESTORE_SPREAD
+        if now >= self.next_read:
+            self.next_read = now + WATCH_RETRY
+            self.watch_once(NO_WAIT)
+
     def confirm(self) -> None:
         """Mark the known record, if any, as confirmed by the store."""
         with self.lock:
@@ -267,7 +301,8 @@
         Rejects orders of earlier epochs from then on and polls at once.
         """
         with self.lock:
-            if self.stored and stored.version <= self.stored.version:
+            stored = restored_record.merge(self.stored, stored)
+            if stored == self.stored:
                 return
             self.stored = stored
             self.orders.raise_epoch(stored.record.epoch)
@@ -287,6 +322,7 @@
     def poll_when_due(self) -> None:
         """Poll, but only once per STABLE_POLL_INTERVAL in a stable group."""
         now = self.setup.clock.monotonic()
+        self.read_record_after_restore(now)
         with self.lock:
             stored = self.stored
         stable = stored and stored.record.phase is record_lib.Phase.STABLE
@@ -355,6 +391,9 @@
                 armed_step=state.armed_step,
                 passed_step=0,
                 step=state.step,
+                armed_version=state.armed_version,
+                record_version=self.stored.version if self.stored else 0,
+                record_epoch=self.stored.record.epoch if self.stored else 0,
             )
             if record is not None:
                 self.orders.report_differences(record, own)
@@ -405,6 +444,8 @@
             view = self.view(spec)
             if view is None or not self.orders.may_send():
                 return
+            if not self.is_record_in_force():
+                return
             order = switch.decide_order(view)
             if order is None or self.orders.is_release_in_effect(
                 order, self.engine_state
@@ -440,6 +481,13 @@
 
     # Decisions.
 
+    def is_record_in_force(self) -> bool:
+        """Return whether orders may be given under the known record."""
+        with self.lock:
+            return self.stored is not None and restored_record.is_in_force(
+                self.stored
+            )
+
     def other_members(self) -> tuple[messages.GroupMember, ...]:
         """Return the states of the peers; the caller holds the lock."""
         return self.peers.members_except(self.setup.instance)
@@ -473,12 +521,39 @@
             stored = self.stored
         if stored is None or stored.record != view.record:
             return
+        if restored_record.needs_rewrite(stored) and (
+            self.rewrite_record(spec, stored, view)
+            or not restored_record.is_in_force(stored)
+        ):
+            return
         self.coordinator.observe(stored.record)
         load = self.group_load(spec)
         written = self.coordinator.write_if_due(spec, stored, view, load)
         if written is not None:
             self.adopt(written)
 
+    def rewrite_record(
+        self,
+        spec: model.GroupSpec,
+        stored: coordinator_lib.Stored,
+        view: switch.View,
+    ) -> bool:
+        """Write a record that came back again; return whether it was due."""
+        record = restored_record.decide_rewrite(
+            stored, view.members(), spec.ranks
+        )
+        if record is None or not self.coordinator.may_write():
+            return False
+        written = self.coordinator.write(record, stored.version)
+        if written is not None:
+            event_log.emit(
+                event_catalogue.RECORD_RESTORED,
+                group=self.setup.group,
+                **record._asdict(),
+            )
+            self.adopt(written)
+        return True
+
     def create_record(self, spec: model.GroupSpec) -> None:
         """Write the first record if the store has none."""
         if not self.record_missing:
@@ -487,7 +562,9 @@
             own = (self.own,) if self.own else ()
             members = (*own, *self.other_members())
         allowed = frozenset(item.version for item in spec.maps)
-        record = switch.decide_first_record(members, spec.ranks, allowed)
+        record = restored_record.decide_first_record(
+            members, spec.ranks, allowed, self.setup.era.current
+        )
         if record is not None:
             written = self.coordinator.write(record, 0)
             if written is not None:
--- a/packages/sidecar/src/verbenafall_sidecar/orders/order_http.py
+++ b/packages/sidecar/src/verbenafall_sidecar/orders/order_http.py
@@ -121,6 +121,7 @@
         epoch=state["epoch"],
         rank_step_ms=tuple(state["rank_step_ms"]),
         expert_load=tuple(state["expert_load"]),
+        armed_version=armed["map_version"] if armed else 0,
     )
 
 
--- a/packages/sidecar/src/verbenafall_sidecar/orders/order_port.py
+++ b/packages/sidecar/src/verbenafall_sidecar/orders/order_port.py
@@ -21,6 +21,7 @@
         epoch: Epoch of the last order that the engine accepted.
         rank_step_ms: Mean step time of each of the ranks.
         expert_load: Tokens per expert in recent steps, over all layers.
+        armed_version: Map that the ranks are armed for, 0 if not armed.
     """
 
     group: str
@@ -32,6 +33,7 @@
     epoch: int
     rank_step_ms: tuple[float, ...]
     expert_load: tuple[float, ...]
+    armed_version: int = 0
 
 
 class FailureKind(enum.StrEnum):
--- a/packages/sidecar/src/verbenafall_sidecar/platform_services.py
+++ b/packages/sidecar/src/verbenafall_sidecar/platform_services.py
@@ -15,6 +15,7 @@
 from verbenafall_core.object_store import budget
 from verbenafall_core.object_store import http_adapter as store_adapter
 from verbenafall_core.object_store import port as store_port
+from verbenafall_core.object_store import store_era
 from verbenafall_sidecar import sidecar_settings
 from verbenafall_sidecar import wiring
 from verbenafall_sidecar.group import group_member
@@ -35,6 +36,7 @@
     if not returns.pipeline.is_successful(keys):
         return returns.result.Failure(str(keys.failure()))
     client = http_client.create_http_client()
+    era = store_era.create_store_era()
     store = budget.create_budgeted_store(
         store_adapter.create_http_object_store(
             client, settings.object_store_url
@@ -53,14 +55,14 @@
 
     def create_lease(name: str) -> wiring.Lease:
         return leases.create_lease_service(
-            store, clock, name, settings.instance
+            store, clock, name, settings.instance, era=era
         )
 
     def create_group(
         dependencies: wiring.GroupDependencies,
     ) -> wiring.GroupService:
         return create_group_service(
-            settings, store, clock, client, dependencies
+            settings, store, era, clock, client, dependencies
         )
 
     return returns.result.Success(
@@ -78,6 +80,7 @@
 def create_group_service(
     settings: sidecar_settings.SidecarSettings,
     store: store_port.ObjectStore,
+    era: store_era.StoreEra,
     clock: clock_lib.Clock,
     client: http_client.HttpClient,
     dependencies: wiring.GroupDependencies,
@@ -104,5 +107,6 @@
             dependencies.lease.holds,
             clock,
             dependencies.metrics,
+            era,
         )
     )
--- a/tests/expert_maps/group_model.py
+++ b/tests/expert_maps/group_model.py
@@ -13,6 +13,8 @@
 from verbenafall_core.expert_maps import record as record_lib
 from verbenafall_core.expert_maps import switch
 from verbenafall_core.object_store import port as store_port
+from verbenafall_core.object_store import revisions
+from verbenafall_core.object_store import store_era
 from verbenafall_sidecar.group import group_member
 from verbenafall_sidecar.orders import order_port
 from verbenafall_standins.fakes import manual_clock
@@ -29,7 +31,7 @@
         self.group, self.index, self.fences = group, index, fences
         self.map_version = map_version
         self.prepared = {map_version} - {0}
-        self.armed = self.epoch = 0
+        self.armed = self.armed_version = self.epoch = 0
         self.pending = None
         self.step_ms, self.load = (), ()
 
@@ -44,6 +46,7 @@
             self.epoch,
             self.step_ms,
             self.load,
+            self.armed_version if self.armed else 0,
         )
 
     def handle_order(self, order):
@@ -62,6 +65,7 @@
         elif order.step > self.group.step:
             arms = order.kind is switch.OrderKind.ARM
             self.armed = order.step if arms else 0
+            self.armed_version = order.map_version
             self.pending = None if arms else (order.step, order.map_version)
         return returns.result.Success(self.state())
 
@@ -100,6 +104,7 @@
 
     def send_order(self, order, placement):
         engine = self.group.engines[self.index]
+        self.group.record_order(self.index, order)
         fault = self.group.order_fault(self.index, order)
         if fault in ("late", "duplicate"):
             self.group.late_orders.append((engine, order))
@@ -111,32 +116,50 @@
 
 
 class LateStore:
-    """Forwards calls to the store; updates can be lost or applied late."""
+    """Forwards calls to the store; updates can be lost or applied late.
+
+    A process that does not know of a restore sends the store's own number of a
+    version, which can be the number of another version now.
+    """
 
     def __init__(self, group, index):
-        self.group, self.index, self.inner = group, index, group.store
+        self.group, self.index = group, index
+        self.era = store_era.create_store_era()
+        self.inner = memory_store.create_client(group.store, self.era)
 
     def __getattr__(self, name):
         return getattr(self.inner, name)
 
     def update(self, name, value, version):
         fault = self.group.write_fault(self.index, value)
-        call = functools.partial(self.inner.update, name, value, version)
+        call = functools.partial(self.send_update, name, value, version)
         if fault in ("late", "duplicate"):
             self.group.late_writes.append(call)
         if fault not in ("late", "lost"):
             result = call()
+            self.era.observe(self.group.store.era)
         if fault in ("late", "lost", "lost_answer"):
             return returns.result.Failure(
                 store_port.StoreFailure(store_port.FailureKind.UNCERTAIN, "")
             )
         return result
 
+    def send_update(self, name, value, version):
+        if revisions.era_of(version) < self.era.current:
+            return returns.result.Failure(
+                store_port.StoreFailure(store_port.FailureKind.CONFLICT, "")
+            )
+        store, number = self.group.store, revisions.number_of(version)
+        return store.update(
+            name, value, revisions.create_revision(store.era, number)
+        )
+
 
 class Group:
     """A group of ranks, each with a sidecar; the test injects faults.
 
     Attributes:
+        ordered: Record behind the orders of each epoch.
         mixed: Steps that ran on more than one map, with the maps.
         late_orders: Orders that take effect when the test applies them.
         late_writes: Writes that take effect when the test applies them.
@@ -157,6 +180,7 @@
         self.order_fault = self.write_fault = lambda index, what: None
         self.holders, self.paused, self.wanted = {0}, set(), 0
         self.cuts, self.unreachable = set(), set()
+        self.ordered = {}
         self.links = collections.defaultdict(list)
         self.members = [None] * size
         self.births = [0] * size
@@ -166,18 +190,20 @@
     def boot(self, index):
         """Start a sidecar process with no state, and connect its links."""
         self.births[index] += 1
+        store = LateStore(self, index)
         self.members[index] = group_member.create_group_member(
             group_member.Setup(
                 "g",
                 f"i{index}",
                 self.find_group,
                 EnginePort(self, index),
-                LateStore(self, index),
+                store,
                 link_router.create_link_router(),
                 list,
                 lambda: index in self.holders,
                 self.clock,
                 metrics.NullMetrics(),
+                store.era,
             )
         )
         self.members[index].coordinator.select = lambda *_: self.wanted
@@ -186,6 +212,12 @@
             if other != index:
                 self.connect(index, other)
 
+    def record_order(self, index, order):
+        """Check that all orders of an epoch are given under one record."""
+        record = self.members[index].stored.record
+        if record.epoch == order.epoch:
+            assert self.ordered.setdefault(order.epoch, record) == record
+
     def find_group(self):
         return model.GroupSpec(
             "g", "s", self.size, 3, self.maps, 1, 1, 10 * SECOND, 10
--- a/tests/expert_maps/test_restart_over_http.py
+++ b/tests/expert_maps/test_restart_over_http.py
@@ -11,6 +11,7 @@
 from verbenafall_core import link_router
 from verbenafall_core import metrics
 from verbenafall_core.bundles import model
+from verbenafall_core.object_store import store_era
 from verbenafall_sidecar.group import group_member
 from verbenafall_sidecar.orders import order_http
 from verbenafall_standins.engines import group as group_lib
@@ -51,6 +52,7 @@
                 lambda: True,
                 self.clock,
                 metrics.NullMetrics(),
+                store_era.create_store_era(),
             )
         )
         self.wanted = 0
