Share one store era among the lease, the group record and the store

The lease service and the group member of a sidecar compare the era of their versions with the one that the store's adapter has seen, so all three use one instance. The fixture of the leader's links creates its leadership with a claim, as the record of the term is written again by the leadership.

--- a/packages/core/src/verbenafall_core/leases.py
+++ b/packages/core/src/verbenafall_core/leases.py
@@ -30,7 +30,6 @@
 from verbenafall_core import lease_events
 from verbenafall_core import periodic
 from verbenafall_core.object_store import port
-from verbenafall_core.object_store import revisions
 from verbenafall_core.object_store import store_era
 
 DURATION: Final = datetime.timedelta(seconds=10)
@@ -229,7 +228,7 @@
         last = self.last_held
         if last is None or self.clock.monotonic() >= last.until:
             return None
-        if revisions.era_of(last.version) < self.era.current:
+        if self.era.is_past(last.version):
             return None
         return last
 
--- a/packages/sidecar/src/verbenafall_sidecar/group/group_member.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group/group_member.py
@@ -262,9 +262,8 @@
     def is_record_outdated(self) -> bool:
         """Return whether the store was restored after the record was read."""
         with self.lock:
-            version = self.stored.version if self.stored else None
-        era = self.setup.era.current
-        return version is not None and revisions.era_of(version) < era
+            stored = self.stored
+        return stored is not None and self.setup.era.is_past(stored.version)
 
     def read_record_after_restore(self, now: datetime.timedelta) -> None:
         """Read the record if it is outdated; the watch may still wait."""
--- a/packages/sidecar/src/verbenafall_sidecar/platform_services.py
+++ b/packages/sidecar/src/verbenafall_sidecar/platform_services.py
@@ -39,7 +39,7 @@
     era = store_era.create_store_era()
     store = budget.create_budgeted_store(
         store_adapter.create_http_object_store(
-            client, settings.object_store_url
+            client, settings.object_store_url, era=era
         ),
         clock,
         wiring.create_metrics(settings),
--- a/tests/steering/test_leadership_store_restored.py
+++ b/tests/steering/test_leadership_store_restored.py
@@ -14,6 +14,7 @@
 from verbenafall_core.object_store import records
 from verbenafall_core.object_store import revisions
 from verbenafall_core.object_store import store_era
+from verbenafall_sidecar.steering import group_term
 from verbenafall_sidecar.steering import leadership as leadership_lib
 
 LINK_PORT = 7000
@@ -46,6 +47,7 @@
         endpoints=None,
         gateways=None,
         configurations=None,
+        store=None,
         era=store_era.create_store_era(),
     )
     dependencies = leadership_lib.Dependencies(
@@ -59,7 +61,8 @@
         lock=threading.RLock(),
         step_down=lambda term: None,
     )
-    found = leadership_lib.create_leadership(7, dependencies)
+    claim = group_term.Claim("s.g", "leader", 7)
+    found = leadership_lib.create_leadership(claim, dependencies)
     found.on_batch(engines(1, 20, OWN, FIRST, OTHER), True, False)
     found.on_gateways(gateways(1, 20, GATEWAY), True)
     return found
