--- a/packages/core/src/verbenafall_core/object_store/follower.py
+++ b/packages/core/src/verbenafall_core/object_store/follower.py
@@ -132,14 +132,18 @@
 
     def replace_thread(self) -> None:
         """Continue on the calling thread, with a read of the collection."""
+        generation = self.take_over()
+        if self.next_delay:
+            self.wait_for_retry()
+        self.run(generation)
+
+    def take_over(self) -> int:
+        """Start a new generation, with the calling thread as its thread."""
         with self.lock:
             self.generation += 1
-            generation = self.generation
             self.thread = threading.current_thread()
-            proceed = self.schedule_read()
-        if not proceed:
-            self.wait_for_retry()
-        self.run(generation)
+            self.schedule_read()
+            return self.generation
 
     def run(self, generation: int = 0) -> None:
         """Read and watch the collection until stopped or replaced."""
--- a/tests/platform_adapter/standin_store.py
+++ b/tests/platform_adapter/standin_store.py
@@ -95,6 +95,7 @@
         with self.condition:
             kept = max(0, len(self.log) - changes)
             self.revision -= len(self.log) - kept
+            self.oldest = min(self.oldest, self.revision)
             self.log = self.log[:kept]
             self.objects = {}
             for _, kind, stored, removed in self.log:
