--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # An empty SETUP uses the tools in VENV as they are.
 SETUP ?= $(VENV)/.installed
 PYTHON := $(VENV)/bin/python
-BENCHMARKS := admission control_cost endpoint_choice expert_maps map_search map_switch mass_restart path_cost rank_placement team_shares
+BENCHMARKS := admission control_cost endpoint_choice expert_maps map_search map_switch mass_restart path_cost rank_placement store_restore team_shares
 SOURCES := packages platform standins tests bench tools
 export PYTHONPATH := packages/core/src:packages/gateway/src:packages/sidecar/src:platform:standins/src:.
 
