--- a/tests/forwarding/test_budget_store_restored.py
+++ b/tests/forwarding/test_budget_store_restored.py
@@ -19,6 +19,8 @@
 from verbenafall_core.object_store import store_era
 from verbenafall_gateway.forwarding import forwarder
 from verbenafall_gateway.forwarding import own_record
+from verbenafall_sidecar.steering import group_term
+from verbenafall_sidecar.steering import leadership
 from verbenafall_standins.fakes import manual_clock
 from verbenafall_standins.fakes import memory_store
 
@@ -110,8 +112,9 @@
         ]
         for item in self.followers:
             item.run_once()
+        self.client = memory_store.MemoryStoreClient(store, self.era)
         self.record = own_record.OwnRecord(
-            memory_store.MemoryStoreClient(store, self.era),
+            self.client,
             self.era,
             f"g{number}",
             addresses.Address("10.0.0.1", number + 1),
@@ -126,6 +129,21 @@
                 lambda _era: schedule.add(0 * SECOND, self.record.run_once)
             )
 
+    def lead(self, group):
+        """Take the term of a group and keep its record in the store."""
+        claim = group_term.Claim(
+            group, group, group_term.acquire_term(self.client, group, group)
+        )
+        term = group_term.TermRecord(
+            claim, self.client, self.era, self.schedule.clock, self.generator
+        )
+
+        def check():
+            term.run_once()
+            return leadership.TERM_CHECK_INTERVAL
+
+        self.schedule.add(0 * SECOND, check)
+
     def create_follower(self, store, name, wait, items):
         return follower.create_follower(
             name,
@@ -161,9 +179,11 @@
 
 
 class TestAllProcesses:
-    @pytest.mark.parametrize("lost", [0, GATEWAYS], ids=["none", "all"])
+    @pytest.mark.parametrize(
+        "lost", [0, GATEWAYS + LEADERS], ids=["none", "all"]
+    )
     def test_rates_of_a_store_restored(self, lost):
-        """The copy has all gateway records, or none."""
+        """The copy has all records of gateways and leaders, or none."""
         clock = manual_clock.create_manual_clock()
         store = memory_store.create_memory_store(clock)
         schedule = Schedule(clock)
@@ -175,6 +195,8 @@
             Process(number, store, schedule, LEADER_FOLLOWS, has_record=False)
             for number in range(GATEWAYS, GATEWAYS + LEADERS)
         ]
+        for number, process in enumerate(processes[GATEWAYS:]):
+            process.lead(f"group{number}")
         store.calls.clear()
         reads, writes = [], []
         store.plan = lambda call: (
@@ -184,7 +206,7 @@
         for process in processes:
             process.call_after_outage()
         schedule.run(20)
-        assert len(store.objects) == GATEWAYS
+        assert len(store.objects) == GATEWAYS + LEADERS
         assert len(writes) == lost
         for process in processes:
             for item in process.followers:
