Send the experts in use to a leader accepted during a call

Cause: RankAgent.send_update() took the listener, then called the engine for its experts, then recorded the update as sent. A new leader that was accepted during that call made the agent forget its last update, but the agent then recorded the one that had gone to the first leader. From then on it left out the experts, so the new leader never knew the map in use and chose none until a leader of a later term or another map. An agent reads the experts right after its first contact with a leader, so two claims some milliseconds apart hit that call, and most often after a restart of all instances.

Change: the agent records an update only if it was not told to send everything again in the meantime.

Run: tests/steering; make lint.

--- a/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
@@ -107,6 +107,7 @@
         self.engine_reachable = True
         self.last_update: RankUpdate | None = None
         self.last_update_at = _LONG_AGO
+        self.resends = 0
         self.thread = threading.Thread(
             target=self.run, name="rank-agent", daemon=True
         )
@@ -144,7 +145,7 @@
             if term > self.term:
                 self.term = term
                 self.current_order = None
-                self.last_update = None
+                self.forget_last_update()
             self.last_leader_contact = self.clock.monotonic()
             if count_interval is not None:
                 self.count_interval = count_interval
@@ -160,10 +161,15 @@
     def resend_all(self) -> None:
         """Send the complete state again, to a leader that has just started."""
         with self.condition:
-            self.last_update = None
+            self.forget_last_update()
             self.counts = ()
             self.condition.notify()
 
+    def forget_last_update(self) -> None:
+        """Make the next update complete; the caller holds the condition."""
+        self.last_update = None
+        self.resends += 1
+
     def accept(
         self, order: rank_state.RankOrder, delegated: bool = False
     ) -> bool:
@@ -275,8 +281,10 @@
     def send_update(self) -> None:
         """Send an update to the leader after a change, and periodically.
 
-        Experts that it already has are left out.
+        Experts that it already has are left out. A new leader may be accepted
+        while the engine is called, and has none of what is sent here.
         """
+        resends = self.resends
         listener = self.listener()
         report = self.report
         if listener is None or report is None:
@@ -296,8 +304,10 @@
             and now - self.last_update_at < UPDATE_RESEND_INTERVAL
         ):
             return
-        self.last_update_at = now
-        self.last_update = update
+        with self.condition:
+            if self.resends == resends:
+                self.last_update_at = now
+                self.last_update = update
         if last is not None and last.experts == update.experts:
             update = update._replace(experts=())
         listener.on_update(update)
--- a/tests/steering/test_agent_and_leader.py
+++ b/tests/steering/test_agent_and_leader.py
@@ -115,6 +115,47 @@
         fleet.run_until(lambda: rank.held is None, steps=200)
 
 
+class RecordingListener:
+    """Keeps the updates that a leader receives."""
+
+    def __init__(self):
+        self.updates = []
+
+    def on_update(self, update):
+        self.updates.append(update)
+
+
+class TestExpertsOfARank:
+    """Guards against a leader that never learns the experts of a rank.
+
+    Without them it does not know the current map, and chooses no map.
+    """
+
+    def test_leader_accepted_during_a_call_receives_them(self, fleet):
+        first, second = RecordingListener(), RecordingListener()
+        current = [first]
+        port = fleet.ports[1]
+        agent = rank_agent.create_rank_agent(
+            port, fleet.clock, lambda: current[0]
+        )
+        read_experts = port.read_experts
+
+        def read_experts_and_accept_the_second():
+            agent.accept_leader(2)
+            current[0] = second
+            agent.resend_all()
+            return read_experts()
+
+        port.read_experts = read_experts_and_accept_the_second
+        agent.accept_leader(1)
+        agent.run_once()
+        port.read_experts = read_experts
+        fleet.clock.time += rank_agent.REPORT_INTERVAL
+        fleet.group.start_pass()
+        agent.run_once()
+        assert [update.experts for update in second.updates] == [port.experts]
+
+
 class TestTerms:
     def test_lower_term_is_refused(self, fleet):
         agent = fleet.agents[0]
