Keep the experts of a rank when another connection to it ends

Cause: a leader calls the engine of a rank until the link to the rank's sidecar opens. If an update from those calls came after the first one over the link, the end of the calls removed the rank with its experts. The sidecar had sent them and did not send them again, so the leader chose no map until the next leader or map.

Change: the leader keeps the experts by connection, as a connection leaves out only what was sent over it, and no longer by rank.

Run: tests/steering; make lint.

--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
@@ -131,6 +131,8 @@
         self.delegate_hold = delegate_hold
         self.inputs: queue.SimpleQueue[LeaderInput | None] = queue.SimpleQueue()
         self.members: dict[int, Member] = {}
+        # What each peer has sent; it leaves out experts that it sent before.
+        self.experts: dict[RankPeer, tuple[tuple[int, ...], ...]] = {}
         self.switch = pass_switch.idle(term)
         self.started_at = datetime.timedelta()
         self.last_version = 0
@@ -193,22 +195,23 @@
                 self.handle_counts(item, now)
             case PeerLost():
                 self.remove_peer(item.peer)
+                self.experts.pop(item.peer, None)
 
     def handle_update(
         self, item: UpdateReceived, now: datetime.timedelta
     ) -> None:
         """Store a rank's state, or step down when its term is higher.
 
-        An update without experts keeps the known ones.
+        An update without experts keeps those that the same peer sent before.
         """
         if item.update.term > self.term:
             self.step_down(item.update.term)
             return
         report = item.update.report
         known = self.members.get(report.rank)
-        experts = item.update.experts
-        if not experts and known is not None:
-            experts = known.experts
+        if item.update.experts:
+            self.experts[item.peer] = item.update.experts
+        experts = self.experts.get(item.peer, ())
         if known is None or known.peer is not item.peer:
             self.remove_peer(item.peer)
             self.sent.pop(report.rank, None)
--- a/tests/steering/test_agent_and_leader.py
+++ b/tests/steering/test_agent_and_leader.py
@@ -155,6 +155,33 @@
         agent.run_once()
         assert [update.experts for update in second.updates] == [port.experts]
 
+    def test_they_stay_when_another_connection_to_the_rank_ends(self, fleet):
+        """The leader called the engine until the link to its sidecar opened.
+
+        The last update from that call may come after the first one over the
+        link, which is the only one with the experts.
+        """
+        fleet.run_until(lambda: len(fleet.leader.members) == rank_fleet.SIZE)
+        now = fleet.clock.monotonic()
+        update = fleet.agents[1].last_update
+        link, direct = object(), object()
+        for peer, experts in (
+            (direct, update.experts),
+            (link, update.experts),
+            (direct, ()),
+        ):
+            fleet.leader.handle_update(
+                group_leader.UpdateReceived(
+                    peer, update._replace(experts=experts)
+                ),
+                now,
+            )
+        fleet.leader.handle_input(group_leader.PeerLost(direct), now)
+        fleet.leader.handle_update(
+            group_leader.UpdateReceived(link, update._replace(experts=())), now
+        )
+        assert fleet.leader.members[1].experts == update.experts
+
 
 class TestTerms:
     def test_lower_term_is_refused(self, fleet):
--- a/tests/steering/test_two_claims.py
+++ b/tests/steering/test_two_claims.py
@@ -1,4 +1,4 @@
-"""Tests that a leader chooses a map after another claim."""
+"""Tests that a leader chooses a map after other claims and late links."""
 
 import loguru
 import pytest
@@ -11,6 +11,7 @@
 GAPS = [(0, 5), (5, 30), (30, 600)]
 DEMAND_STEPS = 400
 DEMAND_CHANGES = 6
+LATE = 900 * sidecar_fleet.MILLISECOND
 
 
 @pytest.fixture
@@ -61,3 +62,13 @@
             fleet.step()
         fleet.claim(second)
         assert_new_demand_leads_to_a_new_map(fleet)
+
+    def test_after_links_that_open_late(self, create_fleet, seed):
+        """The leader calls engines until the links to their sidecars open.
+
+        Sidecars that hear of no leader in time claim the next terms.
+        """
+        fleet = create_fleet(seed)
+        fleet.max_connect_delay = LATE
+        fleet.claim(0)
+        assert_new_demand_leads_to_a_new_map(fleet)
