--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
@@ -145,6 +145,8 @@
         self.delegate_hold = delegate_hold
         self.inputs: queue.SimpleQueue[LeaderInput | None] = queue.SimpleQueue()
         self.members: dict[int, Member] = {}
+        # What each peer has sent; it leaves out experts that it sent before.
+        self.experts: dict[RankPeer, tuple[tuple[int, ...], ...]] = {}
         self.switch = pass_switch.idle(term)
         self.started_at = datetime.timedelta()
         self.last_version = 0
@@ -220,15 +222,19 @@
                 self.handle_counts(item, now)
             case PeerLost():
                 self.remove_peer(item.peer)
+                self.experts.pop(item.peer, None)
 
     def handle_update(
         self, item: UpdateReceived, now: datetime.timedelta
     ) -> None:
         """Store a rank's state, or step down when its term is higher.
 
-        An update without experts keeps the known ones. A rank of another group
-        is not a member, and its term does not compete with this one.
+        An update without experts keeps those that the same peer sent before. A
+        rank of another group is not a member, and its term does not compete
+        with this one.
         """
+        if item.update.experts:
+            self.experts[item.peer] = item.update.experts
         if item.update.report.group != self.group:
             self.remove_peer(item.peer)
             return
@@ -237,9 +243,7 @@
             return
         report = item.update.report
         known = self.members.get(report.rank)
-        experts = item.update.experts
-        if not experts and known is not None:
-            experts = known.experts
+        experts = self.experts.get(item.peer, ())
         if known is None or known.peer is not item.peer:
             self.remove_peer(item.peer)
             self.sent.pop(report.rank, None)
--- a/tests/steering/test_agent_and_leader.py
+++ b/tests/steering/test_agent_and_leader.py
@@ -115,6 +115,74 @@
         fleet.run_until(lambda: rank.held is None, steps=200)
 
 
+class RecordingListener:
+    """Keeps the updates that a leader receives."""
+
+    def __init__(self):
+        self.updates = []
+
+    def on_update(self, update):
+        self.updates.append(update)
+
+
+class TestExpertsOfARank:
+    """Guards against a leader that never learns the experts of a rank.
+
+    Without them it does not know the current map, and chooses no map.
+    """
+
+    def test_leader_accepted_during_a_call_receives_them(self, fleet):
+        first, second = RecordingListener(), RecordingListener()
+        current = [first]
+        port = fleet.ports[1]
+        agent = rank_agent.create_rank_agent(
+            port, fleet.clock, lambda: current[0]
+        )
+        read_experts = port.read_experts
+
+        def read_experts_and_accept_the_second():
+            agent.accept_leader(2)
+            current[0] = second
+            agent.resend_all()
+            return read_experts()
+
+        port.read_experts = read_experts_and_accept_the_second
+        agent.accept_leader(1)
+        agent.run_once()
+        port.read_experts = read_experts
+        fleet.clock.time += rank_agent.REPORT_INTERVAL
+        fleet.group.start_pass()
+        agent.run_once()
+        assert [update.experts for update in second.updates] == [port.experts]
+
+    def test_they_stay_when_another_connection_to_the_rank_ends(self, fleet):
+        """The leader called the engine until the link to its sidecar opened.
+
+        The last update from that call may come after the first one over the
+        link, which is the only one with the experts.
+        """
+        fleet.run_until(lambda: len(fleet.leader.members) == rank_fleet.SIZE)
+        now = fleet.clock.monotonic()
+        update = fleet.agents[1].last_update
+        link, direct = object(), object()
+        for peer, experts in (
+            (direct, update.experts),
+            (link, update.experts),
+            (direct, ()),
+        ):
+            fleet.leader.handle_update(
+                group_leader.UpdateReceived(
+                    peer, update._replace(experts=experts)
+                ),
+                now,
+            )
+        fleet.leader.handle_input(group_leader.PeerLost(direct), now)
+        fleet.leader.handle_update(
+            group_leader.UpdateReceived(link, update._replace(experts=())), now
+        )
+        assert fleet.leader.members[1].experts == update.experts
+
+
 class TestTerms:
     def test_lower_term_is_refused(self, fleet):
         agent = fleet.agents[0]
