Ignore further signals while a forwarding gateway exits

Blocking them was not enough: it holds for the main thread only, and a signal to the process goes to any thread that does not block it.

Change: the signals are ignored in the whole process, and the event loop is not closed, as that would restore the default actions. The test now has a second thread; the three cases end with -15, -2 and -1 without this change.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -459,7 +459,7 @@
     try:
         loop.run_until_complete(forwarder.serve())
     finally:
-        # Closing the loop removes its handlers, so that a further signal
-        # would end the process with an error.
-        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
-        loop.close()
+        # A further signal must not end the exit. Closing the loop would restore
+        # the default actions, so it stays open until the process ends.
+        for number in HANDLED_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
--- a/tests/forwarding/test_signals_at_exit.py
+++ b/tests/forwarding/test_signals_at_exit.py
@@ -9,27 +9,20 @@
 
 ROOT = pathlib.Path(__file__).parents[2]
 
-# Runs a forwarder whose planned stop is already over, and sends itself a
-# signal when the event loop has removed its handlers.
+# Runs a forwarder whose planned stop is already over, and sends the process a
+# signal during the exit, while other threads can still receive it.
 SCRIPT = """\
-import asyncio, os, sys
+import os, sys, threading
 from unittest import mock
 from verbenafall_gateway.forwarding import forwarder
 
-class Loop(asyncio.SelectorEventLoop):
-    def close(self):
-        super().close()
-        os.kill(os.getpid(), int(sys.argv[1]))
-
 async def serve():
-    pass
+    threading.Thread(target=threading.Event().wait, daemon=True).start()
 
 stopped = mock.Mock(serve=serve)
-with (
-    mock.patch.object(asyncio, "new_event_loop", Loop),
-    mock.patch.object(forwarder, "Forwarder", lambda *_args: stopped),
-):
+with mock.patch.object(forwarder, "Forwarder", lambda *_args: stopped):
     forwarder.run_forwarder(None, None, None, None)
+os.kill(os.getpid(), int(sys.argv[1]))
 """
 
 
--- a/tests/steering/sidecar_fleet.py
+++ b/tests/steering/sidecar_fleet.py
@@ -20,6 +20,7 @@
 from verbenafall_core import metrics
 from verbenafall_core.expert_maps import pass_switch
 from verbenafall_core.object_store import collection
+from verbenafall_core.object_store import revisions
 from verbenafall_core.object_store import store_era
 from verbenafall_sidecar.steering import leadership as leadership_lib
 from verbenafall_sidecar.steering import ports as ports_lib
@@ -378,7 +379,11 @@
     def map_term(self):
         """Return the term of the map that all ranks use, 0 for the first."""
         versions = [rank.map_version for rank in self.group.ranks]
-        return min(versions) // pass_switch.VERSIONS_PER_TERM
+        number = revisions.number_of(min(versions))
+        return revisions.create_revision(
+            revisions.era_of(min(versions)),
+            number // pass_switch.VERSIONS_PER_TERM,
+        )
 
 
 def start_agent(agent, fleet):
