Check queued requests against a stop only while there is one

The queue of a service is served after every report of another gateway, and each time all queued requests were compared with the end of a planned stop, also when none had begun.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -31,6 +31,8 @@
 DEFAULT_SLOTS: Final = 8
 # Lower bound of the retry-after time in refusals.
 MIN_RETRY_AFTER_SECONDS: Final = 0.2
+# End of a planned stop while none has begun.
+NO_STOP: Final = float("inf")
 
 
 class PlacementRequest(NamedTuple):
@@ -173,7 +175,7 @@
             str, service_liveness.ServiceLiveness
         ] = {}
         self.numbers = itertools.count()
-        self.finish_by = self.last_streams_at = float("inf")
+        self.finish_by = self.last_streams_at = NO_STOP
 
     def candidates(
         self, request: PlacementRequest
@@ -344,6 +346,8 @@
 
     def refuse_unfinishable(self, service: str) -> None:
         """Refuse queued requests that cannot finish before a planned stop."""
+        if self.finish_by == NO_STOP:
+            return
         for waiter in self.queues[service]:
             if not waiter.place.done() and not self.can_finish(waiter.request):
                 waiter.place.set_result(self.stop_refusal())
