Answer pipelined requests before a stopping gateway closes their connection

A request that had arrived behind a stream, on the same connection, was read but got no answer if a planned stop began during that stream: the connection was closed with the stream's end (LOST).

Cause: a stop sets close_after_answer on every connection. The head of a stream that has already started could not say "Connection: close", so the client may expect answers to what it has sent; the close dropped those requests from the queue of the connection.

Change: the connection is closed once an answer has said so, or no request waits. Requests behind an answer that is cut are dropped as before, since the cut answer must not look complete.

Before: the new test fails, the second answer is empty (b''). After: tests/forwarding passes (186).

--- a/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
@@ -59,7 +59,10 @@
         lost: Whether the connection has ended.
         closing: Whether received bytes are ignored, as the connection is
             about to close.
-        close_after_answer: Whether to close once the current answer is sent.
+        close_after_answer: Whether to close once the current answer is sent,
+            and those of the requests that wait, as far as the client expects
+            them.
+        close_announced: Whether an answer said that it is the last one.
         writable: Cleared while the client reads too slowly.
         waiting_since: When the current wait for bytes started, either for a
             request on an idle connection or for the rest of one. The
@@ -95,6 +98,7 @@
         self.lost = False
         self.closing = False
         self.close_after_answer = False
+        self.close_announced = False
         self.writable = asyncio.Event()
         self.writable.set()
         self.waiting_since = 0.0
@@ -283,7 +287,11 @@
         finally:
             self.task = None
             self.waiting_since = self.loop.time()
-            if self.close_after_answer and not self.lost:
+            if (
+                self.close_after_answer
+                and not self.lost
+                and (self.close_announced or not self.requests)
+            ):
                 self.close()
             else:
                 self.loop.call_soon(self.start_next)
@@ -306,6 +314,7 @@
             extra.append(("transfer-encoding", "chunked"))
         if self.close_after_answer:
             extra.append(("connection", "close"))
+            self.close_announced = True
         self.head_sent = True
         self.transport.write(
             http_messages.format_head(status, [*headers, *extra])
@@ -346,6 +355,7 @@
         headers.append(("content-length", str(len(answer.body))))
         if self.close_after_answer:
             headers.append(("connection", "close"))
+            self.close_announced = True
         self.chunked = False
         self.head_sent = True
         self.transport.write(
@@ -388,6 +398,7 @@
         """
         self.closing = True
         self.close_after_answer = True
+        self.requests.clear()
         if self.head_sent and self.chunked:
             self.transport.close()
             self.loop.call_later(CLOSE_TIMEOUT_SECONDS, self.transport.abort)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -767,3 +767,42 @@
                 client.sendall(fakes.request_bytes()[20:])
                 got = fakes.read_answer(client)
             assert (got.status, got.complete) == (200, True)
+
+    def test_pipelined_request_is_answered(self):
+        """Guards against LOST: read behind a stream, closed with its end."""
+        proceed = threading.Event()
+
+        def stream_or_answer(endpoint, connection, request):
+            if request.target != "/a/s/x":
+                return fakes.answer_ok(endpoint, connection, request)
+            connection.sendall(fakes.stream_head(request))
+            connection.sendall(fakes.chunk(fakes.event(0)))
+            proceed.wait(fakes.WAIT_SECONDS)
+            connection.sendall(fakes.chunk(fakes.event(1)) + b"0\r\n\r\n")
+            return True
+
+        routes = [
+            fakes.route(),
+            fakes.route(path_prefix="/a/s/", kind=model.RequestKind.STREAM),
+        ]
+        with (
+            running(stream_or_answer, routes=routes) as runner,
+            runner.connect() as client,
+        ):
+            gateway = runner.forwarder
+            client.sendall(fakes.request_bytes("/a/s/x", attempt="r1"))
+            fakes.wait_until(
+                lambda: any(channel.head_sent for channel in gateway.channels)
+            )
+            client.sendall(fakes.request_bytes(attempt="r2"))
+            fakes.wait_until(
+                lambda: any(channel.requests for channel in gateway.channels)
+            )
+            runner.stop()
+            fakes.wait_until(lambda: gateway.draining)
+            proceed.set()
+            reader = client.makefile("rb")
+            first, second = reader.read().split(b"0\r\n\r\n")
+        assert fakes.event(1) in first
+        assert second.startswith(b"HTTP/1.1 200")
+        assert b"connection: close" in second
