--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -16,7 +16,8 @@
     2102,
     "forwarder_stopped",
     "INFO",
-    "The gateway stopped; open is the number of requests that were aborted.",
+    "The gateway stopped; open is the number of requests that were still open"
+    " at the stop limit and got their final answer from the gateway.",
 )
 SETTINGS_RELOADED = event_log.define(
     2103,
