--- a/tests/platform_adapter/soak/endpoints.py
+++ b/tests/platform_adapter/soak/endpoints.py
@@ -46,15 +46,25 @@
         self.store = store
         self.records = records
         self.generator = generator
+        self.born = time.time_ns() // 1_000_000
         self.lock = threading.Lock()
         self.connections: set[socket.socket] = set()
         self.leaving = threading.Event()
         self.open = 0
+        self.state = ""
+        # Guards the entry.
+        self.entry_lock = threading.Lock()
         self.backend = fakes.ScriptedEndpoint(self.serve)
         self.announce("ready")
 
     def announce(self, state: str) -> None:
         """Write the entry."""
+        with self.entry_lock:
+            self.state = state
+            self.write_entry()
+
+    def write_entry(self) -> None:
+        """Write the entry in the current state; the caller holds the lock."""
         self.store.put(
             ENTRY_KIND,
             self.name,
@@ -63,10 +73,30 @@
                 "address": str(self.backend.address),
                 "zone": "z1",
                 "slots": SLOTS,
-                "state": state,
+                "state": self.state,
+                "born": self.born,
             },
         )
 
+    def announce_again(self) -> None:
+        """Write the entry again after a restore of the store."""
+        with self.entry_lock:
+            if not self.leaving.is_set():
+                self.write_entry()
+
+    def remove_if_gone(self) -> None:
+        """Remove a copied entry of this endpoint if it has ended."""
+        with self.entry_lock:
+            if self.leaving.is_set():
+                self.remove_entry()
+
+    def remove_entry(self) -> None:
+        """Remove the entry if it is this one; the caller holds the lock."""
+        with self.store.condition:
+            found = self.store.objects.get(ENTRY_KIND, {}).get(self.name)
+            if found is not None and found["spec"]["born"] == self.born:
+                self.store.remove(ENTRY_KIND, self.name)
+
     def draw(self) -> float:
         """Return a random number from 0 to 1; the threads share it."""
         with self.lock:
@@ -162,8 +192,9 @@
         """Announce the end, wait, remove the entry and end."""
         self.announce("draining")
         time.sleep(DRAIN_SECONDS)
-        self.store.remove(ENTRY_KIND, self.name)
         self.end()
+        with self.entry_lock:
+            self.remove_entry()
 
     def end(self) -> None:
         """Stop listening and reset the connections."""
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -19,6 +19,12 @@
 
 SERVICE = "engines"
 CONFIGURATION_KIND = "config"
+# Time after a restore of the store in which the operator and the endpoints
+# write again what the copy lacks.
+REWRITE_SECONDS = 1.5
+# Time after a restore in which copied entries of endpoints that have ended
+# are removed.
+LAPSE_SECONDS = 3.6
 # Longest time that the gateways may need to serve again after the last fault.
 RECOVERY_SECONDS = 20.0
 
@@ -67,6 +73,7 @@
         self.all_endpoints: list[endpoints_lib.SoakEndpoint] = []
         self.version = 0
         self.routes = 0
+        self.configuration: dict[str, object] = {}
         self.configure()
         self.endpoints = [
             self.start_endpoint(f"e{number}")
@@ -133,24 +140,19 @@
             }
             for name, prefix, kind in kinds
         ]
-        self.store.put(
-            CONFIGURATION_KIND,
-            "main",
-            {
-                "version": self.version,
-                "routes": routes,
-                "services": [{"name": SERVICE, "max-connections": 200}],
-                "limits": {
-                    "max-header-bytes": 16384,
-                    "max-body-bytes": 65536,
-                    "header-timeout-ms": 3000,
-                    "idle-timeout-ms": 15000,
-                },
-                "tenants": [
-                    {"name": "team", "api-keys": [clients_lib.KEY]},
-                ],
+        self.configuration = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": SERVICE, "max-connections": 200}],
+            "limits": {
+                "max-header-bytes": 16384,
+                "max-body-bytes": 65536,
+                "header-timeout-ms": 3000,
+                "idle-timeout-ms": 15000,
             },
-        )
+            "tenants": [{"name": "team", "api-keys": [clients_lib.KEY]}],
+        }
+        self.store.put(CONFIGURATION_KIND, "main", self.configuration)
 
     def wait_ready(self, limit: float) -> bool:
         """Wait until the balancer's checks of all gateways succeed."""
@@ -247,11 +249,29 @@
             self.proxies[fault.target].mode = proxy.Mode.PASS
         elif kind is schedule.Kind.HISTORY_GONE:
             self.store.oldest = self.store.revision + 1
+        elif kind is schedule.Kind.STORE_RESTORED:
+            self.restore_store(fault)
         elif kind is schedule.Kind.CONFIGURE:
             self.configure()
         elif kind in schedule.ENDPOINT_KINDS:
             self.disturb_endpoint(fault)
 
+    def restore_store(self, fault: schedule.Fault) -> None:
+        """Let the store go away and come back from an older copy."""
+        for item in self.proxies:
+            item.mode = proxy.Mode.RESET
+        time.sleep(fault.seconds / 4)
+        self.store.restore(1 + int(fault.seconds * 4))
+        for item in self.proxies:
+            item.mode = proxy.Mode.PASS
+        time.sleep(REWRITE_SECONDS)
+        self.store.put(CONFIGURATION_KIND, "main", self.configuration)
+        for endpoint in self.all_endpoints:
+            endpoint.announce_again()
+        time.sleep(LAPSE_SECONDS - REWRITE_SECONDS)
+        for endpoint in self.all_endpoints:
+            endpoint.remove_if_gone()
+
     def disturb_gateway(self, fault: schedule.Fault) -> None:
         """Send signals to one gateway, or to all but one."""
         gateway = self.gateways[fault.target]
