Release the holds of an earlier leader during a switch

Cause: holds left by an earlier leader were only looked for between switches. A hold that was not yet in the reports when the next leader started a switch stayed: the leader armed all ranks, released its own hold, and waited in SETTLE for a pass that the other rank still held, for good, as a hold does not expire.

Change: in PREPARE any held pass abandons the switch, and the recovery clears and releases it. No order of an older term takes effect on a rank that has accepted PREPARE. Where engines do not check the term, a hold may come later; in SETTLE, when all ranks have been armed, each hold at or before the armed pass is released.

Tests: on the old code all 15 cases of test_hold_from_a_late_order_during_a_switch fail with "condition not met within 400 steps", and 3 new cases of test_pass_switch.py fail.

--- a/packages/core/src/verbenafall_core/expert_maps/pass_switch.py
+++ b/packages/core/src/verbenafall_core/expert_maps/pass_switch.py
@@ -31,7 +31,8 @@
     HOLD: One rank is ordered to hold the group.
     ARM: All ranks are ordered to arm.
     RELEASE: The holder is ordered to release the held pass.
-    SETTLE: Waiting until all ranks report the new map.
+    SETTLE: Waiting until all ranks report the new map. Holds of other leaders
+        that block the pass are released.
     CLEAR: All ranks are disarmed before the release of a hold that belongs to
         no switch.
     """
@@ -145,9 +146,15 @@
 
 
 def finish_prepare(switch: Switch, ranks: Mapping[int, RankView]) -> Switch:
-    """Enter HOLD when all ranks are prepared; abandon an impossible map."""
+    """Enter HOLD when all ranks are prepared.
+
+    Abandons an impossible map, and any map while a pass is held: the hold is
+    not of this switch and must be recovered first.
+    """
     if any(
-        view.impossible_version == switch.version for view in ranks.values()
+        view.impossible_version == switch.version
+        or view.report.held is not None
+        for view in ranks.values()
     ):
         return idle(switch.term)
     holder = ranks.get(switch.holder)
@@ -231,6 +238,12 @@
     switch: Switch, ranks: Mapping[int, RankView]
 ) -> Mapping[int, rank_state.RankOrder]:
     """Return the orders of the current phase by rank."""
+    if switch.phase is Phase.SETTLE:
+        return {
+            rank: release_order(switch, view.report.held)
+            for rank, view in ranks.items()
+            if view.report.held is not None and view.report.held <= switch.step
+        }
     kinds = {
         Phase.PREPARE: rank_state.OrderKind.PREPARE,
         Phase.HOLD: rank_state.OrderKind.HOLD,
@@ -255,6 +268,18 @@
     return dict.fromkeys(ranks, order)
 
 
+def release_order(switch: Switch, step: int) -> rank_state.RankOrder:
+    """Return the order that releases a pass."""
+    return rank_state.RankOrder(
+        rank_state.OrderKind.RELEASE,
+        switch.term,
+        switch.epoch,
+        switch.version,
+        step,
+        (),
+    )
+
+
 def recover(term: int, ranks: Mapping[int, RankView]) -> Switch:
     """Return the switch that a new leader must complete, IDLE if none.
 
--- a/tests/steering/test_agent_and_leader.py
+++ b/tests/steering/test_agent_and_leader.py
@@ -114,6 +114,25 @@
         rank.held = fleet.group.step + 1
         fleet.run_until(lambda: rank.held is None, steps=200)
 
+    @pytest.mark.parametrize(
+        "phase",
+        [
+            pass_switch.Phase.PREPARE,
+            pass_switch.Phase.HOLD,
+            pass_switch.Phase.ARM,
+            pass_switch.Phase.RELEASE,
+            pass_switch.Phase.SETTLE,
+        ],
+    )
+    @pytest.mark.parametrize("rank", range(1, rank_fleet.SIZE))
+    def test_hold_from_a_late_order_during_a_switch(self, fleet, phase, rank):
+        """An earlier leader held the group on another rank."""
+        fleet.run_until(lambda: fleet.leader.switch.phase is phase)
+        fleet.group.ranks[rank].held = fleet.group.step + 1
+        before = fleet.group.step
+        fleet.run_until(lambda: fleet.group.step > before + 3, steps=400)
+        fleet.run_until(lambda: rank_fleet.lowest_map_version(fleet) > 0)
+
 
 class RecordingListener:
     """Keeps the updates that a leader receives."""
--- a/tests/steering/test_pass_switch.py
+++ b/tests/steering/test_pass_switch.py
@@ -40,6 +40,12 @@
         [{"prepared": 7}, {"impossible": 7}],
         Phase.IDLE,
     ),
+    (
+        "abandons a switch while an earlier leader holds a pass",
+        Phase.PREPARE,
+        [{"prepared": 7}, {"prepared": 7, "held": 12}],
+        Phase.IDLE,
+    ),
     (
         "holds when all are prepared",
         Phase.PREPARE,
@@ -148,6 +154,22 @@
         assert {order.step for order in plan.orders.values()} == {20}
         assert set(plan.orders) == {0, 1}
 
+    @pytest.mark.parametrize(
+        ("held", "released"),
+        [(None, {}), (19, {1: 19}), (20, {1: 20}), (21, {})],
+    )
+    def test_holds_that_block_the_armed_pass_are_released(self, held, released):
+        """Guards against a group that stays held until the next leader."""
+        ranks = views([{"armed": ARMED}, {"armed": ARMED, "held": held}])
+        plan = pass_switch.advance(switch(Phase.SETTLE), ranks)
+        assert plan.switch.phase is Phase.SETTLE
+        assert {order.kind for order in plan.orders.values()} <= {
+            rank_state.OrderKind.RELEASE
+        }
+        assert {
+            rank: order.step for rank, order in plan.orders.items()
+        } == released
+
 
 class TestRecover:
     @pytest.mark.parametrize(
