Pause between the watches of gateway records

A watch that has returned changes is followed by the next one only after 0.5 to 1 s; it then returns all that changed meanwhile. The new test fails without it.

--- a/bench/store_restore.py
+++ b/bench/store_restore.py
@@ -311,6 +311,9 @@
                     self.access.era, lambda: count, generator
                 ),
                 self.access.era,
+                forwarder.RECORDS_PAUSE
+                if kind == records.GATEWAY_KIND and not is_leader
+                else follower.NO_DELAY,
             )
             for kind, read in zip(kinds, self.reads, strict=True)
         ]
--- a/packages/core/src/verbenafall_core/object_store/follower.py
+++ b/packages/core/src/verbenafall_core/object_store/follower.py
@@ -84,6 +84,7 @@
         generator: random.Random,
         read_delay: ReadDelay,
         era: store_era.StoreEra,
+        change_pause: datetime.timedelta,
     ) -> None:
         """Create a follower that is not yet running."""
         self.name = name
@@ -92,6 +93,7 @@
         self.wait = wait
         self.generator = generator
         self.read_delay = read_delay
+        self.change_pause = change_pause
         self.next_delay: datetime.timedelta | None = None
         self.era = era
         self.revision: int | None = None
@@ -244,6 +246,9 @@
         self.revision = batch.revision
         self.listener.on_batch(batch, watched is None, after_outage)
         self.delivered = batch.revision
+        if watched is not None and batch.items and self.change_pause:
+            self.next_delay = self.change_pause * self.generator.uniform(0.5, 1)
+            return False
         return True
 
     def wait_for_retry(self) -> None:
@@ -253,8 +258,8 @@
     def next_retry_delay(self) -> datetime.timedelta:
         """Return the delay before the next call.
 
-        That is the chosen delay of a read, or else an exponential backoff with
-        jitter.
+        That is the chosen delay of a read or after changes, or else an
+        exponential backoff with jitter.
         """
         if self.next_delay:
             delay, self.next_delay = self.next_delay, None
@@ -304,11 +309,22 @@
     generator: random.Random | None = None,
     read_delay: ReadDelay = read_at_once,
     era: store_era.StoreEra | None = None,
+    change_pause: datetime.timedelta = NO_DELAY,
 ) -> Follower[T]:
     """Create a follower that is not yet running.
 
-    Without the era that the store's calls report to, it notices a restore of
-    the store only when its watch ends.
+    Args:
+        name: Name of the collection, for the log.
+        collection: What to follow.
+        listener: Receives the objects.
+        wait: Duration of one watch call.
+        generator: Source of the random delays; a new one by default.
+        read_delay: Delays a complete read.
+        era: The era that the store's calls report to. Without it, a restore of
+            the store is noticed only when the watch ends.
+        change_pause: Time after changes before the next watch call, which
+            returns all that changed in the meantime. Limits the calls if many
+            processes follow records that all of them write.
     """
     return Follower(
         name,
@@ -318,4 +334,5 @@
         generator or random.Random(),
         read_delay,
         era or store_era.create_store_era(),
+        change_pause,
     )
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -47,6 +47,9 @@
 WATCH_WAIT: Final = datetime.timedelta(seconds=1.8)
 # Duration of one watch call for the gateway records, which rarely change.
 RECORDS_WAIT: Final = datetime.timedelta(seconds=10)
+# After a restart or a restore all gateways write their records, and each of
+# them follows the records of all.
+RECORDS_PAUSE: Final = datetime.timedelta(seconds=1)
 # Minimum time after the start of a stop during which connections are still
 # accepted: the external balancer stops sending clients after two failed
 # readiness checks, one second apart.
@@ -180,6 +183,7 @@
                 RECORDS_WAIT,
                 read_delay=read_delay,
                 era=ports.era,
+                change_pause=RECORDS_PAUSE,
             ),
         ]
         self.draining = False
--- a/tests/core/test_follower.py
+++ b/tests/core/test_follower.py
@@ -23,6 +23,11 @@
     return returns.result.Success(collection.Batch(revision, (), ()))
 
 
+def changed(revision):
+    items = (collection.Item("name", revision, "value"),)
+    return returns.result.Success(collection.Batch(revision, items, ()))
+
+
 # Test id, last revision as era and number, era seen since, whether the read
 # is delayed.
 READ_DELAYS = [
@@ -156,6 +161,22 @@
             (6, False, False),
         ]
 
+    def test_changes_are_collected_during_a_pause(self):
+        """Guards against calls that grow with the square of the processes."""
+        pause = datetime.timedelta(seconds=1)
+        source = ScriptedCollection(batch(5), batch(6), changed(7), batch(7))
+        created = follower.create_follower(
+            "x",
+            source,
+            Recorder(),
+            datetime.timedelta(),
+            random.Random(1),
+            change_pause=pause,
+        )
+        assert [created.run_once() for _ in range(3)] == [True, True, False]
+        assert pause / 2 <= created.next_retry_delay() <= pause
+        assert created.run_once()
+
     def test_retry_delay_is_bounded(self):
         _, _, created = run(*[DOWN] * 20)
         assert created.next_retry_delay() <= follower.MAX_RETRY_DELAY
