Defer SIGHUP until a starting process can handle it

Cause: the default action applies until the program installs its handler, which is after its imports.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import event_log
 from verbenafall_core import metrics as metrics_lib
+from verbenafall_core import reload_signals
 from verbenafall_core import stop_requests
 from verbenafall_core.object_store import follower
 from verbenafall_core.routes import model
@@ -460,6 +461,7 @@
     for number in stop_requests.STOP_SIGNALS:
         loop.add_signal_handler(number, forwarder.stopping.set)
     loop.add_signal_handler(signal.SIGHUP, forwarder.reload, read_settings)
+    reload_signals.accept_reloads()
     try:
         loop.run_until_complete(forwarder.serve())
     finally:
--- a/packages/sidecar/src/verbenafall_sidecar/steer_command.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steer_command.py
@@ -14,6 +14,7 @@
 from verbenafall_core import http_client
 from verbenafall_core import link_sockets
 from verbenafall_core import prometheus_metrics
+from verbenafall_core import reload_signals
 from verbenafall_core import settings as settings_lib
 from verbenafall_core import stop_requests
 from verbenafall_core.object_store import era_metrics
@@ -61,6 +62,7 @@
     signal.signal(
         signal.SIGHUP, lambda _number, _frame: sighups.put(signal.SIGHUP)
     )
+    reload_signals.accept_reloads()
     threading.Thread(
         target=log_settings_faults, args=(sighups, path), daemon=True
     ).start()
--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_term.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_term.py
@@ -24,7 +24,7 @@
 from verbenafall_core.object_store import store_era
 
 # After a restore, all leaders write within this time.
-REWRITE_SPREAD: Final = datetime.timedelta(seconds=2)
+REWRITE_SPREAD: Final = datetime.timedelta(seconds=1.5)
 REWRITE_RETRY_INTERVAL: Final = datetime.timedelta(seconds=1)
 
 
