Spread the calls of group watches after a restore

When the watches of all sidecars end at once, each was repeated after 0.75 to 1.25 s, and one that learns of a restore reads the record as well: about 1,960 calls within half a second, besides those of the leases. Retries now come after 1 to 3 s, and a watch that knows of a restore leaves the read to the poll, which makes it at a random time within four seconds.

Tested: both tests of TestWatchAfterRestore failed on the unchanged watch for both kinds of engines (calls were made; retries differed by 0.499 s).

--- a/packages/sidecar/src/verbenafall_sidecar/group/group_member.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group/group_member.py
@@ -44,7 +44,10 @@
 STABLE_SEND_INTERVAL: Final = group_loads.SEND_INTERVAL
 # Time for which the store waits for a newer record before it answers.
 WATCH_WAIT: Final = datetime.timedelta(seconds=30)
-WATCH_RETRY: Final = datetime.timedelta(seconds=1)
+# Mean delay of a retry. Delays vary by a factor of three: when the watches of
+# all sidecars end at once, their retries must not exceed the store's rate.
+WATCH_RETRY: Final = datetime.timedelta(seconds=2)
+WATCH_RETRY_JITTER: Final = 0.5
 NO_WAIT: Final = datetime.timedelta()
 # Maximum random delay of the first watch, as many sidecars may start together.
 WATCH_START_SPREAD: Final = datetime.timedelta(seconds=2)
@@ -222,14 +225,22 @@
         """Watch the record in the store until stopped."""
         self.stopping.wait(self.watch_start_delay.total_seconds())
         while not self.stopping.is_set():
+            if self.is_record_outdated():
+                # The poll reads the record at a random time.
+                self.stopping.wait(self.retry_delay().total_seconds())
+                continue
             # The first call must not wait: until it returns, it is not known
             # whether the record is missing, and a new group gets no record.
-            waits = self.store_answered and not self.is_record_outdated()
-            wait = self.spread(WATCH_WAIT) if waits else NO_WAIT
+            wait = self.spread(WATCH_WAIT) if self.store_answered else NO_WAIT
             answered_before = self.store_answered
             found = self.watch_once(wait)
             if not found and answered_before == self.store_answered:
-                self.stopping.wait(self.spread(WATCH_RETRY).total_seconds())
+                self.stopping.wait(self.retry_delay().total_seconds())
+
+    def retry_delay(self) -> datetime.timedelta:
+        """Return the random delay before a call to the store is repeated."""
+        jitter = WATCH_RETRY_JITTER
+        return WATCH_RETRY * self.generator.uniform(1 - jitter, 1 + jitter)
 
     def spread(self, duration: datetime.timedelta) -> datetime.timedelta:
         """Return a duration with up to 25% of random jitter."""
@@ -273,7 +284,7 @@
             self.restored_era = self.setup.era.current
             self.next_read = now + self.generator.uniform(0, 1) * RESTORE_SPREAD
         if now >= self.next_read:
-            self.next_read = now + WATCH_RETRY
+            self.next_read = now + self.retry_delay()
             self.watch_once(NO_WAIT)
 
     def confirm(self) -> None:
--- a/tests/expert_maps/test_group_store_restored.py
+++ b/tests/expert_maps/test_group_store_restored.py
@@ -8,12 +8,14 @@
 import pytest
 
 from expert_maps import group_model
+from expert_maps import test_group_member
 from expert_maps import test_switch_machine
 from verbenafall_core.expert_maps import coordinator
 from verbenafall_core.expert_maps import record as record_lib
 from verbenafall_core.expert_maps import restored_record
 from verbenafall_core.object_store import revisions
 from verbenafall_sidecar.group import group_member
+from verbenafall_standins.fakes import memory_store
 
 SECOND = datetime.timedelta(seconds=1)
 Phase = record_lib.Phase
@@ -279,6 +281,39 @@
         assert revisions.era_of(member.stored.version) == 2
 
 
+class TestWatchAfterRestore:
+    @pytest.fixture
+    def member(self, group):
+        group.store.close()  # Watches do not wait.
+        member = group.members[1]
+        member.stopping = test_group_member.LimitedWaits(4)
+        return member
+
+    def test_store_restored_watch_leaves_the_read_to_the_poll(
+        self, group, member
+    ):
+        """The poll reads at a random time, so that processes do not collide."""
+        group.store.restore(0)
+        member.setup.era.observe(group.store.era)
+        group.store.calls.clear()
+        member.watch()
+        assert group.store.calls == []
+
+    def test_store_restored_retries_of_watches_are_spread(self, group, member):
+        """All watches end at once, and each may need two calls."""
+        delays = []
+        group.store.plan = lambda _call: memory_store.Fault.DOWN
+        member.stopping = test_group_member.LimitedWaits(200)
+        wait = member.stopping.wait
+        member.stopping.wait = lambda seconds: (
+            delays.append(seconds),
+            wait(seconds),
+        )
+        member.watch()
+        longest = max(delays[1:]) - min(delays[1:])
+        assert longest > 0.9 * group_member.WATCH_RETRY.total_seconds()
+
+
 class RestoredMachine(test_switch_machine.SwitchMachine):
     """Switches under any faults and restores of the store.
 
