--- a/packages/gateway/src/verbenafall_gateway/forwarding/stop_decision.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/stop_decision.py
@@ -5,8 +5,8 @@
 
 # Weight of the newest value in the moving averages.
 SMOOTHING_FACTOR: Final = 0.1
-# Mean absolute deviations above the mean that nearly all durations stay below,
-# as in the retransmission timeout of TCP (RFC 6298).
+# Mean absolute deviations added to the mean, as in the retransmission timeout
+# of TCP (RFC 6298). A few durations exceed the sum.
 DEVIATIONS: Final = 4
 
 
@@ -39,7 +39,7 @@
 
 
 def longest_duration(estimate: DurationEstimate) -> float:
-    """Return the seconds within which nearly all requests are answered."""
+    """Return the seconds within which a request is likely to be answered."""
     return estimate.mean + DEVIATIONS * estimate.deviation
 
 
