--- a/packages/core/src/verbenafall_core/expert_maps/demand.py
+++ b/packages/core/src/verbenafall_core/expert_maps/demand.py
@@ -3,15 +3,10 @@
 import array
 from collections.abc import Sequence
 import datetime
-import heapq
 from typing import Final
-from typing import NamedTuple
 
 # Age at which the weight of a count has halved.
 HALF_LIFE: Final = datetime.timedelta(milliseconds=300)
-# Increments in one report of a rank. Larger reports would saturate the
-# leader's link in groups with thousands of experts.
-MAX_COUNTS: Final = 400
 
 
 class DemandEstimate:
@@ -69,47 +64,6 @@
         return sum(self.values)
 
 
-class ChosenCounts(NamedTuple):
-    """The increments of a rank that are reported to the leader.
-
-    Attributes:
-        indices: Positions in the flat list; empty if counts is the full list.
-        counts: The increments, in the order of the indices.
-    """
-
-    indices: tuple[int, ...]
-    counts: tuple[int, ...]
-
-
-def choose_counts(increments: Sequence[int]) -> ChosenCounts:
-    """Return all increments, or the MAX_COUNTS greatest of a longer list.
-
-    A few experts get most of the demand, and only those are worth copies.
-    """
-    if len(increments) <= MAX_COUNTS:
-        return ChosenCounts((), tuple(increments))
-    indices = heapq.nlargest(
-        MAX_COUNTS, range(len(increments)), key=increments.__getitem__
-    )
-    return ChosenCounts(
-        tuple(indices), tuple(increments[index] for index in indices)
-    )
-
-
-def restore_counts(chosen: ChosenCounts, length: int) -> tuple[int, ...]:
-    """Return the flat list of increments, with 0 for those not reported.
-
-    Raises:
-        IndexError: An index is beyond the length.
-    """
-    if not chosen.indices:
-        return chosen.counts
-    flat = [0] * length
-    for index, count in zip(chosen.indices, chosen.counts, strict=False):
-        flat[index] = count
-    return tuple(flat)
-
-
 def count_increments(
     before: Sequence[int], after: Sequence[int]
 ) -> tuple[int, ...]:
--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -366,18 +366,20 @@
     slowdown: float = 1.0
 
 
-class RankCounts(NamedTuple):
+class RankDemand(NamedTuple):
     """How often a rank's requests chose each expert since the last message.
 
     Attributes:
-        indices: Positions of the counts in the flat list by set and expert;
-            empty if `counts` is the complete list.
+        length: Number of counters, flat by set and expert.
+        unit: Increment that one level stands for.
+        levels: Four bits per counter, see demand_levels.
     """
 
     group: str
     epoch: int
-    counts: tuple[int, ...]
-    indices: tuple[int, ...] = ()
+    length: int
+    unit: int
+    levels: bytes
 
 
 class RankOrder(NamedTuple):
@@ -482,7 +484,7 @@
     | SendTime
     | Leading
     | RankStatus
-    | RankCounts
+    | RankDemand
     | RankOrder
     | OpenRequests
     | ConfigurationVersion
@@ -514,7 +516,7 @@
     18: SendTime,
     19: Leading,
     20: RankStatus,
-    21: RankCounts,
+    # 21 was RankCounts, which took ten times as many bytes.
     22: RankOrder,
     23: OpenRequests,
     24: ConfigurationVersion,
@@ -523,4 +525,5 @@
     27: EndpointLeaving,
     28: RankSlowdowns,
     29: RankHold,
+    30: RankDemand,
 }
--- a/packages/core/src/verbenafall_core/settings.py
+++ b/packages/core/src/verbenafall_core/settings.py
@@ -23,6 +23,9 @@
 _DURATION_PATTERN: Final = re.compile(r"(\d+(?:\.\d+)?) ?(ms|s|min|h)")
 _UNIT_SECONDS: Final = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}
 
+_BIT_RATE_PATTERN: Final = re.compile(r"(\d+(?:\.\d+)?) ?(kbit|Mbit|Gbit)/s")
+_UNIT_BITS: Final = {"kbit": 1e3, "Mbit": 1e6, "Gbit": 1e9}
+
 Parser = Callable[[str], returns.result.Result[Any, str]]
 
 
@@ -171,6 +174,14 @@
     return returns.result.Success(datetime.timedelta(seconds=seconds))
 
 
+def parse_bit_rate(text: str) -> returns.result.Result[float, str]:
+    """Parse a rate such as "4 Mbit/s"; return bits per second."""
+    match = _BIT_RATE_PATTERN.fullmatch(text)
+    if match is None or float(match[1]) == 0:
+        return returns.result.Failure(f"{text!r} is not a rate with a unit")
+    return returns.result.Success(float(match[1]) * _UNIT_BITS[match[2]])
+
+
 def parse_positive_int(text: str) -> returns.result.Result[int, str]:
     """Parse a positive integer."""
     if not text.isascii() or not text.isdigit() or int(text) == 0:
--- a/packages/sidecar/src/verbenafall_sidecar/steering/count_plan.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/count_plan.py
@@ -8,14 +8,16 @@
 from typing import Final
 from typing import NamedTuple
 
+from verbenafall_core.expert_maps import demand_levels
 from verbenafall_sidecar.steering import rank_agent
 
-# In groups up to this size every rank reports its counts.
-MAX_UNSAMPLED_RANKS: Final = 32
-# Larger groups are sampled: 24 messages of 1 to 2 KB every 0.3 s use about a
-# quarter of a link of 4 Mbit/s.
-MAX_SAMPLED_RANKS: Final = 24
-SAMPLED_INTERVAL: Final = datetime.timedelta(milliseconds=300)
+# Fraction of the leader's link that reports may use. Orders, and the traffic
+# of the leader's own engine, must not queue behind them.
+LINK_FRACTION: Final = 0.25
+# Ranks are sampled rather than asked less often than this: older demand leads
+# to a map that no longer fits.
+MAX_INTERVAL: Final = datetime.timedelta(milliseconds=250)
+BITS_PER_BYTE: Final = 8
 
 
 class CountSampling(NamedTuple):
@@ -25,11 +27,30 @@
     interval: datetime.timedelta
 
 
-def choose_sampling(size: int) -> CountSampling:
-    """Return which ranks report their counts in a group of `size` ranks."""
-    if size <= MAX_UNSAMPLED_RANKS:
-        return CountSampling(1, rank_agent.COUNT_INTERVAL)
-    return CountSampling(-(-size // MAX_SAMPLED_RANKS), SAMPLED_INTERVAL)
+def choose_sampling(
+    ranks: int, counters: int, link_rate: float
+) -> CountSampling:
+    """Return which ranks report their counts, within the leader's link.
+
+    Args:
+        ranks: Number of ranks that could report over links.
+        counters: Number of counters of each rank.
+        link_rate: Bits per second of the leader's link.
+    """
+    report_seconds = (
+        BITS_PER_BYTE
+        * demand_levels.report_bytes(counters)
+        / (LINK_FRACTION * link_rate)
+    )
+    stride = max(
+        1, -int(-ranks * report_seconds // MAX_INTERVAL.total_seconds())
+    )
+    reporting = -(-ranks // stride)
+    seconds = min(reporting * report_seconds, MAX_INTERVAL.total_seconds())
+    return CountSampling(
+        stride,
+        max(rank_agent.COUNT_INTERVAL, datetime.timedelta(seconds=seconds)),
+    )
 
 
 def choose_interval(
--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
@@ -1,6 +1,7 @@
 """Leads a rank group: collects demand, chooses maps and switches them."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import datetime
 import queue
 import threading
@@ -75,7 +76,7 @@
     """Increments of a rank's expert counts were received."""
 
     epoch: int
-    chosen: demand_lib.ChosenCounts
+    counts: Sequence[int]
 
 
 class PeerLost(NamedTuple):
@@ -267,10 +268,7 @@
             if layout is None:
                 return
             self.demand = demand_lib.DemandEstimate(layout.sets, layout.experts)
-        counts = demand_lib.restore_counts(
-            item.chosen, self.demand.sets * self.demand.experts
-        )
-        self.demand.add(counts, now)
+        self.demand.add(item.counts, now)
 
     def slowdowns(self) -> tuple[tuple[str, float], ...]:
         """Return host and slowdown of each rank; call on any thread."""
--- a/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/leadership.py
@@ -24,7 +24,7 @@
 from verbenafall_core import messages
 from verbenafall_core import metrics as metrics_lib
 from verbenafall_core import periodic
-from verbenafall_core.expert_maps import demand
+from verbenafall_core.expert_maps import demand_levels
 from verbenafall_core.expert_maps import rank_state
 from verbenafall_core.object_store import collection
 from verbenafall_core.object_store import follower
@@ -311,7 +311,12 @@
             for link in self.peers
             if not self.is_in_other_group(link.address, now)
         ]
-        sampling = count_plan.choose_sampling(len(links) + 1)
+        layout = self.layout
+        sampling = count_plan.choose_sampling(
+            len(links),
+            layout.sets * layout.experts if layout else 0,
+            self.dependencies.settings.link_rate,
+        )
         with self.dependencies.links.batch_sends():
             for number, link in enumerate(links):
                 interval = count_plan.choose_interval(sampling, number)
@@ -392,7 +397,7 @@
         )
 
     def handle_counts(
-        self, link: link_lib.Link, message: messages.RankCounts
+        self, link: link_lib.Link, message: messages.RankDemand
     ) -> None:
         """Queue a rank's counts for the leader if its link is known."""
         with self.dependencies.lock:
@@ -401,7 +406,11 @@
             self.leader.put(
                 group_leader.CountsReceived(
                     message.epoch,
-                    demand.ChosenCounts(message.indices, message.counts),
+                    demand_levels.decode(
+                        demand_levels.DemandLevels(
+                            message.length, message.unit, message.levels
+                        )
+                    ),
                 )
             )
 
--- a/packages/sidecar/src/verbenafall_sidecar/steering/rank_peers.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/rank_peers.py
@@ -5,7 +5,7 @@
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import link as link_lib
 from verbenafall_core import messages
-from verbenafall_core.expert_maps import demand
+from verbenafall_core.expert_maps import demand_levels
 from verbenafall_core.expert_maps import rank_port
 from verbenafall_core.expert_maps import rank_state
 from verbenafall_core.expert_maps import replica_map
@@ -91,19 +91,16 @@
         """Create a listener that sends to the leader."""
         self.group = group
         self.link = link
+        self.encoder = demand_levels.LevelEncoder()
 
     def on_update(self, update: rank_agent.RankUpdate) -> None:
         """Send a rank update."""
         self.link.send(rank_messages.encode_update(update))
 
     def on_counts(self, epoch: int, counts: tuple[int, ...]) -> None:
-        """Send the increments; of a large layout, only the greatest ones."""
-        chosen = demand.choose_counts(counts)
-        self.link.send(
-            messages.RankCounts(
-                self.group, epoch, chosen.counts, chosen.indices
-            )
-        )
+        """Send the increments, rounded to levels."""
+        levels = self.encoder.encode(counts)
+        self.link.send(messages.RankDemand(self.group, epoch, *levels))
 
 
 class LocalListener:
@@ -121,7 +118,5 @@
         self.leader.put(group_leader.UpdateReceived(self.peer, update))
 
     def on_counts(self, epoch: int, counts: tuple[int, ...]) -> None:
-        """Queue all increments of the counts for the leader."""
-        self.leader.put(
-            group_leader.CountsReceived(epoch, demand.ChosenCounts((), counts))
-        )
+        """Queue the increments of the counts for the leader."""
+        self.leader.put(group_leader.CountsReceived(epoch, counts))
--- a/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/steering.py
@@ -66,7 +66,7 @@
         router.subscribe(messages.Leading, self.on_leading)
         router.subscribe(messages.RankOrder, self.on_order)
         router.subscribe(messages.RankStatus, self.on_status)
-        router.subscribe(messages.RankCounts, self.on_counts)
+        router.subscribe(messages.RankDemand, self.on_counts)
         router.subscribe_open(self.on_open)
         router.subscribe_close(self.on_close)
         hello = messages.Hello(
@@ -313,7 +313,7 @@
             leadership.handle_status(link, message)
 
     def on_counts(
-        self, link: link_lib.Link, message: messages.RankCounts
+        self, link: link_lib.Link, message: messages.RankDemand
     ) -> None:
         """Pass a rank's counts to the leadership, if there is one."""
         with self.lock:
--- a/packages/sidecar/src/verbenafall_sidecar/steering/steering_settings.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/steering_settings.py
@@ -20,6 +20,7 @@
         link_listen: Address for links from other processes. All sidecars use
             the same port.
         adapter: Python module that connects to the platform.
+        link_rate: Bits per second of this machine's network link.
     """
 
     name: str
@@ -32,6 +33,7 @@
     adapter: str
     log_level: str
     stop_limit: datetime.timedelta
+    link_rate: float
 
 
 OPTIONS: Final = (
@@ -80,6 +82,15 @@
     ),
     common_options.LOG_LEVEL,
     common_options.STOP_LIMIT,
+    settings.Option(
+        "limits",
+        "link_rate",
+        settings.parse_bit_rate,
+        'a rate such as "100 Mbit/s"',
+        "100 Mbit/s",
+        "Rate of this machine's network link; reports to the leader of a rank "
+        "group use a quarter of it.",
+    ),
 )
 
 SteeringSettingsResult = returns.result.Result[
@@ -104,4 +115,5 @@
         adapter=values["platform", "adapter"],
         log_level=values["log", "level"],
         stop_limit=values["limits", "stop_limit"],
+        link_rate=values["limits", "link_rate"],
     )
--- a/tests/steering/sidecar_fleet.py
+++ b/tests/steering/sidecar_fleet.py
@@ -263,6 +263,7 @@
             "",
             "INFO",
             datetime.timedelta(),
+            1e8,
         )
         sidecar = steering_lib.create_steering(
             settings, ports, self.clock, metrics.NullMetrics(), self.generator
--- a/tests/steering/test_planned_stop.py
+++ b/tests/steering/test_planned_stop.py
@@ -54,6 +54,7 @@
         adapter="",
         log_level="INFO",
         stop_limit=LIMIT,
+        link_rate=1e8,
     )
     listed = [forwarding_fakes.MemoryCollection() for _ in range(3)]
     steering = steering_lib.create_steering(
