--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -463,6 +463,17 @@
     endpoints: tuple[tuple[str, int], ...]
 
 
+class EndpointLimits(NamedTuple):
+    """Requests per second that endpoints accept from all gateways together.
+
+    Attributes:
+        limits: Endpoint id, rate, and age of the statement in milliseconds.
+            The rate is None if the endpoint no longer states any.
+    """
+
+    limits: tuple[tuple[str, float | None, int], ...]
+
+
 Message = (
     Hello
     | Heartbeat
@@ -493,6 +504,7 @@
     | EndpointLeaving
     | RankSlowdowns
     | RankHold
+    | EndpointLimits
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -526,4 +538,5 @@
     28: RankSlowdowns,
     29: RankHold,
     30: RankDemand,
+    31: EndpointLimits,
 }
--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -11,6 +11,7 @@
 from verbenafall_core import endpoints
 from verbenafall_core import event_log
 from verbenafall_gateway.forwarding import endpoint_directory
+from verbenafall_gateway.forwarding import endpoint_limits
 from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import peer_loads
 from verbenafall_gateway.forwarding import placement
@@ -31,6 +32,8 @@
 DEFAULT_SLOTS: Final = 8
 # Lower bound of the retry-after time in refusals.
 MIN_RETRY_AFTER_SECONDS: Final = 0.2
+# Lower bound of the mean duration in the estimate of the wait.
+MIN_DURATION_SECONDS: Final = 0.001
 # End of a planned stop while none has begun.
 NO_STOP: Final = float("inf")
 
@@ -134,6 +137,8 @@
     Attributes:
         finish_by: When a planned stop abandons the open requests; infinite
             while no stop is planned.
+        limits_changed: Called with the id of an endpoint whose rate limit the
+            other gateways should know.
         last_streams_at: When the planned stop begins to refuse streams whose
             deadline is later than `finish_by`.
     """
@@ -144,6 +149,7 @@
         directory: endpoint_directory.EndpointDirectory,
         peers: peer_loads.PeerLoads,
         slowdowns: rank_slowdowns.RankSlowdowns,
+        limits: endpoint_limits.EndpointLimits,
         data_centre: str,
         load_per_slot: Callable[[str], float],
         generator: random.Random,
@@ -155,6 +161,7 @@
             directory: Endpoints that may receive requests.
             peers: Load of the other gateways.
             slowdowns: Slowdown of the ranks behind the endpoints.
+            limits: Rates of requests that endpoints accept.
             data_centre: Data centre of this gateway.
             load_per_slot: Returns, for a service, the load per slot at which
                 an endpoint is full.
@@ -164,6 +171,8 @@
         self.directory = directory
         self.peers = peers
         self.slowdowns = slowdowns
+        self.limits = limits
+        self.limits_changed: Callable[[str], None] | None = None
         self.data_centre = data_centre
         self.load_per_slot = load_per_slot
         self.generator = generator
@@ -184,7 +193,9 @@
         now = self.loop.time()
         found = []
         for endpoint in self.directory.usable(request.service):
-            if endpoint.id in request.tried:
+            if endpoint.id in request.tried or not self.limits.may_send(
+                endpoint.id, now
+            ):
                 continue
             suspicion = self.suspicions.get(endpoint.id)
             own = self.open.get(endpoint.id, 0)
@@ -220,6 +231,7 @@
         chosen = choice.candidate
         endpoint = self.directory.listed[chosen.endpoint_id].value
         self.open[endpoint.id] = self.open.get(endpoint.id, 0) + 1
+        self.limits.record_sent(endpoint.id, now)
         liveness = self.liveness_by_service.get(request.service)
         if liveness is not None:
             liveness.record_sent(now)
@@ -396,10 +408,18 @@
         usable = list(self.directory.usable(request.service))
         if not usable:
             return Refused(RefusalReason.NO_ENDPOINT, 1.0)
+        duration = max(
+            self.averages_of(request.service).duration.mean,
+            MIN_DURATION_SECONDS,
+        )
         state = wait_queue.QueueState(
             waiting,
-            sum(endpoint.slots or DEFAULT_SLOTS for endpoint in usable),
-            self.averages_of(request.service).duration.mean,
+            sum(
+                self.limits.capacity(
+                    endpoint.id, (endpoint.slots or DEFAULT_SLOTS) / duration
+                )
+                for endpoint in usable
+            ),
             self.peers.live_gateways(),
         )
         wait = wait_queue.expected_wait(state)
@@ -486,6 +506,25 @@
             seconds=span,
         )
 
+    def record_limit(self, placed: Placed, rate: float | None) -> None:
+        """Record the rate limit that an answer states; None if it has none."""
+        endpoint_id = placed.endpoint.id
+        before = self.limits.rate_of(endpoint_id)
+        if not self.limits.record_answer(
+            endpoint_id, rate, placed.acquired_at, self.loop.time()
+        ):
+            return
+        after = self.limits.rate_of(endpoint_id)
+        if before != after:
+            event_log.emit(
+                event_catalogue.ENDPOINT_LIMITED,
+                endpoint=endpoint_id,
+                rate=-1.0 if after is None else after,
+                gateways=len(self.limits.gateways),
+            )
+        if self.limits_changed is not None:
+            self.limits_changed(endpoint_id)
+
     def record_answer(
         self, service: str, duration: float, first_answer: float
     ) -> None:
@@ -512,6 +551,7 @@
     directory: endpoint_directory.EndpointDirectory,
     peers: peer_loads.PeerLoads,
     slowdowns: rank_slowdowns.RankSlowdowns,
+    limits: endpoint_limits.EndpointLimits,
     data_centre: str,
     load_per_slot: Callable[[str], float],
     generator: random.Random | None = None,
@@ -523,6 +563,7 @@
         directory: Endpoints that may receive requests.
         peers: Load of the other gateways.
         slowdowns: Slowdown of the ranks behind the endpoints.
+        limits: Rates of requests that endpoints accept.
         data_centre: Data centre of this gateway.
         load_per_slot: Returns, for a service, the load per slot at which an
             endpoint is full.
@@ -533,6 +574,7 @@
         directory,
         peers,
         slowdowns,
+        limits,
         data_centre,
         load_per_slot,
         generator or random.Random(),
--- a/packages/gateway/src/verbenafall_gateway/forwarding/answer_relay.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/answer_relay.py
@@ -65,6 +65,7 @@
         client: client_channel.ClientChannel,
         state: RelayState,
         on_progress: Callable[[], None],
+        on_head: Callable[[endpoint_channel.Head], None],
     ) -> None:
         """Create a relay to a client.
 
@@ -73,10 +74,12 @@
             dialect: Names of the headers to evaluate.
             client: Connection to which the answer is written.
             state: What earlier attempts sent to the client; updated here.
-            on_progress: Called on each part of a stream's body, and once the
+            on_progress: Called on complete events of a stream, and once the
                 body of any other success was buffered.
+            on_head: Called on the head of the answer.
         """
         self.on_progress = on_progress
+        self.on_head = on_head
         self.loop = loop
         self.dialect = dialect
         self.client = client
@@ -93,6 +96,7 @@
         if not isinstance(part, endpoint_channel.Head):
             return retry_decision.Broken(failure_reason(part))
         head = part
+        self.on_head(head)
         if 200 <= head.status < 300:
             if self.header(head, self.dialect.signature) is None:
                 return retry_decision.Broken(
@@ -186,8 +190,10 @@
         while True:
             part = await channel.next_part()
             if isinstance(part, endpoint_channel.Body):
-                self.on_progress()
-                self.send_new_events(head, splitter.feed(part.data))
+                events = splitter.feed(part.data)
+                if events:
+                    self.on_progress()
+                self.send_new_events(head, events)
                 if not self.client.writable.is_set():
                     await self.client.writable.wait()
             elif isinstance(part, endpoint_channel.End):
--- a/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
@@ -55,6 +55,7 @@
 
     Attributes:
         requests: Complete requests that wait for an answer.
+        pipelined_bytes: Bytes received while a request is being answered.
         task: Task that answers the current request, None when idle.
         lost: Whether the connection has ended.
         closing: Whether received bytes are ignored, as the connection is
@@ -94,6 +95,7 @@
         self.channels = channels
         self.parser = httptools.HttpRequestParser(self)
         self.requests: list[http_messages.Request] = []
+        self.pipelined_bytes = 0
         self.task: asyncio.Task[None] | None = None
         self.lost = False
         self.closing = False
@@ -150,8 +152,16 @@
             self.reject(error.status)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.reject(400)
+        if self.task is not None:
+            self.limit_pipelining(len(data))
         self.start_next()
 
+    def limit_pipelining(self, length: int) -> None:
+        """Pause reading when too much was sent ahead of the answers."""
+        self.pipelined_bytes += length
+        if self.pipelined_bytes > MAX_PIPELINED_BYTES:
+            self.transport.pause_reading()
+
     def check_head_size(self, length: int) -> None:
         """Raise TooLargeError if too much arrives before a body starts."""
         if self.reading_body:
@@ -259,6 +269,9 @@
             return
         request = self.requests.pop(0)
         self.head_sent = False
+        if not self.requests and self.pipelined_bytes:
+            self.pipelined_bytes = 0
+            self.transport.resume_reading()
         self.close_after_answer = (
             self.close_after_answer or not request.keep_alive
         )
--- a/packages/gateway/src/verbenafall_gateway/forwarding/dialect.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/dialect.py
@@ -19,6 +19,8 @@
             the answer.
         not_run: Present if the endpoint did not run the request.
         last_event_id: Id of the last event that the sender received.
+        rate_limit: Requests per second that the endpoint accepts from all
+            gateways together, in its answers.
     """
 
     attempt_id: str
@@ -30,6 +32,7 @@
     signature: str
     not_run: str
     last_event_id: str
+    rate_limit: str
 
 
 DEFAULT: Final = Dialect(
@@ -42,4 +45,5 @@
     signature="x-signature",
     not_run="x-not-run",
     last_event_id="last-event-id",
+    rate_limit="x-rate-limit",
 )
--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_channel.py
@@ -58,6 +58,7 @@
         idle_since: When the last answer was complete.
         skipping: Whether the answer being parsed belongs to another request
             and is dropped.
+        repeats_ids: Whether the answers so far bore the ids of their requests.
         length_known: Whether the head determines where the answer ends; if
             not, it ends with the connection.
     """
@@ -89,6 +90,7 @@
         self.idle_since = 0.0
         self.headers: list[http_messages.Header] = []
         self.skipping = False
+        self.repeats_ids = False
         self.length_known = True
         self.in_answer = False
 
@@ -169,8 +171,14 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Start a new answer."""
+        """Start a new answer.
+
+        Even the first byte of one without a request prevents reuse: the rest
+        could otherwise arrive after the next request was sent.
+        """
         self.headers = []
+        if not self.active:
+            self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; ignore trailers."""
@@ -197,6 +205,11 @@
         self.skipping = answer_id is not None and answer_id != self.attempt_id
         if self.skipping:
             return
+        if answer_id is None and self.repeats_ids:
+            # It may belong to an earlier request.
+            self.fail("answer without the request's id")
+            return
+        self.repeats_ids = answer_id is not None
         names = {name for name, _ in self.headers}
         self.length_known = bool(
             names & {"content-length", "transfer-encoding"}
--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -114,6 +114,21 @@
     " entry from before they left, which get no requests. Logged once per"
     " process and restore.",
 )
+ENDPOINT_LIMITED = event_log.define(
+    2125,
+    "endpoint_limited",
+    "INFO",
+    "An endpoint states in its answers how many requests a second it accepts"
+    " from all gateways together, or another number than before; -1 if it no"
+    " longer states any.",
+)
+ENDPOINT_LIMIT_UNREADABLE = event_log.define(
+    2126,
+    "endpoint_limit_unreadable",
+    "WARNING",
+    "The rate limit in an endpoint's answer is not a number, and the last known"
+    " one stays in force.",
+)
 ATTEMPT_PLACED = event_log.define(
     2130,
     "forward_placed",
@@ -154,6 +169,13 @@
     "A programming error occurred while a request was served, and its"
     " connection was closed. Report the error with this line.",
 )
+SWEEP_FAILED = event_log.define(
+    2137,
+    "sweep_failed",
+    "ERROR",
+    "A programming error occurred in the periodic check of time limits, which"
+    " continues. Report the error with this line.",
+)
 REQUEST_CUT_BY_STOP = event_log.define(
     2136,
     "forward_cut_by_stop",
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -16,6 +16,7 @@
 from verbenafall_gateway.forwarding import configuration_state
 from verbenafall_gateway.forwarding import dialect as dialect_lib
 from verbenafall_gateway.forwarding import endpoint_channel
+from verbenafall_gateway.forwarding import endpoint_limits
 from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import http_messages
 from verbenafall_gateway.forwarding import repeat_allowance
@@ -334,6 +335,7 @@
                 job.client,
                 job.relay_state,
                 lambda: self.record_progress(job.admitted.service),
+                lambda head: self.record_limit(place, head),
             )
             return await relay.run(channel, route)
         finally:
@@ -387,6 +389,21 @@
         )
         return job.repeat_acquired
 
+    def record_limit(
+        self, place: admission_lib.Placed, head: endpoint_channel.Head
+    ) -> None:
+        """Record the rate limit that an answer states, or its absence."""
+        text = http_messages.find_header(head.headers, self.dialect.rate_limit)
+        rate = None if text is None else endpoint_limits.parse_rate(text)
+        if text is not None and rate is None:
+            event_log.emit(
+                event_catalogue.ENDPOINT_LIMIT_UNREADABLE,
+                endpoint=place.endpoint.id,
+                text=text,
+            )
+            return
+        self.admission.record_limit(place, rate)
+
     def record_progress(self, service: str) -> None:
         """Record that a service makes progress."""
         liveness = self.admission.liveness(service)
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 import functools
 import random
 import signal
+import traceback
 from typing import Any
 from typing import Final
 
@@ -24,6 +25,7 @@
 from verbenafall_gateway.forwarding import client_channel
 from verbenafall_gateway.forwarding import configuration_state
 from verbenafall_gateway.forwarding import endpoint_directory
+from verbenafall_gateway.forwarding import endpoint_limits
 from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import exchange as exchange_lib
 from verbenafall_gateway.forwarding import forwarder_settings
@@ -110,11 +112,15 @@
         self.directory = endpoint_directory.create_endpoint_directory()
         self.peers = peer_loads.create_peer_loads()
         self.slowdowns = rank_slowdowns.create_rank_slowdowns()
+        self.limits_of_endpoints = endpoint_limits.create_endpoint_limits(
+            settings.name
+        )
         self.admission = admission_lib.create_admission(
             loop,
             self.directory,
             self.peers,
             self.slowdowns,
+            self.limits_of_endpoints,
             settings.data_centre,
             self.load_per_slot,
         )
@@ -139,9 +145,11 @@
             self.directory,
             self.peers,
             self.slowdowns,
+            self.limits_of_endpoints,
             self.holds,
             self.admission.serve_all_queues,
         )
+        self.admission.limits_changed = self.links.announce_limit
         self.configuration.changed = self.apply_configuration
         self.directory.leaving_changed = self.links.announce_leaving
         self.record = own_record.OwnRecord(
@@ -328,10 +336,17 @@
         client.send_answer(http_messages.Answer(status, (), b""))
 
     async def sweep_forever(self) -> None:
-        """Run sweep() periodically."""
+        """Run sweep() periodically, also after it has failed."""
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
-            self.sweep()
+            try:
+                self.sweep()
+            except Exception as error:  # Time limits must stay enforced.
+                event_log.emit(
+                    event_catalogue.SWEEP_FAILED,
+                    error=repr(error),
+                    place=traceback.format_exc(limit=-3),
+                )
 
     def sweep(self) -> None:
         """Enforce the time limits of connections and of queued requests.
@@ -342,6 +357,7 @@
         now = self.loop.time()
         limits = self.limits()
         self.directory.expire(now)
+        self.limits_of_endpoints.retain(set(self.directory.listed))
         self.pool.sweep()
         for channel in list(self.channels):
             if channel.task is not None or channel.requests:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import datetime
 import threading
 from typing import Final
@@ -26,6 +27,7 @@
 from verbenafall_core.routes import model
 from verbenafall_gateway.forwarding import configuration_state
 from verbenafall_gateway.forwarding import endpoint_directory
+from verbenafall_gateway.forwarding import endpoint_limits
 from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import peer_loads
 from verbenafall_gateway.forwarding import rank_holds
@@ -38,6 +40,7 @@
 # Unchanged counts are sent again after this time, as peers ignore counts that
 # are too old.
 COUNTS_REPEAT_SECONDS: Final = 0.5
+MILLISECONDS_PER_SECOND: Final = 1000
 
 
 class PeerLinks:
@@ -62,6 +65,7 @@
         directory: endpoint_directory.EndpointDirectory,
         loads: peer_loads.PeerLoads,
         slowdowns: rank_slowdowns.RankSlowdowns,
+        limits: endpoint_limits.EndpointLimits,
         holds: rank_holds.RankHolds,
         loads_changed: Callable[[], None],
     ) -> None:
@@ -77,6 +81,7 @@
             directory: Known endpoints; updated by peers.
             loads: Counts of open requests of this gateway and its peers.
             slowdowns: Slowdown of the ranks, as reported by their leaders.
+            limits: Rate limits of the endpoints; updated by peers.
             holds: Sends the holds of leaders to engines.
             loads_changed: Called after the counts of a peer have changed.
         """
@@ -87,6 +92,7 @@
         self.directory = directory
         self.loads = loads
         self.slowdowns = slowdowns
+        self.limits = limits
         self.loads_changed = loads_changed
         self.records: known_items.KnownItems[addresses.Address] = (
             known_items.create_known_items(records.GATEWAY_RECORD_RETENTION)
@@ -103,6 +109,7 @@
         router.subscribe(messages.ConfigurationText, self.on_text)
         router.subscribe(messages.EndpointLeaving, self.on_leaving)
         router.subscribe(messages.RankSlowdowns, self.on_slowdowns)
+        router.subscribe(messages.EndpointLimits, self.on_limits)
         router.subscribe(messages.RankHold, holds.on_hold)
         hello = messages.Hello(
             messages.PROTOCOL_VERSION, name, ROLE, data_centre, ""
@@ -155,6 +162,7 @@
             if name != self.name and address != self.listen_address
         }
         self.loads.set_gateway_count(len(others) + 1)
+        self.limits.set_gateways(tuple(self.records.by_name))
         self.links.set_targets(
             {item for item in others if self.listen_address < item}
         )
@@ -192,6 +200,15 @@
         """
         self.send_to_all(messages.EndpointLeaving(tuple(leaving.items())))
 
+    def announce_limit(self, endpoint_id: str) -> None:
+        """Send an endpoint's rate limit to all peers."""
+        self.send_to_all(
+            limits_message(
+                {endpoint_id: self.limits.statements[endpoint_id]},
+                self.loop.time(),
+            )
+        )
+
     def send_to_all(self, message: messages.Message) -> None:
         """Send a message over all open links to gateways."""
         with self.links.batch_sends():
@@ -210,6 +227,9 @@
         if leaving:
             link.send(messages.EndpointLeaving(tuple(leaving.items())))
         link.send(messages.OpenRequests(tuple(dict(self.loads.own).items())))
+        statements = dict(self.limits.statements)
+        if statements:
+            link.send(limits_message(statements, self.loop.time()))
 
     def on_close(self, link: link_lib.Link, reason: str) -> None:
         """Discard the counts of a gateway whose link has closed."""
@@ -285,6 +305,25 @@
             self.directory.merge_leaving, dict(message.endpoints)
         )
 
+    def on_limits(
+        self, link: link_lib.Link, message: messages.EndpointLimits
+    ) -> None:
+        """Pass rate limits that a peer knows to the event loop."""
+        del link
+        self.loop.call_soon_threadsafe(self.record_limits, message)
+
+    def record_limits(self, message: messages.EndpointLimits) -> None:
+        """Store the rate limits that are newer than the known ones."""
+        now = self.loop.time()
+        for endpoint_id, rate, age_ms in message.limits:
+            self.limits.record(
+                endpoint_id,
+                endpoint_limits.Statement(
+                    rate, now - age_ms / MILLISECONDS_PER_SECOND
+                ),
+            )
+        self.loads_changed()
+
     def on_slowdowns(
         self, link: link_lib.Link, message: messages.RankSlowdowns
     ) -> None:
@@ -304,6 +343,22 @@
         self.slowdowns.record(group, term, slowdowns, self.loop.time())
 
 
+def limits_message(
+    statements: Mapping[str, endpoint_limits.Statement], now: float
+) -> messages.EndpointLimits:
+    """Return the message that tells statements and their age to a peer."""
+    return messages.EndpointLimits(
+        tuple(
+            (
+                endpoint_id,
+                statement.rate,
+                max(0, round((now - statement.at) * MILLISECONDS_PER_SECOND)),
+            )
+            for endpoint_id, statement in statements.items()
+        )
+    )
+
+
 def is_gateway(link: link_lib.Link) -> bool:
     """Return whether the peer of a link is a gateway."""
     return link.peer is not None and link.peer.role == ROLE
--- a/packages/gateway/src/verbenafall_gateway/forwarding/wait_queue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/wait_queue.py
@@ -45,14 +45,12 @@
 
     Attributes:
         waiting: Requests queued in this gateway.
-        slots: Total slots of the usable endpoints.
-        mean_duration: Average time that a request occupies a slot, in seconds.
-        gateways: Number of gateways that share the slots.
+        per_second: Requests that the usable endpoints complete per second.
+        gateways: Number of gateways that share the endpoints.
     """
 
     waiting: int
-    slots: int
-    mean_duration: float
+    per_second: float
     gateways: int
 
 
@@ -61,7 +59,6 @@
 
     Assumes that the other gateways have queues of the same length.
     """
-    if state.slots <= 0:
+    if state.per_second <= 0:
         return float("inf")
-    per_second = state.slots / max(state.mean_duration, 0.001)
-    return (state.waiting + 1) * max(state.gateways, 1) / per_second
+    return (state.waiting + 1) * max(state.gateways, 1) / state.per_second
--- a/tests/core/test_codec.py
+++ b/tests/core/test_codec.py
@@ -59,6 +59,7 @@
     messages.EndpointLeaving((("e", 12),)),
     messages.RankSlowdowns("g", 7, (("10.0.0.1", 1.5),)),
     messages.RankHold("g", "10.0.0.1", 8000, 7, 2, 31),
+    messages.EndpointLimits((("e", 2.5, 40), ("f", None, 0))),
 ]  # fmt: skip
 
 BAD_ITEMS = [
--- a/tests/forwarding/test_client_channel.py
+++ b/tests/forwarding/test_client_channel.py
@@ -1,4 +1,4 @@
-"""Tests how a client connection ends after a partial answer."""
+"""How a client connection ends and how much it may send ahead."""
 
 import asyncio
 
@@ -15,6 +15,7 @@
     def __init__(self):
         self.written = b""
         self.ends = []
+        self.reading = True
 
     def set_write_buffer_limits(self, high):
         del high
@@ -22,6 +23,12 @@
     def write(self, data):
         self.written += data
 
+    def pause_reading(self):
+        self.reading = False
+
+    def resume_reading(self):
+        self.reading = True
+
     def close(self):
         self.ends.append("close")
 
@@ -58,3 +65,22 @@
     def test_answer_without_chunks_is_reset(self, channel):
         channel.abort()
         assert channel.transport.ends == ["abort"]
+
+
+class TestPipelining:
+    def test_reading_pauses_until_the_requests_are_answered(self, channel):
+        request = (
+            b"POST / HTTP/1.1\r\ncontent-length: 9000\r\n\r\n" + 9000 * b"x"
+        )
+        number = 0
+        while channel.transport.reading:
+            channel.data_received(request)
+            number += 1
+            assert number < 1000
+        held = sum(len(item.body) for item in channel.requests)
+        assert held <= client_channel.MAX_PIPELINED_BYTES + len(request)
+        while channel.task is not None:
+            channel.loop.run_until_complete(channel.task)
+            channel.start_next()
+        assert channel.requests == []
+        assert channel.transport.reading
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -209,12 +209,14 @@
         assert on_time(wait_queue.pick_next) > 1.5 * on_time(in_order)
 
     def test_expected_wait_grows_with_queue_and_gateways(self):
-        state = wait_queue.QueueState(9, 20, 2.0, 1)
+        state = wait_queue.QueueState(9, 20 / 2.0, 1)
         assert wait_queue.expected_wait(state) == pytest.approx(1.0)
         assert wait_queue.expected_wait(
             state._replace(gateways=4)
         ) == pytest.approx(4.0)
-        assert wait_queue.expected_wait(state._replace(slots=0)) == float("inf")
+        assert wait_queue.expected_wait(state._replace(per_second=0)) == float(
+            "inf"
+        )
 
 
 D, U, N, F, B = (
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -594,6 +594,38 @@
             )
             assert call(runner).status == 0
 
+    def test_time_limits_stay_enforced(self, monkeypatch):
+        with running(fakes.answer_ok) as runner:
+            swept = []
+
+            def sweep(now):
+                swept.append(now)
+                raise ZeroDivisionError
+
+            monkeypatch.setattr(runner.forwarder.directory, "expire", sweep)
+            fakes.wait_until(lambda: len(swept) >= 2)
+            assert call(runner).status == 200
+
+
+class TestProgress:
+    def test_bytes_without_a_complete_event_are_none(self):
+        """An engine that sends a byte now and then is stalled all the same."""
+
+        def trickle(endpoint, connection, request):
+            del endpoint
+            connection.sendall(fakes.stream_head(request))
+            connection.sendall(fakes.chunk(fakes.event(0)))
+            for byte in fakes.event(1)[:3]:
+                connection.sendall(fakes.chunk(bytes([byte])))
+            return False
+
+        progress = []
+        with running(trickle, routes=[fakes.route(**STREAM)]) as runner:
+            exchange = runner.forwarder.exchange
+            exchange.record_progress = progress.append
+            call(runner)
+        assert len(progress) == 1
+
 
 def wait_for_close(connection):
     with contextlib.suppress(OSError):
