--- a/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/group_leader.py
@@ -31,10 +31,11 @@
 # Copying takes at most a second; a switch that is still in its PREPARE phase
 # after this time is abandoned.
 PREPARE_TIMEOUT: Final = datetime.timedelta(seconds=3)
-# A new map must lower the imbalance by MIN_GAIN, and by MIN_GAIN_PER_COPY for
-# each copied expert, as copying lengthens passes and has a cost of its own.
+# A new map must lower the imbalance by MIN_GAIN, and by MIN_GAIN_PER_SECOND for
+# each second that a rank copies experts, added up over all ranks, as copying
+# lengthens passes and has a cost of its own.
 MIN_GAIN: Final = 0.10
-MIN_GAIN_PER_COPY: Final = 0.008
+MIN_GAIN_PER_SECOND: Final = 0.1
 # Maximum experts that a rank copies for one map, per set and in total. A map
 # with fewer copies is in use sooner.
 COPIES_PER_RANK_SET: Final = 1
@@ -474,7 +475,7 @@
         after = replica_map.imbalance(found, by_set, slowdowns)
         copies = replica_map.copies_needed(placement, found)
         self.metrics.gauge("steering.imbalance", before)
-        worthwhile = before - after >= MIN_GAIN + MIN_GAIN_PER_COPY * copies
+        worthwhile = before - after >= required_gain(copies * layout.copy_time)
         event_log.emit(
             event_catalogue.MAP_CHOSEN
             if worthwhile
@@ -517,6 +518,15 @@
         )
 
 
+def required_gain(copy_time: datetime.timedelta) -> float:
+    """Return by how much a new map must lower the imbalance.
+
+    Args:
+        copy_time: Time to copy its experts, added up over all ranks.
+    """
+    return MIN_GAIN + MIN_GAIN_PER_SECOND * copy_time.total_seconds()
+
+
 def effective_slowdown(slowdown: float) -> float:
     """Return the slowdown, or 1 where it is too small to justify copies."""
     return slowdown if slowdown >= MIN_EFFECTIVE_SLOWDOWN else 1.0
