--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -48,6 +48,8 @@
 # the timeout of the call; the sum must stay below the time within which the
 # platform expects it.
 WATCH_WAIT: Final = datetime.timedelta(seconds=1.8)
+# Changes in quick succession, as when all engines start, are read by one call.
+CHANGE_PAUSE: Final = datetime.timedelta(milliseconds=100)
 # Duration of one watch call for the gateway records, which rarely change.
 RECORDS_WAIT: Final = datetime.timedelta(seconds=10)
 # After a restart or a restore all gateways write their records, and each of
@@ -174,6 +176,7 @@
                 WATCH_WAIT,
                 read_delay=read_delay,
                 era=ports.era,
+                change_pause=CHANGE_PAUSE,
             ),
             follower.create_follower(
                 "endpoints",
@@ -184,6 +187,7 @@
                 WATCH_WAIT,
                 read_delay=read_delay,
                 era=ports.era,
+                change_pause=CHANGE_PAUSE,
             ),
             follower.create_follower(
                 "gateways",
