--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_directory.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_directory.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 from typing import TypeVar
 
+from verbenafall_core import addresses
 from verbenafall_core import endpoints
 from verbenafall_core import event_log
 from verbenafall_core.object_store import collection
@@ -375,10 +376,32 @@
             if name in found
         )
 
+    def latest_starts(self) -> dict[addresses.Address, int]:
+        """Return the latest start of an endpoint at each address.
+
+        The entry of an engine that crashed stays in the store for a while, also
+        when another one has started at its address.
+        """
+        latest: dict[addresses.Address, int] = {}
+        for listed in self.listed.values():
+            endpoint = listed.value
+            if endpoint.started_at is not None:
+                latest[endpoint.address] = max(
+                    endpoint.started_at, latest.get(endpoint.address, 0)
+                )
+        return latest
+
     def rebuild(self) -> None:
         """Rebuild the index of the endpoints that accept requests."""
         by_service: dict[str, list[endpoints.Endpoint]] = {}
+        latest = self.latest_starts()
         for name, listed in self.listed.items():
+            started_at = listed.value.started_at
+            if (
+                started_at is not None
+                and started_at < latest[listed.value.address]
+            ):
+                continue
             if self.accepts_requests(name, listed):
                 by_service.setdefault(listed.value.service, []).append(
                     listed.value
--- a/tests/forwarding/test_directory.py
+++ b/tests/forwarding/test_directory.py
@@ -69,6 +69,41 @@
         assert usable(directory) == ["b"]
 
 
+# Starts of two engines at one address, as listed, and the usable ones.
+STARTS = [
+    ((10, 20), ["new"]),
+    ((20, 20), ["new", "old"]),
+    ((None, 20), ["new", "old"]),
+    ((20, None), ["new", "old"]),
+]
+
+
+class TestAddressUsedAgain:
+    @pytest.mark.parametrize(("starts", "expected"), STARTS)
+    def test_only_the_engine_that_started_last_is_used(self, starts, expected):
+        """The entry of a crashed engine stays in the store for a while."""
+        items = []
+        for (name, revision), start in zip(
+            [("old", 1), ("new", 2)], starts, strict=True
+        ):
+            found = item(name, revision)
+            value = found.value._replace(started_at=start)
+            items.append(found._replace(value=value))
+        directory = endpoint_directory.create_endpoint_directory()
+        apply(directory, 2, items, complete=True)
+        assert usable(directory) == expected
+
+    def test_earlier_engine_returns_with_a_later_start(self):
+        directory = endpoint_directory.create_endpoint_directory()
+        for revision, (name, start) in enumerate(
+            [("a", 10), ("b", 20), ("a", 30)], 1
+        ):
+            found = item(name, revision)
+            value = found.value._replace(started_at=start)
+            apply(directory, revision, [found._replace(value=value)])
+        assert usable(directory) == ["a"]
+
+
 class TestOthers:
     def test_leaving_endpoints_are_reported_and_merged(self, directory):
         reports = []
--- a/tests/forwarding/test_directory_store_restored.py
+++ b/tests/forwarding/test_directory_store_restored.py
@@ -16,7 +16,13 @@
 
 def entry(number, era=1, name="a", draining=False, start=START):
     value = endpoints.Endpoint(
-        name, "s", addresses.Address("10.0.0.1", 80), "dc", 4, draining, start
+        name,
+        "s",
+        addresses.Address(f"10.0.0.{ord(name[0])}", 80),
+        "dc",
+        4,
+        draining,
+        start,
     )
     return collection.Item(name, revisions.create_revision(era, number), value)
 
