--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -1,6 +1,7 @@
 """Admits requests to endpoints: places, queues or refuses them."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import enum
 import itertools
@@ -13,6 +14,7 @@
 from verbenafall_gateway.forwarding import endpoint_directory
 from verbenafall_gateway.forwarding import endpoint_limits
 from verbenafall_gateway.forwarding import event_catalogue
+from verbenafall_gateway.forwarding import pass_pace
 from verbenafall_gateway.forwarding import peer_loads
 from verbenafall_gateway.forwarding import placement
 from verbenafall_gateway.forwarding import rank_slowdowns
@@ -24,10 +26,8 @@
 # failure up to the maximum.
 SUSPECT_FIRST_SECONDS: Final = 0.5
 SUSPECT_MAX_SECONDS: Final = 4.0
-# Weight of the newest value in the exponential moving average.
-SMOOTHING_FACTOR: Final = 0.1
 # Assumed until the first answer of a service has been measured.
-DEFAULT_FIRST_ANSWER_SECONDS: Final = 0.15
+DEFAULT_FIRST_ANSWER: Final = stop_decision.DurationEstimate(0.15, 0.05)
 # Slots assumed for an endpoint that reports none.
 DEFAULT_SLOTS: Final = 8
 # Lower bound of the retry-after time in refusals.
@@ -118,7 +118,7 @@
     """
 
     duration: stop_decision.DurationEstimate
-    first_answer: float
+    first_answer: stop_decision.DurationEstimate
 
 
 class Waiter(NamedTuple):
@@ -177,9 +177,11 @@
         self.load_per_slot = load_per_slot
         self.generator = generator
         self.open: dict[str, int] = {}
+        self.open_by_service: collections.Counter[str] = collections.Counter()
         self.queues: dict[str, list[Waiter]] = {}
         self.suspicions: dict[str, Suspicion] = {}
         self.averages: dict[str, Averages] = {}
+        self.paces: dict[str, pass_pace.PassPace] = {}
         self.liveness_by_service: dict[
             str, service_liveness.ServiceLiveness
         ] = {}
@@ -215,14 +217,14 @@
     def has_fast_capacity(self, request: PlacementRequest) -> bool:
         """Return whether an endpoint that is not slow has capacity now."""
         fast = [item for item in self.candidates(request) if not item.slow]
-        limit = self.load_per_slot(request.service)
+        limit = self.max_load_per_slot(request)
         return placement.choose(fast, limit, 0.0) is not None
 
     def try_place(self, request: PlacementRequest) -> Placed | None:
         """Acquire a place, or return None if no endpoint has capacity."""
         choice = placement.choose(
             self.candidates(request),
-            self.load_per_slot(request.service),
+            self.max_load_per_slot(request),
             self.generator.random(),
         )
         if choice is None:
@@ -231,6 +233,7 @@
         chosen = choice.candidate
         endpoint = self.directory.listed[chosen.endpoint_id].value
         self.open[endpoint.id] = self.open.get(endpoint.id, 0) + 1
+        self.open_by_service[request.service] += 1
         self.limits.record_sent(endpoint.id, now)
         liveness = self.liveness_by_service.get(request.service)
         if liveness is not None:
@@ -261,26 +264,25 @@
         queue = self.queues.setdefault(request.service, [])
         if not self.can_finish(request):
             return self.stop_refusal()
-        stalled = self.check_liveness(request.service)
-        if stalled is not None:
-            return stalled
-        if not queue:
-            placed = self.try_place(request)
+        entry = self.create_entry(request)
+        stalled = self.is_stalled(request.service)
+        if stalled:
+            refused = self.check_stall(request, len(queue))
+        else:
+            ahead = wait_queue.count_ahead(
+                entry, [waiter.entry for waiter in queue], self.loop.time()
+            )
+            placed = None if ahead else self.try_place(request)
             if placed is not None:
                 return placed
-        refused = self.check_queue(request, len(queue))
+            refused = self.check_queue(request, ahead)
         if refused is not None:
             return refused
-        averages = self.averages_of(request.service)
-        entry = wait_queue.QueueEntry(
-            next(self.numbers),
-            request.urgency,
-            request.arrived,
-            request.target_at - averages.first_answer,
-            self.latest_start(request),
-        )
         waiter = Waiter(entry, request, self.loop.create_future())
         queue.append(waiter)
+        if stalled:
+            self.serve_queue(request.service)
+        expiry = self.loop.call_at(entry.useful_until, self.refuse_expired)
         try:
             return await waiter.place
         except asyncio.CancelledError:
@@ -290,9 +292,21 @@
                     self.release(result)
             raise
         finally:
+            expiry.cancel()
             if waiter in queue:
                 queue.remove(waiter)
 
+    def create_entry(self, request: PlacementRequest) -> wait_queue.QueueEntry:
+        """Return the queue entry of a request."""
+        first = self.averages_of(request.service).first_answer
+        return wait_queue.QueueEntry(
+            next(self.numbers),
+            request.urgency,
+            request.arrived,
+            request.target_at - first.mean,
+            self.latest_start(request),
+        )
+
     def liveness(self, service: str) -> service_liveness.ServiceLiveness | None:
         """Return the liveness of a tracked service, None for any other."""
         return self.liveness_by_service.get(service)
@@ -303,16 +317,41 @@
             service, service_liveness.ServiceLiveness()
         )
 
-    def check_liveness(self, service: str) -> Refused | None:
-        """Return a refusal if a service is stalled and no probe is due."""
+    def is_stalled(self, service: str) -> bool:
+        """Return whether a service makes no progress."""
         liveness = self.liveness_by_service.get(service)
+        return liveness is not None and liveness.is_stalled(self.loop.time())
+
+    def check_stall(
+        self, request: PlacementRequest, waiting: int
+    ) -> Refused | None:
+        """Return a refusal if a request must not wait for a stalled service.
+
+        Those that wait fit into this gateway's share of the places, so that
+        all of them start when the stall ends. One that is due as a probe is
+        never refused: nothing else would show the end of a long stall.
+
+        Args:
+            request: Request that would join the queue.
+            waiting: Requests that are queued already.
+        """
+        self.paces.setdefault(request.service, pass_pace.PassPace()).restart()
+        usable = list(self.directory.usable(request.service))
+        if not usable:
+            return Refused(RefusalReason.NO_ENDPOINT, 1.0)
         now = self.loop.time()
-        if (
-            liveness is None
-            or not liveness.is_stalled(now)
-            or liveness.may_probe(now)
+        liveness = self.liveness_by_service[request.service]
+        slots = sum(endpoint.slots or DEFAULT_SLOTS for endpoint in usable)
+        if liveness.is_probe_due(now) or (
+            liveness.is_worth_waiting(now)
+            and waiting < slots / self.peers.live_gateways()
+            and now < self.latest_start(request)
         ):
             return None
+        return self.stall_refusal()
+
+    def stall_refusal(self) -> Refused:
+        """Return a refusal after which the stall is likely to have ended."""
         return Refused(
             RefusalReason.STALLED,
             service_liveness.retry_delay(self.generator.random()),
@@ -367,7 +406,7 @@
     def refuse_expired(self) -> None:
         """Refuse queued requests that can no longer be answered in time."""
         now = self.loop.time()
-        for queue in self.queues.values():
+        for service, queue in self.queues.items():
             expired = [
                 waiter for waiter in queue if waiter.entry.useful_until <= now
             ]
@@ -375,35 +414,33 @@
                 queue.remove(waiter)
                 if not waiter.place.done():
                     waiter.place.set_result(
-                        Refused(RefusalReason.TOO_LATE, MIN_RETRY_AFTER_SECONDS)
+                        self.stall_refusal()
+                        if self.is_stalled(service)
+                        else Refused(
+                            RefusalReason.TOO_LATE, MIN_RETRY_AFTER_SECONDS
+                        )
                     )
 
     def refuse_stalled_queues(self) -> None:
-        """Refuse all requests that are queued for a stalled service."""
+        """Refuse the queued requests of services that stay stalled."""
         for service, queue in self.queues.items():
-            liveness = self.liveness_by_service.get(service)
-            if liveness is None or not liveness.is_stalled(self.loop.time()):
+            if not self.is_stalled(service) or self.liveness_by_service[
+                service
+            ].is_worth_waiting(self.loop.time()):
                 continue
             for waiter in queue:
                 if not waiter.place.done():
-                    waiter.place.set_result(
-                        Refused(
-                            RefusalReason.STALLED,
-                            service_liveness.retry_delay(
-                                self.generator.random()
-                            ),
-                        )
-                    )
+                    waiter.place.set_result(self.stall_refusal())
             queue.clear()
 
     def check_queue(
-        self, request: PlacementRequest, waiting: int
+        self, request: PlacementRequest, ahead: int
     ) -> Refused | None:
         """Return a refusal if a request could not be served in time.
 
         Args:
             request: Request that would join the queue.
-            waiting: Requests that are queued already.
+            ahead: Queued requests that are served before it.
         """
         usable = list(self.directory.usable(request.service))
         if not usable:
@@ -412,11 +449,12 @@
             self.averages_of(request.service).duration.mean,
             MIN_DURATION_SECONDS,
         )
+        per_slot = min(1.0, self.max_load_per_slot(request)) / duration
         state = wait_queue.QueueState(
-            waiting,
+            ahead,
             sum(
                 self.limits.capacity(
-                    endpoint.id, (endpoint.slots or DEFAULT_SLOTS) / duration
+                    endpoint.id, (endpoint.slots or DEFAULT_SLOTS) * per_slot
                 )
                 for endpoint in usable
             ),
@@ -442,7 +480,8 @@
         averages = self.averages_of(request.service)
         return min(
             request.deadline - averages.duration.mean,
-            request.client_timeout_at - averages.first_answer,
+            request.client_timeout_at
+            - stop_decision.longest_duration(averages.first_answer),
         )
 
     def release(self, placed: Placed) -> None:
@@ -453,19 +492,27 @@
             self.open[endpoint.id] = left
         else:
             self.open.pop(endpoint.id, None)
-            liveness = self.liveness_by_service.get(endpoint.service)
-            if liveness is not None and not self.open:
-                liveness.record_idle()
+        self.open_by_service[endpoint.service] -= 1
+        liveness = self.liveness_by_service.get(endpoint.service)
+        if liveness is not None and not self.open_by_service[endpoint.service]:
+            liveness.record_idle()
         self.peers.set_own_load(self.open)
         self.serve_queue(endpoint.service)
 
     def serve_queue(self, service: str) -> None:
-        """Place queued requests of a service while endpoints have capacity."""
+        """Place queued requests of a service while endpoints have capacity.
+
+        While the service is stalled, only a probe is placed.
+        """
         queue = self.queues.get(service)
         if queue:
             self.refuse_unfinishable(service)
         while queue:
             now = self.loop.time()
+            if self.is_stalled(service) and not self.liveness_by_service[
+                service
+            ].may_probe(now):
+                return
             entry = wait_queue.pick_next(
                 [waiter.entry for waiter in queue], now
             )
@@ -506,6 +553,41 @@
             seconds=span,
         )
 
+    def record_pause(self, service: str, pause: float, target: float) -> None:
+        """Record the pause between two events of a stream, in seconds."""
+        pace = self.paces.setdefault(service, pass_pace.PassPace())
+        before = pace.share
+        pace.record_pause(
+            pause,
+            target,
+            self.loop.time(),
+            lambda: self.used_share(service),
+        )
+        if pace.share > before:
+            self.serve_queue(service)
+
+    def used_share(self, service: str) -> float:
+        """Return the open requests of all gateways per slot of a service."""
+        now = self.loop.time()
+        usable = list(self.directory.usable(service))
+        slots = sum(endpoint.slots or DEFAULT_SLOTS for endpoint in usable)
+        load = sum(
+            self.open.get(endpoint.id, 0) + self.peers.load_of(endpoint.id, now)
+            for endpoint in usable
+        )
+        return load / max(slots, 1)
+
+    def max_load_per_slot(self, request: PlacementRequest) -> float:
+        """Return the load per slot at which an endpoint is full."""
+        pace = self.paces.get(request.service)
+        limit = self.load_per_slot(request.service)
+        if pace is None:
+            return limit
+        first = self.averages_of(request.service).first_answer.mean
+        return limit * pace.share_for(
+            self.loop.time() > request.target_at - first
+        )
+
     def record_limit(self, placed: Placed, rate: float | None) -> None:
         """Record the rate limit that an answer states; None if it has none."""
         endpoint_id = placed.endpoint.id
@@ -532,17 +614,14 @@
         old = self.averages_of(service)
         self.averages[service] = Averages(
             stop_decision.update_estimate(old.duration, duration),
-            old.first_answer
-            + (first_answer - old.first_answer) * SMOOTHING_FACTOR,
+            stop_decision.update_estimate(old.first_answer, first_answer),
         )
 
     def averages_of(self, service: str) -> Averages:
         """Return the averages of a service, or the defaults."""
         return self.averages.get(
             service,
-            Averages(
-                stop_decision.DEFAULT_ESTIMATE, DEFAULT_FIRST_ANSWER_SECONDS
-            ),
+            Averages(stop_decision.DEFAULT_ESTIMATE, DEFAULT_FIRST_ANSWER),
         )
 
 
--- a/packages/gateway/src/verbenafall_gateway/forwarding/answer_relay.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/answer_relay.py
@@ -66,6 +66,7 @@
         state: RelayState,
         on_progress: Callable[[], None],
         on_head: Callable[[endpoint_channel.Head], None],
+        on_pause: Callable[[float, float], None],
     ) -> None:
         """Create a relay to a client.
 
@@ -77,9 +78,13 @@
             on_progress: Called on complete events of a stream, and once the
                 body of any other success was buffered.
             on_head: Called on the head of the answer.
+            on_pause: Called with the pause between two events of a stream and
+                with the target of its route, in seconds.
         """
         self.on_progress = on_progress
         self.on_head = on_head
+        self.on_pause = on_pause
+        self.last_event_at: float | None = None
         self.loop = loop
         self.dialect = dialect
         self.client = client
@@ -103,7 +108,7 @@
                     "2xx answer without a signature header"
                 )
             if route.kind is model.RequestKind.STREAM:
-                return await self.relay_stream(channel, head)
+                return await self.relay_stream(channel, head, route)
             return await self.relay_body(channel, head)
         return await self.relay_failure(channel, head)
 
@@ -179,6 +184,7 @@
         self,
         channel: endpoint_channel.EndpointChannel,
         head: endpoint_channel.Head,
+        route: model.Route,
     ) -> retry_decision.Outcome:
         """Relay each event as soon as it is complete.
 
@@ -193,6 +199,7 @@
                 events = splitter.feed(part.data)
                 if events:
                     self.on_progress()
+                    self.record_pause(route)
                 self.send_new_events(head, events)
                 if not self.client.writable.is_set():
                     await self.client.writable.wait()
@@ -206,6 +213,18 @@
             else:
                 return retry_decision.Broken(failure_reason(part))
 
+    def record_pause(self, route: model.Route) -> None:
+        """Report the pause since the last event of this attempt."""
+        now = self.loop.time()
+        if (
+            self.last_event_at is not None
+            and route.event_gap_target is not None
+        ):
+            self.on_pause(
+                now - self.last_event_at, route.event_gap_target.total_seconds()
+            )
+        self.last_event_at = now
+
     def send_new_events(
         self,
         head: endpoint_channel.Head,
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -281,7 +281,11 @@
             action = retry_decision.final_action(self.progress_of(job), outcome)
             if action is not retry_decision.Action.DONE:
                 self.log_attempt(job, place, outcome, action)
-            self.finish(job, action, outcome, "", REJECTED_RETRY_AFTER)
+            reason, retry_after = "", REJECTED_RETRY_AFTER
+            if self.admission.is_stalled(job.admitted.service):
+                refusal = self.admission.stall_refusal()
+                reason, retry_after = refusal.reason, refusal.retry_after
+            self.finish(job, action, outcome, reason, retry_after)
             return
 
     def placement_request(self, job: Job) -> admission_lib.PlacementRequest:
@@ -336,6 +340,9 @@
                 job.relay_state,
                 lambda: self.record_progress(job.admitted.service),
                 lambda head: self.record_limit(place, head),
+                lambda pause, target: self.admission.record_pause(
+                    job.admitted.service, pause, target
+                ),
             )
             return await relay.run(channel, route)
         finally:
@@ -405,10 +412,14 @@
         self.admission.record_limit(place, rate)
 
     def record_progress(self, service: str) -> None:
-        """Record that a service makes progress."""
+        """Record progress of a service; serve those who waited for it."""
         liveness = self.admission.liveness(service)
-        if liveness is not None:
-            liveness.record_progress(self.loop.time())
+        if liveness is None:
+            return
+        stalled = self.admission.is_stalled(service)
+        liveness.record_progress(self.loop.time())
+        if stalled:
+            self.admission.serve_queue(service)
 
     def format(self, job: Job, place: admission_lib.Placed) -> bytes:
         """Encode the request for an endpoint.
@@ -460,10 +471,15 @@
             job.runs -= 1
             job.rejections += 1
             liveness = self.admission.liveness(job.admitted.service)
-            if liveness is not None:
-                liveness.record_rejection()
             if outcome.status == answer_relay.MISDIRECTED_REQUEST:
                 self.admission.directory.mark_replaced(place.endpoint.id)
+            elif liveness is not None:
+                liveness.record_rejection()
+                if liveness.is_stalled(self.loop.time()):
+                    # The group rejects, not this endpoint, so that the request
+                    # waits for the group and may then go to any endpoint.
+                    job.tried.clear()
+                    job.rejections = 0
         if isinstance(outcome, retry_decision.Unsent):
             job.rejections += 1
         if not isinstance(outcome, retry_decision.Failed):
@@ -521,7 +537,8 @@
             action: Decides the answer.
             outcome: Outcome of the last attempt; None if no place was found for
                 another one.
-            reason: Why no place was found, for the log.
+            reason: Why no place was found, or the service is stalled, for the
+                log.
             retry_after: Seconds to state in a refusal.
         """
         status = 0
--- a/packages/gateway/src/verbenafall_gateway/forwarding/service_liveness.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/service_liveness.py
@@ -10,11 +10,15 @@
 # Time without events, with requests open, that counts as a stall. Passes take
 # 60 to 150 ms, and each of them produces events at some endpoint of the group.
 STALL_SECONDS: Final = 0.6
-# With this many rejections and no progress in between, half the time counts as
-# a stall.
+# With this many rejections and no progress in between, the service counts as
+# stalled at once. A group that works makes progress every few milliseconds, so
+# a wrong verdict ends as soon.
 STALL_REJECTIONS: Final = 4
 # During a stall, one request per interval is sent as a probe.
-PROBE_INTERVAL_SECONDS: Final = 0.3
+PROBE_INTERVAL_SECONDS: Final = 0.2
+# Requests wait for the end of a stall up to this age. A group whose ranks have
+# all started again is back within two to three seconds.
+WAIT_SECONDS: Final = 3.0
 # Range of the retry-after time during a stall. An engine recovers within a few
 # seconds, and a client that retries too early is refused permanently.
 MIN_RETRY_DELAY_SECONDS: Final = 2.0
@@ -60,14 +64,25 @@
         """Return whether the service currently makes no progress."""
         if self.waiting_since is None:
             return False
-        silent = now - self.waiting_since
-        if self.rejections >= STALL_REJECTIONS:
-            return silent > STALL_SECONDS / 2
-        return silent > STALL_SECONDS
+        return (
+            self.rejections >= STALL_REJECTIONS
+            or now - self.waiting_since > STALL_SECONDS
+        )
+
+    def is_worth_waiting(self, now: float) -> bool:
+        """Return whether a current stall may end soon."""
+        return (
+            self.waiting_since is not None
+            and now - self.waiting_since < WAIT_SECONDS
+        )
+
+    def is_probe_due(self, now: float) -> bool:
+        """Return whether a probe is due during a stall."""
+        return now - self.last_probe >= PROBE_INTERVAL_SECONDS
 
     def may_probe(self, now: float) -> bool:
         """Return whether a probe is due during a stall, and count it if so."""
-        if now - self.last_probe < PROBE_INTERVAL_SECONDS:
+        if not self.is_probe_due(now):
             return False
         self.last_probe = now
         return True
--- a/packages/gateway/src/verbenafall_gateway/forwarding/wait_queue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/wait_queue.py
@@ -34,6 +34,14 @@
     return min(useful, key=lambda item: sort_key(item, now))
 
 
+def count_ahead(
+    entry: QueueEntry, waiting: Sequence[QueueEntry], now: float
+) -> int:
+    """Return how many queued requests are placed before another one."""
+    own = sort_key(entry, now)
+    return sum(sort_key(item, now) <= own for item in waiting)
+
+
 def sort_key(item: QueueEntry, now: float) -> tuple[bool, int, float]:
     """Return the sort key of a queued request; the smallest goes first."""
     late = item.on_time_until <= now
@@ -44,7 +52,7 @@
     """Input to the estimate of the waiting time in a queue.
 
     Attributes:
-        waiting: Requests queued in this gateway.
+        waiting: Requests queued in this gateway that are placed first.
         per_second: Requests that the usable endpoints complete per second.
         gateways: Number of gateways that share the endpoints.
     """
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -607,6 +607,40 @@
             assert call(runner).status == 200
 
 
+class TestRateLimit:
+    def test_endpoint_in_need_gets_few_requests(self):
+        """The others take what it does not accept, without a failure."""
+
+        def in_need(endpoint, connection, request):
+            del endpoint
+            connection.sendall(
+                fakes.answer(request, extra="X-Rate-Limit: 0.5\r\n")
+            )
+            return True
+
+        with running(in_need, fakes.answer_ok) as runner:
+            backends = runner.backends
+            fakes.wait_until(
+                lambda: call(runner).status == 200 and backends[0].requests
+            )
+            assert all(call(runner).status == 200 for _ in range(20))
+            assert len(backends[0].requests) <= 2
+            assert len(backends[1].requests) >= 18
+
+    @pytest.mark.parametrize("text", ["many", "-1", "nan"])
+    def test_unreadable_limit_is_none(self, text):
+        def script(endpoint, connection, request):
+            del endpoint
+            connection.sendall(
+                fakes.answer(request, extra=f"X-Rate-Limit: {text}\r\n")
+            )
+            return True
+
+        with running(script) as runner:
+            assert all(call(runner).status == 200 for _ in range(3))
+            assert runner.forwarder.limits_of_endpoints.statements == {}
+
+
 class TestProgress:
     def test_bytes_without_a_complete_event_are_none(self):
         """An engine that sends a byte now and then is stalled all the same."""
