--- a/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
@@ -35,6 +35,10 @@
 # A leader without a message for this time counts as failed. It may have left
 # the group held, in which case no pass starts until another one leads.
 LEADER_TIMEOUT: Final = datetime.timedelta(milliseconds=900)
+# The same while the group is not open: no pass can be held or switched, so a
+# needless change of leader does no harm, and a missing leader delays the first
+# map. Leaders send a message four times a second.
+FORMING_LEADER_TIMEOUT: Final = datetime.timedelta(milliseconds=500)
 # An unchanged state is sent again after this time.
 UPDATE_RESEND_INTERVAL: Final = datetime.timedelta(milliseconds=800)
 # Before any time of the monotonic clock.
@@ -154,15 +158,18 @@
 
     def has_leader(self) -> bool:
         """Return whether the last contact with a leader is recent enough."""
-        return (
-            self.clock.monotonic() - self.last_leader_contact < LEADER_TIMEOUT
+        report = self.report
+        forming = report is not None and not report.open
+        return self.clock.monotonic() - self.last_leader_contact < (
+            FORMING_LEADER_TIMEOUT if forming else LEADER_TIMEOUT
         )
 
     def resend_all(self) -> None:
-        """Send the complete state again, to a leader that has just started."""
+        """Send the complete state at once, to a leader that just started."""
         with self.condition:
             self.forget_last_update()
             self.counts = ()
+            self.report_due = self.counts_due = _LONG_AGO
             self.condition.notify()
 
     def forget_last_update(self) -> None:
--- a/tests/steering/test_agent_and_leader.py
+++ b/tests/steering/test_agent_and_leader.py
@@ -1,5 +1,7 @@
 """Tests agents and leader together on a model of the engines."""
 
+import datetime
+
 import pytest
 
 from steering import rank_fleet
@@ -174,6 +176,20 @@
         agent.run_once()
         assert [update.experts for update in second.updates] == [port.experts]
 
+    def test_new_leader_receives_the_state_at_once(self, fleet):
+        listener = RecordingListener()
+        agent = rank_agent.create_rank_agent(
+            fleet.ports[1], fleet.clock, lambda: listener
+        )
+        agent.accept_leader(1)
+        agent.run_once()
+        listener.updates.clear()
+        agent.resend_all()
+        agent.run_once()
+        assert [update.experts for update in listener.updates] == [
+            fleet.ports[1].experts
+        ]
+
     def test_they_stay_when_another_connection_to_the_rank_ends(self, fleet):
         """The leader called the engine until the link to its sidecar opened.
 
@@ -256,3 +272,33 @@
             for rank, member in fleet.leader.members.items()
             if member.peer is peer
         ] == [7]
+
+
+# Whether the group is open, seconds without a leader, whether there is one.
+SILENCES = [
+    (True, 0.4, True),
+    (True, 0.8, True),
+    (True, 1.0, False),
+    (False, 0.4, True),
+    (False, 0.6, False),
+]
+
+
+class TestLeaderTimeout:
+    @pytest.mark.parametrize(("is_open", "seconds", "expected"), SILENCES)
+    def test_forming_group_waits_less(self, fleet, is_open, seconds, expected):
+        agent = fleet.agents[1]
+        agent.run_once()
+        agent.accept_leader(1)
+        agent.report = agent.report._replace(open=is_open)
+        fleet.clock.time += datetime.timedelta(seconds=seconds)
+        assert agent.has_leader() is expected
+
+
+class TestRequiredGain:
+    @pytest.mark.parametrize(
+        ("seconds", "gain"), [(0.0, 0.1), (1.0, 0.2), (2.4, 0.34)]
+    )
+    def test_gain_grows_with_the_time_of_copying(self, seconds, gain):
+        copy_time = datetime.timedelta(seconds=seconds)
+        assert group_leader.required_gain(copy_time) == pytest.approx(gain)
