--- a/packages/gateway/src/verbenafall_gateway/forwarding/own_record.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/own_record.py
@@ -89,7 +89,13 @@
     def run(self) -> None:
         """Write the record at the start and after each restore."""
         while not self.stopped.is_set():
-            delay = self.run_once()
+            delay: datetime.timedelta | None = RETRY_INTERVAL
+            try:
+                delay = self.run_once()
+            except Exception as error:  # The thread must survive any error.
+                event_log.emit(
+                    event_catalogue.OWN_RECORD_FAILED, error=repr(error)
+                )
             self.wakeup.wait(None if delay is None else delay.total_seconds())
             self.wakeup.clear()
         self.delete()
--- a/packages/sidecar/src/verbenafall_sidecar/steering/event_catalogue.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/event_catalogue.py
@@ -133,6 +133,13 @@
     "The engine of a leader belongs to another rank group now, so it no longer"
     " leads the one before.",
 )
+AGENT_FAILED = event_log.define(
+    3141,
+    "agent_failed",
+    "ERROR",
+    "The thread that reads the engine caught an unexpected exception and"
+    " continues to run. Report the error with this line.",
+)
 SETTINGS_CHANGED = event_log.define(
     3102,
     "settings_changed",
--- a/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
+++ b/packages/sidecar/src/verbenafall_sidecar/steering/rank_agent.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import datetime
 import threading
+import traceback
 from typing import Final
 from typing import NamedTuple
 from typing import Protocol
@@ -217,7 +218,16 @@
             with self.condition:
                 if self.stopped:
                     return
-            self.run_once()
+            try:
+                self.run_once()
+            except Exception as error:  # The thread must survive any error.
+                event_log.emit(
+                    event_catalogue.AGENT_FAILED,
+                    error=repr(error),
+                    place=traceback.format_exc(limit=-2),
+                )
+                now = self.clock.monotonic()
+                self.report_due = self.counts_due = now + REPORT_INTERVAL
             with self.condition:
                 if self.stopped:
                     return
--- a/tests/forwarding/test_own_record.py
+++ b/tests/forwarding/test_own_record.py
@@ -2,6 +2,7 @@
 
 import datetime
 import random
+import time
 
 import pytest
 import returns.pipeline
@@ -104,6 +105,29 @@
         gateway.run()
         assert gateway.value() == VALUE
 
+    def test_is_written_after_an_unexpected_error(self, monkeypatch):
+        gateway = Gateway()
+        write = gateway.record.write
+        failures = [ZeroDivisionError()]
+
+        def fail_once():
+            if failures:
+                raise failures.pop()
+            return write()
+
+        monkeypatch.setattr(gateway.record, "write", fail_once)
+        monkeypatch.setattr(
+            own_record, "RETRY_INTERVAL", datetime.timedelta(milliseconds=1)
+        )
+        gateway.record.start()
+        for _ in range(1000):
+            if gateway.value() == VALUE:
+                break
+            time.sleep(0.01)
+        value = gateway.value()
+        gateway.record.stop()
+        assert value == VALUE
+
     def test_is_deleted_at_a_stop(self, gateway):
         gateway.record.delete()
         assert operations(gateway) == ["delete"]
--- a/tests/steering/test_agent_and_leader.py
+++ b/tests/steering/test_agent_and_leader.py
@@ -1,10 +1,12 @@
 """Tests agents and leader together on a model of the engines."""
 
 import datetime
+import time
 
 import pytest
 
 from steering import rank_fleet
+from verbenafall_core import clock as clock_lib
 from verbenafall_core.expert_maps import pass_switch
 from verbenafall_core.expert_maps import rank_state
 from verbenafall_sidecar.steering import group_leader
@@ -284,6 +286,30 @@
 ]
 
 
+class TestUnexpectedError:
+    def test_agent_reads_on(self, fleet):
+        port = fleet.ports[1]
+        agent = rank_agent.create_rank_agent(
+            port, clock_lib.system_clock(), lambda: None
+        )
+        readings = []
+
+        def fail_first():
+            readings.append(1)
+            raise ZeroDivisionError
+
+        port.read_report = fail_first
+        agent.start()
+        for _ in range(500):
+            if len(readings) > 1:
+                break
+            time.sleep(0.01)
+        alive = agent.thread.is_alive()
+        agent.stop(datetime.timedelta(seconds=5))
+        assert alive
+        assert len(readings) > 1
+
+
 class TestLeaderTimeout:
     @pytest.mark.parametrize(("is_open", "seconds", "expected"), SILENCES)
     def test_forming_group_waits_less(self, fleet, is_open, seconds, expected):
