--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -267,6 +267,7 @@
         entry = self.create_entry(request)
         stalled = self.is_stalled(request.service)
         if stalled:
+            self.pace_of(request.service).restart()
             refused = self.check_stall(request, len(queue))
         else:
             ahead = wait_queue.count_ahead(
@@ -335,7 +336,6 @@
             request: Request that would join the queue.
             waiting: Requests that are queued already.
         """
-        self.paces.setdefault(request.service, pass_pace.PassPace()).restart()
         usable = list(self.directory.usable(request.service))
         if not usable:
             return Refused(RefusalReason.NO_ENDPOINT, 1.0)
@@ -555,18 +555,22 @@
 
     def record_pause(self, service: str, pause: float, target: float) -> None:
         """Record the pause between two events of a stream, in seconds."""
-        pace = self.paces.setdefault(service, pass_pace.PassPace())
+        pace = self.pace_of(service)
         before = pace.share
         pace.record_pause(
             pause,
             target,
             self.loop.time(),
-            lambda: self.used_share(service),
+            lambda: self.open_per_slot(service),
         )
         if pace.share > before:
             self.serve_queue(service)
 
-    def used_share(self, service: str) -> float:
+    def pace_of(self, service: str) -> pass_pace.PassPace:
+        """Return the pace of a service's passes."""
+        return self.paces.setdefault(service, pass_pace.PassPace())
+
+    def open_per_slot(self, service: str) -> float:
         """Return the open requests of all gateways per slot of a service."""
         now = self.loop.time()
         usable = list(self.directory.usable(service))
@@ -578,7 +582,10 @@
         return load / max(slots, 1)
 
     def max_load_per_slot(self, request: PlacementRequest) -> float:
-        """Return the load per slot at which an endpoint is full."""
+        """Return the load per slot at which an endpoint is full.
+
+        It is lower for a request that is late already.
+        """
         pace = self.paces.get(request.service)
         limit = self.load_per_slot(request.service)
         if pace is None:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/pass_pace.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/pass_pace.py
@@ -87,7 +87,7 @@
             pause: Length of the pause.
             target: Longest pause with which the stream is on time.
             now: Current time.
-            load_per_slot: Returns the requests of all gateways per slot.
+            load_per_slot: Returns the open requests of all gateways per slot.
         """
         if pause > MAX_PAUSE_SECONDS:
             return
--- a/tests/tools/test_loss_table.py
+++ b/tests/tools/test_loss_table.py
@@ -21,6 +21,12 @@
     },
     "classes": [],
 }
+# From second, requests, on time, late, refused, part that was earned.
+WINDOWS = [
+    (0, 80, 80, 0, 0, 1.0),
+    (2, 80, 40, 30, 10, 0.6),
+    (4, 10, 0, 0, 10, 0.0),
+]
 
 
 def write(path, report):
@@ -53,6 +59,28 @@
         row = capsys.readouterr().out.splitlines()[2]
         assert row.endswith("| worst windows 0.200 |")
 
+    def test_worst_seconds_come_first(self, tmp_path, capsys):
+        windows = [
+            {
+                "name": str(second),
+                "n": number,
+                "in_aim": on_time,
+                "late": late,
+                "refused": refused,
+                "failed": 0,
+                "not_owed": 0,
+                "worth": worth,
+            }
+            for second, number, on_time, late, refused, worth in WINDOWS
+        ]
+        path = write(tmp_path / "a.json", {**REPORT, "windows": windows})
+        assert loss_table.main([path, "--seconds", "3"]) == 0
+        rows = capsys.readouterr().out.splitlines()[6:]
+        assert rows == [
+            "| a | 2 | 80 | 0.60 | 50.0 / 37.5 / 12.5 / 0.0 |",
+            "| a | 4 | 10 | 0.00 | 0.0 / 0.0 / 100.0 / 0.0 |",
+        ]
+
     @pytest.mark.parametrize("report", [{}, {"G": "much"}, []])
     def test_file_that_is_not_a_report_is_an_error(
         self, tmp_path, capsys, report
--- a/tools/loss_table.py
+++ b/tools/loss_table.py
@@ -4,7 +4,8 @@
 day's parts, each from 0 to 1, minus its prices. A part below 1 and a price are
 losses. The table names the largest losses of each day and leaves out those
 below 0.002. The bench writes a report file with --report; the file has the
-name of the day.
+name of the day. With --seconds a second table shows when, and for which kinds
+of request, the answers of a day were not on time.
 """
 
 import argparse
@@ -38,6 +39,18 @@
     not_owed: int
 
 
+class Group(Counts):
+    """Counts of the requests sent in two seconds, or of one kind.
+
+    Attributes:
+        name: First second of the two, or name of the kind of request.
+        worth: Earned part of what was owed, from 0 to 1.
+    """
+
+    name: str
+    worth: float
+
+
 class Report(msgspec.Struct):
     """The fields of a day's report file that the table needs.
 
@@ -46,12 +59,16 @@
         parts: Name, weight, and value from 0 to 1.
         prices: Name, amount, and the worth that it costs.
         all: Counts over all requests of the day.
+        windows: Counts by the time at which requests were sent.
+        classes: Counts by kind of request.
     """
 
     G: float
     parts: list[tuple[str, float, float]]
     prices: list[tuple[str, float, float]]
     all: Counts
+    windows: list[Group] = []
+    classes: list[Group] = []
 
 
 class Loss(NamedTuple):
@@ -111,6 +128,41 @@
     return lines
 
 
+def find_worst(groups: Sequence[Group], most: int) -> list[Group]:
+    """Return the groups that lost most, by requests and the part not earned."""
+    lost = [group for group in groups if group.worth < 1]
+    return sorted(
+        lost, key=lambda group: (group.worth - 1) * (group.n - group.not_owed)
+    )[:most]
+
+
+def build_group_table(
+    reports: Sequence[tuple[str, Report]], most: int
+) -> list[str]:
+    """Return a Markdown table of the seconds and kinds that lost most.
+
+    Args:
+        reports: Names of days with their reports.
+        most: Maximum number of windows, and of kinds, of a day.
+    """
+    lines = [
+        "| day | from second, or kind | requests | earned"
+        " | on time / late / refused / failed, % |",
+        "|---|---|---|---|---|",
+    ]
+    for day, report in reports:
+        worst = [
+            *find_worst(report.windows, most),
+            *find_worst(report.classes, most),
+        ]
+        lines += [
+            f"| {day} | {group.name} | {group.n} | {group.worth:.2f}"
+            f" | {describe_requests(group)} |"
+            for group in worst
+        ]
+    return lines
+
+
 def read_report(path: pathlib.Path) -> Report:
     """Read a report file.
 
@@ -131,6 +183,13 @@
         default=5,
         help="maximum number of losses in a row (5)",
     )
+    parser.add_argument(
+        "--seconds",
+        type=int,
+        default=0,
+        metavar="N",
+        help="also show the N windows and kinds of a day that lost most",
+    )
     options = parser.parse_args(arguments)
     reports = []
     for path in options.reports:
@@ -139,9 +198,10 @@
         except (OSError, msgspec.MsgspecError) as error:
             sys.stderr.write(f"{path}: {error}\n")
             return EXIT_UNREADABLE
-    sys.stdout.writelines(
-        f"{line}\n" for line in build_table(reports, options.most)
-    )
+    lines = build_table(reports, options.most)
+    if options.seconds:
+        lines += ["", *build_group_table(reports, options.seconds)]
+    sys.stdout.writelines(f"{line}\n" for line in lines)
     return 0
 
 
