--- a/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
@@ -265,13 +265,15 @@
 
     def start_next(self) -> None:
         """Start to answer the next queued request unless one is active."""
-        if self.task is not None or not self.requests or self.lost:
+        if self.task is not None or self.lost:
             return
-        request = self.requests.pop(0)
-        self.head_sent = False
-        if not self.requests and self.pipelined_bytes:
+        if len(self.requests) <= 1 and self.pipelined_bytes:
             self.pipelined_bytes = 0
             self.transport.resume_reading()
+        if not self.requests:
+            return
+        request = self.requests.pop(0)
+        self.head_sent = False
         self.close_after_answer = (
             self.close_after_answer or not request.keep_alive
         )
--- a/tests/forwarding/test_client_channel.py
+++ b/tests/forwarding/test_client_channel.py
@@ -84,3 +84,14 @@
             channel.start_next()
         assert channel.requests == []
         assert channel.transport.reading
+
+    def test_rest_of_a_long_body_is_read_after_the_answer(self, channel):
+        """It is not complete, so that no request is queued."""
+        channel.data_received(b"GET / HTTP/1.1\r\n\r\n")
+        size = 2 * client_channel.MAX_PIPELINED_BYTES
+        head = f"POST / HTTP/1.1\r\ncontent-length: {size}\r\n\r\n"
+        channel.data_received(head.encode() + (size - 1) * b"x")
+        assert not channel.transport.reading
+        channel.loop.run_until_complete(channel.task)
+        channel.start_next()
+        assert channel.transport.reading
