--- a/tests/forwarding/test_directory_machine_store_restored.py
+++ b/tests/forwarding/test_directory_machine_store_restored.py
@@ -38,7 +38,13 @@
 
     def value(self):
         return endpoints.Endpoint(
-            *(self.name, "s", addresses.Address("10.0.0.1", 80), "dc", 4),
+            *(
+                self.name,
+                "s",
+                addresses.Address(f"10.0.0.{ord(self.name)}", 80),
+                "dc",
+                4,
+            ),
             self.state == "draining",
             self.start,
         )
