Log whether an endpoint crashed and which parts its requests have

An attempt that ended before its first event says which parts its prompt shares with others, and the gateway connects once to the endpoint to tell a crash from a closed connection (endpoint_checked). Without it the logs cannot tell a request that crashes engines from an engine that crashes by itself. No decision uses it yet.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/dialect.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/dialect.py
@@ -21,6 +21,8 @@
         last_event_id: Id of the last event that the sender received.
         rate_limit: Requests per second that the endpoint accepts from all
             gateways together, in its answers.
+        prompt_parts: The parts of the request's prompt in order, as
+            comma-separated `id:tokens`. The last one is the request's own.
     """
 
     attempt_id: str
@@ -33,6 +35,7 @@
     not_run: str
     last_event_id: str
     rate_limit: str
+    prompt_parts: str
 
 
 DEFAULT: Final = Dialect(
@@ -46,4 +49,5 @@
     not_run="x-not-run",
     last_event_id="last-event-id",
     rate_limit="x-rate-limit",
+    prompt_parts="x-prompt-parts",
 )
--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -142,6 +142,13 @@
     "INFO",
     "An attempt ended without a delivered answer; action is the next step.",
 )
+ENDPOINT_CHECKED = event_log.define(
+    2138,
+    "endpoint_checked",
+    "INFO",
+    "An endpoint closed a connection before it began to answer the request"
+    " there; state is crashed if nothing listens on its address any more.",
+)
 RANK_HOLD_GIVEN = event_log.define(
     2135,
     "rank_hold_given",
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -14,11 +14,13 @@
 from verbenafall_gateway.forwarding import channel_pool
 from verbenafall_gateway.forwarding import client_channel
 from verbenafall_gateway.forwarding import configuration_state
+from verbenafall_gateway.forwarding import crash_check
 from verbenafall_gateway.forwarding import dialect as dialect_lib
 from verbenafall_gateway.forwarding import endpoint_channel
 from verbenafall_gateway.forwarding import endpoint_limits
 from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import http_messages
+from verbenafall_gateway.forwarding import prompt_parts
 from verbenafall_gateway.forwarding import repeat_allowance
 from verbenafall_gateway.forwarding import retry_decision
 from verbenafall_gateway.forwarding import service_share
@@ -78,6 +80,8 @@
         repeat_acquired: Whether a repeat was already acquired from the
             allowance, for an attempt that was ended to move its stream.
         abandoned: Whether a planned stop ends it.
+        parts: Ids of the parts of its prompt that others may have as well.
+        begun: Whether the last attempt has brought a part of the answer.
     """
 
     def __init__(
@@ -87,6 +91,7 @@
         admitted: Admitted,
         times: times_lib.RequestTimes,
         request_id: str,
+        parts: tuple[str, ...],
     ) -> None:
         """Create the state of a request that was not sent yet."""
         self.request = request
@@ -101,6 +106,8 @@
         self.rejections = 0
         self.repeat_acquired = False
         self.abandoned = False
+        self.parts = parts
+        self.begun = False
 
     @property
     def urgency(self) -> int:
@@ -124,6 +131,7 @@
     Attributes:
         jobs: Admitted requests without a final answer.
         open_attempts: The current attempt of each request, by request.
+        crash_check: Tells a crash of an endpoint from a closed connection.
         dropped_headers: Headers of client requests that are not forwarded.
     """
 
@@ -157,6 +165,7 @@
         self.allowance = allowance
         self.jobs: set[Job] = set()
         self.open_attempts: dict[Job, OpenAttempt] = {}
+        self.crash_check = crash_check.create_crash_check(loop)
         self.dropped_headers = frozenset(
             {
                 dialect.key,
@@ -190,7 +199,12 @@
             ),
             admitted.route,
         )
-        job = Job(request, client, admitted, times, request_id)
+        parts = prompt_parts.parse_shared_parts(
+            http_messages.find_header(
+                request.headers, self.dialect.prompt_parts
+            )
+        )
+        job = Job(request, client, admitted, times, request_id, parts)
         self.jobs.add(job)
         try:
             async with asyncio.timeout_at(times.deadline):
@@ -274,6 +288,8 @@
             finally:
                 self.admission.release(place)
             self.record_outcome(job, place, outcome)
+            if isinstance(outcome, retry_decision.Broken) and not job.begun:
+                await self.crash_check.check(place.endpoint)
             if self.try_acquire_retry(job, outcome):
                 self.metrics.count("forward.repeats")
                 self.log_attempt(job, place, outcome, "retry")
@@ -318,6 +334,7 @@
     ) -> retry_decision.Outcome:
         """Send the request to an endpoint and relay its answer."""
         job.sends += 1
+        job.begun = False
         route = job.admitted.route
         try:
             channel = await self.pool.acquire(
@@ -338,7 +355,7 @@
                 self.dialect,
                 job.client,
                 job.relay_state,
-                lambda: self.record_progress(job.admitted.service),
+                lambda: self.record_progress(job),
                 lambda head: self.record_limit(place, head),
                 lambda pause, target: self.admission.record_pause(
                     job.admitted.service, pause, target
@@ -411,8 +428,10 @@
             return
         self.admission.record_limit(place, rate)
 
-    def record_progress(self, service: str) -> None:
+    def record_progress(self, job: Job) -> None:
         """Record progress of a service; serve those who waited for it."""
+        job.begun = True
+        service = job.admitted.service
         liveness = self.admission.liveness(service)
         if liveness is None:
             return
@@ -598,6 +617,8 @@
             sends=job.sends,
             runs=job.runs,
             last_event=job.relay_state.last_event_id or "",
+            begun=job.begun,
+            parts=",".join(job.parts),
             seconds=self.loop.time() - place.acquired_at,
             action=action,
         )
