--- a/tests/forwarding/forwarding_fakes.py
+++ b/tests/forwarding/forwarding_fakes.py
@@ -151,6 +151,7 @@
         self.script = script
         self.requests = []
         self.connections = 0
+        self.open_connections = set()
         self.gone = threading.Event()
         self.listener = socket.create_server((host, 0))
         self.address = addresses.Address(*self.listener.getsockname())
@@ -168,6 +169,7 @@
             ).start()
 
     def serve(self, connection):
+        self.open_connections.add(connection)
         with contextlib.suppress(OSError), connection:
             while True:
                 request = read_request(connection)
@@ -183,6 +185,14 @@
             self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
 
+    def crash(self):
+        """Close the listener and then all connections, as a crash does."""
+        self.close()
+        for connection in list(self.open_connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+        self.gone.set()
+
 
 def read_request(connection):
     data = b""
