Refuse requests with a part that crashes engines

Cause: nothing connected a crash with the request that the engine was about to begin, so every request with the part was sent, and the same request again to the next engine.

Evidence: at each of 15 crashes exactly one attempt without an event had the part; its other parts were answered elsewhere. Two requests crashed two engines each. Ruled out: engines that crash by themselves (no crash without the part); the second attempt as the only cause.

Change: crash_suspects holds what speaks against a part. A closed connection before the first event, to an endpoint that refuses connections afterwards, is a crash; its requests' parts are suspects unless they were sound before, an event of any answer clears all parts, and gateways tell each other. Requests with a suspect are refused, not run, with the time to come back; one request at a time tries a suspect, soon if several parts were at the crash, after 30 s or more if it is the only one. Requests that have not begun are withdrawn.

--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -474,6 +474,31 @@
     limits: tuple[tuple[str, float | None, int], ...]
 
 
+class PartReport(NamedTuple):
+    """What a gateway knows of a part of prompts that may crash endpoints.
+
+    Attributes:
+        crashes: Endpoint id and age, in milliseconds, of the crashes beside
+            the part since it was last sound.
+        sound_age: Milliseconds since an answer to a prompt with it had an
+            event, None if that is not known.
+        trial_age: Milliseconds since a request was last sent to try it, None
+            if there was none.
+    """
+
+    service: str
+    part: str
+    crashes: tuple[tuple[str, int], ...]
+    sound_age: int | None
+    trial_age: int | None
+
+
+class PartReports(NamedTuple):
+    """Reports of parts of prompts, sent between gateways."""
+
+    reports: tuple[PartReport, ...]
+
+
 Message = (
     Hello
     | Heartbeat
@@ -505,6 +530,7 @@
     | RankSlowdowns
     | RankHold
     | EndpointLimits
+    | PartReports
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -539,4 +565,5 @@
     29: RankHold,
     30: RankDemand,
     31: EndpointLimits,
+    32: PartReports,
 }
--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -11,6 +11,7 @@
 
 from verbenafall_core import endpoints
 from verbenafall_core import event_log
+from verbenafall_gateway.forwarding import crash_suspects
 from verbenafall_gateway.forwarding import endpoint_directory
 from verbenafall_gateway.forwarding import endpoint_limits
 from verbenafall_gateway.forwarding import event_catalogue
@@ -53,6 +54,7 @@
             refusal would not be accurate.
         is_stream: Whether its answer is sent as it arrives, so that a planned
             stop can cut it.
+        parts: Ids of the parts of its prompt that others may have as well.
     """
 
     request_id: str
@@ -65,6 +67,7 @@
     tried: frozenset[str]
     may_have_run: bool = False
     is_stream: bool = False
+    parts: tuple[str, ...] = ()
 
 
 class Placed(NamedTuple):
@@ -88,6 +91,7 @@
     STALLED = "stalled"
     TOO_LATE = "too_late"
     STOPPING = "stopping"
+    SUSPECT_PART = "suspect_part"
 
 
 class Refused(NamedTuple):
@@ -150,6 +154,7 @@
         peers: peer_loads.PeerLoads,
         slowdowns: rank_slowdowns.RankSlowdowns,
         limits: endpoint_limits.EndpointLimits,
+        suspects: crash_suspects.CrashSuspects,
         data_centre: str,
         load_per_slot: Callable[[str], float],
         generator: random.Random,
@@ -162,6 +167,7 @@
             peers: Load of the other gateways.
             slowdowns: Slowdown of the ranks behind the endpoints.
             limits: Rates of requests that endpoints accept.
+            suspects: Parts of prompts that may crash endpoints.
             data_centre: Data centre of this gateway.
             load_per_slot: Returns, for a service, the load per slot at which
                 an endpoint is full.
@@ -172,6 +178,7 @@
         self.peers = peers
         self.slowdowns = slowdowns
         self.limits = limits
+        self.suspects = suspects
         self.limits_changed: Callable[[str], None] | None = None
         self.data_centre = data_centre
         self.load_per_slot = load_per_slot
@@ -259,11 +266,23 @@
 
         Returns:
             The place, or a refusal if the service is stalled, has no endpoint
-            or cannot serve the request in time.
+            or cannot serve the request in time, or if a part of its prompt may
+            crash endpoints.
         """
-        queue = self.queues.setdefault(request.service, [])
         if not self.can_finish(request):
             return self.stop_refusal()
+        verdict = self.judge(request)
+        if isinstance(verdict, crash_suspects.Blocked):
+            return suspect_refusal(verdict.retry_after)
+        if isinstance(verdict, crash_suspects.Trial):
+            return self.place_trial(request, verdict.part)
+        return await self.place_or_wait(request)
+
+    async def place_or_wait(
+        self, request: PlacementRequest
+    ) -> Placed | Refused:
+        """Acquire a place at once, or wait for one if that is useful."""
+        queue = self.queues.setdefault(request.service, [])
         entry = self.create_entry(request)
         stalled = self.is_stalled(request.service)
         if stalled:
@@ -297,6 +316,53 @@
             if waiter in queue:
                 queue.remove(waiter)
 
+    def judge(self, request: PlacementRequest) -> crash_suspects.Verdict:
+        """Return whether the parts of a request allow to send it."""
+        return self.suspects.judge(
+            request.service, request.parts, self.loop.time()
+        )
+
+    def place_trial(
+        self, request: PlacementRequest, part: crash_suspects.PartKey
+    ) -> Placed | Refused:
+        """Acquire a place for a request that tries a suspect part.
+
+        It is refused if it would have to wait: the requests that wait for the
+        end of a stall are sent at the same time by all gateways.
+        """
+        placed = None
+        if not self.queues.get(request.service) and not self.is_stalled(
+            request.service
+        ):
+            placed = self.try_place(request)
+        if placed is None:
+            return suspect_refusal(crash_suspects.TRIAL_RETRY_AFTER)
+        self.suspects.record_trial(part, placed.acquired_at)
+        event_log.emit(
+            event_catalogue.PART_TRIED,
+            request=request.request_id,
+            service=part.service,
+            part=part.part,
+        )
+        return placed
+
+    def refuse_suspects(self) -> None:
+        """Refuse the queued requests that have a suspect part."""
+        for queue in self.queues.values():
+            for waiter in queue:
+                verdict = self.judge(waiter.request)
+                if waiter.place.done() or isinstance(
+                    verdict, crash_suspects.Sound
+                ):
+                    continue
+                waiter.place.set_result(
+                    suspect_refusal(
+                        verdict.retry_after
+                        if isinstance(verdict, crash_suspects.Blocked)
+                        else crash_suspects.TRIAL_RETRY_AFTER
+                    )
+                )
+
     def create_entry(self, request: PlacementRequest) -> wait_queue.QueueEntry:
         """Return the queue entry of a request."""
         first = self.averages_of(request.service).first_answer
@@ -632,12 +698,18 @@
         )
 
 
+def suspect_refusal(retry_after: float) -> Refused:
+    """Return the refusal of a request with a suspect part."""
+    return Refused(RefusalReason.SUSPECT_PART, retry_after)
+
+
 def create_admission(
     loop: asyncio.AbstractEventLoop,
     directory: endpoint_directory.EndpointDirectory,
     peers: peer_loads.PeerLoads,
     slowdowns: rank_slowdowns.RankSlowdowns,
     limits: endpoint_limits.EndpointLimits,
+    suspects: crash_suspects.CrashSuspects,
     data_centre: str,
     load_per_slot: Callable[[str], float],
     generator: random.Random | None = None,
@@ -650,6 +722,7 @@
         peers: Load of the other gateways.
         slowdowns: Slowdown of the ranks behind the endpoints.
         limits: Rates of requests that endpoints accept.
+        suspects: Parts of prompts that may crash endpoints.
         data_centre: Data centre of this gateway.
         load_per_slot: Returns, for a service, the load per slot at which an
             endpoint is full.
@@ -661,6 +734,7 @@
         peers,
         slowdowns,
         limits,
+        suspects,
         data_centre,
         load_per_slot,
         generator or random.Random(),
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
@@ -0,0 +1,382 @@
+"""Finds the part of a prompt that crashes endpoints; no I/O.
+
+Some part of a prompt may crash each endpoint that begins to answer it. After a
+crash, the parts of the requests that had not begun there are suspects. An
+event of any answer shows that all parts of its prompt are sound. Requests with
+a suspect are refused, except for one at a time that tries whether it is sound.
+
+The gateways tell each other what they see. Merging is commutative and
+idempotent, so that late, repeated and lost messages do no harm.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import math
+from typing import Final
+from typing import NamedTuple
+
+NEVER: Final = float("-inf")
+# Gateways notice a crash within a fraction of a second of each other, and an
+# endpoint takes longer than this to start and crash again.
+SAME_CRASH_SECONDS: Final = 2.0
+# First delay until a part is tried that shares its crash with other suspects.
+# In this time the peers tell which of them they know as sound.
+SHARED_TRIAL_DELAY_SECONDS: Final = 1.0
+SHARED_TRIAL_FACTOR: Final = 4
+# First delay until a part is tried that is the only suspect of a crash. It is
+# likely to crash another endpoint, which harms everybody who uses it, while the
+# delay harms only those who send the part.
+LONE_TRIAL_DELAY_SECONDS: Final = 30.0
+LONE_TRIAL_FACTOR: Final = 2
+MAX_TRIAL_DELAY_SECONDS: Final = 600.0
+# Time after which a trial without a result may be repeated.
+TRIAL_SECONDS: Final = 2.0
+# Retry-after time, in seconds, while the trial of another request is under way.
+TRIAL_RETRY_AFTER: Final = 0.5
+# A part that has crashed nothing for this time is forgotten.
+HISTORY_RETENTION_SECONDS: Final = 3600.0
+MAX_HISTORIES: Final = 256
+MAX_CRASHES: Final = 8
+MAX_SOUND_PARTS: Final = 32768
+# Differences of times up to this come from the delay of messages.
+MESSAGE_DELAY_SECONDS: Final = 0.05
+
+
+class PartKey(NamedTuple):
+    """A part of prompts of a service."""
+
+    service: str
+    part: str
+
+
+class Crash(NamedTuple):
+    """A crash of an endpoint before it began to answer a request."""
+
+    endpoint: str
+    at: float
+
+
+class PartHistory(NamedTuple):
+    """What is known of a part; times are in seconds of one clock.
+
+    Attributes:
+        crashes: Crashes beside the part since it was last sound, by time.
+        sound_at: When an answer to a prompt with it had an event.
+        trial_at: When a request was last sent to try the part.
+    """
+
+    crashes: tuple[Crash, ...] = ()
+    sound_at: float = NEVER
+    trial_at: float = NEVER
+
+
+class Sound(NamedTuple):
+    """No part of the request is a suspect."""
+
+
+class Trial(NamedTuple):
+    """The request may be sent to try a suspect."""
+
+    part: PartKey
+
+
+class Blocked(NamedTuple):
+    """The request must not be sent; `retry_after` is in seconds."""
+
+    part: PartKey
+    retry_after: float
+
+
+Verdict = Sound | Trial | Blocked
+
+
+def is_same_crash(first: Crash, second: Crash) -> bool:
+    """Return whether two gateways report the same crash."""
+    return (
+        first.endpoint == second.endpoint
+        and abs(first.at - second.at) < SAME_CRASH_SECONDS
+    )
+
+
+def merge_crashes(
+    crashes: Iterable[Crash], sound_at: float
+) -> tuple[Crash, ...]:
+    """Return the newest distinct crashes after a time.
+
+    Of several reports of a crash, the earliest one is the most precise.
+    """
+    merged: list[Crash] = []
+    for crash in sorted(crashes, key=lambda item: (item.at, item.endpoint)):
+        if not any(is_same_crash(crash, known) for known in merged):
+            merged.append(crash)
+    after = [crash for crash in merged if crash.at > sound_at]
+    return tuple(after[-MAX_CRASHES:])
+
+
+def merge(first: PartHistory, second: PartHistory) -> PartHistory:
+    """Return what two gateways know together of a part."""
+    sound_at = max(first.sound_at, second.sound_at)
+    return PartHistory(
+        merge_crashes((*first.crashes, *second.crashes), sound_at),
+        sound_at,
+        max(first.trial_at, second.trial_at),
+    )
+
+
+def group_by_crash(
+    histories: Mapping[PartKey, PartHistory],
+) -> list[list[PartKey]]:
+    """Return, for each crash, the parts that were at it."""
+    sightings = sorted(
+        (key.service, crash, key)
+        for key in histories
+        for crash in histories[key].crashes
+    )
+    groups: list[list[PartKey]] = []
+    last: tuple[str, Crash] | None = None
+    for service, crash, key in sightings:
+        if (
+            last is None
+            or last[0] != service
+            or not is_same_crash(last[1], crash)
+        ):
+            last = (service, crash)
+            groups.append([])
+        groups[-1].append(key)
+    return groups
+
+
+def find_suspects(
+    histories: Mapping[PartKey, PartHistory],
+) -> dict[PartKey, bool]:
+    """Return the parts that may have caused one of their crashes.
+
+    A crash is explained by those of its parts against which most crashes
+    speak.
+
+    Returns:
+        Whether the suspect is the only one at each of its crashes.
+    """
+    groups = group_by_crash(histories)
+    suspects: set[PartKey] = set()
+    for keys in groups:
+        most = max(suspicion(histories[key]) for key in keys)
+        if most > 0:
+            suspects |= {
+                key for key in keys if suspicion(histories[key]) == most
+            }
+    accompanied: set[PartKey] = set()
+    for keys in groups:
+        together = suspects.intersection(keys)
+        if len(together) > 1:
+            accompanied |= together
+    return {key: key not in accompanied for key in suspects}
+
+
+def suspicion(history: PartHistory) -> int:
+    """Return the number of crashes that speak against a part.
+
+    A part that was sound before is likely to have been there by chance the
+    first time.
+    """
+    return len(history.crashes) - (history.sound_at > NEVER)
+
+
+class CrashSuspects:
+    """Suspects of all services, as known to one gateway.
+
+    Not thread-safe: call it on the event loop only.
+
+    Attributes:
+        histories: Parts with crashes since they were last sound.
+        sound: When parts were last sound, the oldest first.
+        tell: Called with the parts of which the peers should be told.
+        suspected: Called after a part has become a suspect.
+        assessment: Result of find_suspects(), None after a change.
+    """
+
+    def __init__(self) -> None:
+        """Create suspects of which none is known."""
+        self.histories: dict[PartKey, PartHistory] = {}
+        self.sound: collections.OrderedDict[PartKey, float] = (
+            collections.OrderedDict()
+        )
+        self.tell: Callable[[Sequence[PartKey]], None] | None = None
+        self.suspected: Callable[[], None] | None = None
+        self.assessment: dict[PartKey, bool] | None = None
+
+    def record_event(
+        self, service: str, parts: Iterable[str], now: float
+    ) -> list[PartKey]:
+        """Record that an answer to a prompt with some parts had an event.
+
+        Returns:
+            The suspects among them, which are none any more.
+        """
+        keys = [PartKey(service, part) for part in parts]
+        cleared = [key for key in keys if key in self.histories]
+        for key in keys:
+            self.remember_sound(key, now)
+        for key in cleared:
+            self.update(key, PartHistory(sound_at=now))
+        if cleared:
+            self.tell_peers(cleared)
+        return cleared
+
+    def record_crash(
+        self, service: str, parts: Iterable[str], endpoint: str, now: float
+    ) -> list[PartKey]:
+        """Record a crash beside a request that had not begun.
+
+        Returns:
+            Its parts that are suspects now.
+        """
+        keys = [PartKey(service, part) for part in parts]
+        for key in keys:
+            self.update(key, PartHistory((Crash(endpoint, now),)))
+        self.drop_old(now)
+        if keys:
+            self.tell_peers(keys)
+            self.notify_suspected()
+        return [key for key in keys if key in self.lone_by_suspect()]
+
+    def record_trial(self, part: PartKey, now: float) -> None:
+        """Record that a request is sent to try a part."""
+        self.update(part, PartHistory(trial_at=now))
+        self.tell_peers([part])
+
+    def merge_report(
+        self, key: PartKey, report: PartHistory, now: float
+    ) -> None:
+        """Merge what a peer knows of a part.
+
+        The peers are told if the part was sound here more recently.
+        """
+        known = self.history_of(key)
+        self.remember_sound(key, report.sound_at)
+        self.update(key, report)
+        self.drop_old(now)
+        if known.sound_at > report.sound_at + MESSAGE_DELAY_SECONDS:
+            self.tell_peers([key])
+        if report.crashes:
+            self.notify_suspected()
+
+    def history_of(self, key: PartKey) -> PartHistory:
+        """Return what is known of a part."""
+        return self.histories.get(key) or PartHistory(
+            sound_at=self.sound.get(key, NEVER)
+        )
+
+    def update(self, key: PartKey, news: PartHistory) -> None:
+        """Add what was learnt of a part; keep no history without a crash."""
+        self.assessment = None
+        merged = merge(self.history_of(key), news)
+        if merged.crashes:
+            self.histories[key] = merged
+        else:
+            self.histories.pop(key, None)
+
+    def remember_sound(self, key: PartKey, at: float) -> None:
+        """Remember when a part was sound, forgetting the oldest ones."""
+        if at <= self.sound.get(key, NEVER):
+            return
+        self.sound[key] = at
+        self.sound.move_to_end(key)
+        if len(self.sound) > MAX_SOUND_PARTS:
+            self.sound.popitem(last=False)
+
+    def drop_old(self, now: float) -> None:
+        """Forget histories that are old or too many, the oldest first."""
+        by_age = sorted(
+            self.histories, key=lambda key: self.histories[key].crashes[-1].at
+        )
+        excess = len(by_age) - MAX_HISTORIES
+        for number, key in enumerate(by_age):
+            age = now - self.histories[key].crashes[-1].at
+            if number < excess or age > HISTORY_RETENTION_SECONDS:
+                del self.histories[key]
+                self.assessment = None
+
+    def tell_peers(self, keys: Sequence[PartKey]) -> None:
+        """Pass on what is known of some parts."""
+        if self.tell is not None:
+            self.tell(keys)
+
+    def notify_suspected(self) -> None:
+        """Tell the owner that a part may have become a suspect."""
+        if self.suspected is not None:
+            self.suspected()
+
+    def lone_by_suspect(self) -> dict[PartKey, bool]:
+        """Return the suspects, and whether each is the only one at a crash."""
+        if self.assessment is None:
+            self.assessment = find_suspects(self.histories)
+        return self.assessment
+
+    def trial_due(self, key: PartKey, lone: bool) -> float:
+        """Return from when on a suspect may be tried.
+
+        Args:
+            key: The suspect.
+            lone: Whether it would be the only explanation of another crash.
+        """
+        history = self.histories[key]
+        first, factor = (
+            (LONE_TRIAL_DELAY_SECONDS, LONE_TRIAL_FACTOR)
+            if lone
+            else (SHARED_TRIAL_DELAY_SECONDS, SHARED_TRIAL_FACTOR)
+        )
+        delay = first * math.pow(factor, suspicion(history) - 1)
+        return history.crashes[-1].at + min(delay, MAX_TRIAL_DELAY_SECONDS)
+
+    def judge(self, service: str, parts: Iterable[str], now: float) -> Verdict:
+        """Return whether a request with some parts may be sent.
+
+        A request with several suspects says little about each of them, and is
+        tried only as late as a lone suspect.
+        """
+        if not self.histories:
+            return Sound()
+        keys = [PartKey(service, part) for part in parts]
+        lone = self.lone_by_suspect()
+        suspects = [key for key in keys if key in lone]
+        if not suspects:
+            return Sound()
+        due = {
+            key: self.trial_due(key, len(suspects) > 1 or lone[key])
+            for key in suspects
+        }
+        last = max(suspects, key=lambda key: due[key])
+        if due[last] > now:
+            return Blocked(last, due[last] - now)
+        if self.is_trial_open(service, now):
+            return Blocked(last, TRIAL_RETRY_AFTER)
+        return Trial(last)
+
+    def is_trial_open(self, service: str, now: float) -> bool:
+        """Return whether a trial of the service has no result yet."""
+        return any(
+            key.service == service and now - history.trial_at < TRIAL_SECONDS
+            for key, history in self.histories.items()
+        )
+
+    def must_cancel(
+        self, service: str, parts: Iterable[str], now: float
+    ) -> bool:
+        """Return whether a request that was sent should be withdrawn.
+
+        That is worth a request of others only for a lone suspect.
+        """
+        lone = self.lone_by_suspect()
+        return any(
+            lone.get(key, False) and self.trial_due(key, True) > now
+            for key in (PartKey(service, part) for part in parts)
+        )
+
+
+def create_crash_suspects() -> CrashSuspects:
+    """Create suspects of which none is known."""
+    return CrashSuspects()
--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -149,6 +149,34 @@
     "An endpoint closed a connection before it began to answer the request"
     " there; state is crashed if nothing listens on its address any more.",
 )
+PART_SUSPECTED = event_log.define(
+    2139,
+    "part_suspected",
+    "WARNING",
+    "An endpoint crashed before it began to answer a request, and these parts"
+    " of the prompt may have caused it. Requests with them are refused until"
+    " one that tries them is answered.",
+)
+PART_CLEARED = event_log.define(
+    2140,
+    "part_cleared",
+    "INFO",
+    "An answer to a prompt with a suspect part had an event, so that the part"
+    " is none any more.",
+)
+PART_TRIED = event_log.define(
+    2141,
+    "part_tried",
+    "INFO",
+    "A request with a suspect part is sent to find out whether it is sound.",
+)
+ATTEMPT_WITHDRAWN = event_log.define(
+    2142,
+    "forward_withdrawn",
+    "INFO",
+    "A request that had not begun is withdrawn from its endpoint, as a part of"
+    " its prompt has become a suspect.",
+)
 RANK_HOLD_GIVEN = event_log.define(
     2135,
     "rank_hold_given",
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -273,6 +273,7 @@
         while True:
             place = await self.admission.place(self.placement_request(job))
             if isinstance(place, admission_lib.Refused):
+                self.metrics.count(f"forward.refused.{place.reason}")
                 self.finish(
                     job,
                     retry_decision.Action.REFUSE
@@ -289,7 +290,7 @@
                 self.admission.release(place)
             self.record_outcome(job, place, outcome)
             if isinstance(outcome, retry_decision.Broken) and not job.begun:
-                await self.crash_check.check(place.endpoint)
+                await self.record_closed_connection(job, place)
             if self.try_acquire_retry(job, outcome):
                 self.metrics.count("forward.repeats")
                 self.log_attempt(job, place, outcome, "retry")
@@ -317,6 +318,7 @@
             frozenset(job.tried),
             job.runs > 0,
             job.admitted.route.kind is model.RequestKind.STREAM,
+            job.parts,
         )
 
     def client_timeout_at(self, job: Job) -> float:
@@ -430,8 +432,10 @@
 
     def record_progress(self, job: Job) -> None:
         """Record progress of a service; serve those who waited for it."""
-        job.begun = True
         service = job.admitted.service
+        if not job.begun:
+            job.begun = True
+            self.clear_parts(job)
         liveness = self.admission.liveness(service)
         if liveness is None:
             return
@@ -440,6 +444,20 @@
         if stalled:
             self.admission.serve_queue(service)
 
+    def clear_parts(self, job: Job) -> None:
+        """Record that the parts of a request are sound."""
+        cleared = self.admission.suspects.record_event(
+            job.admitted.service, job.parts, self.loop.time()
+        )
+        if cleared:
+            self.metrics.count("forward.parts.cleared", len(cleared))
+            event_log.emit(
+                event_catalogue.PART_CLEARED,
+                request=job.id,
+                service=job.admitted.service,
+                parts=",".join(key.part for key in cleared),
+            )
+
     def format(self, job: Job, place: admission_lib.Placed) -> bytes:
         """Encode the request for an endpoint.
 
@@ -506,6 +524,56 @@
                 place.endpoint.id, type(outcome).__name__.lower()
             )
 
+    async def record_closed_connection(
+        self, job: Job, place: admission_lib.Placed
+    ) -> None:
+        """Suspect the parts of a request at which its endpoint crashed.
+
+        An endpoint that leaves may end with requests under way.
+        """
+        state = await self.crash_check.check(place.endpoint)
+        if (
+            state is not crash_check.EndpointState.CRASHED
+            or place.endpoint.id in self.admission.directory.leaving
+        ):
+            return
+        self.metrics.count("forward.crashes")
+        suspects = self.admission.suspects.record_crash(
+            job.admitted.service,
+            job.parts,
+            place.endpoint.id,
+            self.loop.time(),
+        )
+        if suspects:
+            self.metrics.count("forward.parts.suspected", len(suspects))
+            event_log.emit(
+                event_catalogue.PART_SUSPECTED,
+                request=job.id,
+                service=job.admitted.service,
+                parts=",".join(key.part for key in suspects),
+                endpoint=place.endpoint.id,
+            )
+
+    def stop_suspects(self) -> None:
+        """Refuse or withdraw requests after a part has become a suspect."""
+        self.admission.refuse_suspects()
+        now = self.loop.time()
+        for job, attempt in list(self.open_attempts.items()):
+            if (
+                not job.begun
+                and attempt.channel.active
+                and self.admission.suspects.must_cancel(
+                    job.admitted.service, job.parts, now
+                )
+            ):
+                event_log.emit(
+                    event_catalogue.ATTEMPT_WITHDRAWN,
+                    request=job.id,
+                    endpoint=attempt.place.endpoint.id,
+                    parts=",".join(job.parts),
+                )
+                attempt.channel.fail("a part of the prompt is a suspect")
+
     def progress_of(self, job: Job) -> retry_decision.Progress:
         """Return the state on which retry decisions are based."""
         return retry_decision.Progress(
@@ -675,6 +743,7 @@
             events=job.relay_state.events,
             sends=job.sends,
             runs=job.runs,
+            parts=",".join(job.parts),
             left=job.times.deadline - now,
             configuration=self.configuration.version(),
         )
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -24,6 +24,7 @@
 from verbenafall_gateway.forwarding import channel_pool
 from verbenafall_gateway.forwarding import client_channel
 from verbenafall_gateway.forwarding import configuration_state
+from verbenafall_gateway.forwarding import crash_suspects
 from verbenafall_gateway.forwarding import endpoint_directory
 from verbenafall_gateway.forwarding import endpoint_limits
 from verbenafall_gateway.forwarding import event_catalogue
@@ -117,12 +118,14 @@
         self.limits_of_endpoints = endpoint_limits.create_endpoint_limits(
             settings.name
         )
+        self.suspects = crash_suspects.create_crash_suspects()
         self.admission = admission_lib.create_admission(
             loop,
             self.directory,
             self.peers,
             self.slowdowns,
             self.limits_of_endpoints,
+            self.suspects,
             settings.data_centre,
             self.load_per_slot,
         )
@@ -148,9 +151,12 @@
             self.peers,
             self.slowdowns,
             self.limits_of_endpoints,
+            self.suspects,
             self.holds,
             self.admission.serve_all_queues,
         )
+        self.suspects.tell = self.links.announce_parts
+        self.suspects.suspected = self.exchange.stop_suspects
         self.admission.limits_changed = self.links.announce_limit
         self.configuration.changed = self.apply_configuration
         self.directory.leaving_changed = self.links.announce_leaving
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import datetime
 import threading
 from typing import Final
@@ -26,6 +27,7 @@
 from verbenafall_core.object_store import records
 from verbenafall_core.routes import model
 from verbenafall_gateway.forwarding import configuration_state
+from verbenafall_gateway.forwarding import crash_suspects
 from verbenafall_gateway.forwarding import endpoint_directory
 from verbenafall_gateway.forwarding import endpoint_limits
 from verbenafall_gateway.forwarding import event_catalogue
@@ -66,6 +68,7 @@
         loads: peer_loads.PeerLoads,
         slowdowns: rank_slowdowns.RankSlowdowns,
         limits: endpoint_limits.EndpointLimits,
+        suspects: crash_suspects.CrashSuspects,
         holds: rank_holds.RankHolds,
         loads_changed: Callable[[], None],
     ) -> None:
@@ -82,6 +85,8 @@
             loads: Counts of open requests of this gateway and its peers.
             slowdowns: Slowdown of the ranks, as reported by their leaders.
             limits: Rate limits of the endpoints; updated by peers.
+            suspects: Parts of prompts that may crash endpoints; updated by
+                peers.
             holds: Sends the holds of leaders to engines.
             loads_changed: Called after the counts of a peer have changed.
         """
@@ -93,6 +98,7 @@
         self.loads = loads
         self.slowdowns = slowdowns
         self.limits = limits
+        self.suspects = suspects
         self.loads_changed = loads_changed
         self.records: known_items.KnownItems[addresses.Address] = (
             known_items.create_known_items(records.GATEWAY_RECORD_RETENTION)
@@ -110,6 +116,7 @@
         router.subscribe(messages.EndpointLeaving, self.on_leaving)
         router.subscribe(messages.RankSlowdowns, self.on_slowdowns)
         router.subscribe(messages.EndpointLimits, self.on_limits)
+        router.subscribe(messages.PartReports, self.on_part_reports)
         router.subscribe(messages.RankHold, holds.on_hold)
         hello = messages.Hello(
             messages.PROTOCOL_VERSION, name, ROLE, data_centre, ""
@@ -209,6 +216,11 @@
             )
         )
 
+    def announce_parts(self, keys: Sequence[crash_suspects.PartKey]) -> None:
+        """Send what is known of some parts of prompts to all peers."""
+        histories = {key: self.suspects.history_of(key) for key in keys}
+        self.send_to_all(part_reports(histories, self.loop.time()))
+
     def send_to_all(self, message: messages.Message) -> None:
         """Send a message over all open links to gateways."""
         with self.links.batch_sends():
@@ -230,6 +242,9 @@
         statements = dict(self.limits.statements)
         if statements:
             link.send(limits_message(statements, self.loop.time()))
+        histories = dict(self.suspects.histories)
+        if histories:
+            link.send(part_reports(histories, self.loop.time()))
 
     def on_close(self, link: link_lib.Link, reason: str) -> None:
         """Discard the counts of a gateway whose link has closed."""
@@ -324,6 +339,30 @@
             )
         self.loads_changed()
 
+    def on_part_reports(
+        self, link: link_lib.Link, message: messages.PartReports
+    ) -> None:
+        """Pass what a peer knows of parts of prompts to the event loop."""
+        del link
+        self.loop.call_soon_threadsafe(self.merge_part_reports, message)
+
+    def merge_part_reports(self, message: messages.PartReports) -> None:
+        """Merge what a peer knows of parts of prompts."""
+        now = self.loop.time()
+        for report in message.reports:
+            self.suspects.merge_report(
+                crash_suspects.PartKey(report.service, report.part),
+                crash_suspects.PartHistory(
+                    tuple(
+                        crash_suspects.Crash(endpoint, time_before(now, age))
+                        for endpoint, age in report.crashes
+                    ),
+                    time_before(now, report.sound_age),
+                    time_before(now, report.trial_age),
+                ),
+                now,
+            )
+
     def on_slowdowns(
         self, link: link_lib.Link, message: messages.RankSlowdowns
     ) -> None:
@@ -352,13 +391,54 @@
             (
                 endpoint_id,
                 statement.rate,
-                max(0, round((now - statement.at) * MILLISECONDS_PER_SECOND)),
+                milliseconds(now - statement.at),
             )
             for endpoint_id, statement in statements.items()
         )
     )
 
 
+def part_reports(
+    histories: Mapping[crash_suspects.PartKey, crash_suspects.PartHistory],
+    now: float,
+) -> messages.PartReports:
+    """Return the message that tells histories of parts to a peer."""
+    return messages.PartReports(
+        tuple(
+            messages.PartReport(
+                key.service,
+                key.part,
+                tuple(
+                    (crash.endpoint, milliseconds(now - crash.at))
+                    for crash in history.crashes
+                ),
+                age_of(history.sound_at, now),
+                age_of(history.trial_at, now),
+            )
+            for key, history in histories.items()
+        )
+    )
+
+
+def age_of(at: float, now: float) -> int | None:
+    """Return the milliseconds since a time, None if that is never."""
+    if at == crash_suspects.NEVER:
+        return None
+    return milliseconds(now - at)
+
+
+def milliseconds(seconds: float) -> int:
+    """Return an age in whole milliseconds, at least 0."""
+    return max(0, round(seconds * MILLISECONDS_PER_SECOND))
+
+
+def time_before(now: float, age: int | None) -> float:
+    """Return the time that lies some milliseconds back, never for None."""
+    if age is None:
+        return crash_suspects.NEVER
+    return now - age / MILLISECONDS_PER_SECOND
+
+
 def is_gateway(link: link_lib.Link) -> bool:
     """Return whether the peer of a link is a gateway."""
     return link.peer is not None and link.peer.role == ROLE
--- /dev/null
+++ b/tests/forwarding/test_crash_suspects.py
@@ -0,0 +1,398 @@
+"""Suspect parts of prompts: evidence, trials, bounds, several gateways."""
+
+import itertools
+from typing import NamedTuple
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from verbenafall_gateway.forwarding import crash_suspects
+from verbenafall_gateway.forwarding import prompt_parts
+
+SERVICE = "s"
+LONE = crash_suspects.LONE_TRIAL_DELAY_SECONDS
+SHARED = crash_suspects.SHARED_TRIAL_DELAY_SECONDS
+
+
+class Event(NamedTuple):
+    """An answer to a prompt with some parts had an event."""
+
+    parts: str
+
+
+class Fall(NamedTuple):
+    """An endpoint crashed beside prompts with some parts."""
+
+    parts: str
+    endpoint: str = "e1"
+
+
+def key(part):
+    return crash_suspects.PartKey(SERVICE, part)
+
+
+def play(steps, start=0.0, seconds=5.0):
+    """Return the suspects after steps that are some seconds apart."""
+    suspects = crash_suspects.create_crash_suspects()
+    for number, step in enumerate(steps):
+        now = start + number * seconds
+        if isinstance(step, Event):
+            suspects.record_event(SERVICE, step.parts, now)
+        else:
+            suspects.record_crash(SERVICE, step.parts, step.endpoint, now)
+    return suspects
+
+
+class TestParsing:
+    @pytest.mark.parametrize(
+        ("text", "parts"),
+        [
+            (None, ()),
+            ("", ()),
+            ("a:1", ()),
+            ("a:40,b:7", ("a",)),
+            (" a : 40 , b:7,c:1", ("a", "b")),
+            ("a:1,a:1,b:2", ("a",)),
+            (",,b:1", ()),
+            ("a,b", ("a",)),
+            (
+                ",".join(f"{number:x}:1" for number in range(99)),
+                tuple(f"{n:x}" for n in range(prompt_parts.MAX_PARTS)),
+            ),
+            ("x" * 999 + ":1,b:1", ("x" * prompt_parts.MAX_ID_LENGTH,)),
+        ],
+    )
+    def test_parts_that_others_may_have(self, text, parts):
+        assert prompt_parts.parse_shared_parts(text) == parts
+
+
+class TestEvidence:
+    @pytest.mark.parametrize(
+        ("steps", "lone", "shared"),
+        [
+            ([Fall("d")], "d", ""),
+            ([Fall("sd")], "", "sd"),
+            # An event shows that a part is sound, before the crash or after.
+            ([Event("s"), Fall("sd")], "d", ""),
+            ([Fall("sd"), Event("s")], "d", ""),
+            ([Event("s"), Fall("s")], "", ""),
+            ([Fall("d"), Event("d")], "", ""),
+            # A part that was sound may have become deadly.
+            ([Event("d"), Fall("d"), Fall("d", "e2")], "d", ""),
+            ([Event("d"), Fall("d"), Event("d"), Fall("d", "e2")], "", ""),
+            # What was at both crashes explains both.
+            ([Fall("sd"), Fall("td", "e2")], "d", ""),
+            ([Event("a"), Fall("ad"), Fall("ad", "e2")], "d", ""),
+            ([Fall("ad"), Fall("ad", "e2")], "", "ad"),
+            # Crashes without a part in common.
+            ([Fall("a"), Fall("d", "e2")], "ad", ""),
+            ([Fall("")], "", ""),
+        ],
+    )
+    def test_suspects_after(self, steps, lone, shared):
+        expected = {key(part): True for part in lone} | {
+            key(part): False for part in shared
+        }
+        assert play(steps).lone_by_suspect() == expected
+
+    def test_crash_that_several_attempts_show_counts_once(self):
+        suspects = play([Fall("d"), Fall("d")], seconds=0.3)
+        assert len(suspects.histories[key("d")].crashes) == 1
+
+    def test_same_part_of_another_service_is_no_suspect(self):
+        verdict = play([Fall("d")]).judge("other", "d", 1.0)
+        assert verdict == crash_suspects.Sound()
+
+
+class TestTrials:
+    @pytest.mark.parametrize(
+        ("steps", "parts", "after", "verdict"),
+        [
+            ([Fall("d")], "s", 0.1, crash_suspects.Sound),
+            ([Fall("d")], "sd", 0.1, crash_suspects.Blocked),
+            ([Fall("d")], "d", LONE - 0.1, crash_suspects.Blocked),
+            ([Fall("d")], "d", LONE, crash_suspects.Trial),
+            ([Fall("sd")], "s", SHARED - 0.1, crash_suspects.Blocked),
+            ([Fall("sd")], "s", SHARED, crash_suspects.Trial),
+            # Its crash would not tell which of the two caused it.
+            ([Fall("sd")], "sd", SHARED, crash_suspects.Blocked),
+            ([Fall("sd")], "sd", LONE, crash_suspects.Trial),
+            ([Fall("d"), Fall("d", "e2")], "d", LONE, crash_suspects.Blocked),
+            ([Fall("d"), Fall("d", "e2")], "d", LONE * 2, crash_suspects.Trial),
+            # The remaining one is the only explanation.
+            ([Fall("sd"), Event("s")], "d", SHARED, crash_suspects.Blocked),
+        ],
+    )
+    def test_verdict_after_the_last_step(self, steps, parts, after, verdict):
+        now = (len(steps) - 1) * 5.0 + after
+        assert isinstance(play(steps).judge(SERVICE, parts, now), verdict)
+
+    def test_one_at_a_time(self):
+        suspects = play([Fall("st")])
+        now = SHARED
+        suspects.record_trial(key("s"), now)
+        assert isinstance(
+            suspects.judge(SERVICE, "t", now), crash_suspects.Blocked
+        )
+        suspects.record_event(SERVICE, "s", now + 0.2)
+        # The trial has ended; the other part is the only suspect now.
+        assert isinstance(
+            suspects.judge(SERVICE, "t", LONE), crash_suspects.Trial
+        )
+
+    def test_trial_without_a_result_is_repeated(self):
+        suspects = play([Fall("st")])
+        suspects.record_trial(key("s"), SHARED)
+        now = SHARED + crash_suspects.TRIAL_SECONDS
+        assert isinstance(
+            suspects.judge(SERVICE, "s", now), crash_suspects.Trial
+        )
+
+    def test_time_to_come_back_is_that_of_the_trial(self):
+        verdict = play([Fall("d")]).judge(SERVICE, "d", 10.0)
+        assert verdict.retry_after == pytest.approx(LONE - 10.0)
+
+    def test_delay_is_bounded(self):
+        falls = [Fall("d", f"e{number}") for number in range(20)]
+        due = play(falls).trial_due(key("d"), True)
+        assert due == 19 * 5 + crash_suspects.MAX_TRIAL_DELAY_SECONDS
+
+
+class TestWithdrawal:
+    @pytest.mark.parametrize(
+        ("steps", "parts", "withdrawn"),
+        [
+            ([Fall("d")], "sd", True),
+            ([Fall("d")], "s", False),
+            ([Fall("sd")], "s", False),
+            ([], "s", False),
+        ],
+    )
+    def test_only_with_a_lone_suspect(self, steps, parts, withdrawn):
+        assert play(steps).must_cancel(SERVICE, parts, 1.0) is withdrawn
+
+
+class TestBounds:
+    def test_number_of_histories(self):
+        suspects = crash_suspects.create_crash_suspects()
+        limit = crash_suspects.MAX_HISTORIES
+        for number in range(limit + 10):
+            suspects.record_crash(
+                SERVICE, [f"p{number}"], f"e{number}", float(number)
+            )
+        assert len(suspects.histories) == limit
+        assert key("p9") not in suspects.histories
+        assert key("p10") in suspects.histories
+
+    def test_number_of_sound_parts(self, monkeypatch):
+        monkeypatch.setattr(crash_suspects, "MAX_SOUND_PARTS", 3)
+        suspects = play([Event("a"), Event("b"), Event("a"), Event("cd")])
+        assert [item.part for item in suspects.sound] == ["a", "c", "d"]
+
+    def test_number_of_crashes(self):
+        suspects = play([Fall("d", f"e{number}") for number in range(99)])
+        kept = suspects.histories[key("d")].crashes
+        assert len(kept) == crash_suspects.MAX_CRASHES
+        assert kept[-1].endpoint == "e98"
+
+    def test_old_history_is_forgotten(self):
+        suspects = play([Fall("d")])
+        now = crash_suspects.HISTORY_RETENTION_SECONDS + 1
+        suspects.record_crash(SERVICE, "x", "e2", now)
+        assert set(suspects.histories) == {key("x")}
+
+
+def distinct_crashes():
+    """Draw crashes whose reports cannot be confused."""
+    return strategies.lists(
+        strategies.builds(
+            crash_suspects.Crash,
+            strategies.sampled_from(["e1", "e2"]),
+            strategies.integers(0, 20).map(lambda number: number * 10.0),
+        ),
+        max_size=5,
+    ).map(tuple)
+
+
+HISTORIES = strategies.builds(
+    crash_suspects.PartHistory,
+    distinct_crashes(),
+    strategies.sampled_from([crash_suspects.NEVER, 5.0, 55.0, 155.0]),
+    strategies.sampled_from([crash_suspects.NEVER, 1.0, 2.0]),
+)
+
+
+class TestMerge:
+    @hypothesis.given(HISTORIES, HISTORIES, HISTORIES)
+    def test_order_and_repetition_do_not_matter(self, first, second, third):
+        merge = crash_suspects.merge
+        together = merge(merge(first, second), third)
+        for one, two, three in itertools.permutations((first, second, third)):
+            assert merge(one, merge(two, three)) == together
+        assert merge(together, first) == together
+
+
+class Flight(NamedTuple):
+    """A request that was sent and has not begun."""
+
+    gateway: int
+    parts: tuple[str, ...]
+    endpoint: str
+
+
+DEADLY = "d"
+SOUND = "abc"
+
+
+class Gateways(stateful.RuleBasedStateMachine):
+    """Gateways with late and lost messages, restarts and ordinary crashes.
+
+    Attributes:
+        crashes: Number of crashes that the deadly part has caused.
+        unaware: Requests with it that a gateway has sent without a history.
+        trials: Times at which requests with it were sent as trials.
+    """
+
+    @stateful.initialize(size=strategies.integers(1, 5))
+    def start(self, size):
+        self.now = 0.0
+        self.messages = []
+        self.flights = []
+        self.crashes = self.unaware = 0
+        self.trials = []
+        self.gateways = [self.create(number) for number in range(size)]
+
+    def create(self, number):
+        suspects = crash_suspects.create_crash_suspects()
+        suspects.tell = lambda keys: self.tell(number, keys)
+        return suspects
+
+    def tell(self, sender, keys):
+        suspects = self.gateways[sender]
+        for part in keys:
+            report = (part, suspects.history_of(part))
+            self.messages.extend(
+                (other, report)
+                for other in range(len(self.gateways))
+                if other != sender
+            )
+
+    @stateful.rule(
+        number=strategies.integers(0, 4),
+        sound=strategies.sets(strategies.sampled_from(SOUND), max_size=2),
+        deadly=strategies.booleans(),
+        endpoint=strategies.sampled_from(["e1", "e2", "e3"]),
+    )
+    def send(self, number, sound, deadly, endpoint):
+        number %= len(self.gateways)
+        parts = (*sorted(sound), *(DEADLY if deadly else ""))
+        self.try_send(number, parts, endpoint)
+
+    def try_send(self, number, parts, endpoint):
+        suspects = self.gateways[number]
+        verdict = suspects.judge(SERVICE, parts, self.now)
+        if isinstance(verdict, crash_suspects.Blocked):
+            assert verdict.retry_after > 0
+            return
+        if DEADLY in parts:
+            if key(DEADLY) in suspects.lone_by_suspect():
+                self.trials.append((number, self.now))
+                assert isinstance(verdict, crash_suspects.Trial)
+            else:
+                self.unaware += 1
+        if isinstance(verdict, crash_suspects.Trial):
+            suspects.record_trial(verdict.part, self.now)
+        self.flights.append(Flight(number, parts, endpoint))
+
+    @stateful.rule(position=strategies.integers(0, 100))
+    def begin(self, position):
+        if not self.flights:
+            return
+        flight = self.flights.pop(position % len(self.flights))
+        if DEADLY in flight.parts:
+            self.crashes += 1
+            self.crash(flight.endpoint, flight)
+            return
+        self.gateways[flight.gateway].record_event(
+            SERVICE, flight.parts, self.now
+        )
+
+    @stateful.rule(endpoint=strategies.sampled_from(["e1", "e2", "e3"]))
+    def crash(self, endpoint, *others):
+        """Crash an endpoint, by itself or by a request that began."""
+        here = [item for item in self.flights if item.endpoint == endpoint]
+        self.flights = [item for item in self.flights if item not in here]
+        for flight in (*others, *here):
+            self.gateways[flight.gateway].record_crash(
+                SERVICE, flight.parts, endpoint, self.now
+            )
+
+    @stateful.rule(
+        position=strategies.integers(0, 100), lost=strategies.booleans()
+    )
+    def deliver(self, position, lost):
+        if self.messages:
+            number, report = self.messages.pop(position % len(self.messages))
+            if not lost:
+                self.gateways[number].merge_report(*report, self.now)
+
+    @stateful.rule()
+    def deliver_all(self):
+        for _ in range(10_000):
+            if not self.messages:
+                return
+            number, report = self.messages.pop(0)
+            self.gateways[number].merge_report(*report, self.now)
+        raise AssertionError("the gateways never stop telling each other")
+
+    @stateful.rule(number=strategies.integers(0, 4))
+    def restart(self, number):
+        """Start a gateway again, which links with all others."""
+        number %= len(self.gateways)
+        self.flights = [item for item in self.flights if item.gateway != number]
+        self.gateways[number] = self.create(number)
+        for other, suspects in enumerate(self.gateways):
+            if other != number:
+                self.messages.extend(
+                    (number, item) for item in suspects.histories.items()
+                )
+
+    @stateful.rule(seconds=strategies.sampled_from([0.1, 1.0, 5.0, 31.0]))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @stateful.invariant()
+    def crashes_have_a_reason(self):
+        assert self.crashes <= self.unaware + len(self.trials)
+
+    @stateful.invariant()
+    def trials_are_rare(self):
+        for number in range(len(self.gateways)):
+            times = [at for gateway, at in self.trials if gateway == number]
+            for first, second in itertools.pairwise(times):
+                assert second - first >= min(
+                    SHARED, crash_suspects.TRIAL_SECONDS
+                )
+
+    def teardown(self):
+        """Sound parts come back into use on all gateways."""
+        if not hasattr(self, "gateways"):
+            return
+        self.flights = []
+        self.deliver_all()
+        self.now += crash_suspects.MAX_TRIAL_DELAY_SECONDS
+        for part in SOUND:
+            self.try_send(0, (part,), "e1")
+            assert len(self.flights) == 1
+            self.begin(0)
+            self.deliver_all()
+        for suspects in self.gateways:
+            assert not set(suspects.lone_by_suspect()) & set(map(key, SOUND))
+
+
+TestGateways = Gateways.TestCase
+TestGateways.settings = hypothesis.settings(
+    max_examples=100, stateful_step_count=50, deadline=None, derandomize=True
+)
--- a/tests/forwarding/test_crashing_part.py
+++ b/tests/forwarding/test_crashing_part.py
@@ -1,6 +1,8 @@
 """Requests with a part of a prompt that crashes each engine."""
 
+import concurrent.futures
 import contextlib
+import threading
 
 import pytest
 
@@ -64,3 +66,106 @@
             test_forwarder.call(runner, prompt(1, "sound", DEADLY))
             answer = test_forwarder.call(runner, prompt(2, *parts))
             assert (answer.status, answer.complete) == (200, True)
+
+    def test_request_in_flight_with_the_part_is_withdrawn(self):
+        """Withdrawn before its endpoint begins to answer it."""
+        waiting = threading.Event()
+
+        def late_engine(endpoint, connection, request):
+            if request.attempt != "r1":
+                return engine(endpoint, connection, request)
+            waiting.set()
+            # Returns when the gateway closes the connection.
+            return bool(connection.recv(1))
+
+        with (
+            test_forwarder.running(
+                *[late_engine] * 4, routes=[ROUTE]
+            ) as runner,
+            concurrent.futures.ThreadPoolExecutor() as pool,
+        ):
+            first = pool.submit(
+                test_forwarder.call, runner, prompt(1, "sound", DEADLY)
+            )
+            assert waiting.wait(fakes.WAIT_SECONDS)
+            test_forwarder.call(runner, prompt(2, DEADLY))
+            assert first.result(fakes.WAIT_SECONDS).status == 502
+            assert crashes(runner) == 1
+
+    def test_connection_that_a_live_engine_closes_accuses_no_part(self):
+        script = test_forwarder.break_after(0)
+        with test_forwarder.running(script, engine, routes=[ROUTE]) as runner:
+            for number in range(4):
+                answer = test_forwarder.call(runner, prompt(number, "sound"))
+                assert (answer.status, answer.complete) == (200, True)
+            assert not runner.forwarder.suspects.histories
+
+    def test_crash_of_an_engine_that_leaves_accuses_no_part(self):
+        """Its end with requests under way was announced."""
+
+        def ending_engine(endpoint, connection, request):
+            runner.list_endpoint("e0", endpoint, draining=True)
+            directory = runner.forwarder.directory
+            fakes.wait_until(lambda: "e0" in directory.leaving)
+            return engine(endpoint, connection, request)
+
+        with test_forwarder.running(ending_engine, routes=[ROUTE]) as runner:
+            test_forwarder.call(runner, prompt(1, DEADLY))
+            assert crashes(runner) == 1
+            assert not runner.forwarder.suspects.histories
+
+
+def linked(first, second):
+    """Make two gateways known to each other and to the same engines."""
+    for runner in (first, second):
+        for other in (first, second):
+            name = other.forwarder.settings.name
+            runner.gateways.put(name, other.link_address)
+        for number, backend in enumerate(first.backends):
+            runner.list_endpoint(f"e{number}", backend)
+    fakes.wait_until(second.forwarder.links.links.open_links)
+    fakes.wait_until(first.forwarder.links.links.open_links)
+
+
+@contextlib.contextmanager
+def second_gateway(first):
+    second = fakes.RunningForwarder(fakes.configuration(1, ROUTE), [], "g2")
+    try:
+        linked(first, second)
+        yield second
+    finally:
+        second.close()
+
+
+def knows(runner, part=DEADLY):
+    suspects = runner.forwarder.suspects
+    return any(key.part == part for key in suspects.histories)
+
+
+class TestTwoGateways:
+    def test_crash_at_one_protects_the_engines_from_both(self):
+        with running() as first, second_gateway(first) as second:
+            test_forwarder.call(first, prompt(1, DEADLY))
+            fakes.wait_until(lambda: knows(second))
+            answer = test_forwarder.call(second, prompt(2, "other", DEADLY))
+            assert answer.status == 503
+            assert crashes(first) == 1
+
+    def test_gateway_that_starts_later_hears_of_it(self):
+        with running() as first:
+            test_forwarder.call(first, prompt(1, DEADLY))
+            with second_gateway(first) as second:
+                fakes.wait_until(lambda: knows(second))
+                answer = test_forwarder.call(second, prompt(2, DEADLY))
+                assert answer.status == 503
+            assert crashes(first) == 1
+
+    def test_part_that_only_the_other_knows_as_sound_is_none(self):
+        with running() as first, second_gateway(first) as second:
+            test_forwarder.call(second, prompt(1, "sound"))
+            test_forwarder.call(first, prompt(2, "sound", DEADLY))
+            fakes.wait_until(lambda: knows(second))
+            suspects = first.forwarder.suspects.lone_by_suspect
+            fakes.wait_until(lambda: [k.part for k in suspects()] == [DEADLY])
+            answer = test_forwarder.call(first, prompt(3, "sound"))
+            assert (answer.status, answer.complete) == (200, True)
