Bound the bytes that are no part of an answer or a request

One bound in EndpointChannel now counts what is received between two parts of an answer; an event has its own. Above it the attempt is broken off with the reason, which suspects the endpoint, and another one is asked. The body of a rejection, whose head says that the request has not run, is read for 0.1 s at most: a client waited until its deadline for a body that stalls. Bodies that are relayed were bounded already by pausing the reader, and error bodies by 1 MB.

--- a/packages/core/src/verbenafall_core/http_client.py
+++ b/packages/core/src/verbenafall_core/http_client.py
@@ -11,6 +11,7 @@
 import returns.result
 
 MAX_RESPONSE_BYTES: Final = 8 * 1024 * 1024
+MAX_HEADER_BYTES: Final = 256 * 1024
 CONNECT_TIMEOUT: Final = datetime.timedelta(seconds=1)
 
 _NOT_SENT_ERRORS: Final = frozenset(
@@ -63,6 +64,28 @@
     message: str
 
 
+class HeaderLines:
+    """Collects the header lines of a response, also of interim ones.
+
+    Attributes:
+        lines: The lines so far, with the status lines.
+        size: Their length in bytes.
+    """
+
+    def __init__(self) -> None:
+        """Create a collector without lines."""
+        self.lines: list[bytes] = []
+        self.size = 0
+
+    def add(self, line: bytes) -> int:
+        """Add a line; 0 makes libcurl abort the transfer."""
+        self.size += len(line)
+        if self.size > MAX_HEADER_BYTES:
+            return 0
+        self.lines.append(line)
+        return len(line)
+
+
 class HttpClient:
     """Makes HTTP calls; each thread reuses its own connections."""
 
@@ -76,7 +99,7 @@
         """Send a request and wait for the response or the timeout."""
         handle = self.reset_handle()
         body = io.BytesIO()
-        header_lines: list[bytes] = []
+        header_lines = HeaderLines()
 
         def write(data: bytes) -> int:
             if body.tell() + len(data) > MAX_RESPONSE_BYTES:
@@ -85,13 +108,13 @@
 
         apply_request(handle, request)
         handle.setopt(pycurl.WRITEFUNCTION, write)
-        handle.setopt(pycurl.HEADERFUNCTION, header_lines.append)
+        handle.setopt(pycurl.HEADERFUNCTION, header_lines.add)
         try:
             handle.perform()
         except pycurl.error as error:
             return returns.result.Failure(to_http_failure(handle, error))
         status = handle.getinfo(pycurl.RESPONSE_CODE)
-        headers = parse_headers(header_lines)
+        headers = parse_headers(header_lines.lines)
         return returns.result.Success(
             HttpResponse(status, headers, body.getvalue())
         )
--- a/packages/gateway/src/verbenafall_gateway/forwarding/answer_relay.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/answer_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 from typing import Final
 from typing import NamedTuple
 
@@ -16,6 +17,9 @@
 # A body up to this size is buffered before any of it is sent to the client, so
 # that a truncated one can still be replaced by a retry.
 MAX_BUFFERED_BYTES: Final = 1024 * 1024
+# Time for the rest of an answer whose head says that the request has not run.
+# It is read only to keep the connection.
+NOT_RUN_BODY_SECONDS: Final = 0.1
 NOT_RUN_STATUSES: Final = frozenset({421, 429, 503})
 MISDIRECTED_REQUEST: Final = 421
 
@@ -129,10 +133,13 @@
         not_run = head.status == MISDIRECTED_REQUEST or (
             self.header(head, self.dialect.not_run) is not None
         )
-        buffered = await read_buffered(channel)
         if not_run:
             # The head alone states this, so a truncated body does not matter.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(NOT_RUN_BODY_SECONDS):
+                    await read_buffered(channel)
             return retry_decision.NotRun(head.status)
+        buffered = await read_buffered(channel)
         if not buffered.complete:
             return retry_decision.Broken(buffered.reason)
         headers = tuple(http_messages.end_to_end_headers(head.headers))
@@ -196,7 +203,10 @@
         while True:
             part = await channel.next_part()
             if isinstance(part, endpoint_channel.Body):
-                events = splitter.feed(part.data)
+                try:
+                    events = splitter.feed(part.data)
+                except event_splitter.EventTooLongError as error:
+                    return retry_decision.Broken(str(error))
                 if events:
                     self.on_progress()
                     self.record_pause(route)
--- a/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
@@ -69,6 +69,8 @@
             request on an idle connection or for the rest of one. The
             forwarder's sweep compares it with the time limits.
         head_sent: Whether the head of the current answer was written.
+        overhead_length: Bytes since the last ones of the body that is being
+            read, as of chunk extensions and trailers.
         connected_at: When the connection was accepted.
     """
 
@@ -116,6 +118,7 @@
         self.body: list[bytes] = []
         self.body_length = 0
         self.header_length = 0
+        self.overhead_length = 0
         self.reading_head = False
         self.reading_body = False
         self.first_byte_at = now
@@ -141,9 +144,11 @@
             self.first_byte_at = now
             if self.task is None:
                 self.waiting_since = now
+        body_length = self.body_length
         try:
             self.check_head_size(len(data))
             self.parser.feed_data(data)
+            self.check_overhead(len(data), body_length)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             status = cause.status if isinstance(cause, TooLargeError) else 400
@@ -171,6 +176,20 @@
         if self.header_length > limits.header_bytes + limits.body_bytes:
             raise TooLargeError(431)
 
+    def check_overhead(self, length: int, body_length: int) -> None:
+        """Raise TooLargeError if too much arrives between parts of a body.
+
+        Args:
+            length: Bytes received now.
+            body_length: Length of the body before.
+        """
+        if not self.reading_body or self.body_length != body_length:
+            self.overhead_length = 0
+            return
+        self.overhead_length += length
+        if self.overhead_length > self.limits().header_bytes:
+            raise TooLargeError(431)
+
     def eof_received(self) -> bool:
         """Close the connection when the client half-closes it."""
         return False
--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_channel.py
@@ -12,6 +12,12 @@
 
 # Unread bytes of an answer above which reading from the endpoint pauses.
 READ_AHEAD_BYTES: Final = 256 * 1024
+# Bytes between two parts of an answer: a head, interim answers, trailers or
+# what precedes a chunk. Heads of common servers have at most half of it.
+MAX_OVERHEAD_BYTES: Final = 64 * 1024
+# The same if answers to other requests are among them. An answer that comes
+# twice has this size at most, as longer ones are not repeated.
+MAX_SKIPPED_BYTES: Final = 1024 * 1024
 
 
 class Head(NamedTuple):
@@ -61,6 +67,8 @@
         repeats_ids: Whether the answers so far bore the ids of their requests.
         length_known: Whether the head determines where the answer ends; if
             not, it ends with the connection.
+        overhead_bytes: Bytes received since the last part of the answer.
+        skipped_any: Whether an answer was skipped since the request was sent.
     """
 
     transport: asyncio.Transport
@@ -93,6 +101,8 @@
         self.repeats_ids = False
         self.length_known = True
         self.in_answer = False
+        self.overhead_bytes = 0
+        self.skipped_any = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -109,6 +119,8 @@
         self.attempt_id = attempt_id
         self.expects_body = expects_body
         self.parts.clear()
+        self.overhead_bytes = 0
+        self.skipped_any = False
         self.active = True
         self.used = True
         self.transport.write(request)
@@ -132,6 +144,7 @@
 
     def put(self, part: Part) -> None:
         """Queue a part and wake next_part()."""
+        self.overhead_bytes = 0
         self.parts.append(part)
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
@@ -146,16 +159,22 @@
     # Callbacks of the transport.
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; abort on invalid or unexpected ones."""
+        """Parse received bytes; abort on invalid, unexpected or too many."""
         if not self.active:
             # No request is open to which these bytes could belong.
             self.abort()
             return
+        self.overhead_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
             self.fail(f"invalid HTTP response: {error}")
             self.abort()
+            return
+        limit = MAX_SKIPPED_BYTES if self.skipped_any else MAX_OVERHEAD_BYTES
+        if self.overhead_bytes > limit:
+            self.fail(f"more than {limit} bytes without a part of the answer")
+            self.abort()
 
     def eof_received(self) -> bool:
         """Complete an answer that ends with the connection."""
@@ -204,6 +223,7 @@
         answer_id = http_messages.find_header(self.headers, self.attempt_header)
         self.skipping = answer_id is not None and answer_id != self.attempt_id
         if self.skipping:
+            self.skipped_any = True
             return
         if answer_id is None and self.repeats_ids:
             # It may belong to an earlier request.
--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_splitter.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_splitter.py
@@ -1,7 +1,14 @@
 """Splits a byte stream into server-sent events."""
 
+from typing import Final
 from typing import NamedTuple
 
+MAX_EVENT_BYTES: Final = 256 * 1024
+
+
+class EventTooLongError(Exception):
+    """An event does not end within MAX_EVENT_BYTES."""
+
 
 class StreamEvent(NamedTuple):
     """A complete event.
@@ -27,15 +34,22 @@
         self.rest = b""
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add bytes and return the events that they complete."""
+        """Add bytes and return the events that they complete.
+
+        Raises:
+            EventTooLongError: The event that is not complete is too long.
+        """
         self.rest += data
         events: list[StreamEvent] = []
         while True:
             end = find_end(self.rest)
             if end < 0:
-                return events
+                break
             block, self.rest = self.rest[:end], self.rest[end:]
             events.append(StreamEvent(find_id(block), block))
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise EventTooLongError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+        return events
 
 
 def find_end(data: bytes) -> int:
--- a/packages/sidecar/src/verbenafall_sidecar/delivery/transfers.py
+++ b/packages/sidecar/src/verbenafall_sidecar/delivery/transfers.py
@@ -74,18 +74,22 @@
         self.sink = sink
         self.handle: pycurl.Curl | None = None
         self.status = 0
-        self.header_lines: list[bytes] = []
+        self.header_lines = http_client.HeaderLines()
         self.ended = False
 
     def cancel(self) -> None:
         """Abort the transfer asynchronously; the sink receives a failure."""
         self.loop.post(lambda: self.loop.abort(self))
 
-    def add_header(self, line: bytes) -> None:
-        """Store a header line; read the status, which on_data needs."""
+    def add_header(self, line: bytes) -> int:
+        """Store a header line; read the status, which on_data needs.
+
+        Returns:
+            Length of the line; 0 makes libcurl abort.
+        """
         if line.startswith(b"HTTP/"):
             self.status = int(line.split(None, 2)[1])
-        self.header_lines.append(line)
+        return self.header_lines.add(line)
 
     def write(self, data: bytes) -> int:
         """Pass a part of the body to the sink; 0 makes libcurl abort."""
@@ -283,7 +287,7 @@
 ) -> TransferResult:
     """Return status and headers of a finished transfer."""
     status = handle.getinfo(pycurl.RESPONSE_CODE)
-    headers = http_client.parse_headers(transfer.header_lines)
+    headers = http_client.parse_headers(transfer.header_lines.lines)
     return returns.result.Success(ResponseHead(status, headers))
 
 
--- a/tests/forwarding/test_client_channel.py
+++ b/tests/forwarding/test_client_channel.py
@@ -95,3 +95,32 @@
         channel.loop.run_until_complete(channel.task)
         channel.start_next()
         assert channel.transport.reading
+
+
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+# Bytes of a chunked request that belong neither to its head nor to its body.
+ENDLESS = [
+    ("chunk extension", b"1;a=", b"x" * 4096),
+    ("trailers", b"0\r\n", b"a: b\r\n" * 500),
+    ("one trailer", b"0\r\na: ", b"x" * 4096),
+]
+
+
+class TestEndlessRequest:
+    @pytest.mark.parametrize(
+        ("start", "rest"),
+        [item[1:] for item in ENDLESS],
+        ids=[item[0] for item in ENDLESS],
+    )
+    def test_is_rejected_within_the_limit_of_a_head(self, channel, start, rest):
+        channel.data_received(CHUNKED_HEAD + start)
+        limit = forwarder.DEFAULT_LIMITS.header_bytes
+        for _ in range(limit // len(rest) + 1):
+            channel.data_received(rest)
+        assert channel.transport.written.startswith(b"HTTP/1.1 431 ")
+
+    def test_body_in_small_chunks_is_read(self, channel):
+        channel.data_received(CHUNKED_HEAD)
+        for _ in range(forwarder.DEFAULT_LIMITS.header_bytes):
+            channel.data_received(b"1\r\nx\r\n")
+        assert channel.transport.written == b""
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -377,6 +377,12 @@
 
 
 class TestEvents:
+    def test_event_without_an_end_is_not_kept(self):
+        splitter = event_splitter.EventSplitter()
+        with pytest.raises(event_splitter.EventTooLongError):
+            for _ in range(event_splitter.MAX_EVENT_BYTES // 1024 + 1):
+                splitter.feed(b"x" * 1024)
+
     @pytest.mark.parametrize(("data", "ids", "rest"), STREAMS)
     @pytest.mark.parametrize("size", [1, 3, 1000])
     def test_events_are_complete_however_the_data_is_split(
--- a/tests/forwarding/test_endpoint_channel.py
+++ b/tests/forwarding/test_endpoint_channel.py
@@ -152,3 +152,66 @@
         channel.eof_received()
         channel.connection_lost(None)
         assert read(channel)[1] == end
+
+
+OWN_HEAD = f"HTTP/1.1 200 OK\r\n{ID_HEADER}: own\r\n".encode()
+OTHER_HEAD = f"HTTP/1.1 200 OK\r\n{ID_HEADER}: other\r\n".encode()
+CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
+FILLER = b"x" * 4096
+# Bytes that come first, and then again and again, without an end.
+ENDLESS = [
+    ("header lines", OWN_HEAD, b"a: " + FILLER + b"\r\n"),
+    ("one header line", OWN_HEAD + b"a: ", FILLER),
+    ("one header name", OWN_HEAD, FILLER),
+    ("reason phrase", b"HTTP/1.1 200 ", FILLER),
+    ("interim answers", b"", b"HTTP/1.1 102 X\r\na: b\r\n\r\n" * 100),
+    ("headers of an interim answer", b"HTTP/1.1 103 X\r\n", b"a: b\r\n" * 500),
+    ("chunk extension", OWN_HEAD + CHUNKED + b"1;a=", FILLER),
+    ("trailers", OWN_HEAD + CHUNKED + b"0\r\n", b"a: b\r\n" * 500),
+    ("one trailer", OWN_HEAD + CHUNKED + b"0\r\na: ", FILLER),
+    ("body of another answer", OTHER_HEAD + b"\r\n", FILLER),
+    ("other chunks", OTHER_HEAD + CHUNKED, b"1000\r\n%b\r\n" % FILLER),
+    ("other answers", b"", OTHER_HEAD + b"content-length: 0\r\n\r\n"),
+    ("no answer", FILLER, FILLER),
+]  # fmt: skip
+# More than any bound on what is no part of an answer.
+FED_BYTES = 8 * 1024 * 1024
+
+
+class TestEndlessBytes:
+    @pytest.mark.parametrize(
+        ("start", "rest"),
+        [item[1:] for item in ENDLESS],
+        ids=[item[0] for item in ENDLESS],
+    )
+    def test_connection_ends_within_the_bound(self, loop, start, rest):
+        channel = create_channel(loop)
+        channel.send(b"", "own", expects_body=True)
+        channel.data_received(start)
+        fed = 0
+        while not channel.transport.aborted and fed < FED_BYTES:
+            channel.data_received(rest)
+            fed += len(rest)
+        assert fed <= endpoint_channel.MAX_SKIPPED_BYTES + len(rest)
+        assert isinstance(channel.parts[-1], endpoint_channel.Broken)
+        assert not channel.can_be_reused(loop.time(), MAX_IDLE)
+
+    def test_head_of_the_longest_size_is_read(self, loop):
+        channel = create_channel(loop)
+        channel.send(b"", "own", expects_body=True)
+        line = b"a: " + b"x" * (endpoint_channel.MAX_OVERHEAD_BYTES // 2)
+        channel.data_received(OWN_HEAD + line)
+        channel.data_received(b"\r\ncontent-length: 2\r\n\r\n")
+        channel.data_received(b"ok")
+        assert read(channel) == (b"ok", "End")
+
+    def test_long_body_in_small_chunks_is_read(self, loop):
+        channel = create_channel(loop)
+        channel.send(b"", "own", expects_body=True)
+        channel.data_received(OWN_HEAD + CHUNKED)
+        count = endpoint_channel.MAX_SKIPPED_BYTES // 3
+        for _ in range(count):
+            channel.data_received(b"1\r\nx\r\n")
+        channel.data_received(b"0\r\n\r\n")
+        body, end = read(channel)
+        assert (len(body), end) == (count, "End")
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -478,6 +478,76 @@
             assert closed.wait(fakes.WAIT_SECONDS)
 
 
+def flood(start, rest, status=200, headers=""):
+    """Return a script that sends bytes until the gateway closes."""
+
+    def script(endpoint, connection, request):
+        connection.sendall(
+            (
+                f"HTTP/1.1 {status} X\r\nX-Request-Id: {request.attempt}\r\n"
+                f"X-Signature: s\r\n{headers}\r\n"
+            ).encode()
+            + start
+        )
+        try:
+            for _ in range(1000):
+                connection.sendall(rest)
+        except OSError:
+            endpoint.gone.set()
+        return False
+
+    return script
+
+
+FLOODS = [
+    ("event", flood(b"data: ", b"x" * 65536), model.RequestKind.STREAM),
+    (
+        "error body",
+        flood(b"", b"x" * 65536, 500),
+        model.RequestKind.IDEMPOTENT,
+    ),
+    (
+        "body of a rejection",
+        flood(b"", b"x" * 65536, 503, "X-Not-Run: 1\r\n"),
+        model.RequestKind.IDEMPOTENT,
+    ),
+]
+
+
+class TestEndlessAnswer:
+    @pytest.mark.parametrize(
+        ("script", "kind"),
+        [item[1:] for item in FLOODS],
+        ids=[item[0] for item in FLOODS],
+    )
+    def test_next_endpoint_answers(self, script, kind):
+        route = fakes.route(kind=kind, resumable=True)
+        sound = (
+            all_events if kind is model.RequestKind.STREAM else fakes.answer_ok
+        )
+        with running(script, sound, routes=[route]) as runner:
+            for _ in range(3):
+                answer = call(runner)
+                assert (answer.status, answer.complete) == (200, True)
+            first = runner.backends[0]
+            assert not first.requests or first.gone.wait(fakes.WAIT_SECONDS)
+
+    def test_rejection_whose_body_stalls_is_one_at_once(self):
+        """Its head says all, and the client must not wait for the rest."""
+
+        def stalled(endpoint, connection, request):
+            del endpoint
+            connection.sendall(
+                f"HTTP/1.1 503 X\r\nX-Request-Id: {request.attempt}\r\n"
+                "X-Not-Run: 1\r\nContent-Length: 9\r\n\r\nx".encode()
+            )
+            # Returns when the gateway closes the connection.
+            return bool(connection.recv(1))
+
+        with running(stalled) as runner:
+            assert call(runner).status == 503
+
+
 class TestTimeouts:
     def test_final_answer_at_the_deadline(self):
         """The status is 504, as a silent endpoint may have run the request."""
