Keep the suspect parts of prompts in the object store

When all gateways lose power, nobody is left who knows which part crashes engines, and the next request with it crashes another one. The gateway that has seen a crash or a clearance now writes all suspects to one record, and each gateway reads it once when it starts: one or two calls a crash, one a start.

A part that is the only suspect of a crash is tried after 60 s (was 30): such a trial costs everybody who uses the service some four seconds, the delay only those who send the part.

--- a/packages/core/src/verbenafall_core/object_store/records.py
+++ b/packages/core/src/verbenafall_core/object_store/records.py
@@ -10,3 +10,5 @@
 GATEWAY_RECORD_RETENTION: Final = datetime.timedelta(seconds=30)
 # Current leader of each rank group; the version of the record is the term.
 TERM_KIND: Final = "group-terms"
+# Parts of prompts that may crash endpoints.
+SUSPECT_KIND: Final = "prompt-suspects"
--- a/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
@@ -29,7 +29,7 @@
 # First delay until a part is tried that is the only suspect of a crash. It is
 # likely to crash another endpoint, which harms everybody who uses it, while the
 # delay harms only those who send the part.
-LONE_TRIAL_DELAY_SECONDS: Final = 30.0
+LONE_TRIAL_DELAY_SECONDS: Final = 60.0
 LONE_TRIAL_FACTOR: Final = 2
 MAX_TRIAL_DELAY_SECONDS: Final = 600.0
 # Time after which a trial without a result may be repeated.
@@ -195,6 +195,8 @@
         sound: When parts were last sound, the oldest first.
         tell: Called with the parts of which the peers should be told.
         suspected: Called after a part has become a suspect.
+        learned: Called after a change of the suspects that this gateway has
+            seen itself.
         assessment: Result of find_suspects(), None after a change.
     """
 
@@ -206,6 +208,7 @@
         )
         self.tell: Callable[[Sequence[PartKey]], None] | None = None
         self.suspected: Callable[[], None] | None = None
+        self.learned: Callable[[], None] | None = None
         self.assessment: dict[PartKey, bool] | None = None
 
     def record_event(
@@ -224,6 +227,7 @@
             self.update(key, PartHistory(sound_at=now))
         if cleared:
             self.tell_peers(cleared)
+            self.notify(self.learned)
         return cleared
 
     def record_crash(
@@ -240,7 +244,8 @@
         self.drop_old(now)
         if keys:
             self.tell_peers(keys)
-            self.notify_suspected()
+            self.notify(self.suspected)
+            self.notify(self.learned)
         return [key for key in keys if key in self.lone_by_suspect()]
 
     def record_trial(self, part: PartKey, now: float) -> None:
@@ -262,7 +267,7 @@
         if known.sound_at > report.sound_at + MESSAGE_DELAY_SECONDS:
             self.tell_peers([key])
         if report.crashes:
-            self.notify_suspected()
+            self.notify(self.suspected)
 
     def history_of(self, key: PartKey) -> PartHistory:
         """Return what is known of a part."""
@@ -305,10 +310,10 @@
         if self.tell is not None:
             self.tell(keys)
 
-    def notify_suspected(self) -> None:
-        """Tell the owner that a part may have become a suspect."""
-        if self.suspected is not None:
-            self.suspected()
+    def notify(self, listener: Callable[[], None] | None) -> None:
+        """Call a listener, if there is one."""
+        if listener is not None:
+            listener()
 
     def lone_by_suspect(self) -> dict[PartKey, bool]:
         """Return the suspects, and whether each is the only one at a crash."""
--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -177,6 +177,13 @@
     "A request that had not begun is withdrawn from its endpoint, as a part of"
     " its prompt has become a suspect.",
 )
+SUSPECT_RECORD_FAILED = event_log.define(
+    2143,
+    "suspect_record_failed",
+    "WARNING",
+    "The record of suspect parts in the object store could not be read or"
+    " written, which is repeated, or is not readable.",
+)
 RANK_HOLD_GIVEN = event_log.define(
     2135,
     "rank_hold_given",
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from verbenafall_core import addresses
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import event_log
+from verbenafall_core import messages
 from verbenafall_core import metrics as metrics_lib
 from verbenafall_core import reload_signals
 from verbenafall_core import stop_requests
@@ -39,6 +40,7 @@
 from verbenafall_gateway.forwarding import rank_slowdowns
 from verbenafall_gateway.forwarding import repeat_allowance
 from verbenafall_gateway.forwarding import store_listeners
+from verbenafall_gateway.forwarding import suspect_record
 
 # Interval of the checks of time limits.
 SWEEP_SECONDS: Final = 0.25
@@ -157,6 +159,12 @@
         )
         self.suspects.tell = self.links.announce_parts
         self.suspects.suspected = self.exchange.stop_suspects
+        self.suspect_record = suspect_record.SuspectRecord(
+            ports.store,
+            clock_lib.system_clock(),
+            self.on_suspects_loaded,
+        )
+        self.suspects.learned = self.save_suspects
         self.admission.limits_changed = self.links.announce_limit
         self.configuration.changed = self.apply_configuration
         self.directory.leaving_changed = self.links.announce_leaving
@@ -220,6 +228,19 @@
                     self.admission.track_liveness(service.name)
         self.links.announce_configuration()
 
+    def on_suspects_loaded(self, reports: messages.PartReports) -> None:
+        """Pass the stored suspects to the event loop; callable elsewhere."""
+        self.loop.call_soon_threadsafe(self.merge_stored_suspects, reports)
+
+    def merge_stored_suspects(self, reports: messages.PartReports) -> None:
+        """Merge the stored suspects with those that are known here."""
+        self.links.merge_part_reports(reports)
+        self.save_suspects()
+
+    def save_suspects(self) -> None:
+        """Store the suspects for gateways that start without a peer."""
+        self.suspect_record.save(self.links.all_part_reports())
+
     def reload(
         self, read: Callable[[], forwarder_settings.ForwarderSettingsResult]
     ) -> None:
@@ -288,6 +309,7 @@
         for item in self.followers:
             item.start()
         self.record.start()
+        self.suspect_record.start()
         event_log.emit(
             event_catalogue.FORWARDER_STARTED,
             client=self.settings.client_listen,
@@ -300,6 +322,7 @@
         for item in self.followers:
             item.stop(datetime.timedelta())
         await self.loop.run_in_executor(None, self.record.stop)
+        await self.loop.run_in_executor(None, self.suspect_record.stop)
         self.links.stop(datetime.timedelta(milliseconds=200))
         self.holds.stop()
         for listener in listeners:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
@@ -221,6 +221,10 @@
         histories = {key: self.suspects.history_of(key) for key in keys}
         self.send_to_all(part_reports(histories, self.loop.time()))
 
+    def all_part_reports(self) -> messages.PartReports:
+        """Return what is known of all parts that may crash endpoints."""
+        return part_reports(dict(self.suspects.histories), self.loop.time())
+
     def send_to_all(self, message: messages.Message) -> None:
         """Send a message over all open links to gateways."""
         with self.links.batch_sends():
@@ -242,9 +246,9 @@
         statements = dict(self.limits.statements)
         if statements:
             link.send(limits_message(statements, self.loop.time()))
-        histories = dict(self.suspects.histories)
-        if histories:
-            link.send(part_reports(histories, self.loop.time()))
+        reports = self.all_part_reports()
+        if reports.reports:
+            link.send(reports)
 
     def on_close(self, link: link_lib.Link, reason: str) -> None:
         """Discard the counts of a gateway whose link has closed."""
--- a/tests/forwarding/test_crash_suspects.py
+++ b/tests/forwarding/test_crash_suspects.py
@@ -359,7 +359,7 @@
                     (number, item) for item in suspects.histories.items()
                 )
 
-    @stateful.rule(seconds=strategies.sampled_from([0.1, 1.0, 5.0, 31.0]))
+    @stateful.rule(seconds=strategies.sampled_from([0.1, 1.0, 5.0, 61.0]))
     def wait(self, seconds):
         self.now += seconds
 
--- a/tests/forwarding/test_crashing_part.py
+++ b/tests/forwarding/test_crashing_part.py
@@ -8,7 +8,9 @@
 
 from forwarding import forwarding_fakes as fakes
 from forwarding import test_forwarder
+from verbenafall_core.object_store import store_era
 from verbenafall_core.routes import model
+from verbenafall_standins.fakes import memory_store
 
 ROUTE = fakes.route(kind=model.RequestKind.STREAM, resumable=True)
 DEADLY = "dead1"
@@ -230,3 +232,28 @@
             fakes.wait_until(lambda: [k.part for k in suspects()] == [DEADLY])
             answer = test_forwarder.call(first, prompt(3, "sound"))
             assert (answer.status, answer.complete) == (200, True)
+
+
+class TestAllGatewaysLost:
+    def test_suspects_come_back_from_the_store(self):
+        """No gateway is left that could tell the one that starts."""
+        store = memory_store.create_memory_store()
+
+        def client():
+            return memory_store.MemoryStoreClient(
+                store, store_era.create_store_era()
+            )
+
+        with test_forwarder.running(
+            engine, engine, routes=[ROUTE], store=client()
+        ) as first:
+            test_forwarder.call(first, prompt(1, DEADLY))
+            record = first.forwarder.suspect_record
+            fakes.wait_until(lambda: record.version)
+        with test_forwarder.running(
+            engine, engine, routes=[ROUTE], store=client()
+        ) as second:
+            fakes.wait_until(lambda: knows(second))
+            answer = test_forwarder.call(second, prompt(2, DEADLY))
+            assert answer.status == 503
+            assert crashes(second) == 0
