Count a crash also if the client leaves meanwhile

A client that left between the end of its attempt and the result of the check cancelled both, so that a client which always leaves then could crash one engine after the other without making a part suspect. The test failed before.

Also renames must_cancel to must_withdraw and corrects comments.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
@@ -5,8 +5,8 @@
 event of any answer shows that all parts of its prompt are sound. Requests with
 a suspect are refused, except for one at a time that tries whether it is sound.
 
-The gateways tell each other what they see. Merging is commutative and
-idempotent, so that late, repeated and lost messages do no harm.
+The gateways tell each other what they see. Merging does not depend on the order
+or repetition of messages; a gateway that a message did not reach knows less.
 """
 
 import collections
@@ -61,7 +61,8 @@
     Attributes:
         endpoint: Id of the endpoint.
         at: When the crash was noticed.
-        waited: Seconds since the request was sent there.
+        waited: Seconds for which the request had been at the endpoint. Unlike
+            the time at which it was sent, all gateways see the same.
     """
 
     endpoint: str
@@ -146,7 +147,7 @@
     """A crash, as first noticed, and the parts that were at it.
 
     Attributes:
-        waited: How long the requests with each part had waited, in seconds.
+        waited: Seconds for which a request with each part had been there.
     """
 
     service: str
@@ -424,13 +425,12 @@
             for key, history in self.histories.items()
         )
 
-    def must_cancel(
+    def must_withdraw(
         self, service: str, parts: Iterable[str], now: float
     ) -> bool:
-        """Return whether a request that was sent should be withdrawn.
+        """Return whether to withdraw a request that its endpoint has not begun.
 
-        It is only with the likely cause of a crash, as others are probably
-        sound.
+        One without the likely cause of a crash is probably sound.
         """
         main = self.main_by_suspect()
         return any(
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -295,7 +295,8 @@
                 and job.parts
                 and not job.begun
             ):
-                await self.suspect_parts(job, place)
+                # The crash counts also if the client leaves meanwhile.
+                await asyncio.shield(self.suspect_parts(job, place))
             if self.try_acquire_retry(job, outcome):
                 self.metrics.count("forward.repeats")
                 self.log_attempt(job, place, outcome, "retry")
@@ -574,7 +575,7 @@
             if (
                 not job.begun
                 and attempt.channel.active
-                and self.admission.suspects.must_cancel(
+                and self.admission.suspects.must_withdraw(
                     job.admitted.service, job.parts, now
                 )
             ):
--- a/tests/forwarding/test_crash_suspects.py
+++ b/tests/forwarding/test_crash_suspects.py
@@ -199,7 +199,7 @@
         ],
     )
     def test_only_with_the_likely_cause(self, steps, parts, withdrawn):
-        assert play(steps).must_cancel(SERVICE, parts, 1.0) is withdrawn
+        assert play(steps).must_withdraw(SERVICE, parts, 1.0) is withdrawn
 
 
 class TestBounds:
--- a/tests/forwarding/test_crashing_part.py
+++ b/tests/forwarding/test_crashing_part.py
@@ -1,5 +1,6 @@
 """Requests with a part of a prompt that crashes each engine."""
 
+import asyncio
 import concurrent.futures
 import contextlib
 import threading
@@ -108,6 +109,26 @@
             test_forwarder.call(runner, prompt(1, DEADLY))
             assert knows(runner) is not bool(body)
 
+    def test_crash_counts_if_the_client_leaves(self):
+        """It leaves while the gateway finds out whether it was a crash."""
+        checking, proceed = threading.Event(), threading.Event()
+
+        async def refuse(address):
+            checking.set()
+            while not proceed.is_set():
+                await asyncio.sleep(0.001)
+            raise ConnectionRefusedError(f"{address}")
+
+        with running() as runner:
+            runner.forwarder.exchange.crash_check.connect = refuse
+            with runner.connect() as client:
+                client.sendall(prompt(1, DEADLY))
+                assert checking.wait(fakes.WAIT_SECONDS)
+            jobs = runner.forwarder.exchange.jobs
+            fakes.wait_until(lambda: not jobs)
+            proceed.set()
+            fakes.wait_until(lambda: knows(runner))
+
     def test_connection_that_a_live_engine_closes_accuses_no_part(self):
         script = test_forwarder.break_after(0)
         with test_forwarder.running(script, engine, routes=[ROUTE]) as runner:
