--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -19,6 +19,12 @@
     parser.add_argument("--endpoints", type=int, default=5)
     parser.add_argument("--clients", type=int, default=16)
     parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument(
+        "--deadly-share",
+        type=float,
+        default=0.0,
+        help="share of requests with a part that crashes endpoints",
+    )
     parser.add_argument(
         "--directory",
         type=pathlib.Path,
@@ -31,6 +37,7 @@
         arguments.endpoints,
         arguments.clients,
         arguments.seconds,
+        arguments.deadly_share,
     )
     directory = arguments.directory or pathlib.Path(tempfile.mkdtemp())
     failed = 0
--- a/tests/platform_adapter/soak/clients.py
+++ b/tests/platform_adapter/soak/clients.py
@@ -15,6 +15,9 @@
 KEEP_SHARE = 0.8
 LEAVE_SHARE = 0.03
 PAUSE_SECONDS = 0.05
+# Parts that requests share; the deadly one crashes each endpoint.
+SOUND_PARTS = ("a1", "b2", "c3", "d4", "e5")
+DEADLY_PART = "dead"
 LIMIT_SECONDS = {True: 4.0, False: 2.0}
 KINDS = tuple(records_lib.RequestKind)
 
@@ -29,8 +32,12 @@
         records: records_lib.Records,
         generator: random.Random,
         stopped: threading.Event,
+        deadly_share: float = 0.0,
     ) -> None:
         """Create a client that is not yet running."""
+        self.deadly_share = deadly_share
+        # Of its own, so that the share changes no other draw.
+        self.parts_generator = random.Random(name)
         self.name = name
         self.balancer = balancer
         self.records = records
@@ -69,6 +76,13 @@
         address = (gateway.client.host, gateway.client.port)
         self.connection = socket.create_connection(address, 1.0)
 
+    def draw_prompt(self, attempt: str) -> str:
+        """Return the parts of a prompt."""
+        parts = [self.parts_generator.choice(SOUND_PARTS)]
+        if self.parts_generator.random() < self.deadly_share:
+            parts.append(DEADLY_PART)
+        return ",".join(f"{part}:40" for part in (*parts, f"own-{attempt}"))
+
     def request(self, kind: records_lib.RequestKind) -> tuple[int, float]:
         """Send one attempt; return its status and the time to come back."""
         try:
@@ -93,6 +107,7 @@
                     Verbenafall_Attempt_Id=attempt,
                     Verbenafall_Deadline_Ms=str(int(limit * 1000)),
                     Verbenafall_Key=KEY,
+                    Verbenafall_Prompt_Prefix=self.draw_prompt(attempt),
                 )
             )
             answer = fakes.read_answer(self.connection)
--- a/tests/platform_adapter/soak/endpoints.py
+++ b/tests/platform_adapter/soak/endpoints.py
@@ -1,5 +1,6 @@
 """Endpoints of the soak: they answer, misbehave, leave and come back."""
 
+from collections.abc import Callable
 import contextlib
 import random
 import socket
@@ -9,6 +10,7 @@
 
 from forwarding import forwarding_fakes as fakes
 from platform_adapter import standin_store
+from platform_adapter.soak import clients as clients_lib
 from platform_adapter.soak import findings
 from platform_adapter.soak import records as records_lib
 
@@ -39,8 +41,19 @@
         store: standin_store.StandinStore,
         records: records_lib.Records,
         generator: random.Random,
+        on_crash: Callable[["SoakEndpoint"], None],
     ) -> None:
-        """Start to listen and write the entry."""
+        """Start to listen and write the entry.
+
+        Args:
+            name: Id of the endpoint.
+            service: Service in its entry.
+            store: Where the entry is.
+            records: Receives what it runs.
+            generator: Draws what it refuses and breaks off.
+            on_crash: Called after a prompt with the deadly part crashed it.
+        """
+        self.on_crash = on_crash
         self.name = name
         self.service = service
         self.store = store
@@ -112,6 +125,9 @@
             return self.refuse(connection, attempt, 421)
         if self.draw() < REFUSE_SHARE:
             return self.refuse(connection, attempt, 503)
+        prompt = request.headers.get("verbenafall-prompt-prefix", "")
+        if clients_lib.DEADLY_PART in prompt:
+            return self.crash(attempt)
         started = time.monotonic()
         first = int(request.headers.get("last-event-id", "-1")) + 1
         broken = self.draw() < BREAK_SHARE
@@ -142,6 +158,17 @@
                 self.open -= 1
         return delivered
 
+    def crash(self, attempt: str) -> bool:
+        """End as the answer to a prompt begins."""
+        time.sleep(WORK_SECONDS)
+        if not self.leaving.is_set():
+            self.records.add(
+                records_lib.DeadlyCrash(attempt, self.name, time.monotonic())
+            )
+            self.end()
+            self.on_crash(self)
+        return False
+
     def head(self, attempt: str, status: int, extra: str) -> bytes:
         """Encode the head of an answer."""
         return (
--- a/tests/platform_adapter/soak/findings.py
+++ b/tests/platform_adapter/soak/findings.py
@@ -20,6 +20,8 @@
 LAST_PART: Final = 1 / 6
 # Engines to which one attempt of the soak's routes may be sent.
 MAX_ATTEMPTS: Final = 3
+# Crashes by one part that the users accept at most.
+MAX_DEADLY_CRASHES: Final = 3
 # Least time by which a client's deadline counts as not reached.
 DEADLINE_SLACK_SECONDS: Final = 0.3
 
@@ -32,6 +34,7 @@
     known = {attempt.id: attempt for attempt in records.attempts}
     found = list(records.problems)
     found += unasked(records.runs, known)
+    found += check_crashes(records.deadly_crashes)
     for attempt in records.attempts:
         own = runs[attempt.id]
         found += check_runs(attempt, own)
@@ -52,6 +55,14 @@
             yield f"UNASKED {run.attempt} changed to {run.path}"
 
 
+def check_crashes(
+    crashes: list[records_lib.DeadlyCrash],
+) -> Iterator[str]:
+    """Check how many endpoints the deadly part has crashed."""
+    if len(crashes) > MAX_DEADLY_CRASHES:
+        yield f"BUDGET crashes by one part: {crashes}"
+
+
 def check_runs(
     attempt: records_lib.Attempt, runs: list[records_lib.Run]
 ) -> Iterator[str]:
--- a/tests/platform_adapter/soak/records.py
+++ b/tests/platform_adapter/soak/records.py
@@ -66,6 +66,14 @@
     broken: bool
 
 
+class DeadlyCrash(NamedTuple):
+    """An endpoint crashed as it began to answer a request."""
+
+    attempt: str
+    endpoint: str
+    at: float
+
+
 class Disturbance(NamedTuple):
     """A time in which a gateway's lifetime was killed or frozen."""
 
@@ -88,10 +96,13 @@
         self.attempts: list[Attempt] = []
         self.runs: list[Run] = []
         self.disturbances: list[Disturbance] = []
+        self.deadly_crashes: list[DeadlyCrash] = []
         self.stops: dict[str, float] = {}
         self.problems: list[str] = []
 
-    def add(self, record: Attempt | Run | Disturbance | str) -> None:
+    def add(
+        self, record: Attempt | Run | Disturbance | DeadlyCrash | str
+    ) -> None:
         """Add a record to the list of its type."""
         with self.lock:
             if isinstance(record, Attempt):
@@ -100,6 +111,8 @@
                 self.runs.append(record)
             elif isinstance(record, Disturbance):
                 self.disturbances.append(record)
+            elif isinstance(record, DeadlyCrash):
+                self.deadly_crashes.append(record)
             else:
                 self.problems.append(record)
 
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -41,12 +41,14 @@
 
     Attributes:
         seconds: Duration of the traffic.
+        deadly_share: Share of requests that crash each endpoint.
     """
 
     gateways: int = 4
     endpoints: int = 5
     clients: int = 16
     seconds: float = 12.0
+    deadly_share: float = 0.0
 
 
 class Result(NamedTuple):
@@ -74,6 +76,7 @@
         self.version = 0
         self.routes = 0
         self.configuration: dict[str, object] = {}
+        self.injections: list[threading.Thread] = []
         self.configure()
         self.endpoints = [
             self.start_endpoint(f"e{number}")
@@ -95,7 +98,6 @@
         self.balancer = gateways_lib.Balancer(
             self.gateways, random.Random(self.generator.random())
         )
-        self.injections: list[threading.Thread] = []
 
     def start_endpoint(self, name: str) -> endpoints_lib.SoakEndpoint:
         """Start an endpoint with a generator of its own."""
@@ -105,10 +107,24 @@
             self.store,
             self.records,
             random.Random(self.generator.random()),
+            self.replace_crashed,
         )
         self.all_endpoints.append(endpoint)
         return endpoint
 
+    def replace_crashed(self, endpoint: endpoints_lib.SoakEndpoint) -> None:
+        """Start an endpoint again some time after a prompt crashed it."""
+        thread = threading.Thread(target=self.start_again, args=(endpoint,))
+        self.injections.append(thread)
+        thread.start()
+
+    def start_again(self, endpoint: endpoints_lib.SoakEndpoint) -> None:
+        """Wait and start an endpoint again under its name."""
+        time.sleep(endpoints_lib.CRASH_SECONDS)
+        if endpoint in self.endpoints:
+            number = self.endpoints.index(endpoint)
+            self.endpoints[number] = self.start_endpoint(endpoint.name)
+
     def configure(self) -> None:
         """Write the next version of the configuration, with one more route."""
         self.version += 1 + self.version % 3
@@ -176,6 +192,7 @@
                 self.records,
                 random.Random(self.generator.random()),
                 stopped,
+                self.size.deadly_share,
             )
             for number in range(self.size.clients)
         ]
--- a/tests/platform_adapter/soak/test_soak.py
+++ b/tests/platform_adapter/soak/test_soak.py
@@ -34,6 +34,14 @@
 
 
 class TestSoak:
+    @pytest.mark.system
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_part_that_crashes_endpoints(self, seed, tmp_path):
+        size = SIZE._replace(deadly_share=0.05)
+        result = run_lib.run_seed(seed, size, tmp_path)
+        assert result.findings == []
+        assert result.answered > 0
+
     @pytest.mark.system
     @pytest.mark.parametrize("seed", SEEDS)
     def test_no_promise_is_broken(self, seed, tmp_path):
