Keep unsaved suspects when the record is unreadable; log an outage once

Found when the change was read once more. A change that waited to be written was dropped when the record turned out to be unreadable, and was written only with the next one; while the store was away, each gateway wrote a warning every 0.5 s. Both tests failed before.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/suspect_record.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/suspect_record.py
@@ -72,6 +72,7 @@
         self.loaded = False
         self.unsaved: StoredSuspects | None = None
         self.saved: dict[tuple[str, str], int] = {}
+        self.failure_logged = False
         self.lock = threading.Lock()
         self.stopped = threading.Event()
         self.wakeup = threading.Event()
@@ -122,6 +123,7 @@
         with self.lock:
             content = self.unsaved
         if content is None:
+            self.failure_logged = False
             return True
         if not self.write(content):
             return False
@@ -136,11 +138,10 @@
         if returns.pipeline.is_successful(result):
             stored = result.unwrap()
             self.version = stored.version
-            with self.lock:
-                self.unsaved = None
             self.merge(stored.value)
         elif result.failure().kind is port.FailureKind.MISSING:
             self.version = 0
+            self.saved = {}
         else:
             self.log_failure(result.failure())
             return False
@@ -148,7 +149,10 @@
         return True
 
     def merge(self, value: bytes) -> None:
-        """Pass on the content of the record, aged by the time since then."""
+        """Pass on the content of the record, aged by the time since then.
+
+        The owner saves again what it knows with it, instead of what is unsaved.
+        """
         try:
             content = msgspec.json.decode(value, type=StoredSuspects)
         except msgspec.DecodeError as error:
@@ -158,6 +162,8 @@
             return
         elapsed = max(0, self.now() - content.written_at)
         self.saved = count_crashes(content.reports)
+        with self.lock:
+            self.unsaved = None
         self.on_loaded(
             messages.PartReports(
                 tuple(add_age(report, elapsed) for report in content.reports)
@@ -178,13 +184,17 @@
         if returns.pipeline.is_successful(result):
             self.version = result.unwrap().version
             self.saved = crashes
+            self.failure_logged = False
             return True
         self.loaded = False
         self.log_failure(result.failure())
         return False
 
     def log_failure(self, failure: port.StoreFailure) -> None:
-        """Log a failed call, which is repeated."""
+        """Log the first of the failed calls in a row."""
+        if self.failure_logged:
+            return
+        self.failure_logged = True
         event_log.emit(
             event_catalogue.SUSPECT_RECORD_FAILED, error=failure.message
         )
--- a/tests/forwarding/test_suspect_record.py
+++ b/tests/forwarding/test_suspect_record.py
@@ -136,6 +136,36 @@
         other.run()
         assert set(other.reports) == {("s", "p")}
 
+    def test_change_before_an_unreadable_record_is_read_is_kept(
+        self, store, clock, owner
+    ):
+        owner.record.store.create(owner.record.name, b"{}")
+        owner.learn(FIRST)
+        owner.run()
+        other = Owner(store, clock)
+        other.run()
+        assert set(other.reports) == {("s", "p")}
+
+    def test_outage_of_the_store_is_logged_once(
+        self, store, owner, monkeypatch
+    ):
+        logged = []
+        monkeypatch.setattr(
+            suspect_record.event_log,
+            "emit",
+            lambda event, **fields: logged.append((event.name, fields)),
+        )
+        for _ in range(2):
+            store.plan = lambda call: memory_store.Fault.DOWN
+            owner.learn(FIRST)
+            for _ in range(5):
+                assert not owner.record.run_once()
+            store.plan = memory_store.no_faults
+            owner.run()
+            owner.clear(FIRST)
+            owner.run()
+        assert [name for name, _ in logged] == ["suspect_record_failed"] * 2
+
     def test_clock_that_was_set_back_makes_nothing_younger(
         self, store, clock, owner
     ):
