Do not blame coincidence for a part that crashed its trial

Gateways withdrew its requests from two of them too late, and noted only one crash, so that the other two looked like crashes of another cause and the part was tried after 1 s and again after 4 s: five crashes. A part with two crashes is the likely cause now, whatever else crashed beside the first. The test failed before.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
@@ -220,7 +220,7 @@
             others = suspects & group.waited.keys() - {key}
             if any(group.waited[key] <= group.waited[item] for item in others):
                 return False
-        elif any(
+        elif suspicion(history) == 1 and any(
             abs(group.crash.at - crash.at) < COINCIDENCE_SECONDS
             for crash in history.crashes
         ):
--- a/tests/forwarding/test_crash_suspects.py
+++ b/tests/forwarding/test_crash_suspects.py
@@ -113,6 +113,13 @@
         }
         assert play(steps).main_by_suspect() == expected
 
+    def test_trial_that_crashes_makes_a_coincident_part_the_likely_cause(self):
+        """Its request at the other endpoint had been withdrawn in vain."""
+        suspects = play([Fall("s"), Fall("d", "e2")], seconds=0.1)
+        trial = crash_suspects.Crash("e3", 5.0, 0.2)
+        suspects.record_crash(SERVICE, "d", trial)
+        assert suspects.main_by_suspect()[key("d")]
+
     def test_crash_that_several_attempts_show_counts_once(self):
         suspects = play([Fall("d"), Fall("d")], seconds=0.3)
         assert len(suspects.histories[key("d")].crashes) == 1
