--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -701,6 +701,7 @@
             begun=job.begun,
             parts=",".join(job.parts),
             seconds=self.loop.time() - place.acquired_at,
+            gateways=self.admission.peers.gateways(),
             action=action,
         )
 
