Earn repeats, so that their limit holds while gateways restart

What callers and engines saw: after a restart of all gateways, engines that were failing got more repeats than all gateways together may send.

Cause: each process counted its own repeats of a window and could use a whole window's worth right after its start, and it took all extra repeats for its own until it had read the records of the other gateways. A repeat that waited for a place was charged before the window in which it was sent.

Ruled out: a path without a charge.

Change: a gateway earns repeats by requests and by time, starts with none and holds few, with those that wait to be sent. A sum over any window then does not depend on what a process remembers.

Tests of other subjects run a gateway that holds repeats.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -140,7 +140,9 @@
     2131,
     "forward_attempt_ended",
     "INFO",
-    "An attempt ended without a delivered answer; action is the next step.",
+    "An attempt ended without a delivered answer; action is the next step."
+    " repeats_left is what this gateway may still repeat at the service, and"
+    " gateways among how many the extra repeats are divided (0 if unknown).",
 )
 ENDPOINT_CHECKED = event_log.define(
     2138,
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -78,8 +78,9 @@
         sends: Attempts so far, with those that could not connect.
         runs: Attempts after which the request may have run.
         rejections: Attempts after which it has not run.
-        repeat_acquired: Whether a repeat was already acquired from the
-            allowance, for an attempt that was ended to move its stream.
+        sent: Whether it was sent to an endpoint.
+        repeat_acquired: Whether a repeat was acquired from the allowance for
+            the next send.
         abandoned: Whether a planned stop ends it.
         parts: Ids of the parts of its prompt that others may have as well.
         begun: Whether the last attempt has brought a part of the answer.
@@ -105,6 +106,7 @@
         self.sends = 0
         self.runs = 0
         self.rejections = 0
+        self.sent = False
         self.repeat_acquired = False
         self.abandoned = False
         self.parts = parts
@@ -219,6 +221,8 @@
             self.finish_abandoned(job)
         finally:
             self.jobs.discard(job)
+            if job.repeat_acquired:
+                self.allowance.give_back(admitted.service)
 
     def admit(self, request: http_messages.Request) -> Admitted | Rejection:
         """Find the route, the team and the service of a request.
@@ -353,6 +357,7 @@
         self.open_attempts[job] = OpenAttempt(place, channel)
         try:
             job.runs += 1
+            self.record_sent(job)
             channel.send(
                 self.format(job, place),
                 job.id,
@@ -376,6 +381,13 @@
             # This closes the connection unless the answer is complete.
             self.pool.release(place.endpoint, channel)
 
+    def record_sent(self, job: Job) -> None:
+        """Record that a request is sent, if so, by an acquired repeat."""
+        job.sent = True
+        if job.repeat_acquired:
+            job.repeat_acquired = False
+            self.allowance.record_sent(job.admitted.service)
+
     def move_streams_off_slow_ranks(self) -> None:
         """Move streams from ranks that slow down their group.
 
@@ -391,16 +403,14 @@
                 attempt.place.endpoint.address.host, now
             ):
                 continue
-            if not self.try_acquire_move(job, attempt, now):
+            if not self.try_acquire_move(job, attempt):
                 continue
             attempt.channel.fail("the endpoint holds back its group")
             moved += 1
             if moved == MAX_MOVES_PER_SWEEP:
                 return
 
-    def try_acquire_move(
-        self, job: Job, attempt: OpenAttempt, now: float
-    ) -> bool:
+    def try_acquire_move(self, job: Job, attempt: OpenAttempt) -> bool:
         """Acquire a repeat for moving a stream; return whether it may move.
 
         The stream must be resumable, and another endpoint that is not slow
@@ -417,9 +427,16 @@
             return False
         # Acquired before the attempt is ended: without a repeat left, the
         # client would get a truncated stream.
-        job.repeat_acquired = self.allowance.try_acquire(
-            job.admitted.service, self.admission.peers.gateways(), now
-        )
+        return self.try_acquire_repeat(job)
+
+    def try_acquire_repeat(self, job: Job) -> bool:
+        """Acquire a repeat for the next send; return whether it has one."""
+        if not job.repeat_acquired:
+            job.repeat_acquired = self.allowance.try_acquire(
+                job.admitted.service, self.loop.time()
+            )
+            if not job.repeat_acquired:
+                self.metrics.count("forward.repeats.denied")
         return job.repeat_acquired
 
     def record_limit(
@@ -605,22 +622,13 @@
     ) -> bool:
         """Acquire a repeat if a retry makes sense; return whether to retry.
 
-        An attempt that could not connect is retried without one.
+        A request that has reached no endpoint yet needs none.
         """
         if job.sends >= MAX_SENDS or not retry_decision.should_retry(
             self.progress_of(job), outcome
         ):
             return False
-        if isinstance(outcome, retry_decision.Unsent):
-            return True
-        if job.repeat_acquired:
-            job.repeat_acquired = False
-            return True
-        return self.allowance.try_acquire(
-            job.admitted.service,
-            self.admission.peers.gateways(),
-            self.loop.time(),
-        )
+        return not job.sent or self.try_acquire_repeat(job)
 
     def finish(
         self,
@@ -689,6 +697,9 @@
         action: str,
     ) -> None:
         """Log an attempt that did not deliver the answer."""
+        reserve = self.allowance.reserve_of(
+            job.admitted.service, self.loop.time()
+        )
         event_log.emit(
             event_catalogue.ATTEMPT_ENDED,
             request=job.id,
@@ -701,7 +712,8 @@
             begun=job.begun,
             parts=",".join(job.parts),
             seconds=self.loop.time() - place.acquired_at,
-            gateways=self.admission.peers.gateways(),
+            gateways=self.admission.peers.sharing_gateways() or 0,
+            repeats_left=reserve.earned,
             action=action,
         )
 
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -138,7 +138,9 @@
             self.configuration,
             self.admission,
             self.pool,
-            repeat_allowance.create_repeat_allowance(repeat_limits(settings)),
+            repeat_allowance.create_repeat_allowance(
+                repeat_limits(settings), self.peers.sharing_gateways
+            ),
             metrics,
         )
         self.holds = rank_holds.create_rank_holds(ports.rank_at)
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
@@ -168,7 +168,9 @@
             for name, address in self.records.by_name.items()
             if name != self.name and address != self.listen_address
         }
-        self.loads.set_gateway_count(len(others) + 1)
+        self.loads.set_gateway_count(
+            len(others) + 1, self.name in self.records.by_name
+        )
         self.limits.set_gateways(tuple(self.records.by_name))
         self.links.set_targets(
             {item for item in others if self.listen_address < item}
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_loads.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_loads.py
@@ -24,6 +24,8 @@
     Attributes:
         own: Counts of this gateway, which it reports to its peers.
         listed_gateways: Gateways with a record in the store, plus this one.
+        is_listed: Whether this gateway's own record was read from the store, so
+            that the other gateways can know of it.
         changed: Called after `own` has changed.
     """
 
@@ -32,6 +34,7 @@
         self.by_peer: dict[str, PeerLoad] = {}
         self.own: Mapping[str, int] = {}
         self.listed_gateways = 1
+        self.is_listed = False
         self.changed: Callable[[], None] | None = None
 
     def set_own_load(self, open_requests: Mapping[str, int]) -> None:
@@ -46,9 +49,15 @@
         """Store the counts of another gateway."""
         self.by_peer[peer] = PeerLoad(open_requests, now)
 
-    def set_gateway_count(self, count: int) -> None:
-        """Set the number of gateways in the store, including this one."""
+    def set_gateway_count(self, count: int, is_listed: bool) -> None:
+        """Set the number of gateways in the store, including this one.
+
+        Args:
+            count: Number of gateways.
+            is_listed: Whether this gateway is in the store.
+        """
         self.listed_gateways = max(1, count)
+        self.is_listed = is_listed
 
     def remove_peer(self, peer: str) -> None:
         """Drop the counts of a gateway that is no longer linked."""
@@ -66,6 +75,14 @@
         """Return the number of gateways, including unreachable ones."""
         return max(self.listed_gateways, self.live_gateways())
 
+    def sharing_gateways(self) -> int | None:
+        """Return among how many gateways a common limit is divided.
+
+        None if that is not known, as before the records of the gateways were
+        read.
+        """
+        return self.gateways() if self.is_listed else None
+
     def live_gateways(self) -> int:
         """Return the number of gateways that report counts, plus this one."""
         return len(self.by_peer) + 1
--- a/tests/forwarding/forwarding_fakes.py
+++ b/tests/forwarding/forwarding_fakes.py
@@ -277,9 +277,14 @@
 
 
 class RunningForwarder:
-    """A forwarder on its own thread, with its endpoints and stores."""
+    """A forwarder on its own thread, with its endpoints and stores.
 
-    def __init__(self, first, scripts, name="g1", store=None):
+    It has run long enough to hold repeats, unless it has just started.
+    """
+
+    def __init__(
+        self, first, scripts, name="g1", store=None, just_started=False
+    ):
         self.configurations = MemoryCollection()
         self.listed = MemoryCollection()
         self.gateways = MemoryCollection()
@@ -297,6 +302,8 @@
         self.ports = plan.Ports()
         client, ready, links = (self.ports.next_address() for _ in range(3))
         self.link_address = links
+        if not just_started:
+            self.gateways.put(name, links)
         self.client_address, self.ready_address = client, ready
         settings = forwarder_settings.ForwarderSettings(
             name=name,
@@ -332,6 +339,24 @@
         self.thread.start()
         if first is not None:
             self.wait_ready()
+            if not just_started:
+                self.earn_repeats()
+
+    def earn_repeats(self):
+        """Fill the reserve of repeats, as time without failures does."""
+        peers = self.forwarder.peers
+        wait_until(lambda: peers.sharing_gateways() is not None)
+        earned = threading.Event()
+
+        def earn():
+            reserve = self.forwarder.exchange.allowance.reserve_of(
+                "s", self.loop.time()
+            )
+            reserve.add(reserve.share.held)
+            earned.set()
+
+        self.loop.call_soon_threadsafe(earn)
+        assert earned.wait(WAIT_SECONDS)
 
     def run(self):
         asyncio.set_event_loop(self.loop)
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -11,7 +11,6 @@
 from verbenafall_gateway.forwarding import http_messages
 from verbenafall_gateway.forwarding import placement
 from verbenafall_gateway.forwarding import rank_slowdowns
-from verbenafall_gateway.forwarding import repeat_allowance
 from verbenafall_gateway.forwarding import retry_decision
 from verbenafall_gateway.forwarding import service_liveness
 from verbenafall_gateway.forwarding import service_share
@@ -287,29 +286,6 @@
         assert retry_decision.may_move(progress, resumable) is may
 
 
-class TestRepeatAllowance:
-    def test_all_gateways_together_stay_within_the_limit(self):
-        limits = repeat_allowance.RepeatLimits(0.2, 40, 10.0)
-        repeats = 0
-        for _ in range(4):
-            allowance = repeat_allowance.create_repeat_allowance(limits)
-            for number in range(100):
-                allowance.record_request("s", number * 0.05)
-            repeats += sum(
-                allowance.try_acquire("s", 4, 5.0) for _ in range(200)
-            )
-        assert 0 < repeats <= 0.2 * 400 + 40
-
-    def test_repeats_expire_with_the_window(self):
-        allowance = repeat_allowance.create_repeat_allowance(
-            repeat_allowance.RepeatLimits(0.0, 10, 10.0)
-        )
-        while allowance.try_acquire("s", 1, 0.0):
-            pass
-        assert not allowance.try_acquire("s", 1, 9.0)
-        assert allowance.try_acquire("s", 1, 12.0)
-
-
 class TestServiceLiveness:
     def test_silence_with_open_requests_is_a_stall(self):
         liveness = service_liveness.ServiceLiveness()
--- /dev/null
+++ b/tests/forwarding/test_repeat_allowance.py
@@ -0,0 +1,236 @@
+"""The allowance of repeats, alone and over gateways that restart."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from verbenafall_gateway.forwarding import repeat_allowance
+
+LIMITS = repeat_allowance.RepeatLimits(ratio=0.2, extra=20, window=10.0)
+START = 100.0
+
+
+def allowance(gateways=1, limits=LIMITS):
+    return repeat_allowance.create_repeat_allowance(limits, lambda: gateways)
+
+
+def acquire_pending(subject, now):
+    """Acquire all repeats that there are without sending them."""
+    count = 0
+    while subject.try_acquire("s", now):
+        count += 1
+    return count
+
+
+def acquire_all(subject, now):
+    """Acquire and send all repeats that there are."""
+    count = acquire_pending(subject, now)
+    for _ in range(count):
+        subject.record_sent("s")
+    return count
+
+
+# Test id, limits, gateways, requests, seconds after the first call, repeats.
+EARNED = [
+    ("at the start", LIMITS, 1, 0, 0.0, 0),
+    ("by requests, gateways unknown", LIMITS, None, 6, 0.0, 1),
+    ("by time, gateways unknown", LIMITS, None, 0, 100.0, 0),
+    ("one at most, gateways unknown", LIMITS, None, 500, 0.0, 1),
+    ("by time", LIMITS, 1, 0, 5.0, 4),
+    ("half of the extra repeats at most", LIMITS, 1, 500, 100.0, 9),
+    ("share of four gateways", LIMITS, 4, 500, 100.0, 2),
+    ("one at most, many gateways", LIMITS, 100, 500, 100.0, 1),
+    ("no extra repeats", LIMITS._replace(extra=0), 1, 500, 100.0, 1),
+    ("none allowed", LIMITS._replace(ratio=0, extra=0), 1, 500, 100.0, 0),
+]
+
+
+class TestRepeatAllowance:
+    @pytest.mark.parametrize(
+        ("limits", "gateways", "requests", "seconds", "repeats"),
+        [case[1:] for case in EARNED],
+        ids=[case[0] for case in EARNED],
+    )
+    def test_earned_repeats(self, limits, gateways, requests, seconds, repeats):
+        subject = allowance(gateways, limits)
+        subject.reserve_of("s", START)
+        for _ in range(requests):
+            subject.record_request("s", START)
+        assert acquire_all(subject, START + seconds) == repeats
+
+    def test_many_failures_in_a_row_use_the_whole_allowance(self):
+        subject = allowance()
+        subject.reserve_of("s", START - 100.0)
+        repeats = 0
+        for tenth in range(100):
+            now = START + tenth / 10
+            for _ in range(10):
+                subject.record_request("s", now)
+            repeats += acquire_all(subject, now)
+        allowed = LIMITS.ratio * 1000 + LIMITS.extra
+        assert 0.85 * allowed < repeats <= allowed
+
+    def test_repeat_that_is_given_back_can_be_acquired_again(self):
+        subject = allowance(None)
+        for _ in range(6):
+            subject.record_request("s", START)
+        assert subject.try_acquire("s", START)
+        assert not subject.try_acquire("s", START)
+        subject.give_back("s")
+        assert subject.try_acquire("s", START)
+
+    def test_pending_repeats_count_as_held(self):
+        subject = allowance()
+        subject.reserve_of("s", START)
+        while subject.try_acquire("s", START + 100.0):
+            pass
+        assert not subject.try_acquire("s", START + 200.0)
+
+    def test_services_do_not_share_repeats(self):
+        subject = allowance(None)
+        for _ in range(6):
+            subject.record_request("s", START)
+        assert not subject.try_acquire("t", START)
+        assert subject.try_acquire("s", START)
+
+    def test_gateways_that_join_lower_the_share_at_once(self):
+        gateways = [1]
+        subject = repeat_allowance.create_repeat_allowance(
+            LIMITS, lambda: gateways[0]
+        )
+        subject.reserve_of("s", START)
+        gateways[0] = 4
+        assert acquire_all(subject, START + 100.0) == 2
+
+
+class Gateway:
+    """A process; `known` is the number of gateways that it has read."""
+
+    def __init__(self):
+        self.known = None
+        self.cut_off = False
+        self.pending = 0
+        self.allowance = repeat_allowance.create_repeat_allowance(
+            LIMITS, lambda: self.known
+        )
+
+
+NAMES = strategies.sampled_from([f"g{number}" for number in range(5)])
+
+
+class FleetMachine(stateful.RuleBasedStateMachine):
+    """Gateways that start, restart, stop and lose the store.
+
+    No gateway is new to a cut-off one.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = START
+        self.running = {}
+        self.records = set()
+        self.requests = []
+        self.sent = []
+
+    def read_records(self):
+        for name, gateway in self.running.items():
+            if not gateway.cut_off:
+                gateway.known = (
+                    len(self.records) if name in self.records else None
+                )
+
+    @stateful.initialize(count=strategies.integers(1, 5))
+    def start_first(self, count):
+        for number in range(count):
+            self.start(f"g{number}", False)
+
+    @stateful.rule(name=NAMES, cut_off=strategies.booleans())
+    def start(self, name, cut_off):
+        """Start a process, in place of the one before."""
+        self.running[name] = Gateway()
+        self.running[name].cut_off = cut_off
+        isolated = any(item.cut_off for item in self.running.values())
+        if not isolated:
+            self.records.add(name)
+        self.read_records()
+
+    @stateful.rule(without_store=strategies.booleans())
+    def restart_all(self, without_store):
+        for name, before in list(self.running.items()):
+            self.running[name] = Gateway()
+            self.running[name].cut_off = before.cut_off or without_store
+        self.read_records()
+
+    @stateful.rule(name=NAMES)
+    def stop(self, name):
+        """End a process as planned, which removes its record."""
+        if self.running.pop(name, None) is not None:
+            self.records.discard(name)
+            self.read_records()
+
+    @stateful.rule(name=NAMES)
+    def cut_off(self, name):
+        if name in self.running:
+            self.running[name].cut_off = True
+
+    @stateful.rule()
+    def connect_all(self):
+        for name, gateway in self.running.items():
+            gateway.cut_off = False
+            self.records.add(name)
+        self.read_records()
+
+    @stateful.rule(seconds=strategies.sampled_from([0.01, 0.5, 4.9, 20.0]))
+    def wait(self, seconds):
+        self.now += seconds
+        for gateway in self.running.values():
+            gateway.allowance.reserve_of("s", self.now)
+
+    @stateful.rule(name=NAMES, count=strategies.integers(1, 100))
+    def receive(self, name, count):
+        if name in self.running:
+            for _ in range(count):
+                self.running[name].allowance.record_request("s", self.now)
+            self.requests += [self.now] * count
+
+    @stateful.rule()
+    def acquire_everywhere(self):
+        """Acquire repeats for requests that wait before they are sent."""
+        for gateway in self.running.values():
+            gateway.pending += acquire_pending(gateway.allowance, self.now)
+
+    @stateful.rule()
+    def fail_everywhere(self):
+        """Send all repeats that there are."""
+        for gateway in self.running.values():
+            gateway.pending += acquire_pending(gateway.allowance, self.now)
+        for name in self.running:
+            self.end_waits(name, True)
+
+    @stateful.rule(name=NAMES, sent=strategies.booleans())
+    def end_waits(self, name, sent):
+        gateway = self.running.get(name)
+        if gateway is None:
+            return
+        for _ in range(gateway.pending):
+            if sent:
+                gateway.allowance.record_sent("s")
+                self.sent.append(self.now)
+            else:
+                gateway.allowance.give_back("s")
+        gateway.pending = 0
+
+    @stateful.invariant()
+    def limit_holds(self):
+        """Guards against more repeats than the letter allows in a window."""
+        start = self.now - LIMITS.window
+        requests = sum(at >= start for at in self.requests)
+        sent = sum(at >= start for at in self.sent)
+        assert sent <= LIMITS.ratio * requests + LIMITS.extra
+
+
+TestFleet = FleetMachine.TestCase
+TestFleet.settings = hypothesis.settings(
+    max_examples=100, stateful_step_count=60
+)
--- a/tests/forwarding/test_repeat_limit.py
+++ b/tests/forwarding/test_repeat_limit.py
@@ -25,7 +25,10 @@
 
     def start_gateway(self, name):
         runner = fakes.RunningForwarder(
-            fakes.configuration(1, fakes.route(max_attempts=3)), [], name
+            fakes.configuration(1, fakes.route(max_attempts=3)),
+            [],
+            name,
+            just_started=True,
         )
         runner.forwarder.exchange.allowance.limits = LIMITS
         for number, backend in enumerate(self.backends):
