Remember a request that crashes engines

What callers saw: a request that crashed an engine of a records service was sent to the next one, and again when its client came back; 14 engines ended by one request in the users' record, and no engine was left for others.

Cause: a crash was remembered by the parts of prompts only. A request that names none, or only sound ones, left no trace.

Change: a request counts as a part that no other one has, known by a fingerprint of what is the same when it comes again. One decision weighs parts and requests. All that ran on a crashed engine are tried once more, one after the other; one that alone explains two crashes is not sent again.

One check changed: the suspects of a gateway now hold the request as well as its part, so the test compares the parts among them.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -35,6 +35,10 @@
 MIN_RETRY_AFTER_SECONDS: Final = 0.2
 # Lower bound of the mean duration in the estimate of the wait.
 MIN_DURATION_SECONDS: Final = 0.001
+# Longest time until a trial for which a request waits that cannot be refused,
+# and the interval of its checks.
+MAX_TRIAL_WAIT_SECONDS: Final = 0.6
+TRIAL_CHECK_SECONDS: Final = 0.02
 # End of a planned stop while none has begun.
 NO_STOP: Final = float("inf")
 
@@ -54,7 +58,8 @@
             refusal would not be accurate.
         is_stream: Whether its answer is sent as it arrives, so that a planned
             stop can cut it.
-        parts: Ids of the parts of its prompt that others may have as well.
+        parts: Ids of the parts of its prompt that others may have as well, and
+            its fingerprint.
     """
 
     request_id: str
@@ -76,11 +81,13 @@
     Attributes:
         acquired_at: When the place was acquired.
         waited: Seconds between the request's arrival and that time.
+        trial: Suspect part that the request tries, None if it has none.
     """
 
     endpoint: endpoints.Endpoint
     acquired_at: float
     waited: float
+    trial: crash_suspects.PartKey | None = None
 
 
 class RefusalReason(enum.StrEnum):
@@ -266,17 +273,40 @@
 
         Returns:
             The place, or a refusal if the service is stalled, has no endpoint
-            or cannot serve the request in time, or if a part of its prompt may
-            crash endpoints.
+            or cannot serve the request in time, or if the request or a part of
+            its prompt may crash endpoints.
         """
         if not self.can_finish(request):
             return self.stop_refusal()
-        verdict = self.judge(request)
-        if isinstance(verdict, crash_suspects.Blocked):
-            return suspect_refusal(verdict.retry_after)
-        if isinstance(verdict, crash_suspects.Trial):
-            return self.place_trial(request, verdict.part)
-        return await self.place_or_wait(request)
+        while True:
+            verdict = self.judge(request)
+            if isinstance(verdict, crash_suspects.Sound):
+                return await self.place_or_wait(request)
+            place = (
+                suspect_refusal(verdict.retry_after)
+                if isinstance(verdict, crash_suspects.Blocked)
+                else self.place_trial(request, verdict.part)
+            )
+            if isinstance(place, Placed) or not self.should_wait_for_trial(
+                request, place
+            ):
+                return place
+            await asyncio.sleep(TRIAL_CHECK_SECONDS)
+
+    def should_wait_for_trial(
+        self, request: PlacementRequest, refused: Refused
+    ) -> bool:
+        """Return whether a request waits until it can be tried.
+
+        One that may have run would fail by a refusal, most often only because
+        it was at an endpoint that another request crashed.
+        """
+        return (
+            request.may_have_run
+            and refused.retry_after <= MAX_TRIAL_WAIT_SECONDS
+            and self.loop.time() + refused.retry_after
+            < self.latest_start(request)
+        )
 
     async def place_or_wait(
         self, request: PlacementRequest
@@ -337,6 +367,7 @@
             placed = self.try_place(request)
         if placed is None:
             return suspect_refusal(crash_suspects.TRIAL_RETRY_AFTER)
+        placed = placed._replace(trial=part)
         self.suspects.record_trial(part, placed.acquired_at)
         event_log.emit(
             event_catalogue.PART_TRIED,
@@ -346,6 +377,11 @@
         )
         return placed
 
+    def end_trial(self, placed: Placed) -> None:
+        """Let the next trial begin, if the place was that of one."""
+        if placed.trial is not None:
+            self.suspects.end_trial(placed.trial)
+
     def refuse_suspects(self) -> None:
         """Refuse the queued requests that have a suspect part."""
         for queue in self.queues.values():
--- a/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
@@ -1,8 +1,9 @@
-"""Finds the part of a prompt that crashes endpoints; no I/O.
+"""Finds the request, or part of a prompt, that crashes endpoints; no I/O.
 
-Some part of a prompt may crash each endpoint that begins to answer it. After a
+Some part of a prompt may crash each endpoint that begins to answer it, and so
+may a whole request, which counts as a part that no other request has. After a
 crash, the parts of the requests that had not begun there are suspects. An
-event of any answer shows that all parts of its prompt are sound. Requests with
+event of any answer shows that all parts of its request are sound. Requests with
 a suspect are refused, except for one at a time that tries whether it is sound.
 
 The gateways tell each other what they see. Merging does not depend on the order
@@ -18,6 +19,8 @@
 from typing import Final
 from typing import NamedTuple
 
+from verbenafall_gateway.forwarding import request_fingerprint
+
 NEVER: Final = float("-inf")
 # Gateways notice a crash within a fraction of a second of each other, and an
 # endpoint takes longer than this to start and crash again.
@@ -32,6 +35,10 @@
 MAIN_TRIAL_DELAY_SECONDS: Final = 60.0
 MAIN_TRIAL_FACTOR: Final = 2
 MAX_TRIAL_DELAY_SECONDS: Final = 600.0
+# Delay until the first request that was at a crash is tried, and between it
+# and the next one. The peers tell of their requests meanwhile, and an endpoint
+# that crashes again does so within about this time.
+REQUEST_TRIAL_SPACING_SECONDS: Final = 0.1
 # Time after which a trial without a result may be repeated.
 TRIAL_SECONDS: Final = 2.0
 # Retry-after time, in seconds, while the trial of another request is under way.
@@ -49,11 +56,20 @@
 
 
 class PartKey(NamedTuple):
-    """A part of prompts of a service."""
+    """A part of requests to a service.
+
+    Attributes:
+        part: Id of a part of prompts, or the fingerprint of a request.
+    """
 
     service: str
     part: str
 
+    @property
+    def is_request(self) -> bool:
+        """Whether it stands for a whole request."""
+        return request_fingerprint.is_fingerprint(self.part)
+
 
 class Crash(NamedTuple):
     """A crash of an endpoint before it began to answer a request.
@@ -192,10 +208,12 @@
     groups = group_by_crash(histories)
     suspects: set[PartKey] = set()
     for group in groups:
-        most = max(suspicion(histories[key]) for key in group.waited)
+        most = max(suspicion(key, histories[key]) for key in group.waited)
         if most > 0:
             suspects |= {
-                key for key in group.waited if suspicion(histories[key]) == most
+                key
+                for key in group.waited
+                if suspicion(key, histories[key]) == most
             }
     return {
         key: is_main_suspect(key, histories[key], groups, suspects)
@@ -211,16 +229,22 @@
 ) -> bool:
     """Return whether a suspect is the likely cause of each of its crashes.
 
-    An endpoint begins with the request that has waited longest.
+    An endpoint begins with the request that has waited longest. Parts of a
+    prompt are compared with each other, and so are whole requests: a request
+    has waited as long as its parts.
     """
     for group in groups:
         if group.service != key.service:
             continue
         if key in group.waited:
             others = suspects & group.waited.keys() - {key}
-            if any(group.waited[key] <= group.waited[item] for item in others):
+            if any(
+                group.waited[key] <= group.waited[item]
+                for item in others
+                if item.is_request == key.is_request
+            ):
                 return False
-        elif suspicion(history) == 1 and any(
+        elif suspicion(key, history) == 1 and any(
             abs(group.crash.at - crash.at) < COINCIDENCE_SECONDS
             for crash in history.crashes
         ):
@@ -228,12 +252,14 @@
     return True
 
 
-def suspicion(history: PartHistory) -> int:
+def suspicion(key: PartKey, history: PartHistory) -> int:
     """Return the number of crashes that speak against a part.
 
     A part that was sound before is likely to have been there by chance the
-    first time.
+    first time. A request is tried again after its first crash in any case.
     """
+    if key.is_request:
+        return len(history.crashes)
     return len(history.crashes) - (history.sound_at > NEVER)
 
 
@@ -274,7 +300,9 @@
         keys = [PartKey(service, part) for part in parts]
         cleared = [key for key in keys if key in self.histories]
         for key in keys:
-            self.remember_sound(key, now)
+            # A request seldom comes again, so that it needs no memory.
+            if not key.is_request or key in cleared:
+                self.remember_sound(key, now)
         for key in cleared:
             self.update(key, PartHistory(sound_at=now))
         if cleared:
@@ -357,9 +385,16 @@
             self.sound.popitem(last=False)
 
     def drop_old(self, now: float) -> None:
-        """Forget histories that are old or too many, the oldest first."""
+        """Forget histories that are old or too many, the oldest first.
+
+        Those with several crashes are kept longer than those with one.
+        """
         by_age = sorted(
-            self.histories, key=lambda key: self.histories[key].crashes[-1].at
+            self.histories,
+            key=lambda key: (
+                len(self.histories[key].crashes) > 1,
+                self.histories[key].crashes[-1].at,
+            ),
         )
         excess = len(by_age) - MAX_HISTORIES
         for number, key in enumerate(by_age):
@@ -392,18 +427,35 @@
             main: Whether it is the likely cause.
         """
         history = self.histories[key]
+        last_at = history.crashes[-1].at
+        if key.is_request and len(history.crashes) == 1:
+            turn = 1 + self.requests_ahead(key)
+            return last_at + turn * REQUEST_TRIAL_SPACING_SECONDS
+        if key.is_request and main:
+            return last_at + HISTORY_RETENTION_SECONDS
         first, factor = (
             (MAIN_TRIAL_DELAY_SECONDS, MAIN_TRIAL_FACTOR)
             if main
             else (OTHER_TRIAL_DELAY_SECONDS, OTHER_TRIAL_FACTOR)
         )
-        delay = first * math.pow(factor, suspicion(history) - 1)
-        return history.crashes[-1].at + min(delay, MAX_TRIAL_DELAY_SECONDS)
+        delay = first * math.pow(factor, suspicion(key, history) - 1)
+        return last_at + min(delay, MAX_TRIAL_DELAY_SECONDS)
+
+    def requests_ahead(self, key: PartKey) -> int:
+        """Return how many requests are tried before one, after one crash.
+
+        All gateways order them alike.
+        """
+        return sum(
+            item.is_request and item.service == key.service and item < key
+            for item in self.main_by_suspect()
+            if len(self.histories[item].crashes) == 1
+        )
 
     def judge(self, service: str, parts: Iterable[str], now: float) -> Verdict:
         """Return whether a request with some parts may be sent.
 
-        A request with several suspects says little about each of them, and is
+        A prompt with several suspects says little about each of them, and is
         tried only as late as a likely cause.
         """
         if not self.histories:
@@ -413,8 +465,11 @@
         suspects = [key for key in keys if key in main]
         if not suspects:
             return Sound()
+        several = sum(not key.is_request for key in suspects) > 1
         due = {
-            key: self.trial_due(key, len(suspects) > 1 or main[key])
+            key: self.trial_due(
+                key, main[key] or (several and not key.is_request)
+            )
             for key in suspects
         }
         last = max(suspects, key=lambda key: due[key])
@@ -427,10 +482,18 @@
     def is_trial_open(self, service: str, now: float) -> bool:
         """Return whether a trial of the service has no result yet."""
         return any(
-            key.service == service and now - history.trial_at < TRIAL_SECONDS
+            key.service == service
+            and now - history.trial_at < TRIAL_SECONDS
+            and history.trial_at > history.crashes[-1].at
             for key, history in self.histories.items()
         )
 
+    def end_trial(self, part: PartKey) -> None:
+        """Let the next trial begin, as the request of this one has ended."""
+        history = self.histories.get(part)
+        if history is not None:
+            self.histories[part] = history._replace(trial_at=NEVER)
+
     def must_withdraw(
         self, service: str, parts: Iterable[str], now: float
     ) -> bool:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -156,14 +156,15 @@
     "part_suspected",
     "WARNING",
     "An endpoint crashed before it began to answer a request, and these parts"
-    " of the prompt may have caused it. Requests with them are refused until"
-    " one that tries them is answered.",
+    " of the prompt may have caused it, or the request itself, shown by its"
+    " fingerprint. Requests with them are refused until one that tries them is"
+    " answered.",
 )
 PART_CLEARED = event_log.define(
     2140,
     "part_cleared",
     "INFO",
-    "An answer to a prompt with a suspect part had an event, so that the part"
+    "An answer to a request with a suspect part had an event, so that the part"
     " is none any more.",
 )
 PART_TRIED = event_log.define(
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -23,6 +23,7 @@
 from verbenafall_gateway.forwarding import http_messages
 from verbenafall_gateway.forwarding import prompt_parts
 from verbenafall_gateway.forwarding import repeat_allowance
+from verbenafall_gateway.forwarding import request_fingerprint
 from verbenafall_gateway.forwarding import retry_decision
 from verbenafall_gateway.forwarding import service_share
 from verbenafall_gateway.forwarding import times as times_lib
@@ -82,7 +83,8 @@
         repeat_acquired: Whether a repeat was acquired from the allowance for
             the next send.
         abandoned: Whether a planned stop ends it.
-        parts: Ids of the parts of its prompt that others may have as well.
+        parts: Ids of the parts of its prompt that others may have as well, and
+            its fingerprint.
         begun: Whether the last attempt has brought a part of the answer.
     """
 
@@ -202,11 +204,7 @@
             ),
             admitted.route,
         )
-        parts = prompt_parts.parse_shared_parts(
-            http_messages.find_header(
-                request.headers, self.dialect.prompt_parts
-            )
-        )
+        parts = self.parts_of(request, admitted)
         job = Job(request, client, admitted, times, request_id, parts)
         self.jobs.add(job)
         try:
@@ -224,6 +222,19 @@
             if job.repeat_acquired:
                 self.allowance.give_back(admitted.service)
 
+    def parts_of(
+        self, request: http_messages.Request, admitted: Admitted
+    ) -> tuple[str, ...]:
+        """Return the shared parts of a request's prompt and its fingerprint."""
+        header = http_messages.find_header(
+            request.headers, self.dialect.prompt_parts
+        )
+        team = admitted.team.name if admitted.team is not None else ""
+        return (
+            *prompt_parts.parse_shared_parts(header),
+            request_fingerprint.fingerprint(request, team, header),
+        )
+
     def admit(self, request: http_messages.Request) -> Admitted | Rejection:
         """Find the route, the team and the service of a request.
 
@@ -294,13 +305,10 @@
             finally:
                 self.admission.release(place)
             self.record_outcome(job, place, outcome)
-            if (
-                isinstance(outcome, retry_decision.Broken)
-                and job.parts
-                and not job.begun
-            ):
+            if isinstance(outcome, retry_decision.Broken) and not job.begun:
                 # The crash counts also if the client leaves meanwhile.
                 await asyncio.shield(self.suspect_parts(job, place))
+            self.admission.end_trial(place)
             if self.try_acquire_retry(job, outcome):
                 self.metrics.count("forward.repeats")
                 self.log_attempt(job, place, outcome, "retry")
@@ -459,7 +467,7 @@
         service = job.admitted.service
         if not job.begun:
             job.begun = True
-            self.clear_parts(job)
+            self.clear_parts(job, job.parts)
         liveness = self.admission.liveness(service)
         if liveness is None:
             return
@@ -468,10 +476,10 @@
         if stalled:
             self.admission.serve_queue(service)
 
-    def clear_parts(self, job: Job) -> None:
-        """Record that the parts of a request are sound."""
+    def clear_parts(self, job: Job, parts: tuple[str, ...]) -> None:
+        """Record that some parts of a request are sound."""
         cleared = self.admission.suspects.record_event(
-            job.admitted.service, job.parts, self.loop.time()
+            job.admitted.service, parts, self.loop.time()
         )
         if cleared:
             self.metrics.count("forward.parts.cleared", len(cleared))
@@ -543,6 +551,9 @@
                     job.rejections = 0
         if isinstance(outcome, retry_decision.Unsent):
             job.rejections += 1
+        if isinstance(outcome, retry_decision.Failed):
+            # The endpoint has run it, but perhaps not read its whole prompt.
+            self.clear_parts(job, job.parts[-1:])
         if not isinstance(outcome, retry_decision.Failed):
             self.admission.suspect(
                 place.endpoint.id, type(outcome).__name__.lower()
--- a/tests/forwarding/test_crash_suspects.py
+++ b/tests/forwarding/test_crash_suspects.py
@@ -9,7 +9,9 @@
 import pytest
 
 from verbenafall_gateway.forwarding import crash_suspects
+from verbenafall_gateway.forwarding import http_messages
 from verbenafall_gateway.forwarding import prompt_parts
+from verbenafall_gateway.forwarding import request_fingerprint
 
 SERVICE = "s"
 MAIN = crash_suspects.MAIN_TRIAL_DELAY_SECONDS
@@ -209,6 +211,155 @@
         assert play(steps).must_withdraw(SERVICE, parts, 1.0) is withdrawn
 
 
+R1, R2, R3 = (request_fingerprint.PREFIX + name for name in "123")
+SPACING = crash_suspects.REQUEST_TRIAL_SPACING_SECONDS
+RETENTION = crash_suspects.HISTORY_RETENTION_SECONDS
+
+
+class TestRequests:
+    """A whole request counts as a part that no other request has."""
+
+    @pytest.mark.parametrize(
+        ("steps", "main", "others"),
+        [
+            ([Fall([R1])], [R1], []),
+            ([Fall([R1]), Event([R1])], [], []),
+            # One that was sound once is suspected all the same.
+            ([Fall([R1]), Event([R1]), Fall([R1], "e2")], [R1], []),
+            # All that ran together are suspects until one of them crashes
+            # a second endpoint.
+            ([Fall([R1]), Fall([R2]), COINCIDENCE], [], [R1, R2]),
+            ([Fall([R1]), Fall([R2], "e2")], [R1, R2], []),
+            ([Fall([R1]), Fall([R1], "e2")], [R1], []),
+            # The request explains crashes that parts of others do not.
+            ([Event("s"), Fall(["s", R1])], [R1], []),
+            ([Event("s"), Fall(["s", R1]), Fall(["s", R1], "e2")], [R1], []),
+            # A part that crashes with several requests explains all of them.
+            ([Fall(["d", R1]), Fall(["d", R2], "e2")], ["d"], []),
+            # Parts and requests are not weighed against each other.
+            ([Fall(["d", R1])], ["d", R1], []),
+            ([Fall(["d", R1]), Event(["d", R2])], [R1], []),
+        ],
+    )
+    def test_suspects_after(self, steps, main, others):
+        expected = {key(part): True for part in main} | {
+            key(part): False for part in others
+        }
+        assert play(steps).main_by_suspect() == expected
+
+    @pytest.mark.parametrize(
+        ("steps", "part", "after", "verdict"),
+        [
+            ([Fall([R1])], R2, 0.0, crash_suspects.Sound),
+            ([Fall([R1])], R1, SPACING / 2, crash_suspects.Blocked),
+            ([Fall([R1])], R1, SPACING, crash_suspects.Trial),
+            # Requests that ended together are tried one after the other.
+            ([Fall([R1, R2])], R2, SPACING, crash_suspects.Blocked),
+            ([Fall([R1, R2])], R2, 2 * SPACING, crash_suspects.Trial),
+            # One that crashed two endpoints is not sent again.
+            (
+                [Fall([R1]), Fall([R1], "e2")],
+                R1,
+                RETENTION - 1,
+                crash_suspects.Blocked,
+            ),
+            # Two that did so together are tried again.
+            (
+                [Fall([R1, R2]), Fall([R1, R2], "e2")],
+                R1,
+                OTHER * crash_suspects.OTHER_TRIAL_FACTOR,
+                crash_suspects.Trial,
+            ),
+        ],
+    )
+    def test_verdict_after_the_last_step(self, steps, part, after, verdict):
+        now = (len(steps) - 1) * 5.0 + after
+        judged = play(steps).judge(SERVICE, [part], now)
+        assert isinstance(judged, verdict)
+
+    def test_trial_that_ends_makes_way_for_the_next(self):
+        suspects = play([Fall([R1, R2])])
+        now = 2 * SPACING
+        suspects.record_trial(key(R1), now)
+        verdict = suspects.judge(SERVICE, [R2], now)
+        assert isinstance(verdict, crash_suspects.Blocked)
+        suspects.end_trial(key(R1))
+        verdict = suspects.judge(SERVICE, [R2], now)
+        assert isinstance(verdict, crash_suspects.Trial)
+
+    def test_trial_that_crashes_makes_way_for_the_next(self):
+        suspects = play([Fall([R1, R2])])
+        suspects.record_trial(key(R1), 1.0)
+        crash = crash_suspects.Crash("e2", 1.1, 0.1)
+        suspects.record_crash(SERVICE, [R1], crash)
+        assert isinstance(
+            suspects.judge(SERVICE, [R2], 1.1), crash_suspects.Sound
+        )
+
+    def test_sound_requests_are_not_remembered(self):
+        suspects = play([Event([R1, "s"])])
+        assert set(suspects.sound) == {key("s")}
+
+    def test_request_that_crashed_several_endpoints_is_kept_longest(self):
+        suspects = play([Fall([R1]), Fall([R1], "e2")])
+        for number in range(crash_suspects.MAX_HISTORIES + 10):
+            crash = crash_suspects.Crash(f"e{number}", 100.0 + number, 0.2)
+            suspects.record_crash(SERVICE, [f"p{number}"], crash)
+        assert key(R1) in suspects.histories
+
+
+class TestFingerprint:
+    REQUEST = http_messages.Request(
+        "POST", "/a/x?q=1", (("host", "h"),), b"body", 0.0, True, True
+    )
+
+    def fingerprint(self, team="t", prompt=None, **changes):
+        return request_fingerprint.fingerprint(
+            self.REQUEST._replace(**changes), team, prompt
+        )
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"headers": (("x-request-id", "r2"), ("host", "h"))},
+            {"headers": (("host", "h"), ("x-time-left-ms", "90"))},
+            {"headers": (("host", "h"), ("last-event-id", "4"))},
+            {"received_at": 5.0, "keep_alive": False, "http_1_1": False},
+        ],
+    )
+    def test_same_request(self, changes):
+        assert self.fingerprint(**changes) == self.fingerprint()
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"method": "PUT"},
+            {"target": "/a/x?q=2"},
+            {"headers": (("host", "other"),)},
+            {"body": b"bodx"},
+            {"body": b""},
+            {"team": ""},
+            {"prompt": "a:1,b:2"},
+            # The end of a field does not run into the next one.
+            {"team": "tb", "body": b"ody"},
+            {"method": "POS", "target": "T/a/x?q=1"},
+        ],
+    )
+    def test_other_request(self, changes):
+        assert self.fingerprint(**changes) != self.fingerprint()
+
+    def test_nothing_of_the_request_is_readable(self):
+        text = self.fingerprint(body=b"secret" * 1000)
+        digits = 2 * request_fingerprint.DIGEST_BYTES
+        assert len(text) == len(request_fingerprint.PREFIX) + digits
+        assert "secret" not in text
+
+    @pytest.mark.parametrize("text", ["request:ab:1,x:1", "request:ab"])
+    def test_no_part_is_named_like_a_request(self, text):
+        for part in prompt_parts.parse_shared_parts(text + ",own:1"):
+            assert not request_fingerprint.is_fingerprint(part)
+
+
 class TestBounds:
     def test_number_of_histories(self):
         suspects = crash_suspects.create_crash_suspects()
@@ -281,15 +432,18 @@
 
 DEADLY = "d"
 SOUND = "abc"
+# What crashes an endpoint: a part of a prompt, or a whole request.
+CAUSES = (DEADLY, R1)
 
 
 class Gateways(stateful.RuleBasedStateMachine):
     """Gateways with late and lost messages, restarts and ordinary crashes.
 
     Attributes:
-        crashes: Number of crashes that the deadly part has caused.
-        unaware: Requests with it that a gateway has sent without a history.
-        trials: Times at which requests with it were sent as trials.
+        crashes: Number of crashes that a request has caused.
+        unaware: Deadly requests that a gateway has sent without a history.
+        trials: Gateways, causes and times of deadly requests that were sent as
+            trials.
     """
 
     @stateful.initialize(size=strategies.integers(1, 5))
@@ -319,12 +473,12 @@
     @stateful.rule(
         number=strategies.integers(0, 4),
         sound=strategies.sets(strategies.sampled_from(SOUND), max_size=2),
-        deadly=strategies.booleans(),
+        cause=strategies.sampled_from([None, *CAUSES]),
         endpoint=strategies.sampled_from(["e1", "e2", "e3"]),
     )
-    def send(self, number, sound, deadly, endpoint):
+    def send(self, number, sound, cause, endpoint):
         number %= len(self.gateways)
-        parts = (*sorted(sound), *(DEADLY if deadly else ""))
+        parts = (*sorted(sound), *([cause] if cause else []))
         self.try_send(number, parts, endpoint)
 
     def try_send(self, number, parts, endpoint):
@@ -333,12 +487,16 @@
         if isinstance(verdict, crash_suspects.Blocked):
             assert verdict.retry_after > 0
             return
-        if DEADLY in parts:
-            if key(DEADLY) in suspects.main_by_suspect():
-                self.trials.append((number, self.now))
+        for cause in set(CAUSES) & set(parts):
+            if key(cause) in suspects.main_by_suspect():
+                self.trials.append((number, cause, self.now))
                 assert isinstance(verdict, crash_suspects.Trial)
             else:
                 self.unaware += 1
+        if R1 in parts:
+            # After two crashes only if another request may have caused them.
+            known = suspects.history_of(key(R1)).crashes
+            assert len(known) < 2 or self.now - known[-1].at >= OTHER
         if isinstance(verdict, crash_suspects.Trial):
             suspects.record_trial(verdict.part, self.now)
         self.flights.append(Flight(number, parts, endpoint, self.now))
@@ -348,7 +506,7 @@
         if not self.flights:
             return
         flight = self.flights.pop(position % len(self.flights))
-        if DEADLY in flight.parts:
+        if set(CAUSES) & set(flight.parts):
             self.crashes += 1
             self.crash(flight.endpoint, flight)
             return
@@ -410,8 +568,14 @@
 
     @stateful.invariant()
     def trials_are_rare(self):
-        for number in range(len(self.gateways)):
-            times = [at for gateway, at in self.trials if gateway == number]
+        for number, cause in itertools.product(
+            range(len(self.gateways)), CAUSES
+        ):
+            times = [
+                at
+                for gateway, tried, at in self.trials
+                if (gateway, tried) == (number, cause)
+            ]
             for first, second in itertools.pairwise(times):
                 assert second - first >= min(
                     OTHER, crash_suspects.TRIAL_SECONDS
--- a/tests/forwarding/test_crashing_part.py
+++ b/tests/forwarding/test_crashing_part.py
@@ -264,7 +264,11 @@
             test_forwarder.call(first, prompt(2, "sound", DEADLY))
             fakes.wait_until(lambda: knows(second))
             suspects = first.forwarder.suspects.main_by_suspect
-            fakes.wait_until(lambda: [k.part for k in suspects()] == [DEADLY])
+            fakes.wait_until(
+                lambda: (
+                    [k.part for k in suspects() if not k.is_request] == [DEADLY]
+                )
+            )
             answer = test_forwarder.call(first, prompt(3, "sound"))
             assert (answer.status, answer.complete) == (200, True)
 
