Search an unfinished event once

An endpoint that sends an event in pieces of one byte made a gateway search and copy all of it at each piece: 200 kB took 40 s of the event loop, in which nobody was served. The splitter of the sidecar did the same on its own thread. Both keep how far they have searched.

The test counts the bytes that are searched; it failed before on both.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_splitter.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_splitter.py
@@ -1,9 +1,12 @@
 """Splits a byte stream into server-sent events."""
 
+import re
 from typing import Final
 from typing import NamedTuple
 
 MAX_EVENT_BYTES: Final = 256 * 1024
+END: Final = re.compile(rb"\n\n|\r\n\r\n")
+MAX_END_BYTES: Final = 4
 
 
 class EventTooLongError(Exception):
@@ -27,11 +30,13 @@
 
     Attributes:
         rest: Bytes of the event that is not complete yet.
+        searched: Length of the part of `rest` that was searched for its end.
     """
 
     def __init__(self) -> None:
         """Create a splitter at the start of a stream."""
-        self.rest = b""
+        self.rest = bytearray()
+        self.searched = 0
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete.
@@ -41,26 +46,24 @@
         """
         self.rest += data
         events: list[StreamEvent] = []
-        while True:
-            end = find_end(self.rest)
-            if end < 0:
-                break
-            block, self.rest = self.rest[:end], self.rest[end:]
+        start = 0
+        # The end of an event may be split between two pieces.
+        search_from = max(0, self.searched - MAX_END_BYTES + 1)
+        while (end := find_end(self.rest, search_from)) is not None:
+            block = bytes(self.rest[start:end])
             events.append(StreamEvent(find_id(block), block))
+            start = search_from = end
+        del self.rest[:start]
+        self.searched = len(self.rest)
         if len(self.rest) > MAX_EVENT_BYTES:
             raise EventTooLongError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         return events
 
 
-def find_end(data: bytes) -> int:
-    """Return the length of the first complete event, -1 if there is none."""
-    plain = data.find(b"\n\n")
-    carriage = data.find(b"\r\n\r\n")
-    if plain < 0 and carriage < 0:
-        return -1
-    if carriage < 0 or 0 <= plain < carriage:
-        return plain + 2
-    return carriage + 4
+def find_end(data: bytearray, start: int) -> int | None:
+    """Return where the first event ends that ends after a position."""
+    found = END.search(data, start)
+    return found.end() if found is not None else None
 
 
 def find_id(block: bytes) -> str | None:
--- a/packages/sidecar/src/verbenafall_sidecar/endpoint/engine_http.py
+++ b/packages/sidecar/src/verbenafall_sidecar/endpoint/engine_http.py
@@ -107,11 +107,17 @@
 
 
 class EventSplitter:
-    """Splits a body into server-sent events as it arrives."""
+    """Splits a body into server-sent events as it arrives.
+
+    Attributes:
+        buffer: Bytes of the event that is not complete yet.
+        searched: Length of the part of `buffer` that was searched for its end.
+    """
 
     def __init__(self) -> None:
         """Create a splitter for one body."""
-        self.buffer = b""
+        self.buffer = bytearray()
+        self.searched = 0
         self.complete_events = CompleteEvents()
         # One client for the entire body; events() reads its source again on
         # each call.
@@ -124,20 +130,29 @@
             ValueError: An event is too long or is not UTF-8.
         """
         self.buffer += data
+        # A separator may be split between two pieces.
+        start = max(0, self.searched - max(map(len, EVENT_SEPARATORS)) + 1)
         end = max(
-            find_last_end(self.buffer, separator)
+            find_last_end(self.buffer, separator, start)
             for separator in EVENT_SEPARATORS
         )
-        self.complete_events.data = self.buffer[:end]
-        self.buffer = self.buffer[end:]
+        self.complete_events.data = bytes(self.buffer[:end])
+        del self.buffer[:end]
+        self.searched = len(self.buffer)
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         return [event.data for event in self.client.events()]
 
 
-def find_last_end(data: bytes, separator: bytes) -> int:
-    """Return the index after the last separator, or 0 if there is none."""
-    position = data.rfind(separator)
+def find_last_end(data: bytearray, separator: bytes, start: int) -> int:
+    """Return the index after the last separator, or 0 if there is none.
+
+    Args:
+        data: Bytes to search.
+        separator: What ends an event.
+        start: Position from which on to search.
+    """
+    position = data.rfind(separator, start)
     return position + len(separator) if position >= 0 else 0
 
 
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -359,6 +359,29 @@
         with pytest.raises(event_splitter.EventTooLongError):
             splitter.feed(b"x")
 
+    def test_unfinished_event_in_small_pieces_is_searched_once(
+        self, monkeypatch
+    ):
+        """Searching all of it at each piece stops the event loop."""
+        searched = []
+        find = event_splitter.find_end
+
+        def count(data, *start):
+            searched.append(len(data) - sum(start))
+            return find(data, *start)
+
+        monkeypatch.setattr(event_splitter, "find_end", count)
+        splitter = event_splitter.EventSplitter()
+        pieces = 10_000
+        for _ in range(pieces):
+            splitter.feed(b"x")
+        assert sum(searched) <= pieces * event_splitter.MAX_END_BYTES
+
+    def test_search_of_many_events_in_one_piece_ends_at_each(self):
+        splitter = event_splitter.EventSplitter()
+        events = splitter.feed(b"id: 1\n\n" * 1000 + b"id: 2\r\n\r\n")
+        assert [event.id for event in events] == ["1"] * 1000 + ["2"]
+
     @pytest.mark.parametrize(("data", "ids", "rest"), STREAMS)
     @pytest.mark.parametrize("size", [1, 3, 1000])
     def test_events_are_complete_however_the_data_is_split(
--- a/tests/sidecar/test_pure_parts.py
+++ b/tests/sidecar/test_pure_parts.py
@@ -236,6 +236,26 @@
             found += splitter.feed(data[start : start + size])
         assert found == ["a", "ñandú", "c"]
 
+    def test_unfinished_event_in_small_pieces_is_searched_once(
+        self, monkeypatch
+    ):
+        searched = []
+        find = engine_http.find_last_end
+
+        def count(data, separator, *start):
+            searched.append(len(data) - sum(start))
+            return find(data, separator, *start)
+
+        monkeypatch.setattr(engine_http, "find_last_end", count)
+        splitter = engine_http.EventSplitter()
+        pieces = 10_000
+        for _ in range(pieces):
+            splitter.feed(b"x")
+        longest = max(map(len, engine_http.EVENT_SEPARATORS))
+        assert sum(searched) <= (
+            pieces * longest * len(engine_http.EVENT_SEPARATORS)
+        )
+
     def test_event_above_the_maximum_size_is_an_error(self):
         splitter = engine_http.EventSplitter()
         with pytest.raises(ValueError, match="exceeds"):
