Do not count rejected probes as sends of a request

What callers saw: during a stall of a rank group, the request that was taken as the probe each time was refused after six rejections, 1.3 s after it came, although it could have waited for the group.

A probe that is rejected during a stall no longer counts. What bounds it is the time for which the request may wait, one probe in 0.2 s, and the allowance of repeats. The new test failed before.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -33,7 +33,7 @@
 NO_CONFIGURATION_RETRY_AFTER: Final = 0.5
 # Retry-After in seconds if no endpoint ran the request.
 REJECTED_RETRY_AFTER: Final = 0.3
-# Maximum number of sends of one request, whatever their outcomes.
+# Maximum number of sends of one request, apart from probes during a stall.
 MAX_SENDS: Final = 6
 # Maximum number of streams moved in one sweep. All gateways learn of the slots
 # that these occupy before the next sweep moves more.
@@ -76,7 +76,8 @@
         id: Id that the client gave it; empty if it gave none.
         relay_state: Part of the answer that was sent to the client.
         tried: Ids of the endpoints on which an attempt failed.
-        sends: Attempts so far, with those that could not connect.
+        sends: Attempts so far, with those that could not connect, but without
+            those that were rejected during a stall.
         runs: Attempts after which the request may have run.
         rejections: Attempts after which it has not run.
         sent: Whether it was sent to an endpoint.
@@ -547,8 +548,10 @@
                 if liveness.is_stalled(self.loop.time()):
                     # The group rejects, not this endpoint, so that the request
                     # waits for the group and may then go to any endpoint.
+                    # As a probe it may be rejected any number of times.
                     job.tried.clear()
                     job.rejections = 0
+                    job.sends -= 1
         if isinstance(outcome, retry_decision.Unsent):
             job.rejections += 1
         if isinstance(outcome, retry_decision.Failed):
--- a/tests/forwarding/test_stalls.py
+++ b/tests/forwarding/test_stalls.py
@@ -10,6 +10,7 @@
 from forwarding import forwarding_fakes as fakes
 from forwarding import test_forwarder
 from verbenafall_core.routes import model
+from verbenafall_gateway.forwarding import exchange
 from verbenafall_gateway.forwarding import pass_pace
 from verbenafall_gateway.forwarding import service_liveness
 
@@ -58,6 +59,28 @@
         for answer in answers_during_a_stall(0.6):
             assert (answer.status, answer.complete) == (200, True)
 
+    def test_rejected_probes_do_not_use_up_the_sends_of_a_request(
+        self, monkeypatch
+    ):
+        """The only caller is the probe each time."""
+        monkeypatch.setattr(exchange, "MAX_SENDS", 2)
+        rejected = []
+
+        def rank(endpoint, connection, request):
+            if len(rejected) <= exchange.MAX_SENDS:
+                rejected.append(request)
+                return test_forwarder.not_run(endpoint, connection, request)
+            return test_forwarder.all_events(endpoint, connection, request)
+
+        with test_forwarder.running(*[rank] * 4, routes=[ROUTE]) as runner:
+            admission = runner.forwarder.admission
+            admission.track_liveness("s")
+            liveness = admission.liveness("s")
+            liveness.record_sent(runner.loop.time())
+            liveness.rejections = service_liveness.STALL_REJECTIONS
+            answer = test_forwarder.call(runner)
+        assert (answer.status, answer.complete) == (200, True)
+
 
 class TestLongStall:
     def test_callers_are_refused_with_a_time_to_come_back(self):
