Do not use the whole rate of an endpoint before the share is known

A gateway that started took itself for the only one until it had read the records of the others. It hears the rate that an endpoint states from a peer at once, and sent there at the whole rate beside the others. That is the cause of the repeats beyond their limit in another place.

Until a gateway has read its own record, it sends one request in 4 s to such an endpoint, which shows whether the rate is still stated. Three tests failed before: 39 and 14 requests in 4 s instead of one.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_limits.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_limits.py
@@ -44,7 +44,8 @@
 
     Attributes:
         name: Name of this gateway.
-        gateways: Sorted names of all gateways that are registered.
+        gateways: Sorted names of all gateways that are registered; empty
+            until this one is known to be among them.
         statements: The newest statement, by endpoint id.
         next_send_at: When this gateway may send its next request to a limited
             endpoint, by endpoint id.
@@ -54,14 +55,14 @@
     def __init__(self, name: str) -> None:
         """Create limits of which none is known."""
         self.name = name
-        self.gateways: tuple[str, ...] = (name,)
+        self.gateways: tuple[str, ...] = ()
         self.statements: dict[str, Statement] = {}
         self.next_send_at: dict[str, float] = {}
         self.passed_on: dict[str, float] = {}
 
     def set_gateways(self, names: Sequence[str]) -> None:
-        """Set the names of the other gateways that are registered."""
-        self.gateways = tuple(sorted({self.name, *names}))
+        """Set the names of the gateways that are registered."""
+        self.gateways = tuple(sorted(names)) if self.name in names else ()
 
     def record_answer(
         self, endpoint_id: str, rate: float | None, sent_at: float, now: float
@@ -127,16 +128,27 @@
         rate = self.rate_of(endpoint_id)
         if rate is None:
             return True
-        return now >= self.next_send_at.get(
-            endpoint_id, now
-        ) and self.name in self.sharing(endpoint_id, rate)
+        if now < self.next_send_at.get(endpoint_id, now):
+            return False
+        return not self.gateways or self.name in self.sharing(endpoint_id, rate)
 
     def record_sent(self, endpoint_id: str, now: float) -> None:
         """Count a request that is sent to an endpoint."""
         rate = self.rate_of(endpoint_id)
         if rate is not None:
-            interval = len(self.sharing(endpoint_id, rate)) / rate
-            self.next_send_at[endpoint_id] = now + interval
+            self.next_send_at[endpoint_id] = now + self.interval(
+                endpoint_id, rate
+            )
+
+    def interval(self, endpoint_id: str, rate: float) -> float:
+        """Return the seconds between sends of this gateway to an endpoint.
+
+        A gateway that does not know its share sends just enough to see whether
+        the endpoint still states a rate.
+        """
+        if not self.gateways:
+            return 1 / MIN_RATE
+        return len(self.sharing(endpoint_id, rate)) / rate
 
     def capacity(self, endpoint_id: str, unlimited: float) -> float:
         """Return how many requests per second an endpoint can take.
--- a/tests/forwarding/test_endpoint_limits.py
+++ b/tests/forwarding/test_endpoint_limits.py
@@ -102,6 +102,24 @@
             assert count <= 1.5 * rate * WINDOW + 5
 
 
+class TestUnknownShare:
+    @pytest.mark.parametrize("names", [None, [], ["gateway-1", "gateway-2"]])
+    def test_gateway_without_its_own_record_does_not_use_the_whole_rate(
+        self, names
+    ):
+        """It hears of the rate from a peer before it has read the records."""
+        limits = endpoint_limits.create_endpoint_limits("gateway-0")
+        if names is not None:
+            limits.set_gateways(names)
+        limits.record(ENGINE, endpoint_limits.Statement(10.0, 0.0))
+        sends = 0
+        for step in range(int(WINDOW / 0.02)):
+            if limits.may_send(ENGINE, step * 0.02):
+                limits.record_sent(ENGINE, step * 0.02)
+                sends += 1
+        assert sends == endpoint_limits.MIN_RATE * WINDOW
+
+
 class Gateways(stateful.RuleBasedStateMachine):
     """Gateways that send whenever they may, with late and lost messages."""
 
