Try a request late while other gateways may know of it

Each of two gateways that had neither a link to a peer nor read the record tried it a second time.

A request that was at one crash is tried at once only by a gateway that has a linked peer, or is known to be alone. It loses the second attempt of requests that ended with the endpoint, in the first second after its start.

The new test failed before: two endpoints instead of one.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
@@ -275,6 +275,8 @@
         suspected: Called after a part has become a suspect.
         learned: Called after a change of the suspects that this gateway has
             seen itself.
+        is_informed: Returns whether this gateway hears of the crashes that
+            others see.
         assessment: Result of find_suspects(), None after a change.
     """
 
@@ -287,6 +289,7 @@
         self.tell: Callable[[Sequence[PartKey]], None] | None = None
         self.suspected: Callable[[], None] | None = None
         self.learned: Callable[[], None] | None = None
+        self.is_informed: Callable[[], bool] = lambda: True
         self.assessment: dict[PartKey, bool] | None = None
 
     def record_event(
@@ -429,6 +432,9 @@
         history = self.histories[key]
         last_at = history.crashes[-1].at
         if key.is_request and len(history.crashes) == 1:
+            if not self.is_informed():
+                # The other gateways may know of a crash by it already.
+                return last_at + MAIN_TRIAL_DELAY_SECONDS
             turn = 1 + self.requests_ahead(key)
             return last_at + turn * REQUEST_TRIAL_SPACING_SECONDS
         if key.is_request and main:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -121,6 +121,7 @@
             settings.name
         )
         self.suspects = crash_suspects.create_crash_suspects()
+        self.suspects.is_informed = self.peers.is_informed
         self.admission = admission_lib.create_admission(
             loop,
             self.directory,
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_loads.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_loads.py
@@ -83,6 +83,11 @@
         """
         return self.gateways() if self.is_listed else None
 
+    def is_informed(self) -> bool:
+        """Return whether this gateway has a linked peer, or no peer at all."""
+        alone = self.is_listed and self.listed_gateways == 1
+        return alone or self.live_gateways() > 1
+
     def live_gateways(self) -> int:
         """Return the number of gateways that report counts, plus this one."""
         return len(self.by_peer) + 1
--- a/tests/forwarding/test_crash_suspects.py
+++ b/tests/forwarding/test_crash_suspects.py
@@ -277,6 +277,16 @@
         judged = play(steps).judge(SERVICE, [part], now)
         assert isinstance(judged, verdict)
 
+    @pytest.mark.parametrize(
+        ("after", "verdict"),
+        [(SPACING, crash_suspects.Blocked), (MAIN, crash_suspects.Trial)],
+    )
+    def test_gateway_without_its_peers_tries_late(self, after, verdict):
+        """Each of several such gateways would lose two endpoints."""
+        suspects = play([Fall([R1])])
+        suspects.is_informed = lambda: False
+        assert isinstance(suspects.judge(SERVICE, [R1], after), verdict)
+
     def test_trial_that_ends_makes_way_for_the_next(self):
         suspects = play([Fall([R1, R2])])
         now = 2 * SPACING
--- a/tests/forwarding/test_crashing_request.py
+++ b/tests/forwarding/test_crashing_request.py
@@ -12,6 +12,7 @@
 from forwarding import test_forwarder
 from verbenafall_core.object_store import store_era
 from verbenafall_core.routes import model
+from verbenafall_gateway.forwarding import crash_suspects
 from verbenafall_standins.fakes import memory_store
 
 MAX_ENGINES_LOST = 2
@@ -200,6 +201,28 @@
                 call((first, second)[number % 2], number, "/a/deadly")
             assert crashes(first) <= MAX_ENGINES_LOST
 
+    def test_gateway_without_the_store_and_links_crashes_one_engine(
+        self, monkeypatch
+    ):
+        """Each of several such gateways would crash two."""
+        monkeypatch.setattr(
+            crash_suspects, "REQUEST_TRIAL_SPACING_SECONDS", 0.0
+        )
+        with running() as first:
+            second = fakes.RunningForwarder(
+                fakes.configuration(1, RECORDS), [], "g2", just_started=True
+            )
+            try:
+                for number, backend in enumerate(first.backends):
+                    second.list_endpoint(f"e{number}", backend)
+                known = second.forwarder.directory.listed
+                fakes.wait_until(lambda: len(known) == len(first.backends))
+                for number in range(4):
+                    call(second, number, "/a/deadly")
+            finally:
+                second.close()
+            assert crashes(first) == 1
+
     def test_gateway_that_starts_later_hears_of_it(self):
         with running() as first:
             call(first, 1, "/a/deadly")
