--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -330,6 +330,14 @@
         used_links = [link for link in links if link.of_kind(messages.Dispatch)]
         assert len(used_links) == len(script.seen)
 
+    def test_request_that_crashes_endpoints_crashes_two_at_most(self):
+        """It comes again under other ids."""
+        gateway, script, _ = create([fail] * 12, count=12)
+        for number in range(4):
+            request = create_request(True)._replace(request_id=f"req-{number}")
+            run(gateway, request)
+        assert len(script.seen) <= 2
+
     def test_settles_with_the_attempt_that_was_lost(self):
         """Guards against a void that does not cover the lost attempt."""
         gateway, _, _ = create([overloaded, link_lost, ok])
