--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -616,7 +616,7 @@
                     endpoint=attempt.place.endpoint.id,
                     parts=",".join(job.parts),
                 )
-                attempt.channel.fail("a part of the prompt is a suspect")
+                attempt.channel.fail("it may crash its endpoint")
 
     def progress_of(self, job: Job) -> retry_decision.Progress:
         """Return the state on which retry decisions are based."""
--- a/packages/gateway/src/verbenafall_gateway/forwarding/repeat_allowance.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/repeat_allowance.py
@@ -55,7 +55,7 @@
         gateways: Number of gateways; None if it is not known, in which case
             repeats are earned by requests only.
     """
-    if limits.ratio == 0 and limits.extra == 0:
+    if limits.ratio == limits.extra == 0:
         return Share(0.0, 0.0)
     if gateways is None:
         return Share(MIN_HELD, 0.0)
