Bound the repeats that many gateways hold

Callers: none saw it; the postmortem named the gap. With more gateways than extra repeats each one still held one repeat, together more than allowed.

Cause: a gateway held at least one repeat whatever its share, and a gateway that does not know the others held one, too.

Change: a gateway holds its share of the extra repeats and a tenth of what its own requests of the last window allow. Nine tenths of what requests allow are earned within a window and a tenth is held from the one before it, so the sum is within the limit for any number of gateways.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/repeat_allowance.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/repeat_allowance.py
@@ -1,24 +1,33 @@
 """Limits the repeats of all gateways together; no I/O.
 
 Each gateway earns repeats: a fraction of one with each request, and its share
-of the extra repeats as time passes. It starts with none and holds few. Within
-any window, all gateways together use no more than what they held before it and
-earn in it. That does not depend on what a gateway remembers of the time before
-its start, so the limit also holds while gateways restart.
+of the extra repeats as time passes. It starts with none and holds few: a part
+of its share, and a tenth of what its latest requests allow. Within any window,
+all gateways together use no more than what they held before it and earn in it.
+That does not depend on what a gateway remembers of the time before its start,
+so the limit also holds while gateways restart, nor on the number of gateways.
 """
 
+import collections
 from collections.abc import Callable
+import math
 from typing import Final
 from typing import NamedTuple
 
-# Fraction of the allowance that is used. The rest covers gateways that do not
-# know of a new one yet, and requests that were sent before a window.
-USED_FRACTION: Final = 0.9
-# Fraction of the extra repeats that all gateways may hold together, for many
-# failures at once. The rest is earned within a window.
+# Fraction of the allowance that is earned. The rest of the extra repeats covers
+# requests that were sent before the window in which they arrive.
+EARNED_FRACTION: Final = 0.9
+# Fraction of what the requests of the last window allow that may be held; with
+# the earned fraction, the whole.
+HELD_BY_REQUESTS: Final = 0.1
+# Fraction of the earned extra repeats that all gateways may hold together, for
+# many failures at once.
 HELD_FRACTION: Final = 0.5
-# Repeats that a gateway may hold at least; with less it could never use one.
+# A gateway whose share is smaller than this holds all of it: with less than one
+# held repeat it can never use any.
 MIN_HELD: Final = 1.0
+# Steps in which requests leave the window.
+STEPS_PER_WINDOW: Final = 10
 
 
 class RepeatLimits(NamedTuple):
@@ -47,21 +56,67 @@
     rate: float
 
 
-def share_of(limits: RepeatLimits, gateways: int | None) -> Share:
-    """Return the share of each gateway.
+def share_of(
+    limits: RepeatLimits, gateways: int | None, requests: int
+) -> Share:
+    """Return the share of a gateway.
 
     Args:
         limits: Limits of all gateways together.
         gateways: Number of gateways; None if it is not known, in which case
             repeats are earned by requests only.
+        requests: Requests that this gateway has received within a window.
     """
-    if limits.ratio == limits.extra == 0:
-        return Share(0.0, 0.0)
+    held_by_requests = HELD_BY_REQUESTS * limits.ratio * requests
     if gateways is None:
-        return Share(MIN_HELD, 0.0)
-    extra = USED_FRACTION * limits.extra / gateways
-    held = max(MIN_HELD, HELD_FRACTION * extra)
-    return Share(held, max(0.0, extra - held) / limits.window)
+        return Share(held_by_requests, 0.0)
+    extra = EARNED_FRACTION * limits.extra / gateways
+    held = max(HELD_FRACTION * extra, min(MIN_HELD, extra))
+    return Share(held + held_by_requests, (extra - held) / limits.window)
+
+
+class RecentRequests:
+    """Number of requests within the last window.
+
+    It leaves out requests of the oldest, incomplete step.
+
+    Attributes:
+        window: Length of the window in seconds.
+        steps: Number of each step in time and its requests, oldest first.
+        total: Requests of all steps.
+    """
+
+    def __init__(self) -> None:
+        """Create a window without requests."""
+        self.window = 0.0
+        self.steps: collections.deque[tuple[int, int]] = collections.deque()
+        self.total = 0
+
+    def add(self, now: float, window: float) -> None:
+        """Count a request."""
+        self.count(now, window)
+        step = step_of(now, window)
+        count = 1
+        if self.steps and self.steps[-1][0] == step:
+            count += self.steps.pop()[1]
+        self.steps.append((step, count))
+        self.total += 1
+
+    def count(self, now: float, window: float) -> int:
+        """Return the requests within the window that ends now."""
+        if window != self.window:
+            self.window = window
+            self.steps.clear()
+            self.total = 0
+        oldest = step_of(now, window) - STEPS_PER_WINDOW
+        while self.steps and self.steps[0][0] <= oldest:
+            self.total -= self.steps.popleft()[1]
+        return self.total
+
+
+def step_of(now: float, window: float) -> int:
+    """Return the number of the step that contains a time, in seconds."""
+    return math.floor(now * STEPS_PER_WINDOW / window)
 
 
 class Reserve:
@@ -72,6 +127,7 @@
         pending: Acquired repeats that were not sent yet.
         settled_at: Time up to which `earned` is computed.
         share: The gateway's share at that time.
+        requests: The latest requests to the service.
     """
 
     def __init__(self, now: float, share: Share) -> None:
@@ -80,6 +136,7 @@
         self.pending = 0
         self.settled_at = now
         self.share = share
+        self.requests = RecentRequests()
 
     def settle(self, now: float, share: Share) -> None:
         """Add what was earned since the last call."""
@@ -117,16 +174,20 @@
 
     def reserve_of(self, service: str, now: float) -> Reserve:
         """Return the settled reserve of a service."""
-        share = share_of(self.limits, self.gateways())
         reserve = self.reserves.get(service)
         if reserve is None:
-            reserve = self.reserves[service] = Reserve(now, share)
-        reserve.settle(now, share)
+            reserve = self.reserves[service] = Reserve(now, Share(0.0, 0.0))
+        requests = reserve.requests.count(now, self.limits.window)
+        reserve.settle(now, share_of(self.limits, self.gateways(), requests))
         return reserve
 
     def record_request(self, service: str, now: float) -> None:
         """Earn a fraction of a repeat with a new request."""
-        self.reserve_of(service, now).add(USED_FRACTION * self.limits.ratio)
+        reserve = self.reserve_of(service, now)
+        reserve.requests.add(now, self.limits.window)
+        # The share has grown by this request.
+        reserve = self.reserve_of(service, now)
+        reserve.add(EARNED_FRACTION * self.limits.ratio)
 
     def try_acquire(self, service: str, now: float) -> bool:
         """Acquire a repeat if there is one; return whether there is.
