Divide repeats only among gateways that count each other

Callers: none saw it; the postmortem named the gap. With three of four gateways cut off and one added, the shares added up to 1.04 of the limit.

Cause: a gateway used its share as soon as it had read its own record, also while others could not know of it, and kept it for as long as it could not read the records.

Change: membership decides it. A gateway joins when every recorded gateway has said over a link that it counts it, or after 45 s; one that reads no records for 30 s stops using its share; one whose record disappears is counted for 45 s. A gateway that forgets joins again.

--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -500,6 +500,10 @@
     reports: tuple[PartReport, ...]
 
 
+class GatewayCounted(NamedTuple):
+    """Says that the sender counts the receiver when it divides a limit."""
+
+
 Message = (
     Hello
     | Heartbeat
@@ -532,6 +536,7 @@
     | RankHold
     | EndpointLimits
     | PartReports
+    | GatewayCounted
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -567,4 +572,5 @@
     30: RankDemand,
     31: EndpointLimits,
     32: PartReports,
+    33: GatewayCounted,
 }
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -726,7 +726,7 @@
             begun=job.begun,
             parts=",".join(job.parts),
             seconds=self.loop.time() - place.acquired_at,
-            gateways=self.admission.peers.sharing_gateways() or 0,
+            gateways=self.allowance.gateways() or 0,
             repeats_left=reserve.earned,
             action=action,
         )
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -32,6 +32,7 @@
 from verbenafall_gateway.forwarding import exchange as exchange_lib
 from verbenafall_gateway.forwarding import forwarder_settings
 from verbenafall_gateway.forwarding import http_messages
+from verbenafall_gateway.forwarding import membership
 from verbenafall_gateway.forwarding import own_record
 from verbenafall_gateway.forwarding import peer_links
 from verbenafall_gateway.forwarding import peer_loads
@@ -116,6 +117,7 @@
         self.configuration = configuration_state.create_configuration_state()
         self.directory = endpoint_directory.create_endpoint_directory()
         self.peers = peer_loads.create_peer_loads()
+        self.membership = membership.create_membership(settings.name)
         self.slowdowns = rank_slowdowns.create_rank_slowdowns()
         self.limits_of_endpoints = endpoint_limits.create_endpoint_limits(
             settings.name
@@ -140,7 +142,8 @@
             self.admission,
             self.pool,
             repeat_allowance.create_repeat_allowance(
-                repeat_limits(settings), self.peers.sharing_gateways
+                repeat_limits(settings),
+                lambda: self.membership.sharing(loop.time()),
             ),
             metrics,
         )
@@ -154,6 +157,7 @@
             self.configuration,
             self.directory,
             self.peers,
+            self.membership,
             self.slowdowns,
             self.limits_of_endpoints,
             self.suspects,
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
@@ -31,6 +31,7 @@
 from verbenafall_gateway.forwarding import endpoint_directory
 from verbenafall_gateway.forwarding import endpoint_limits
 from verbenafall_gateway.forwarding import event_catalogue
+from verbenafall_gateway.forwarding import membership as membership_lib
 from verbenafall_gateway.forwarding import peer_loads
 from verbenafall_gateway.forwarding import rank_holds
 from verbenafall_gateway.forwarding import rank_slowdowns
@@ -66,6 +67,7 @@
         configuration: configuration_state.ConfigurationState,
         directory: endpoint_directory.EndpointDirectory,
         loads: peer_loads.PeerLoads,
+        membership: membership_lib.Membership,
         slowdowns: rank_slowdowns.RankSlowdowns,
         limits: endpoint_limits.EndpointLimits,
         suspects: crash_suspects.CrashSuspects,
@@ -83,6 +85,7 @@
             configuration: Configuration in force; updated by peers.
             directory: Known endpoints; updated by peers.
             loads: Counts of open requests of this gateway and its peers.
+            membership: The gateways that share common limits.
             slowdowns: Slowdown of the ranks, as reported by their leaders.
             limits: Rate limits of the endpoints; updated by peers.
             suspects: Parts of prompts that may crash endpoints; updated by
@@ -96,6 +99,7 @@
         self.configuration = configuration
         self.directory = directory
         self.loads = loads
+        self.membership = membership
         self.slowdowns = slowdowns
         self.limits = limits
         self.suspects = suspects
@@ -117,6 +121,7 @@
         router.subscribe(messages.RankSlowdowns, self.on_slowdowns)
         router.subscribe(messages.EndpointLimits, self.on_limits)
         router.subscribe(messages.PartReports, self.on_part_reports)
+        router.subscribe(messages.GatewayCounted, self.on_counted)
         router.subscribe(messages.RankHold, holds.on_hold)
         hello = messages.Hello(
             messages.PROTOCOL_VERSION, name, ROLE, data_centre, ""
@@ -151,7 +156,10 @@
     # Gateway records, passed on by the follower of the store.
 
     def apply_records(
-        self, batch: collection.Batch[addresses.Address], complete: bool
+        self,
+        batch: collection.Batch[addresses.Address],
+        complete: bool,
+        read_at: float,
     ) -> None:
         """Maintain links to the gateways that have a record.
 
@@ -160,7 +168,9 @@
         Args:
             batch: Changed records; those without a value were deleted.
             complete: Whether the batch contains all records.
+            read_at: When the batch was read, in seconds of the loop's clock.
         """
+        before = self.membership.recorded
         now = datetime.timedelta(seconds=self.loop.time())
         self.records.apply(batch, complete, now)
         others = {
@@ -172,6 +182,8 @@
             len(others) + 1, self.name in self.records.by_name
         )
         self.limits.set_gateways(tuple(self.records.by_name))
+        self.membership.apply_records(self.records.by_name, read_at)
+        self.confirm_counted(self.membership.recorded - before)
         self.links.set_targets(
             {item for item in others if self.listen_address < item}
         )
@@ -218,6 +230,16 @@
             )
         )
 
+    def confirm_counted(self, names: frozenset[str]) -> None:
+        """Tell linked gateways that they are counted here."""
+        for link in self.links.open_links():
+            if (
+                is_gateway(link)
+                and link.peer is not None
+                and link.peer.instance in names
+            ):
+                link.send(messages.GatewayCounted())
+
     def announce_parts(self, keys: Sequence[crash_suspects.PartKey]) -> None:
         """Send what is known of some parts of prompts to all peers."""
         histories = {key: self.suspects.history_of(key) for key in keys}
@@ -238,8 +260,9 @@
 
     def on_open(self, link: link_lib.Link) -> None:
         """Send the current state to a newly linked gateway."""
-        if not is_gateway(link):
+        if not is_gateway(link) or link.peer is None:
             return
+        self.loop.call_soon_threadsafe(self.count_peer, link.peer.instance)
         link.send(messages.ConfigurationVersion(self.configuration.version()))
         leaving = self.directory.leaving_versions()
         if leaving:
@@ -255,9 +278,27 @@
     def on_close(self, link: link_lib.Link, reason: str) -> None:
         """Discard the counts of a gateway whose link has closed."""
         del reason
+        if is_gateway(link) and link.peer is not None:
+            self.loop.call_soon_threadsafe(self.remove_peer, link.peer.instance)
+
+    def count_peer(self, peer: str) -> None:
+        """Count a newly linked gateway, and tell it so."""
+        self.membership.add_link(peer)
+        self.confirm_counted(frozenset({peer}))
+
+    def remove_peer(self, peer: str) -> None:
+        """Discard the counts of a gateway, and record that its link closed."""
+        self.loads.remove_peer(peer)
+        self.membership.remove_link(peer, self.loop.time())
+
+    def on_counted(
+        self, link: link_lib.Link, message: messages.GatewayCounted
+    ) -> None:
+        """Record that another gateway counts this one."""
+        del message
         if link.peer is not None:
             self.loop.call_soon_threadsafe(
-                self.loads.remove_peer, link.peer.instance
+                self.membership.record_counted_by, link.peer.instance
             )
 
     def on_counts(
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_loads.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_loads.py
@@ -75,14 +75,6 @@
         """Return the number of gateways, including unreachable ones."""
         return max(self.listed_gateways, self.live_gateways())
 
-    def sharing_gateways(self) -> int | None:
-        """Return among how many gateways a common limit is divided.
-
-        None if that is not known, as before the records of the gateways were
-        read.
-        """
-        return self.gateways() if self.is_listed else None
-
     def is_informed(self) -> bool:
         """Return whether this gateway has a linked peer, or no peer at all."""
         alone = self.is_listed and self.listed_gateways == 1
--- a/packages/gateway/src/verbenafall_gateway/forwarding/store_listeners.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/store_listeners.py
@@ -100,8 +100,10 @@
     ) -> None:
         """Schedule the update of the links on the event loop."""
         del after_outage
+        # Taken here, as the event loop may apply it much later.
+        read_at = self.loop.time()
         self.loop.call_soon_threadsafe(
-            self.peers.apply_records, batch, complete
+            self.peers.apply_records, batch, complete, read_at
         )
 
     def on_outage(self) -> None:
--- a/tests/core/test_codec.py
+++ b/tests/core/test_codec.py
@@ -63,6 +63,7 @@
     messages.PartReports(
         (messages.PartReport("s", "p", (("e", 40, 250),), None, 7),)
     ),
+    messages.GatewayCounted(),
 ]  # fmt: skip
 
 BAD_ITEMS = [
