Remove the records of gateways that are gone

After a machine was lost for good, its record lowered the shares of the others for good.

Cause: a record was deleted by its own gateway only, at a planned stop.

Change: the first of the linked gateways removes a record after a minute without a link, and a gateway that finds its own record missing writes it again and joins again. It is counted for 45 s more, by which time it must have stopped to use its share, so a wrong guess breaks no limit.

Evidence: test_gone_gateway_does_not_lower_the_shares_for_good and the table TestAbsence (no such decision existed before); the state machine plays the removal together with everything else.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -75,6 +75,14 @@
     "The gateway could not delete its record at a planned stop. Other gateways"
     " try to link to it until the next start replaces the record.",
 )
+ABSENT_RECORD_REMOVED = event_log.define(
+    2116,
+    "absent_record_removed",
+    "INFO",
+    "The record of a gateway that had no link for a minute was removed from the"
+    " store, unless problem says why not. If the gateway runs, it writes the"
+    " record again: check the network between the two.",
+)
 ENDPOINT_LISTED = event_log.define(
     2120,
     "endpoint_listed",
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -21,6 +21,7 @@
 from verbenafall_core import stop_requests
 from verbenafall_core.object_store import follower
 from verbenafall_core.routes import model
+from verbenafall_gateway.forwarding import absent_records
 from verbenafall_gateway.forwarding import admission as admission_lib
 from verbenafall_gateway.forwarding import channel_pool
 from verbenafall_gateway.forwarding import client_channel
@@ -184,6 +185,8 @@
             self.peers.gateways,
             random.Random(),
         )
+        self.links.own_record_missing = self.record.record_missing
+        self.absent_records = absent_records.create_absent_records(ports.store)
         self.channels: set[client_channel.ClientChannel] = set()
         self.readiness_channels: set[client_channel.ClientChannel] = set()
         read_delay = follower.spread_reads(
@@ -398,6 +401,7 @@
         limits = self.limits()
         self.directory.expire(now)
         self.limits_of_endpoints.retain(set(self.directory.listed))
+        self.remove_absent_records(now)
         self.pool.sweep()
         for channel in list(self.channels):
             if channel.task is not None or channel.requests:
@@ -416,6 +420,16 @@
         self.admission.refuse_expired()
         self.admission.serve_all_queues()
 
+    def remove_absent_records(self, now: float) -> None:
+        """Remove the records of gateways that are gone, in the background."""
+        for name in self.membership.take_absent(now):
+            self.loop.run_in_executor(
+                None,
+                self.absent_records.remove,
+                name,
+                self.links.records.by_name[name],
+            )
+
     async def drain(self, clients: asyncio.Server) -> None:
         """Finish the open requests within the stop limit.
 
--- a/packages/gateway/src/verbenafall_gateway/forwarding/membership.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/membership.py
@@ -3,8 +3,9 @@
 The shares of all gateways must not add up to more than the whole, whichever of
 them reach the store or each other. So a gateway uses a share only
 
-- after each recorded gateway has told it over a link that it counts it, or after
-  so long that one which has not read its record uses no share any more, and
+- after each recorded gateway has told it over a link that it counts it, or
+  after so long that one which has not read its record uses no share any more,
+  and
 - while its own knowledge of the records is recent.
 
 One whose record has disappeared is counted until it must have noticed that.
@@ -19,6 +20,9 @@
 # Time after which a gateway that reads no records uses no share any more, also
 # if it or the reader was frozen for some seconds.
 SHARE_EXPIRY_SECONDS: Final = 45.0
+# Time without a link after which the record of a gateway is removed. One that
+# still runs writes it again.
+ABSENCE_SECONDS: Final = 60.0
 
 
 class Membership:
@@ -32,6 +36,8 @@
         linked: Names of the gateways with an open link.
         left_at: When another gateway was last known to be recorded or linked,
             for those that are not any more.
+        unlinked_at: When the recorded gateways without a link were first seen
+            so, or their records were last removed.
         counted_by: Names of the gateways that have said that they count this
             one.
         read_at: When the records were last read.
@@ -45,6 +51,7 @@
         self.recorded: frozenset[str] = frozenset()
         self.linked: set[str] = set()
         self.left_at: dict[str, float] = {}
+        self.unlinked_at: dict[str, float] = {}
         self.counted_by: set[str] = set()
         self.read_at: float | None = None
         self.recorded_at: float | None = None
@@ -60,6 +67,7 @@
         self.read_at = read_at
         for name in before - self.recorded - self.linked:
             self.left_at[name] = read_at
+        self.track_unlinked(read_at)
         if self.name not in self.recorded:
             self.recorded_at = None
             self.has_joined = False
@@ -70,12 +78,43 @@
     def add_link(self, name: str) -> None:
         """Count a gateway to which a link has opened."""
         self.linked.add(name)
+        self.unlinked_at.pop(name, None)
 
     def remove_link(self, name: str, now: float) -> None:
         """Record that the link to a gateway has closed."""
         self.linked.discard(name)
         if name not in self.recorded:
             self.left_at[name] = now
+        self.track_unlinked(now)
+
+    def track_unlinked(self, now: float) -> None:
+        """Update since when recorded gateways have no link."""
+        unlinked = self.recorded - self.linked - {self.name}
+        self.unlinked_at = {
+            name: self.unlinked_at.get(name, now) for name in unlinked
+        }
+
+    def take_absent(self, now: float) -> list[str]:
+        """Return the gateways whose records this one must remove now.
+
+        Of the gateways that are linked with each other, the first by name
+        removes them. If most gateways are absent, this one is rather cut off.
+        """
+        absent = [
+            name
+            for name, since in self.unlinked_at.items()
+            if now - since >= ABSENCE_SECONDS
+        ]
+        if (
+            not absent
+            or self.name not in self.recorded
+            or len(absent) > max(1, len(self.recorded) // 2)
+            or min(self.linked & self.recorded, default=self.name) < self.name
+        ):
+            return []
+        for name in absent:
+            self.unlinked_at[name] = now
+        return absent
 
     def record_counted_by(self, name: str) -> None:
         """Record that another gateway counts this one."""
--- a/packages/gateway/src/verbenafall_gateway/forwarding/own_record.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/own_record.py
@@ -28,9 +28,9 @@
 class OwnRecord:
     """Record in the object store that holds this gateway's link address.
 
-    It is written at the start, written again if a restored store lacks it or
-    has another value, and deleted at a planned stop. All calls are made on a
-    thread of its own, as the store may block.
+    It is written at the start, written again if it was removed or a restored
+    store has another value, and deleted at a planned stop. All calls are made
+    on a thread of its own, as the store may block.
 
     Attributes:
         version: Version of the record in the store, 0 until it is written.
@@ -134,6 +134,16 @@
         self.due = now + RETRY_INTERVAL * self.generator.uniform(1, 2)
         return self.due - now
 
+    def record_missing(self, revision: int) -> None:
+        """Write the record again if it was removed by a revision.
+
+        Another gateway removes it if it cannot reach this one. Callable on any
+        thread.
+        """
+        if 0 < self.version <= revision:
+            self.version = 0
+            self.wakeup.set()
+
     def is_current(self) -> bool:
         """Return whether the record was written in the store's era."""
         return (
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
@@ -55,6 +55,8 @@
     Attributes:
         records: Link addresses of the gateways that are registered in the
             store, by name.
+        own_record_missing: Called with a revision of the store that lacks this
+            gateway's record.
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         self.records: known_items.KnownItems[addresses.Address] = (
             known_items.create_known_items(records.GATEWAY_RECORD_RETENTION)
         )
+        self.own_record_missing: Callable[[int], None] | None = None
         self.lock = threading.Lock()
         self.counts_timer: asyncio.TimerHandle | None = None
         self.repeat_timer: asyncio.TimerHandle | None = None
@@ -184,6 +187,11 @@
         self.limits.set_gateways(tuple(self.records.by_name))
         self.membership.apply_records(self.records.by_name, read_at)
         self.confirm_counted(self.membership.recorded - before)
+        if (
+            self.name not in self.records.by_name
+            and self.own_record_missing is not None
+        ):
+            self.own_record_missing(batch.revision)
         self.links.set_targets(
             {item for item in others if self.listen_address < item}
         )
--- a/tests/forwarding/test_membership.py
+++ b/tests/forwarding/test_membership.py
@@ -77,3 +77,50 @@
         assert subject.sharing(START) == 2
         subject.remove_link("g2", START + 1)
         assert subject.sharing(START + 1) == 2
+
+
+ABSENCE = membership.ABSENCE_SECONDS
+
+# Test id, name of the gateway, links, seconds later, records that it removes.
+ABSENT = [
+    ("first by name", "g1", ("g2",), ABSENCE, ["g3"]),
+    ("not yet", "g1", ("g2",), ABSENCE - 0.1, []),
+    ("another one is first", "g2", ("g1",), ABSENCE, []),
+    ("no link to the first", "g2", ("g3",), ABSENCE, ["g1"]),
+    ("most are absent", "g1", (), ABSENCE, []),
+    ("linked with all", "g1", ("g2", "g3"), ABSENCE, []),
+    ("has no record itself", "g0", ("g1", "g2"), ABSENCE, []),
+]
+
+
+class TestAbsence:
+    @pytest.mark.parametrize(
+        ("name", "links", "seconds", "expected"),
+        [case[1:] for case in ABSENT],
+        ids=[case[0] for case in ABSENT],
+    )
+    def test_records_to_remove(self, name, links, seconds, expected):
+        subject = membership.create_membership(name)
+        subject.apply_records(("g1", "g2", "g3"), START)
+        for link in links:
+            subject.add_link(link)
+        assert subject.take_absent(START + seconds) == expected
+
+    def test_record_of_the_only_other_gateway_is_removed(self):
+        subject = member("g1", "g2")
+        assert subject.take_absent(START + ABSENCE) == ["g2"]
+
+    def test_record_is_removed_once_per_absence(self):
+        subject = member("g1", "g2")
+        subject.take_absent(START + ABSENCE)
+        assert subject.take_absent(START + ABSENCE + 1) == []
+        assert subject.take_absent(START + 2 * ABSENCE) == ["g2"]
+
+    def test_gone_gateway_does_not_lower_the_shares_for_good(self):
+        subject = member("g1", "g2", counted_by=("g2",))
+        assert subject.take_absent(START + ABSENCE) == ["g2"]
+        removed = START + ABSENCE + 1
+        subject.apply_records(("g1",), removed)
+        assert subject.sharing(removed) == 2
+        subject.apply_records(("g1",), removed + EXPIRY)
+        assert subject.sharing(removed + EXPIRY) == 1
--- a/tests/forwarding/test_own_record.py
+++ b/tests/forwarding/test_own_record.py
@@ -266,3 +266,19 @@
         gateway.record.delete()
         assert gateway.value() == VALUE
         assert lines == ["own_record_not_deleted"]
+
+
+class TestRemovedRecord:
+    def test_record_that_another_gateway_removed_is_written_again(
+        self, gateway
+    ):
+        version = gateway.record.version
+        gateway.client.delete(NAME, version)
+        gateway.record.record_missing(version + 1)
+        gateway.run()
+        assert gateway.value() == VALUE
+
+    def test_older_state_of_the_store_does_not_show_a_removal(self, gateway):
+        gateway.record.record_missing(gateway.record.version - 1)
+        gateway.run()
+        assert operations(gateway) == []
--- a/tests/forwarding/test_repeat_allowance.py
+++ b/tests/forwarding/test_repeat_allowance.py
@@ -148,10 +148,11 @@
     def read_records(self):
         if not self.reads_store:
             return
-        self.fleet.records.add(self.name)
         new = self.fleet.records - self.membership.recorded
         self.membership.apply_records(self.fleet.records, self.fleet.now)
         self.confirm(new & self.links)
+        self.fleet.records.add(self.name)
+        self.fleet.records -= set(self.membership.take_absent(self.fleet.now))
 
     def confirm(self, names):
         for name in names:
