Send no request to an endpoint that says it leaves

Callers: with scripted engines on, 25 of the 40 requests sent more than 2 s after the header still went to the engine that leaves; the answers of an engine that ends could be lost with it.

Cause: only the store and other gateways told that an endpoint leaves; the header of its answers was passed on and not read.

Change: the head of an answer that names the request is read, whatever its status and how it ends, but for 421, which another endpoint gives. It holds for that start of the endpoint, whatever its entry says, until a later start is listed; one whose start is unknown is used again when it is listed anew. The gateways tell each other, also when a link opens. Requests that wait are refused if no endpoint is left, with a time that spreads their return.

Ruled out: the departures of the store, which a later version of the entry takes back; a second answer or one to another request, which is no answer that anybody gets.

--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -463,6 +463,16 @@
     endpoints: tuple[tuple[str, int], ...]
 
 
+class StoppingEndpoints(NamedTuple):
+    """Endpoints that have said in an answer that they leave.
+
+    Attributes:
+        lives: Endpoint id and its start in Unix milliseconds, None if unknown.
+    """
+
+    lives: tuple[tuple[str, int | None], ...]
+
+
 class EndpointLimits(NamedTuple):
     """Requests per second that endpoints accept from all gateways together.
 
@@ -537,6 +547,7 @@
     | EndpointLimits
     | PartReports
     | GatewayCounted
+    | StoppingEndpoints
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -573,4 +584,5 @@
     31: EndpointLimits,
     32: PartReports,
     33: GatewayCounted,
+    34: StoppingEndpoints,
 }
--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -33,6 +33,8 @@
 DEFAULT_SLOTS: Final = 8
 # Lower bound of the retry-after time in refusals.
 MIN_RETRY_AFTER_SECONDS: Final = 0.2
+# Mean retry-after time while a service has no endpoint.
+NO_ENDPOINT_RETRY_SECONDS: Final = 1.0
 # Lower bound of the mean duration in the estimate of the wait.
 MIN_DURATION_SECONDS: Final = 0.001
 # Longest time until a trial for which a request waits that cannot be refused,
@@ -440,7 +442,7 @@
         """
         usable = list(self.directory.usable(request.service))
         if not usable:
-            return Refused(RefusalReason.NO_ENDPOINT, 1.0)
+            return self.no_endpoint_refusal()
         now = self.loop.time()
         liveness = self.liveness_by_service[request.service]
         slots = sum(endpoint.slots or DEFAULT_SLOTS for endpoint in usable)
@@ -546,7 +548,7 @@
         """
         usable = list(self.directory.usable(request.service))
         if not usable:
-            return Refused(RefusalReason.NO_ENDPOINT, 1.0)
+            return self.no_endpoint_refusal()
         duration = max(
             self.averages_of(request.service).duration.mean,
             MIN_DURATION_SECONDS,
@@ -697,6 +699,33 @@
             self.loop.time() > request.target_at - first
         )
 
+    def record_leaving(self, placed: Placed) -> None:
+        """Send no more requests to an endpoint that has said it leaves.
+
+        The requests that wait for its service are refused if no other endpoint
+        is left.
+        """
+        self.directory.mark_stopping(placed.endpoint)
+        self.refuse_unserved(placed.endpoint.service)
+
+    def refuse_unserved(self, service: str) -> None:
+        """Refuse the queued requests of a service without an endpoint.
+
+        Those that may have run wait, as the client could not send them again.
+        """
+        if list(self.directory.usable(service)):
+            return
+        for waiter in self.queues.get(service, ()):
+            if not waiter.place.done() and not waiter.request.may_have_run:
+                waiter.place.set_result(self.no_endpoint_refusal())
+
+    def no_endpoint_refusal(self) -> Refused:
+        """Return a refusal that spreads the returns of many clients."""
+        return Refused(
+            RefusalReason.NO_ENDPOINT,
+            NO_ENDPOINT_RETRY_SECONDS * self.generator.uniform(0.5, 1.5),
+        )
+
     def record_limit(self, placed: Placed, rate: float | None) -> None:
         """Record the rate limit that an answer states; None if it has none."""
         endpoint_id = placed.endpoint.id
--- a/packages/gateway/src/verbenafall_gateway/forwarding/departures.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/departures.py
@@ -21,6 +21,11 @@
     draining: bool = False
 
 
+def is_later_start(start: int | None, previous: int | None) -> bool:
+    """Return whether a start is known to be later than another one."""
+    return start is not None and previous is not None and start > previous
+
+
 def has_returned(
     departure: Departure,
     version: int,
--- a/packages/gateway/src/verbenafall_gateway/forwarding/dialect.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/dialect.py
@@ -21,6 +21,7 @@
         last_event_id: Id of the last event that the sender received.
         rate_limit: Requests per second that the endpoint accepts from all
             gateways together, in its answers.
+        leaving: "1" in all answers of an endpoint that leaves.
         prompt_parts: The parts of the request's prompt in order, as
             comma-separated `id:tokens`. The last one is the request's own.
     """
@@ -35,6 +36,7 @@
     not_run: str
     last_event_id: str
     rate_limit: str
+    leaving: str
     prompt_parts: str
 
 
@@ -49,5 +51,6 @@
     not_run="x-not-run",
     last_event_id="last-event-id",
     rate_limit="x-rate-limit",
+    leaving="x-leaving",
     prompt_parts="x-prompt-parts",
 )
--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_directory.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_directory.py
@@ -65,9 +65,13 @@
         listed: Endpoints by id, with the version of their entry.
         leaving: Endpoints that were removed or are draining. Reported to the
             other gateways.
+        stopping: Start of each endpoint that has said in an answer that it
+            leaves, None if unknown. It holds until a later start is listed,
+            whatever else its entry says. Reported to the other gateways.
         replaced: Endpoints whose address answers under another id, with the
             version of the outdated entry.
         leaving_changed: Called with the entries added to `leaving`.
+        stopping_changed: Called with an entry added to `stopping`.
         missing: Endpoints whose entry disappeared during an outage of the
             store or is not in the copy from which the store was restored.
         by_service: Endpoints that accept requests, by service.
@@ -84,8 +88,12 @@
         """Create an empty directory."""
         self.listed: dict[str, Listed[endpoints.Endpoint]] = {}
         self.leaving: dict[str, departures.Departure] = {}
+        self.stopping: dict[str, int | None] = {}
         self.replaced: dict[str, departures.Departure] = {}
         self.leaving_changed: Callable[[dict[str, int]], None] | None = None
+        self.stopping_changed: (
+            Callable[[dict[str, int | None]], None] | None
+        ) = None
         self.missing: dict[str, Missing] = {}
         self.by_service: dict[str, list[endpoints.Endpoint]] = {}
         self.outage_ended_at: float | None = None
@@ -184,6 +192,8 @@
         """Limit the number of departures that are remembered."""
         while len(self.leaving) > MAX_LEAVING:
             del self.leaving[next(iter(self.leaving))]
+        while len(self.stopping) > MAX_LEAVING:
+            del self.stopping[next(iter(self.stopping))]
 
     def merge_leaving(self, leaving: dict[str, int]) -> None:
         """Add leaving endpoints that another gateway has reported.
@@ -212,6 +222,48 @@
         self.drop_oldest_departures()
         self.rebuild()
 
+    def mark_stopping(self, endpoint: endpoints.Endpoint) -> None:
+        """Stop using an endpoint that has said in an answer that it leaves."""
+        lives = {endpoint.id: endpoint.started_at}
+        if self.add_stopping(lives, "answer") and (
+            self.stopping_changed is not None
+        ):
+            self.stopping_changed(lives)
+
+    def merge_stopping(self, lives: dict[str, int | None]) -> None:
+        """Add endpoints that have told another gateway that they leave.
+
+        Args:
+            lives: Start of each endpoint, by id.
+        """
+        self.add_stopping(lives, "gateway")
+
+    def add_stopping(self, lives: dict[str, int | None], source: str) -> bool:
+        """Stop using endpoints that leave; return whether one was added."""
+        added = False
+        for name, started_at in lives.items():
+            if name in self.stopping and not departures.is_later_start(
+                started_at, self.stopping[name]
+            ):
+                continue
+            added = True
+            self.stopping[name] = started_at
+            known = self.listed.get(name)
+            event_log.emit(
+                event_catalogue.ENDPOINT_UNLISTED,
+                endpoint=name,
+                version=known.version if known is not None else 0,
+                source=source,
+            )
+        if added:
+            self.drop_oldest_departures()
+            self.rebuild()
+        return added
+
+    def is_leaving(self, name: str) -> bool:
+        """Return whether an endpoint is known to leave or to have left."""
+        return name in self.leaving or name in self.stopping
+
     def mark_replaced(self, name: str) -> None:
         """Stop using an endpoint whose address answers under another id."""
         known = self.listed.get(name)
@@ -290,6 +342,9 @@
         endpoint = self.listed.pop(name).value
         self.missing.pop(name, None)
         self.replaced.pop(name, None)
+        if endpoint.started_at is None:
+            # Nothing else would show that another start is listed later.
+            self.stopping.pop(name, None)
         previous = self.leaving.get(name)
         self.leaving[name] = departures.Departure(
             version,
@@ -324,6 +379,11 @@
 
     def forget_returned(self) -> None:
         """Forget the departures of endpoints that accept requests again."""
+        for name in list(self.stopping):
+            if name in self.listed and not self.has_said_to_leave(
+                name, self.listed[name].value
+            ):
+                del self.stopping[name]
         for found in (self.leaving, self.replaced):
             for name in list(found):
                 listed = self.listed.get(name)
@@ -341,6 +401,14 @@
                         departed=departure.version,
                     )
 
+    def has_said_to_leave(
+        self, name: str, endpoint: endpoints.Endpoint
+    ) -> bool:
+        """Return whether this start of an endpoint has said that it leaves."""
+        return name in self.stopping and not departures.is_later_start(
+            endpoint.started_at, self.stopping[name]
+        )
+
     def has_returned(
         self,
         departure: departures.Departure,
@@ -370,10 +438,14 @@
         self, name: str, listed: Listed[endpoints.Endpoint]
     ) -> bool:
         """Return whether an endpoint has not left, or has returned since."""
-        return not listed.value.draining and all(
-            self.has_returned(found[name], listed)
-            for found in (self.leaving, self.replaced)
-            if name in found
+        return (
+            not listed.value.draining
+            and not self.has_said_to_leave(name, listed.value)
+            and all(
+                self.has_returned(found[name], listed)
+                for found in (self.leaving, self.replaced)
+                if name in found
+            )
         )
 
     def latest_starts(self) -> dict[addresses.Address, int]:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -94,8 +94,8 @@
     "endpoint_unlisted",
     "INFO",
     "An endpoint gets no more requests; source says whether its entry was"
-    " removed from the store, another gateway reported it as leaving or its"
-    " address answered under another id.",
+    " removed from the store, it said in an answer that it leaves, another"
+    " gateway reported it as leaving or its address answered under another id.",
 )
 ENDPOINT_SUSPECTED = event_log.define(
     2122,
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -42,6 +42,9 @@
 # Outcome in logs and metrics if the client closed its connection.
 CLIENT_DISCONNECTED: Final = "client_left"
 
+# Value of the header by which an endpoint says that it leaves.
+LEAVING: Final = "1"
+
 NOT_FOUND: Final = 404
 UNAUTHORIZED: Final = 401
 BAD_GATEWAY: Final = 502
@@ -378,7 +381,7 @@
                 job.client,
                 job.relay_state,
                 lambda: self.record_progress(job),
-                lambda head: self.record_limit(place, head),
+                lambda head: self.record_statements(place, head),
                 lambda pause, target: self.admission.record_pause(
                     job.admitted.service, pause, target
                 ),
@@ -448,6 +451,20 @@
                 self.metrics.count("forward.repeats.denied")
         return job.repeat_acquired
 
+    def record_statements(
+        self, place: admission_lib.Placed, head: endpoint_channel.Head
+    ) -> None:
+        """Record what an endpoint says of itself in an answer.
+
+        Another endpoint gives the answer if the request was misdirected.
+        """
+        if head.status == answer_relay.MISDIRECTED_REQUEST:
+            return
+        leaving = http_messages.find_header(head.headers, self.dialect.leaving)
+        if leaving == LEAVING:
+            self.admission.record_leaving(place)
+        self.record_limit(place, head)
+
     def record_limit(
         self, place: admission_lib.Placed, head: endpoint_channel.Head
     ) -> None:
@@ -570,7 +587,7 @@
         state = await self.crash_check.check(place.endpoint)
         return (
             state is crash_check.EndpointState.CRASHED
-            and place.endpoint.id not in self.admission.directory.leaving
+            and not self.admission.directory.is_leaving(place.endpoint.id)
         )
 
     async def suspect_parts(
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -176,6 +176,7 @@
         self.admission.limits_changed = self.links.announce_limit
         self.configuration.changed = self.apply_configuration
         self.directory.leaving_changed = self.links.announce_leaving
+        self.directory.stopping_changed = self.links.announce_stopping
         self.record = own_record.OwnRecord(
             ports.store,
             ports.era,
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
@@ -121,6 +121,7 @@
         router.subscribe(messages.ConfigurationRequest, self.on_request)
         router.subscribe(messages.ConfigurationText, self.on_text)
         router.subscribe(messages.EndpointLeaving, self.on_leaving)
+        router.subscribe(messages.StoppingEndpoints, self.on_stopping)
         router.subscribe(messages.RankSlowdowns, self.on_slowdowns)
         router.subscribe(messages.EndpointLimits, self.on_limits)
         router.subscribe(messages.PartReports, self.on_part_reports)
@@ -229,6 +230,14 @@
         """
         self.send_to_all(messages.EndpointLeaving(tuple(leaving.items())))
 
+    def announce_stopping(self, lives: dict[str, int | None]) -> None:
+        """Notify all peers of endpoints that have said that they leave.
+
+        Args:
+            lives: Start of each endpoint, by id.
+        """
+        self.send_to_all(messages.StoppingEndpoints(tuple(lives.items())))
+
     def announce_limit(self, endpoint_id: str) -> None:
         """Send an endpoint's rate limit to all peers."""
         self.send_to_all(
@@ -275,6 +284,9 @@
         leaving = self.directory.leaving_versions()
         if leaving:
             link.send(messages.EndpointLeaving(tuple(leaving.items())))
+        stopping = dict(self.directory.stopping)
+        if stopping:
+            link.send(messages.StoppingEndpoints(tuple(stopping.items())))
         link.send(messages.OpenRequests(tuple(dict(self.loads.own).items())))
         statements = dict(self.limits.statements)
         if statements:
@@ -375,6 +387,15 @@
             self.directory.merge_leaving, dict(message.endpoints)
         )
 
+    def on_stopping(
+        self, link: link_lib.Link, message: messages.StoppingEndpoints
+    ) -> None:
+        """Record endpoints that have told a peer that they leave."""
+        del link
+        self.loop.call_soon_threadsafe(
+            self.directory.merge_stopping, dict(message.lives)
+        )
+
     def on_limits(
         self, link: link_lib.Link, message: messages.EndpointLimits
     ) -> None:
--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -58,6 +58,34 @@
             first.list_endpoint("e0", first.backends[0], draining=True)
         fakes.wait_until(lambda: len(directory.usable("s")) == 1)
 
+    def test_endpoint_that_says_it_leaves_is_known_to_both(self, pair):
+        first, second = pair
+        second.list_endpoint("e0", first.backends[0])
+        directories = [runner.forwarder.directory for runner in pair]
+        fakes.wait_until(lambda: all("e0" in d.listed for d in directories))
+        fakes.wait_until(second.forwarder.links.links.open_links)
+        first.loop.call_soon_threadsafe(
+            directories[0].mark_stopping, directories[0].listed["e0"].value
+        )
+        fakes.wait_until(lambda: "e0" in directories[1].stopping)
+        assert not list(directories[1].usable("s"))
+
+    def test_gateway_that_starts_learns_which_endpoints_leave(self, pair):
+        first, _ = pair
+        directory = first.forwarder.directory
+        fakes.wait_until(lambda: "e0" in directory.listed)
+        first.loop.call_soon_threadsafe(
+            directory.mark_stopping, directory.listed["e0"].value
+        )
+        started = fakes.RunningForwarder(None, [], "g3")
+        try:
+            started.gateways.put("g1", first.link_address)
+            first.gateways.put("g3", started.link_address)
+            known = started.forwarder.directory.stopping
+            fakes.wait_until(lambda: "e0" in known)
+        finally:
+            started.close()
+
     def test_open_requests_count_for_both(self, pair):
         first, second = pair
         peers = second.forwarder.peers
