Send nothing to an endpoint for the time its 503 asks for

Callers: with scripted engines on, an engine alone that answered 503 with Retry-After: 3 got 79 of the 80 requests of the next seconds, and each of them cost its caller a round trip and, if it was sent once more, a repeat.

Cause: the Retry-After of an endpoint was never read. Only the suspicion after a failure kept requests away, and that yields when no other endpoint is left.

Change: endpoint_pauses keeps the pause of each start of an endpoint, whether the 503 says not run or failed. send_permission answers when an endpoint may get a request, from leaving, pause, stated rate and suspicion; placing, and a second look after the connection is open, ask it. If all endpoints pause for longer than a request can wait, it is refused at once, queued ones too, with the soonest end and a spread; others wait. A request ends after two endpoints that paused, and a failure is passed on if no other endpoint can be asked in time.

Ruled out: telling the peers, as an engine speaks to one gateway; 429, whose Retry-After is for the client; 421, which another endpoint gives.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -14,11 +14,13 @@
 from verbenafall_gateway.forwarding import crash_suspects
 from verbenafall_gateway.forwarding import endpoint_directory
 from verbenafall_gateway.forwarding import endpoint_limits
+from verbenafall_gateway.forwarding import endpoint_pauses
 from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import pass_pace
 from verbenafall_gateway.forwarding import peer_loads
 from verbenafall_gateway.forwarding import placement
 from verbenafall_gateway.forwarding import rank_slowdowns
+from verbenafall_gateway.forwarding import send_permission
 from verbenafall_gateway.forwarding import service_liveness
 from verbenafall_gateway.forwarding import stop_decision
 from verbenafall_gateway.forwarding import wait_queue
@@ -35,6 +37,8 @@
 MIN_RETRY_AFTER_SECONDS: Final = 0.2
 # Mean retry-after time while a service has no endpoint.
 NO_ENDPOINT_RETRY_SECONDS: Final = 1.0
+# Returns of clients are spread over this fraction of a pause after its end.
+RETURN_SPREAD: Final = 0.25
 # Lower bound of the mean duration in the estimate of the wait.
 MIN_DURATION_SECONDS: Final = 0.001
 # Longest time until a trial for which a request waits that cannot be refused,
@@ -97,6 +101,7 @@
 
     NO_ENDPOINT = "no_endpoint"
     FULL = "full"
+    PAUSED = "paused"
     STALLED = "stalled"
     TOO_LATE = "too_late"
     STOPPING = "stopping"
@@ -188,6 +193,7 @@
         self.slowdowns = slowdowns
         self.limits = limits
         self.suspects = suspects
+        self.pauses = endpoint_pauses.create_endpoint_pauses()
         self.limits_changed: Callable[[str], None] | None = None
         self.data_centre = data_centre
         self.load_per_slot = load_per_slot
@@ -211,11 +217,13 @@
         now = self.loop.time()
         found = []
         for endpoint in self.directory.usable(request.service):
-            if endpoint.id in request.tried or not self.limits.may_send(
-                endpoint.id, now
-            ):
+            if endpoint.id in request.tried:
+                continue
+            permission = send_permission.permit(
+                self.standing(endpoint, now), now
+            )
+            if permission.at > now:
                 continue
-            suspicion = self.suspicions.get(endpoint.id)
             own = self.open.get(endpoint.id, 0)
             found.append(
                 placement.Candidate(
@@ -223,13 +231,94 @@
                     own + self.peers.load_of(endpoint.id, now),
                     endpoint.slots or DEFAULT_SLOTS,
                     endpoint.data_centre == self.data_centre,
-                    suspicion is not None and suspicion.until > now,
+                    permission.avoid,
                     self.slowdowns.is_slow(endpoint.address.host, now),
                     own,
                 )
             )
         return found
 
+    def standing(
+        self, endpoint: endpoints.Endpoint, now: float
+    ) -> send_permission.Standing:
+        """Return what is known of an endpoint."""
+        suspicion = self.suspicions.get(endpoint.id)
+        return send_permission.Standing(
+            not self.directory.is_usable(endpoint),
+            self.pauses.until(endpoint, now),
+            self.limits.next_send(endpoint.id, now),
+            now if suspicion is None else suspicion.until,
+        )
+
+    def is_withheld(self, placed: Placed) -> bool:
+        """Return whether an endpoint left or paused since it was chosen.
+
+        The request itself has used the gateway's share of a stated rate.
+        """
+        now = self.loop.time()
+        standing = self.standing(placed.endpoint, now)
+        standing = standing._replace(limited_until=now)
+        return send_permission.permit(standing, now).at > now
+
+    def has_others(self, request: PlacementRequest) -> bool:
+        """Return whether an untried endpoint ends its pause in time."""
+        return any(
+            endpoint.id not in request.tried
+            for endpoint in self.endpoints_in_time(request)
+        )
+
+    def endpoints_in_time(
+        self, request: PlacementRequest
+    ) -> list[endpoints.Endpoint]:
+        """Return the endpoints whose pause ends before the latest start."""
+        now = self.loop.time()
+        latest = max(now, self.latest_start(request))
+        return [
+            endpoint
+            for endpoint in self.directory.usable(request.service)
+            if self.pauses.until(endpoint, now) <= latest
+        ]
+
+    def pause_end(self, service: str, now: float) -> float:
+        """Return when the first endpoint of a service ends its pause.
+
+        That is now if one does not pause, or if there is no endpoint.
+        """
+        return min(
+            (
+                self.pauses.until(endpoint, now)
+                for endpoint in self.directory.usable(service)
+            ),
+            default=now,
+        )
+
+    def pause_refusal(self, service: str) -> Refused:
+        """Return a refusal that spreads the returns after a pause."""
+        now = self.loop.time()
+        delay = self.pause_end(service, now) - now
+        spread = max(MIN_RETRY_AFTER_SECONDS, delay * RETURN_SPREAD)
+        return Refused(
+            RefusalReason.PAUSED,
+            delay + spread * self.generator.random(),
+        )
+
+    def refusal_of_service(self, service: str) -> Refused | None:
+        """Return a refusal if no endpoint of a service takes requests now."""
+        if self.is_stalled(service):
+            return self.stall_refusal()
+        now = self.loop.time()
+        if self.pause_end(service, now) > now:
+            return self.pause_refusal(service)
+        return None
+
+    def check_pauses(self, request: PlacementRequest) -> Refused | None:
+        """Return a refusal if all endpoints pause for too long."""
+        if self.endpoints_in_time(request) or not list(
+            self.directory.usable(request.service)
+        ):
+            return None
+        return self.pause_refusal(request.service)
+
     def has_fast_capacity(self, request: PlacementRequest) -> bool:
         """Return whether an endpoint that is not slow has capacity now."""
         fast = [item for item in self.candidates(request) if not item.slow]
@@ -317,6 +406,9 @@
         queue = self.queues.setdefault(request.service, [])
         entry = self.create_entry(request)
         stalled = self.is_stalled(request.service)
+        refused = self.check_pauses(request)
+        if refused is not None:
+            return refused
         if stalled:
             self.pace_of(request.service).restart()
             refused = self.check_stall(request, len(queue))
@@ -554,18 +646,22 @@
             MIN_DURATION_SECONDS,
         )
         per_slot = min(1.0, self.max_load_per_slot(request)) / duration
+        now = self.loop.time()
+        pause = self.pause_end(request.service, now) - now
         state = wait_queue.QueueState(
             ahead,
             sum(
                 self.limits.capacity(
                     endpoint.id, (endpoint.slots or DEFAULT_SLOTS) * per_slot
                 )
-                for endpoint in usable
+                for endpoint in self.endpoints_in_time(request)
             ),
             self.peers.live_gateways(),
         )
-        wait = wait_queue.expected_wait(state)
-        if self.loop.time() + wait > self.latest_start(request):
+        wait = pause + wait_queue.expected_wait(state)
+        if now + wait > self.latest_start(request):
+            if pause > 0:
+                return self.pause_refusal(request.service)
             return Refused(
                 RefusalReason.FULL,
                 max(
@@ -708,6 +804,27 @@
         self.directory.mark_stopping(placed.endpoint)
         self.refuse_unserved(placed.endpoint.service)
 
+    def record_pause_stated(self, placed: Placed, seconds: float) -> None:
+        """Send no requests to an endpoint for the time that it states.
+
+        The queued requests that cannot wait so long are refused if all
+        endpoints pause.
+        """
+        endpoint = placed.endpoint
+        if self.pauses.record(endpoint, seconds, self.loop.time()):
+            event_log.emit(
+                event_catalogue.ENDPOINT_PAUSED,
+                endpoint=endpoint.id,
+                service=endpoint.service,
+                seconds=seconds,
+            )
+        for waiter in self.queues.get(endpoint.service, ()):
+            if waiter.place.done() or waiter.request.may_have_run:
+                continue
+            refused = self.check_pauses(waiter.request)
+            if refused is not None:
+                waiter.place.set_result(refused)
+
     def refuse_unserved(self, service: str) -> None:
         """Refuse the queued requests of a service without an endpoint.
 
--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_directory.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_directory.py
@@ -499,6 +499,13 @@
             withheld=format_names(withheld),
         )
 
+    def is_usable(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether an endpoint, or a later start, accepts requests."""
+        return any(
+            other.id == endpoint.id
+            for other in self.by_service.get(endpoint.service, ())
+        )
+
     def usable(self, service: str) -> Iterable[endpoints.Endpoint]:
         """Return the endpoints of a service that accept requests."""
         return self.by_service.get(service, ())
--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_limits.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_limits.py
@@ -125,12 +125,16 @@
 
     def may_send(self, endpoint_id: str, now: float) -> bool:
         """Return whether a request may be sent to an endpoint now."""
+        return self.next_send(endpoint_id, now) <= now
+
+    def next_send(self, endpoint_id: str, now: float) -> float:
+        """Return when a request may be sent, infinite without a share."""
         rate = self.rate_of(endpoint_id)
         if rate is None:
-            return True
-        if now < self.next_send_at.get(endpoint_id, now):
-            return False
-        return not self.gateways or self.name in self.sharing(endpoint_id, rate)
+            return now
+        if self.gateways and self.name not in self.sharing(endpoint_id, rate):
+            return math.inf
+        return max(now, self.next_send_at.get(endpoint_id, now))
 
     def record_sent(self, endpoint_id: str, now: float) -> None:
         """Count a request that is sent to an endpoint."""
--- /dev/null
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_pauses.py
@@ -0,0 +1,118 @@
+"""Times for which endpoints want no requests from this gateway; no I/O.
+
+An endpoint that turns a request away may state for how long it wants no
+further one. It speaks to this gateway only, and holds for this start of it.
+"""
+
+from collections.abc import Sequence
+import datetime
+import math
+from typing import Final
+from typing import NamedTuple
+
+from werkzeug import http as werkzeug_http
+
+from verbenafall_core import endpoints
+
+# A pause is logged again if it becomes longer by this.
+LOGGED_EXTENSION_SECONDS: Final = 1.0
+# Maximum number of pauses that are remembered; the oldest are dropped first.
+MAX_PAUSES: Final = 2000
+# Longer values are no usable numbers.
+MAX_LENGTH: Final = 32
+
+
+class Pause(NamedTuple):
+    """A stated pause.
+
+    Attributes:
+        until: Its end, in seconds of the gateway's clock.
+        started_at: Start of the endpoint that stated it, None if unknown.
+    """
+
+    until: float
+    started_at: int | None
+
+
+class EndpointPauses:
+    """The pauses of endpoints, by endpoint id.
+
+    Not thread-safe.
+    """
+
+    def __init__(self) -> None:
+        """Create a state in which no endpoint pauses."""
+        self.pauses: dict[str, Pause] = {}
+
+    def record(
+        self, endpoint: endpoints.Endpoint, seconds: float, now: float
+    ) -> bool:
+        """Record a stated pause; return whether it is worth logging.
+
+        A pause does not become shorter by a later statement.
+        """
+        before = self.until(endpoint, now)
+        until = now + seconds
+        if until <= before:
+            return False
+        self.pauses[endpoint.id] = Pause(until, endpoint.started_at)
+        return before <= now or until - before >= LOGGED_EXTENSION_SECONDS
+
+    def until(self, endpoint: endpoints.Endpoint, now: float) -> float:
+        """Return when an endpoint may get requests again, at least now."""
+        pause = self.pauses.get(endpoint.id)
+        if pause is None or pause.started_at != endpoint.started_at:
+            return now
+        return max(pause.until, now)
+
+    def forget_ended(self, now: float) -> None:
+        """Forget ended pauses.
+
+        Those of endpoints that are not listed stay: their entries may be lost
+        for a moment.
+        """
+        left = [
+            (endpoint_id, pause)
+            for endpoint_id, pause in self.pauses.items()
+            if pause.until > now
+        ]
+        self.pauses = dict(left[-MAX_PAUSES:])
+
+    def longest(self, now: float) -> float:
+        """Return the seconds left of the longest pause, 0 without any."""
+        return max(
+            (pause.until - now for pause in self.pauses.values()), default=0.0
+        )
+
+
+def parse_retry_after(
+    values: Sequence[str], answered_at: str | None
+) -> float | None:
+    """Return the seconds that an answer asks to wait, None if unreadable.
+
+    Args:
+        values: Values of its Retry-After headers.
+        answered_at: Value of its Date header. A Retry-After date counts from
+            there, as the clocks of endpoint and gateway may differ.
+    """
+    if len(values) != 1 or len(values[0]) > MAX_LENGTH:
+        return None
+    try:
+        seconds = float(values[0])
+    except ValueError:
+        return parse_date_difference(values[0], answered_at)
+    return seconds if math.isfinite(seconds) and seconds >= 0 else None
+
+
+def parse_date_difference(until: str, since: str | None) -> float | None:
+    """Return the seconds from one HTTP date to another, None if unreadable."""
+    end = werkzeug_http.parse_date(until)
+    start = werkzeug_http.parse_date(since)
+    if end is None or start is None:
+        return None
+    return max(0.0, (end - start) / datetime.timedelta(seconds=1))
+
+
+def create_endpoint_pauses() -> EndpointPauses:
+    """Create a state in which no endpoint pauses."""
+    return EndpointPauses()
--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_catalogue.py
@@ -83,6 +83,21 @@
     " store, unless problem says why not. If the gateway runs, it writes the"
     " record again: check the network between the two.",
 )
+ENDPOINT_PAUSED = event_log.define(
+    2144,
+    "endpoint_paused",
+    "INFO",
+    "An endpoint answered 503 with Retry-After; this gateway sends it nothing"
+    " for so many seconds. Logged when the pause begins and when it becomes"
+    " longer by a second or more.",
+)
+ENDPOINT_PAUSE_UNREADABLE = event_log.define(
+    2145,
+    "endpoint_pause_unreadable",
+    "WARNING",
+    "An endpoint answered 503 with a Retry-After that is not one number of"
+    " seconds or date; it is ignored. Report it to the endpoint's developers.",
+)
 ENDPOINT_LISTED = event_log.define(
     2120,
     "endpoint_listed",
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -19,6 +19,7 @@
 from verbenafall_gateway.forwarding import dialect as dialect_lib
 from verbenafall_gateway.forwarding import endpoint_channel
 from verbenafall_gateway.forwarding import endpoint_limits
+from verbenafall_gateway.forwarding import endpoint_pauses
 from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import http_messages
 from verbenafall_gateway.forwarding import prompt_parts
@@ -42,6 +43,8 @@
 # Outcome in logs and metrics if the client closed its connection.
 CLIENT_DISCONNECTED: Final = "client_left"
 
+# Longest part of an unreadable header in a log line.
+MAX_LOGGED_HEADER: Final = 100
 # Value of the header by which an endpoint says that it leaves.
 LEAVING: Final = "1"
 
@@ -83,6 +86,7 @@
             those that were rejected during a stall.
         runs: Attempts after which the request may have run.
         rejections: Attempts after which it has not run.
+        pauses: Attempts whose endpoint then wanted no requests for a time.
         sent: Whether it was sent to an endpoint.
         repeat_acquired: Whether a repeat was acquired from the allowance for
             the next send.
@@ -112,6 +116,7 @@
         self.sends = 0
         self.runs = 0
         self.rejections = 0
+        self.pauses = 0
         self.sent = False
         self.repeat_acquired = False
         self.abandoned = False
@@ -321,8 +326,8 @@
             if action is not retry_decision.Action.DONE:
                 self.log_attempt(job, place, outcome, action)
             reason, retry_after = "", REJECTED_RETRY_AFTER
-            if self.admission.is_stalled(job.admitted.service):
-                refusal = self.admission.stall_refusal()
+            refusal = self.admission.refusal_of_service(job.admitted.service)
+            if refusal is not None:
                 reason, retry_after = refusal.reason, refusal.retry_after
             self.finish(job, action, outcome, reason, retry_after)
             return
@@ -366,6 +371,9 @@
             )
         except channel_pool.ConnectError as error:
             return retry_decision.Unsent(str(error))
+        if self.admission.is_withheld(place):
+            self.pool.release(place.endpoint, channel)
+            return retry_decision.Withheld()
         self.open_attempts[job] = OpenAttempt(place, channel)
         try:
             job.runs += 1
@@ -381,7 +389,7 @@
                 job.client,
                 job.relay_state,
                 lambda: self.record_progress(job),
-                lambda head: self.record_statements(place, head),
+                lambda head: self.record_statements(job, place, head),
                 lambda pause, target: self.admission.record_pause(
                     job.admitted.service, pause, target
                 ),
@@ -452,7 +460,10 @@
         return job.repeat_acquired
 
     def record_statements(
-        self, place: admission_lib.Placed, head: endpoint_channel.Head
+        self,
+        job: Job,
+        place: admission_lib.Placed,
+        head: endpoint_channel.Head,
     ) -> None:
         """Record what an endpoint says of itself in an answer.
 
@@ -462,9 +473,46 @@
             return
         leaving = http_messages.find_header(head.headers, self.dialect.leaving)
         if leaving == LEAVING:
+            self.metrics.count("forward.leaving")
             self.admission.record_leaving(place)
+        if head.status == UNAVAILABLE:
+            self.record_pause(job, place, head)
         self.record_limit(place, head)
 
+    def record_pause(
+        self,
+        job: Job,
+        place: admission_lib.Placed,
+        head: endpoint_channel.Head,
+    ) -> None:
+        """Record for how long an endpoint wants no requests, if it says so."""
+        values = [
+            value for name, value in head.headers if name == "retry-after"
+        ]
+        if not values:
+            return
+        seconds = endpoint_pauses.parse_retry_after(
+            values, http_messages.find_header(head.headers, "date")
+        )
+        if seconds is None:
+            self.metrics.count("forward.pauses.unreadable")
+            event_log.emit(
+                event_catalogue.ENDPOINT_PAUSE_UNREADABLE,
+                endpoint=place.endpoint.id,
+                text=",".join(values)[:MAX_LOGGED_HEADER],
+            )
+            return
+        if seconds > 0:
+            job.pauses += 1
+            self.metrics.count("forward.pauses")
+            self.admission.record_pause_stated(place, seconds)
+
+    def report_pauses(self, now: float) -> None:
+        """Update the metrics of the endpoints that want no requests."""
+        pauses = self.admission.pauses
+        self.metrics.gauge("forward.paused_endpoints", len(pauses.pauses))
+        self.metrics.gauge("forward.longest_pause", pauses.longest(now))
+
     def record_limit(
         self, place: admission_lib.Placed, head: endpoint_channel.Head
     ) -> None:
@@ -553,6 +601,9 @@
                 first - place.acquired_at,
             )
             return
+        if isinstance(outcome, retry_decision.Withheld):
+            job.rejections += 1
+            return
         job.tried.add(place.endpoint.id)
         if isinstance(outcome, retry_decision.NotRun):
             job.runs -= 1
@@ -637,15 +688,16 @@
 
     def progress_of(self, job: Job) -> retry_decision.Progress:
         """Return the state on which retry decisions are based."""
+        request = self.placement_request(job)
         return retry_decision.Progress(
             repeatable=job.admitted.route.repeatable,
             max_runs=job.admitted.route.max_attempts,
             runs=job.runs,
             rejections=job.rejections,
             answer_started=job.relay_state.started,
-            alternatives=bool(
-                self.admission.candidates(self.placement_request(job))
-            ),
+            alternatives=bool(self.admission.candidates(request)),
+            others=self.admission.has_others(request),
+            pauses=job.pauses,
         )
 
     def try_acquire_retry(
--- a/packages/gateway/src/verbenafall_gateway/forwarding/retry_decision.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/retry_decision.py
@@ -8,6 +8,9 @@
 
 # A request is sent again after at most this many attempts that did not run.
 MAX_REJECTIONS: Final = 3
+# A request is not sent again after this many attempts whose endpoints then
+# wanted no requests: the others are likely to be as busy.
+MAX_PAUSES: Final = 2
 
 
 class Delivered(NamedTuple):
@@ -22,6 +25,10 @@
     reason: str
 
 
+class Withheld(NamedTuple):
+    """Nothing was sent: the endpoint left or paused after it was chosen."""
+
+
 class NotRun(NamedTuple):
     """The endpoint reported that it did not run the request."""
 
@@ -40,7 +47,7 @@
     reason: str
 
 
-Outcome = Delivered | Unsent | NotRun | Failed | Broken
+Outcome = Delivered | Unsent | Withheld | NotRun | Failed | Broken
 
 
 class Action(enum.StrEnum):
@@ -71,7 +78,9 @@
         runs: Attempts that may have run the request.
         rejections: Attempts that did not run the request.
         answer_started: Whether the client has a part of the answer.
-        alternatives: Whether there is another endpoint to send it to.
+        alternatives: Whether there is another endpoint to send it to now.
+        others: Whether there is one now or in time.
+        pauses: Attempts whose endpoint then wanted no requests for a time.
     """
 
     repeatable: bool
@@ -80,6 +89,8 @@
     rejections: int
     answer_started: bool
     alternatives: bool
+    others: bool = True
+    pauses: int = 0
 
 
 def may_move(progress: Progress, resumable: bool) -> bool:
@@ -96,12 +107,16 @@
     """Return whether the route allows another attempt that could succeed."""
     if isinstance(outcome, Delivered):
         return False
-    if isinstance(outcome, Unsent | NotRun):
+    if progress.pauses >= MAX_PAUSES:
+        return False
+    if isinstance(outcome, Unsent | Withheld | NotRun):
         return (
             progress.rejections <= MAX_REJECTIONS
             and progress.alternatives
             and (progress.repeatable or progress.runs == 0)
         )
+    if isinstance(outcome, Failed) and not progress.others:
+        return False
     return progress.repeatable and progress.runs < progress.max_runs
 
 
@@ -120,6 +135,6 @@
         return Action.CUT
     if isinstance(outcome, Failed):
         return Action.RELAY
-    if isinstance(outcome, Unsent | NotRun) and progress.runs == 0:
+    if isinstance(outcome, Unsent | Withheld | NotRun) and progress.runs == 0:
         return Action.REFUSE
     return Action.GIVE_UP
