Notice a stall whose rejections all come from one request

Cause: the place of an attempt was released before its outcome was recorded. With no other request open, that stopped the timer of the stall, so the fourth rejection of the same request was not taken as one.

Change: the outcome is recorded first. Requests that wait are thus placed with what the attempt has shown.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -311,9 +311,10 @@
                 return
             try:
                 outcome = await self.attempt(job, place)
+                # Before the release, which may place requests that wait.
+                self.record_outcome(job, place, outcome)
             finally:
                 self.admission.release(place)
-            self.record_outcome(job, place, outcome)
             if isinstance(outcome, retry_decision.Broken) and not job.begun:
                 # The crash counts also if the client leaves meanwhile.
                 await asyncio.shield(self.suspect_parts(job, place))
--- a/tests/forwarding/test_stalls.py
+++ b/tests/forwarding/test_stalls.py
@@ -37,7 +37,7 @@
     return script
 
 
-def answers_during_a_stall(seconds):
+def answers_during_a_stall(seconds, callers=CALLERS):
     """Return the answers to callers that come while the group is forming."""
     opened = threading.Event()
     ranks = [group_of(opened)] * 4
@@ -47,7 +47,7 @@
     ):
         runner.forwarder.admission.track_liveness("s")
         calls = [
-            pool.submit(test_forwarder.call, runner) for _ in range(CALLERS)
+            pool.submit(test_forwarder.call, runner) for _ in range(callers)
         ]
         time.sleep(seconds)
         opened.set()
@@ -59,6 +59,10 @@
         for answer in answers_during_a_stall(0.6):
             assert (answer.status, answer.complete) == (200, True)
 
+    def test_single_caller_that_all_ranks_reject_waits_for_its_answer(self):
+        (answer,) = answers_during_a_stall(0.6, callers=1)
+        assert (answer.status, answer.complete) == (200, True)
+
     def test_rejected_probes_do_not_use_up_the_sends_of_a_request(
         self, monkeypatch
     ):
