Read Retry-After in one place, with dates that are out of range

The function is in the core, as the sidecar needs it, too; the standard library's parser of dates replaces werkzeug's, which loads a web server.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_pauses.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_pauses.py
@@ -4,22 +4,15 @@
 further one. It speaks to this gateway only, and holds for this start of it.
 """
 
-from collections.abc import Sequence
-import datetime
-import math
 from typing import Final
 from typing import NamedTuple
 
-from werkzeug import http as werkzeug_http
-
 from verbenafall_core import endpoints
 
 # A pause is logged again if it becomes longer by this.
 LOGGED_EXTENSION_SECONDS: Final = 1.0
 # Maximum number of pauses that are remembered; the oldest are dropped first.
 MAX_PAUSES: Final = 2000
-# Longer values are no usable numbers.
-MAX_LENGTH: Final = 32
 
 
 class Pause(NamedTuple):
@@ -85,34 +78,6 @@
         )
 
 
-def parse_retry_after(
-    values: Sequence[str], answered_at: str | None
-) -> float | None:
-    """Return the seconds that an answer asks to wait, None if unreadable.
-
-    Args:
-        values: Values of its Retry-After headers.
-        answered_at: Value of its Date header. A Retry-After date counts from
-            there, as the clocks of endpoint and gateway may differ.
-    """
-    if len(values) != 1 or len(values[0]) > MAX_LENGTH:
-        return None
-    try:
-        seconds = float(values[0])
-    except ValueError:
-        return parse_date_difference(values[0], answered_at)
-    return seconds if math.isfinite(seconds) and seconds >= 0 else None
-
-
-def parse_date_difference(until: str, since: str | None) -> float | None:
-    """Return the seconds from one HTTP date to another, None if unreadable."""
-    end = werkzeug_http.parse_date(until)
-    start = werkzeug_http.parse_date(since)
-    if end is None or start is None:
-        return None
-    return max(0.0, (end - start) / datetime.timedelta(seconds=1))
-
-
 def create_endpoint_pauses() -> EndpointPauses:
     """Create a state in which no endpoint pauses."""
     return EndpointPauses()
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -7,6 +7,7 @@
 
 from verbenafall_core import event_log
 from verbenafall_core import metrics as metrics_lib
+from verbenafall_core import retry_after as retry_after_lib
 from verbenafall_core.routes import model
 from verbenafall_core.routes import table
 from verbenafall_gateway.forwarding import admission as admission_lib
@@ -19,7 +20,6 @@
 from verbenafall_gateway.forwarding import dialect as dialect_lib
 from verbenafall_gateway.forwarding import endpoint_channel
 from verbenafall_gateway.forwarding import endpoint_limits
-from verbenafall_gateway.forwarding import endpoint_pauses
 from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import http_messages
 from verbenafall_gateway.forwarding import prompt_parts
@@ -492,7 +492,7 @@
         ]
         if not values:
             return
-        seconds = endpoint_pauses.parse_retry_after(
+        seconds = retry_after_lib.parse_retry_after(
             values, http_messages.find_header(head.headers, "date")
         )
         if seconds is None:
