Let the soak play endpoints that say they leave or pause

The findings DRAIN and BUDGET join what an answer said with the requests that reached that start of the endpoint from the same lifetime of a gateway, by the users' bounds. Runs without the option draw the same faults as before.

--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -32,6 +32,11 @@
         default=0.0,
         help="share of requests that are the one that crashes endpoints",
     )
+    parser.add_argument(
+        "--statements",
+        action="store_true",
+        help="let endpoints say in their answers that they leave or pause",
+    )
     parser.add_argument(
         "--directory",
         type=pathlib.Path,
@@ -47,6 +52,7 @@
         records.DeadlyShares(
             arguments.deadly_share, arguments.deadly_request_share
         ),
+        arguments.statements,
     )
     directory = arguments.directory or pathlib.Path(tempfile.mkdtemp())
     failed = 0
--- a/tests/platform_adapter/soak/endpoints.py
+++ b/tests/platform_adapter/soak/endpoints.py
@@ -32,6 +32,8 @@
     Attributes:
         leaving: Set when the endpoint is about to end.
         open: Requests that are being run.
+        says_it_leaves: Whether its answers say so.
+        paused_until: Until when it turns requests away.
     """
 
     def __init__(
@@ -64,6 +66,8 @@
         self.connections: set[socket.socket] = set()
         self.leaving = threading.Event()
         self.open = 0
+        self.says_it_leaves = False
+        self.paused_until = 0.0
         self.state = ""
         # Guards the entry.
         self.entry_lock = threading.Lock()
@@ -123,6 +127,12 @@
         expected = request.headers.get("verbenafall-expect-instance")
         if expected not in (None, self.name):
             return self.refuse(connection, attempt, 421)
+        now = time.monotonic()
+        self.records.add(
+            records_lib.Arrival(attempt, self.name, self.born, now)
+        )
+        if now < self.paused_until:
+            return self.turn_away(connection, attempt, self.paused_until - now)
         if self.draw() < REFUSE_SHARE:
             return self.refuse(connection, attempt, 503)
         prompt = request.headers.get("verbenafall-prompt-prefix", "")
@@ -180,6 +190,31 @@
             f"{extra}\r\n"
         ).encode()
 
+    def leaving_header(self, attempt: str) -> str:
+        """Return the header that says that the endpoint leaves, if it does."""
+        if not self.says_it_leaves:
+            return ""
+        self.state_in_answer(attempt, 0.0)
+        return "Server-Leaving: 1\r\n"
+
+    def state_in_answer(self, attempt: str, pause: float) -> None:
+        """Record what an answer says of the endpoint."""
+        self.records.add(
+            records_lib.Statement(
+                attempt, self.name, self.born, time.monotonic(), pause
+            )
+        )
+
+    def turn_away(self, connection, attempt: str, pause: float) -> bool:
+        """Answer that the endpoint wants no requests for some seconds."""
+        self.state_in_answer(attempt, pause)
+        extra = (
+            "Verbenafall-Not-Executed: 1\r\nContent-Length: 0\r\n"
+            f"Retry-After: {pause:.2f}\r\n"
+        )
+        connection.sendall(self.head(attempt, 503, extra))
+        return True
+
     def refuse(self, connection, attempt: str, status: int) -> bool:
         """Answer that the request was not run."""
         connection.sendall(
@@ -197,6 +232,7 @@
         extra = (
             f"Verbenafall-Engine-Signature: {self.name}\r\n"
             f"Content-Length: {len(body)}\r\n"
+            f"{self.leaving_header(attempt)}"
         )
         return self.head(attempt, 200, extra) + body
 
@@ -208,6 +244,7 @@
             f"Verbenafall-Engine-Signature: {self.name}\r\n"
             "Content-Type: text/event-stream\r\n"
             "Transfer-Encoding: chunked\r\n"
+            f"{self.leaving_header(attempt)}"
         )
         connection.sendall(self.head(attempt, 200, extra))
         count = findings.events_of(attempt)
--- a/tests/platform_adapter/soak/findings.py
+++ b/tests/platform_adapter/soak/findings.py
@@ -18,6 +18,13 @@
 # period, if their endpoint is still at work.
 EARLY_SECONDS: Final = 3.0
 LAST_PART: Final = 1 / 6
+# Time after an answer that says that its endpoint leaves, from which requests
+# of clients must not reach the endpoint.
+DRAIN_SECONDS: Final = 2.0
+# Time after an answer with Retry-After from which it counts, and the requests
+# that may still reach the endpoint.
+PAUSE_SLACK_SECONDS: Final = 0.5
+MAX_ARRIVALS_IN_PAUSE: Final = 2
 # Engines to which one attempt of the soak's routes may be sent.
 MAX_ATTEMPTS: Final = 3
 # Crashes by one part that the users accept at most.
@@ -35,6 +42,7 @@
     found = list(records.problems)
     found += unasked(records.runs, known)
     found += check_crashes(records.deadly_crashes)
+    found += check_statements(records, known)
     for attempt in records.attempts:
         own = runs[attempt.id]
         found += check_runs(attempt, own)
@@ -65,6 +73,48 @@
             yield f"BUDGET crashes by one {cause}: {own}"
 
 
+def check_statements(
+    records: records_lib.Records, known: dict[str, records_lib.Attempt]
+) -> Iterator[str]:
+    """Check that requests respect what endpoints said to their gateway."""
+    arrivals = defaultdict(list)
+    for arrival in records.arrivals:
+        attempt = known.get(arrival.attempt)
+        if attempt is not None:
+            key = arrival.endpoint, arrival.born, attempt.gateway
+            arrivals[key].append((arrival.at, attempt))
+    for said in records.statements:
+        told = known.get(said.attempt)
+        if told is None:
+            continue
+        own = arrivals[said.endpoint, said.born, told.gateway]
+        if not said.pause:
+            late = [
+                attempt.id
+                for _, attempt in own
+                if attempt.sent_at > said.at + DRAIN_SECONDS
+                and got_answer(told, said.endpoint)
+                and not is_disturbed(attempt, records.disturbances)
+            ]
+            if late:
+                yield f"DRAIN {said.endpoint} said it leaves, then got {late}"
+            continue
+        start, end = said.at + PAUSE_SLACK_SECONDS, said.at + said.pause
+        early = [
+            attempt.id
+            for at, attempt in own
+            if start < at < end
+            and not is_disturbed(attempt, records.disturbances)
+        ]
+        if len(early) > MAX_ARRIVALS_IN_PAUSE:
+            yield f"BUDGET {said.endpoint} pauses {said.pause:.1f} s: {early}"
+
+
+def got_answer(attempt: records_lib.Attempt, endpoint: str) -> bool:
+    """Return whether a client got the answer of an endpoint."""
+    return attempt.status == 200 and attempt.signature == endpoint
+
+
 def check_runs(
     attempt: records_lib.Attempt, runs: list[records_lib.Run]
 ) -> Iterator[str]:
--- a/tests/platform_adapter/soak/records.py
+++ b/tests/platform_adapter/soak/records.py
@@ -94,6 +94,33 @@
     at: float
 
 
+class Arrival(NamedTuple):
+    """A request that reached an endpoint.
+
+    Attributes:
+        born: Start of the endpoint, which may start again under its name.
+    """
+
+    attempt: str
+    endpoint: str
+    born: int
+    at: float
+
+
+class Statement(NamedTuple):
+    """What an endpoint has said of itself in the answer to a request.
+
+    Attributes:
+        pause: Seconds for which it wants no requests, 0 if it leaves.
+    """
+
+    attempt: str
+    endpoint: str
+    born: int
+    at: float
+    pause: float
+
+
 class Disturbance(NamedTuple):
     """A time in which a gateway's lifetime was killed or frozen."""
 
@@ -117,11 +144,20 @@
         self.runs: list[Run] = []
         self.disturbances: list[Disturbance] = []
         self.deadly_crashes: list[DeadlyCrash] = []
+        self.arrivals: list[Arrival] = []
+        self.statements: list[Statement] = []
         self.stops: dict[str, float] = {}
         self.problems: list[str] = []
 
     def add(
-        self, record: Attempt | Run | Disturbance | DeadlyCrash | str
+        self,
+        record: Attempt
+        | Run
+        | Disturbance
+        | DeadlyCrash
+        | Arrival
+        | Statement
+        | str,
     ) -> None:
         """Add a record to the list of its type."""
         with self.lock:
@@ -133,6 +169,10 @@
                 self.disturbances.append(record)
             elif isinstance(record, DeadlyCrash):
                 self.deadly_crashes.append(record)
+            elif isinstance(record, Arrival):
+                self.arrivals.append(record)
+            elif isinstance(record, Statement):
+                self.statements.append(record)
             else:
                 self.problems.append(record)
 
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -42,6 +42,7 @@
     Attributes:
         seconds: Duration of the traffic.
         deadly: Shares of requests that crash each endpoint.
+        statements: Whether endpoints say in answers that they leave or pause.
     """
 
     gateways: int = 4
@@ -49,6 +50,7 @@
     clients: int = 16
     seconds: float = 12.0
     deadly: records_lib.DeadlyShares = records_lib.NOTHING_DEADLY
+    statements: bool = False
 
 
 class Result(NamedTuple):
@@ -204,6 +206,12 @@
             self.size.endpoints,
             self.size.seconds,
         )
+        if self.size.statements:
+            # Drawn last, so that seeds of runs without them stay the same.
+            faults += schedule.draw_statements(
+                self.generator, self.size.endpoints, self.size.seconds
+            )
+            faults.sort()
         started = time.monotonic()
         for fault in faults:
             time.sleep(max(0.0, started + fault.at - time.monotonic()))
@@ -272,6 +280,16 @@
             self.configure()
         elif kind in schedule.ENDPOINT_KINDS:
             self.disturb_endpoint(fault)
+        elif kind is schedule.Kind.SAY_LEAVING:
+            self.say_leaving(fault)
+        else:
+            paused = (
+                [self.endpoints[fault.target]]
+                if kind is schedule.Kind.PAUSE
+                else self.endpoints
+            )
+            for endpoint in paused:
+                endpoint.paused_until = time.monotonic() + fault.seconds
 
     def restore_store(self, fault: schedule.Fault) -> None:
         """Let the store go away and come back from an older copy."""
@@ -325,6 +343,16 @@
         time.sleep(endpoints_lib.CRASH_SECONDS)
         self.endpoints[fault.target] = self.start_endpoint(endpoint.name)
 
+    def say_leaving(self, fault: schedule.Fault) -> None:
+        """Let an endpoint say that it leaves some time before it drains."""
+        endpoint = self.endpoints[fault.target]
+        if endpoint.leaving.is_set() or endpoint.says_it_leaves:
+            return
+        endpoint.says_it_leaves = True
+        self.endpoints[fault.target] = self.start_endpoint(f"{endpoint.name}s")
+        time.sleep(fault.seconds)
+        endpoint.drain()
+
     def close(self) -> None:
         """End all that was started."""
         self.balancer.stopped.set()
--- a/tests/platform_adapter/soak/schedule.py
+++ b/tests/platform_adapter/soak/schedule.py
@@ -29,6 +29,10 @@
     CONFIGURE: The configuration gets a new version with one more route.
     DRAIN: An endpoint leaves and one with another id takes its place.
     CRASH: An endpoint resets its connections and comes back under its id.
+    SAY_LEAVING: An endpoint says in its answers that it leaves, and only later
+        in its entry; one with another id takes its place.
+    PAUSE: An endpoint answers 503 with Retry-After for a while.
+    PAUSE_ALL: All endpoints do.
     """
 
     STOP = "stop"
@@ -45,6 +49,9 @@
     CONFIGURE = "configure"
     DRAIN = "drain"
     CRASH = "crash"
+    SAY_LEAVING = "say_leaving"
+    PAUSE = "pause"
+    PAUSE_ALL = "pause_all"
 
 
 GATEWAY_KINDS: Final = (
@@ -68,6 +75,9 @@
 ENDPOINT_KINDS: Final = (Kind.DRAIN, Kind.CRASH)
 
 
+STATEMENT_KINDS: Final = (Kind.SAY_LEAVING, Kind.PAUSE, Kind.PAUSE_ALL)
+
+
 class Fault(NamedTuple):
     """One fault.
 
@@ -108,3 +118,18 @@
             )
             at += generator.uniform(0.0, 1.5)
     return sorted(faults)
+
+
+def draw_statements(
+    generator: random.Random, endpoints: int, seconds: float
+) -> list[Fault]:
+    """Return what endpoints say of themselves in a run, in order of time."""
+    return sorted(
+        Fault(
+            generator.uniform(0.0, FAULT_SPAN * seconds),
+            generator.choice(STATEMENT_KINDS),
+            generator.randrange(endpoints),
+            generator.uniform(1.0, 4.0),
+        )
+        for _ in range(generator.randint(3, 6))
+    )
--- a/tests/platform_adapter/soak/test_findings.py
+++ b/tests/platform_adapter/soak/test_findings.py
@@ -156,3 +156,43 @@
             records.add(record)
         found = findings.find_all(records, GRACE_SECONDS)
         assert [line.split()[0] for line in found] == expected
+
+
+# Test id, pause (0 if the endpoint leaves), when clients sent the requests
+# that reached the endpoint after its statement, disturbances, first words.
+STATEMENTS = [
+    ("soon after it leaves", 0.0, [91.9], [], []),
+    ("after it has left", 0.0, [92.1], [], ["DRAIN"]),
+    ("two in a pause", 3.0, [91.0, 92.0], [], []),
+    ("three in a pause", 3.0, [91.0, 92.0, 92.5], [], ["BUDGET"]),
+    ("three at its begin", 3.0, [90.1, 90.2, 90.4], [], []),
+    ("three after its end", 3.0, [93.1, 93.2, 93.3], [], []),
+    (
+        "frozen gateway",
+        3.0,
+        [91.0, 92.0, 92.5],
+        [records_lib.Disturbance(GATEWAY, 90.5, 90.9)],
+        [],
+    ),
+]
+
+
+class TestStatements:
+    @pytest.mark.parametrize(
+        ("pause", "sent", "disturbances", "expected"),
+        [case[1:] for case in STATEMENTS],
+        ids=[case[0] for case in STATEMENTS],
+    )
+    def test_finding(self, pause, sent, disturbances, expected):
+        records = records_lib.Records()
+        records.add(attempt(Kind.LOOKUP, sent_at=89.9, id="told"))
+        records.add(records_lib.Statement("told", "e0", 1, 90.0, pause))
+        for number, at in enumerate(sent):
+            name = f"a{number}"
+            records.add(attempt(Kind.LOOKUP, sent_at=at, id=name))
+            records.add(records_lib.Arrival(name, "e0", 1, at))
+        for disturbance in disturbances:
+            records.add(disturbance)
+        known = {item.id: item for item in records.attempts}
+        found = findings.check_statements(records, known)
+        assert [line.split()[0] for line in found] == expected
--- a/tests/platform_adapter/soak/test_soak.py
+++ b/tests/platform_adapter/soak/test_soak.py
@@ -29,7 +29,10 @@
         drawn = {
             fault.kind
             for seed in range(200)
-            for fault in schedule.draw_faults(random.Random(seed), 4, 5, 12.0)
+            for fault in (
+                *schedule.draw_faults(random.Random(seed), 4, 5, 12.0),
+                *schedule.draw_statements(random.Random(seed), 5, 12.0),
+            )
         }
         assert drawn == set(schedule.Kind)
 
@@ -50,6 +53,14 @@
         assert result.findings == []
         assert result.answered > 0
 
+    @pytest.mark.system
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_endpoints_that_say_they_leave_or_pause(self, seed, tmp_path):
+        size = SIZE._replace(statements=True)
+        result = run_lib.run_seed(seed, size, tmp_path)
+        assert result.findings == []
+        assert result.answered > 0
+
     @pytest.mark.system
     @pytest.mark.parametrize("seed", SEEDS)
     def test_no_promise_is_broken(self, seed, tmp_path):
