Follow in the sidecar what its endpoint says of itself

Callers of serve: a request went to an engine that had said it leaves, or that had asked for a pause, and failed or was cut there.

Cause: the sidecar read neither header; only its probes closed an endpoint.

Dispatches that cannot wait are refused as not run, queued ones too, with the time that is left; the load report tells the gateways, which choose other endpoints.

--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -168,7 +168,8 @@
         slots: Attempts that the endpoint runs concurrently.
         service_time_ms: Mean time of an attempt on the endpoint.
         draining: Whether the sidecar is stopping.
-        leaving: Whether the endpoint is stopping or down.
+        leaving: Whether the endpoint is stopping or down, or wants no work for
+            a time.
         map_version: Expert map in use by the endpoint, 0 for none.
     """
 
--- a/packages/sidecar/src/verbenafall_sidecar/delivery/attempt_runner.py
+++ b/packages/sidecar/src/verbenafall_sidecar/delivery/attempt_runner.py
@@ -41,6 +41,9 @@
     ) -> None:
         """End an attempt that may have run without a complete response."""
 
+    def record_answer(self, response: endpoint_port.CallResponse) -> None:
+        """Record what the endpoint says of itself in a response."""
+
 
 class AttemptRunner:
     """Runs attempts that have been assigned a slot."""
@@ -166,6 +169,7 @@
         self, attempt: attempt_lib.Attempt, response: endpoint_port.CallResponse
     ) -> None:
         """Send a complete response, after recording it if there is a claim."""
+        self.callbacks.record_answer(response)
         if self.is_engine and response.status != engine_errors.STATUS_OK:
             self.handle_error_response(attempt, response)
         elif attempt.claim is None:
--- a/packages/sidecar/src/verbenafall_sidecar/delivery/dispatcher.py
+++ b/packages/sidecar/src/verbenafall_sidecar/delivery/dispatcher.py
@@ -25,6 +25,7 @@
 from verbenafall_sidecar.delivery import attempt as attempt_lib
 from verbenafall_sidecar.delivery import attempt_registry
 from verbenafall_sidecar.delivery import attempt_runner
+from verbenafall_sidecar.delivery import endpoint_statements
 from verbenafall_sidecar.delivery import fair_queue
 from verbenafall_sidecar.endpoint import endpoint_port
 from verbenafall_sidecar.endpoint import service_view
@@ -60,7 +61,11 @@
 
 
 class Snapshot(NamedTuple):
-    """Load and availability of the dispatcher at one time."""
+    """Load and availability of the dispatcher at one time.
+
+    Attributes:
+        endpoint_closed: Whether the endpoint has said that it leaves or pauses.
+    """
 
     in_flight: int
     queued: int
@@ -68,6 +73,7 @@
     service_time: datetime.timedelta
     draining: bool
     endpoint_up: bool
+    endpoint_closed: bool = False
 
 
 SendLoad = Callable[[link_lib.Link, Snapshot], None]
@@ -116,6 +122,7 @@
         self.draining = False
         self.stopped = False
         self.endpoint_up = True
+        self.closed_time = endpoint_statements.create_closed_time()
         self.runner = attempt_runner.create_attempt_runner(
             self,
             endpoint,
@@ -174,6 +181,38 @@
         """Record whether the endpoint can be reached."""
         with self.lock:
             self.endpoint_up = up
+            if up:
+                self.closed_time.open()
+                self.fill_slots()
+
+    def record_answer(self, response: endpoint_port.CallResponse) -> None:
+        """Call the endpoint no more for a time if a response says so.
+
+        The queued attempts that cannot wait so long are refused.
+        """
+        statement = endpoint_statements.read_statement(
+            response.status, response.headers
+        )
+        if statement is None:
+            return
+        now = self.clock.monotonic()
+        with self.lock:
+            if not self.closed_time.close(statement.closed_for, now):
+                return
+            event_log.emit(
+                event_catalogue.ENDPOINT_CLOSED,
+                leaving=statement.leaving,
+                seconds=statement.closed_for.total_seconds(),
+                queued=len(self.queue),
+            )
+            self.metrics.count("endpoint.closed")
+            for attempt in list(self.attempts.values()):
+                if (
+                    attempt.phase is Phase.QUEUED
+                    and attempt.deadline <= self.closed_time.until
+                ):
+                    self.queue.remove(attempt.dispatch.attempt_id)
+                    self.end_refused(attempt, Reason.ENDPOINT_REFUSED, NOT_RUN)
 
     def snapshot(self) -> Snapshot:
         """Return the current load."""
@@ -185,6 +224,7 @@
                 self.service_time,
                 self.draining,
                 self.endpoint_up,
+                bool(self.closed_time.left(self.clock.monotonic())),
             )
 
     def on_dispatch(
@@ -235,6 +275,8 @@
             for attempt in expired:
                 self.queue.remove(attempt.dispatch.attempt_id)
                 self.end_refused(attempt, Reason.DEADLINE, NOT_RUN)
+            # A time for which the endpoint wanted no calls may have ended.
+            self.fill_slots()
 
     def is_open_on(self, link: link_lib.Link, attempt_id: str) -> bool:
         """Return whether an open attempt was dispatched on this link."""
@@ -347,7 +389,10 @@
         )
         if reason is not None:
             return admission.Refuse(reason, DEFAULT_RETRY_AFTER)
-        return admission.decide(load, remaining)
+        closed = self.closed_time.left(self.clock.monotonic())
+        if closed and closed >= remaining:
+            return admission.Refuse(Reason.ENDPOINT_REFUSED, closed)
+        return admission.decide(load, remaining - closed)
 
     def describe_load(self, team: str) -> admission.Load:
         """Return the load as admission control sees it for a team."""
@@ -415,6 +460,8 @@
         """Start queued attempts while there are free slots."""
         while not self.stopped and self.in_flight < self.view.slots():
             now = self.clock.monotonic()
+            if self.closed_time.left(now):
+                return
             queued = self.queue.pop(now)
             if queued is None:
                 return
--- a/packages/sidecar/src/verbenafall_sidecar/event_catalogue.py
+++ b/packages/sidecar/src/verbenafall_sidecar/event_catalogue.py
@@ -68,6 +68,15 @@
 ENDPOINT_UP = event_log.define(
     3020, "endpoint_up", "INFO", "The endpoint can be reached again."
 )
+ENDPOINT_CLOSED = event_log.define(
+    3022,
+    "endpoint_closed",
+    "INFO",
+    "The endpoint said in an answer that it leaves, or, with 503 and"
+    " Retry-After, for how many seconds it wants no requests. It gets no calls"
+    " for this time, or until its process was replaced; queued dispatches that"
+    " cannot wait are refused.",
+)
 ENDPOINT_DOWN = event_log.define(
     3021,
     "endpoint_down",
--- a/packages/sidecar/src/verbenafall_sidecar/group/load_reports.py
+++ b/packages/sidecar/src/verbenafall_sidecar/group/load_reports.py
@@ -79,7 +79,7 @@
         snapshot.slots,
         attempt_lib.to_ms(snapshot.service_time),
         snapshot.draining,
-        not snapshot.endpoint_up,
+        snapshot.endpoint_closed or not snapshot.endpoint_up,
         map_version,
     )
 
--- a/tests/sidecar/test_dispatcher.py
+++ b/tests/sidecar/test_dispatcher.py
@@ -513,3 +513,101 @@
         *_, first, second, third, end = harness.link.sent
         assert first.data + second.data + third.data == body
         assert (end.chunk_count, end.byte_count) == (3, len(body))
+
+
+PAUSE = endpoint_port.CallResponse(503, (("Retry-After", "3"),), b"", "")
+LEAVING = endpoint_port.CallResponse(200, (("X-Leaving", "1"),), b"done", "")
+SECOND = datetime.timedelta(seconds=1)
+
+
+def dispatch(harness, number, remaining_ms=10_000):
+    harness.dispatcher.on_dispatch(
+        harness.link,
+        DISPATCH._replace(attempt_id=f"r.{number}", remaining_ms=remaining_ms),
+    )
+    harness.pool.run()
+
+
+def answer(harness, number, response):
+    harness.endpoint.sinks[f"r.{number}"].on_response(response)
+    harness.pool.run()
+
+
+@pytest.fixture(params=[True, False], ids=["engine", "plain service"])
+def asked(request):
+    """A dispatcher whose endpoint has got its first call."""
+    harness = helpers.DispatcherHarness(is_engine=request.param)
+    dispatch(harness, 1)
+    return harness
+
+
+class TestClosedEndpoint:
+    @pytest.mark.parametrize("response", [PAUSE, LEAVING])
+    def test_dispatch_that_cannot_wait_is_refused_at_once(
+        self, asked, response
+    ):
+        answer(asked, 1, response)
+        dispatch(asked, 2, remaining_ms=2_000)
+        assert asked.endpoint.started == ["r.1"]
+        refused = asked.link.last_message()
+        assert (refused.outcome, refused.reason) == (
+            NOT_RUN,
+            Reason.ENDPOINT_REFUSED,
+        )
+        assert refused.retry_after_ms >= 1_000
+        assert asked.dispatcher.snapshot().endpoint_closed
+
+    def test_queued_dispatch_waits_for_the_end_of_a_pause(self, asked):
+        dispatch(asked, 2)
+        answer(asked, 1, PAUSE)
+        asked.clock.advance(2 * SECOND)
+        asked.dispatcher.expire_queued()
+        asked.pool.run()
+        assert asked.endpoint.started == ["r.1"]
+        asked.clock.advance(SECOND)
+        asked.dispatcher.expire_queued()
+        asked.pool.run()
+        assert asked.endpoint.started == ["r.1", "r.2"]
+
+    def test_queued_dispatch_that_cannot_wait_is_refused(self, asked):
+        dispatch(asked, 2, remaining_ms=2_500)
+        answer(asked, 1, PAUSE)
+        refusals = [
+            message
+            for message in asked.link.sent
+            if isinstance(message, messages.Refused)
+        ]
+        assert [item.attempt_id for item in refusals] == ["r.2"]
+
+    def test_another_process_of_the_endpoint_gets_calls(self, asked):
+        answer(asked, 1, LEAVING)
+        asked.dispatcher.set_endpoint_up(False)
+        asked.dispatcher.set_endpoint_up(True)
+        dispatch(asked, 2)
+        assert asked.endpoint.started == ["r.1", "r.2"]
+
+    @pytest.mark.parametrize(
+        ("status", "value"),
+        [
+            (503, "soon"),
+            (503, "-1"),
+            (503, "inf"),
+            (503, "9" * 400),
+            (503, "0"),
+            (429, "3"),
+        ],
+    )
+    def test_other_answers_do_not_close_the_endpoint(
+        self, asked, status, value
+    ):
+        headers = (("Retry-After", value),)
+        response = endpoint_port.CallResponse(status, headers, b"", "")
+        answer(asked, 1, response)
+        dispatch(asked, 2)
+        assert asked.endpoint.started == ["r.1", "r.2"]
+
+    def test_very_long_pause_is_no_error(self, asked):
+        headers = (("Retry-After", "1e300"),)
+        answer(asked, 1, endpoint_port.CallResponse(503, headers, b"", ""))
+        dispatch(asked, 2)
+        assert asked.endpoint.started == ["r.1"]
