--- a/standins/src/verbenafall_standins/engines/http_app.py
+++ b/standins/src/verbenafall_standins/engines/http_app.py
@@ -1,6 +1,7 @@
 """HTTP interface of one engine of a rank group."""
 
 from collections.abc import Iterator
+import datetime
 import json
 import queue
 from typing import Any
@@ -25,13 +26,20 @@
 
 
 class EngineApp:
-    """Handles the requests to one engine."""
+    """Handles the requests to one engine.
+
+    Attributes:
+        leaving: Whether all answers say that the engine leaves.
+        paused_until: Until when it turns requests away.
+    """
 
     def __init__(self, group: group_lib.Group, number: int) -> None:
         """Create the application of one engine, given by its number."""
         self.group = group
         self.number = number
         self.max_open_runs = max_open_runs(group.options)
+        self.leaving = False
+        self.paused_until = group.clock.monotonic()
 
     @property
     def engine(self) -> group_lib.Engine:
@@ -39,6 +47,13 @@
         return self.group.engines[self.number]
 
     def handle(self, request: http_serving.Request) -> http_serving.Response:
+        """Answer a request; the answer says whether the engine leaves."""
+        response = self.route(request)
+        if self.leaving:
+            response.headers["X-Leaving"] = "1"
+        return response
+
+    def route(self, request: http_serving.Request) -> http_serving.Response:
         """Route a request by method and path."""
         if request.path.startswith("/v1/kv/"):
             return self.handle_kv(request)
@@ -80,6 +95,11 @@
 
     def chat(self, request: http_serving.Request) -> http_serving.Response:
         """Run a chat completion; status 503 if too many runs are open."""
+        pause = self.paused_until - self.group.clock.monotonic()
+        if pause > datetime.timedelta():
+            response = http_serving.json_response({"error": "paused"}, 503)
+            response.headers["Retry-After"] = f"{pause.total_seconds():.3f}"
+            return response
         body = http_serving.read_json(request)
         run = create_run(request.headers.get("X-Request-Id", ""), body)
         with self.group.changed:
@@ -246,10 +266,18 @@
         )
 
     def set_fault(self, body: dict[str, Any]) -> http_serving.Response:
-        """Set a fault of this engine; mode "up" ends stalls and delays."""
+        """Set a fault of this engine; mode "up" ends stalls and delays.
+
+        In mode "leave" its answers say so; in mode "pause" it turns requests
+        away for `pause_ms`. A restart ends both.
+        """
         engine, delay_ms = self.engine, float(body.get("delay_ms", 0))
-        if body.get("mode") == "restart":
-            self.group.restart(self.number)
+        if body.get("mode") in ("leave", "pause", "restart"):
+            self.set_statements(
+                body["mode"] == "leave", float(body.get("pause_ms", 0))
+            )
+            if body["mode"] == "restart":
+                self.group.restart(self.number)
             return http_serving.json_response(body)
         with self.group.changed:
             match body.get("mode"):
@@ -268,6 +296,13 @@
             self.group.changed.notify_all()
         return http_serving.json_response(body)
 
+    def set_statements(self, leaving: bool, pause_ms: float) -> None:
+        """Set what the answers say of the engine."""
+        self.leaving = leaving
+        self.paused_until = self.group.clock.monotonic() + datetime.timedelta(
+            milliseconds=pause_ms
+        )
+
     def stall(self, rank: int, delay_ms: float) -> None:
         """Delay each step of a rank, or stop the rank if the delay is 0."""
         if rank not in self.engine.delays_ms:
--- a/tests/standins/test_engines_http.py
+++ b/tests/standins/test_engines_http.py
@@ -244,3 +244,33 @@
                 engine.post("/v1/orders", order | {"placement": placement})
             assert engine.get("/v1/state")["map_version"] == 1
             assert engine.stream(max_tokens=1)[-1] == "data: [DONE]"
+
+
+class TestStatements:
+    """What the engine says of itself in its answers."""
+
+    def head(self, engine, path="/v1/state", method="GET", body=None):
+        host = engine.server.url.removeprefix("http://")
+        connection = http.client.HTTPConnection(host, timeout=10)
+        connection.request(method, path, body)
+        response = connection.getresponse()
+        response.read()
+        connection.close()
+        return response.status, dict(response.getheaders())
+
+    def test_engine_that_leaves_says_so_in_all_answers_until_a_restart(self):
+        with running(OPTIONS) as engine:
+            engine.post("/-/faults", {"mode": "leave"})
+            assert self.head(engine)[1]["X-Leaving"] == "1"
+            engine.post("/-/faults", {"mode": "restart"})
+            assert "X-Leaving" not in self.head(engine)[1]
+
+    def test_engine_that_pauses_turns_requests_away(self):
+        with running(OPTIONS) as engine:
+            engine.post("/-/faults", {"mode": "pause", "pause_ms": 60_000})
+            body = json.dumps({"messages": MESSAGES})
+            status, headers = self.head(engine, CHAT, "POST", body)
+            assert status == 503
+            assert 0 < float(headers["Retry-After"]) <= 60
+            engine.post("/-/faults", {"mode": "pause", "pause_ms": 0})
+            assert self.head(engine, CHAT, "POST", body)[0] == 200
