Let the restore test wait until both gateways know the records

KNOWN-RED: seen once, within 10 s only one of two gateways noticed the restore of its records, with one watch_history_gone in the log.

Cause: the test. One gateway opens the link as soon as it has read the records; the other may read them for the first time after the restore. It then reads the new era at once, logs no lost history, and cannot know what the copy lacks.

The check stays as it is; the test waits for its premise. Product: such a gateway still counts its linked peers (membership).

--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -110,6 +110,11 @@
         """Gateways stay linked until each has written its record again."""
         lists = [runner.forwarder.links.links.open_links for runner in pair]
         fakes.wait_until(lambda: all(links() for links in lists))
+        # One that has not read the records yet cannot know what is lost.
+        recorded = [runner.forwarder.membership for runner in pair]
+        fakes.wait_until(
+            lambda: all(item.recorded >= {"g1", "g2"} for item in recorded)
+        )
         before = [links() for links in lists]
         for runner in pair:
             runner.gateways.restore(fakes.MemoryCollection().copy())
