Do not search the directory for each candidate

Cause: found by reading the diff: each candidate was looked up again in the list of usable endpoints that it came from, n squared comparisons a placement. Only the second look after connecting needs it.

Also, rejections during a stall count neither as tries nor, now, as pauses: the group rejects, not the endpoint.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -219,8 +219,9 @@
         for endpoint in self.directory.usable(request.service):
             if endpoint.id in request.tried:
                 continue
+            # The directory returns no endpoints that leave.
             permission = send_permission.permit(
-                self.standing(endpoint, now), now
+                self.standing(endpoint, False, now), now
             )
             if permission.at > now:
                 continue
@@ -239,12 +240,12 @@
         return found
 
     def standing(
-        self, endpoint: endpoints.Endpoint, now: float
+        self, endpoint: endpoints.Endpoint, leaving: bool, now: float
     ) -> send_permission.Standing:
         """Return what is known of an endpoint."""
         suspicion = self.suspicions.get(endpoint.id)
         return send_permission.Standing(
-            not self.directory.is_usable(endpoint),
+            leaving,
             self.pauses.until(endpoint, now),
             self.limits.next_send(endpoint.id, now),
             now if suspicion is None else suspicion.until,
@@ -256,7 +257,8 @@
         The request itself has used the gateway's share of a stated rate.
         """
         now = self.loop.time()
-        standing = self.standing(placed.endpoint, now)
+        leaving = not self.directory.is_usable(placed.endpoint)
+        standing = self.standing(placed.endpoint, leaving, now)
         standing = standing._replace(limited_until=now)
         return send_permission.permit(standing, now).at > now
 
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -620,6 +620,7 @@
                     # As a probe it may be rejected any number of times.
                     job.tried.clear()
                     job.rejections = 0
+                    job.pauses = 0
                     job.sends -= 1
         if isinstance(outcome, retry_decision.Unsent):
             job.rejections += 1
