--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 from collections.abc import Callable
-import enum
 import itertools
 import random
 from typing import Final
@@ -19,7 +18,9 @@
 from verbenafall_gateway.forwarding import pass_pace
 from verbenafall_gateway.forwarding import peer_loads
 from verbenafall_gateway.forwarding import placement
+from verbenafall_gateway.forwarding import places
 from verbenafall_gateway.forwarding import rank_slowdowns
+from verbenafall_gateway.forwarding import refusals
 from verbenafall_gateway.forwarding import send_permission
 from verbenafall_gateway.forwarding import service_liveness
 from verbenafall_gateway.forwarding import stop_decision
@@ -33,12 +34,6 @@
 DEFAULT_FIRST_ANSWER: Final = stop_decision.DurationEstimate(0.15, 0.05)
 # Slots assumed for an endpoint that reports none.
 DEFAULT_SLOTS: Final = 8
-# Lower bound of the retry-after time in refusals.
-MIN_RETRY_AFTER_SECONDS: Final = 0.2
-# Mean retry-after time while a service has no endpoint.
-NO_ENDPOINT_RETRY_SECONDS: Final = 1.0
-# Returns of clients are spread over this fraction of a pause after its end.
-RETURN_SPREAD: Final = 0.25
 # Lower bound of the mean duration in the estimate of the wait.
 MIN_DURATION_SECONDS: Final = 0.001
 # Longest time until a trial for which a request waits that cannot be refused,
@@ -49,72 +44,6 @@
 NO_STOP: Final = float("inf")
 
 
-class PlacementRequest(NamedTuple):
-    """A request for a place at an endpoint of a service.
-
-    Times are in seconds of the event loop's clock.
-
-    Attributes:
-        arrived: When the request was received.
-        target_at: When its answer is due by the route's latency target.
-        deadline: When the client must have a final answer.
-        client_timeout_at: When a client that has received nothing times out.
-        tried: Ids of endpoints that have already failed this request.
-        may_have_run: Whether an earlier attempt may have run it, so that a
-            refusal would not be accurate.
-        is_stream: Whether its answer is sent as it arrives, so that a planned
-            stop can cut it.
-        parts: Ids of the parts of its prompt that others may have as well, and
-            its fingerprint.
-    """
-
-    request_id: str
-    service: str
-    urgency: int
-    arrived: float
-    target_at: float
-    deadline: float
-    client_timeout_at: float
-    tried: frozenset[str]
-    may_have_run: bool = False
-    is_stream: bool = False
-    parts: tuple[str, ...] = ()
-
-
-class Placed(NamedTuple):
-    """A place at an endpoint; must be returned with release().
-
-    Attributes:
-        acquired_at: When the place was acquired.
-        waited: Seconds between the request's arrival and that time.
-        trial: Suspect part that the request tries, None if it has none.
-    """
-
-    endpoint: endpoints.Endpoint
-    acquired_at: float
-    waited: float
-    trial: crash_suspects.PartKey | None = None
-
-
-class RefusalReason(enum.StrEnum):
-    """Why a request was refused."""
-
-    NO_ENDPOINT = "no_endpoint"
-    FULL = "full"
-    PAUSED = "paused"
-    STALLED = "stalled"
-    TOO_LATE = "too_late"
-    STOPPING = "stopping"
-    SUSPECT_PART = "suspect_part"
-
-
-class Refused(NamedTuple):
-    """A refused request; `retry_after` is in seconds."""
-
-    reason: RefusalReason
-    retry_after: float
-
-
 class Suspicion(NamedTuple):
     """The period for which a failed endpoint is avoided.
 
@@ -143,8 +72,8 @@
     """A queued request and the future that receives its result."""
 
     entry: wait_queue.QueueEntry
-    request: PlacementRequest
-    place: asyncio.Future[Placed | Refused]
+    request: places.PlacementRequest
+    place: asyncio.Future[places.Placed | refusals.Refused]
 
 
 class Admission:
@@ -211,7 +140,7 @@
         self.finish_by = self.last_streams_at = NO_STOP
 
     def candidates(
-        self, request: PlacementRequest
+        self, request: places.PlacementRequest
     ) -> list[placement.Candidate]:
         """Return the usable endpoints that the request has not tried."""
         now = self.loop.time()
@@ -251,7 +180,7 @@
             now if suspicion is None else suspicion.until,
         )
 
-    def is_withheld(self, placed: Placed) -> bool:
+    def is_withheld(self, placed: places.Placed) -> bool:
         """Return whether an endpoint left or paused since it was chosen.
 
         The request itself has used the gateway's share of a stated rate.
@@ -262,7 +191,7 @@
         standing = standing._replace(limited_until=now)
         return send_permission.permit(standing, now).at > now
 
-    def has_others(self, request: PlacementRequest) -> bool:
+    def has_others(self, request: places.PlacementRequest) -> bool:
         """Return whether an untried endpoint ends its pause in time."""
         return any(
             endpoint.id not in request.tried
@@ -270,50 +199,32 @@
         )
 
     def endpoints_in_time(
-        self, request: PlacementRequest
+        self, request: places.PlacementRequest
     ) -> list[endpoints.Endpoint]:
         """Return the endpoints whose pause ends before the latest start."""
         now = self.loop.time()
         latest = max(now, self.latest_start(request))
-        return [
-            endpoint
-            for endpoint in self.directory.usable(request.service)
-            if self.pauses.until(endpoint, now) <= latest
-        ]
-
-    def pause_end(self, service: str, now: float) -> float:
-        """Return when the first endpoint of a service ends its pause.
-
-        That is now if one does not pause, or if there is no endpoint.
-        """
-        return min(
-            (
-                self.pauses.until(endpoint, now)
-                for endpoint in self.directory.usable(service)
-            ),
-            default=now,
-        )
+        usable = self.directory.usable(request.service)
+        return self.pauses.ending_by(usable, latest, now)
 
-    def pause_refusal(self, service: str) -> Refused:
+    def pause_refusal(self, service: str) -> refusals.Refused:
         """Return a refusal that spreads the returns after a pause."""
         now = self.loop.time()
-        delay = self.pause_end(service, now) - now
-        spread = max(MIN_RETRY_AFTER_SECONDS, delay * RETURN_SPREAD)
-        return Refused(
-            RefusalReason.PAUSED,
-            delay + spread * self.generator.random(),
-        )
+        delay = self.pauses.first_end(self.directory.usable(service), now) - now
+        return refusals.paused(delay, self.generator.random())
 
-    def refusal_of_service(self, service: str) -> Refused | None:
+    def refusal_of_service(self, service: str) -> refusals.Refused | None:
         """Return a refusal if no endpoint of a service takes requests now."""
         if self.is_stalled(service):
-            return self.stall_refusal()
+            return refusals.stalled(self.generator.random())
         now = self.loop.time()
-        if self.pause_end(service, now) > now:
+        if self.pauses.first_end(self.directory.usable(service), now) > now:
             return self.pause_refusal(service)
         return None
 
-    def check_pauses(self, request: PlacementRequest) -> Refused | None:
+    def check_pauses(
+        self, request: places.PlacementRequest
+    ) -> refusals.Refused | None:
         """Return a refusal if all endpoints pause for too long."""
         if self.endpoints_in_time(request) or not list(
             self.directory.usable(request.service)
@@ -321,13 +232,15 @@
             return None
         return self.pause_refusal(request.service)
 
-    def has_fast_capacity(self, request: PlacementRequest) -> bool:
+    def has_fast_capacity(self, request: places.PlacementRequest) -> bool:
         """Return whether an endpoint that is not slow has capacity now."""
         fast = [item for item in self.candidates(request) if not item.slow]
         limit = self.max_load_per_slot(request)
         return placement.choose(fast, limit, 0.0) is not None
 
-    def try_place(self, request: PlacementRequest) -> Placed | None:
+    def try_place(
+        self, request: places.PlacementRequest
+    ) -> places.Placed | None:
         """Acquire a place, or return None if no endpoint has capacity."""
         choice = placement.choose(
             self.candidates(request),
@@ -359,9 +272,11 @@
             counts_age=self.peers.age(now),
             waited=now - request.arrived,
         )
-        return Placed(endpoint, now, now - request.arrived)
+        return places.Placed(endpoint, now, now - request.arrived)
 
-    async def place(self, request: PlacementRequest) -> Placed | Refused:
+    async def place(
+        self, request: places.PlacementRequest
+    ) -> places.Placed | refusals.Refused:
         """Acquire a place, queueing the request if it can still be served.
 
         Returns:
@@ -370,24 +285,24 @@
             its prompt may crash endpoints.
         """
         if not self.can_finish(request):
-            return self.stop_refusal()
+            return refusals.stopping(self.generator.random())
         while True:
             verdict = self.judge(request)
             if isinstance(verdict, crash_suspects.Sound):
                 return await self.place_or_wait(request)
             place = (
-                suspect_refusal(verdict.retry_after)
+                refusals.suspect_part(verdict.retry_after)
                 if isinstance(verdict, crash_suspects.Blocked)
                 else self.place_trial(request, verdict.part)
             )
-            if isinstance(place, Placed) or not self.should_wait_for_trial(
-                request, place
-            ):
+            if isinstance(
+                place, places.Placed
+            ) or not self.should_wait_for_trial(request, place):
                 return place
             await asyncio.sleep(TRIAL_CHECK_SECONDS)
 
     def should_wait_for_trial(
-        self, request: PlacementRequest, refused: Refused
+        self, request: places.PlacementRequest, refused: refusals.Refused
     ) -> bool:
         """Return whether a request waits until it can be tried.
 
@@ -402,8 +317,8 @@
         )
 
     async def place_or_wait(
-        self, request: PlacementRequest
-    ) -> Placed | Refused:
+        self, request: places.PlacementRequest
+    ) -> places.Placed | refusals.Refused:
         """Acquire a place at once, or wait for one if that is useful."""
         queue = self.queues.setdefault(request.service, [])
         entry = self.create_entry(request)
@@ -434,7 +349,7 @@
         except asyncio.CancelledError:
             if waiter.place.done() and not waiter.place.cancelled():
                 result = waiter.place.result()
-                if isinstance(result, Placed):
+                if isinstance(result, places.Placed):
                     self.release(result)
             raise
         finally:
@@ -442,15 +357,15 @@
             if waiter in queue:
                 queue.remove(waiter)
 
-    def judge(self, request: PlacementRequest) -> crash_suspects.Verdict:
+    def judge(self, request: places.PlacementRequest) -> crash_suspects.Verdict:
         """Return whether the parts of a request allow to send it."""
         return self.suspects.judge(
             request.service, request.parts, self.loop.time()
         )
 
     def place_trial(
-        self, request: PlacementRequest, part: crash_suspects.PartKey
-    ) -> Placed | Refused:
+        self, request: places.PlacementRequest, part: crash_suspects.PartKey
+    ) -> places.Placed | refusals.Refused:
         """Acquire a place for a request that tries a suspect part.
 
         It is refused if it would have to wait: the requests that wait for the
@@ -462,7 +377,7 @@
         ):
             placed = self.try_place(request)
         if placed is None:
-            return suspect_refusal(crash_suspects.TRIAL_RETRY_AFTER)
+            return refusals.suspect_part(crash_suspects.TRIAL_RETRY_AFTER)
         placed = placed._replace(trial=part)
         self.suspects.record_trial(part, placed.acquired_at)
         event_log.emit(
@@ -473,7 +388,7 @@
         )
         return placed
 
-    def end_trial(self, placed: Placed) -> None:
+    def end_trial(self, placed: places.Placed) -> None:
         """Let the next trial begin, if the place was that of one."""
         if placed.trial is not None:
             self.suspects.end_trial(placed.trial)
@@ -488,14 +403,16 @@
                 ):
                     continue
                 waiter.place.set_result(
-                    suspect_refusal(
+                    refusals.suspect_part(
                         verdict.retry_after
                         if isinstance(verdict, crash_suspects.Blocked)
                         else crash_suspects.TRIAL_RETRY_AFTER
                     )
                 )
 
-    def create_entry(self, request: PlacementRequest) -> wait_queue.QueueEntry:
+    def create_entry(
+        self, request: places.PlacementRequest
+    ) -> wait_queue.QueueEntry:
         """Return the queue entry of a request."""
         first = self.averages_of(request.service).first_answer
         return wait_queue.QueueEntry(
@@ -522,8 +439,8 @@
         return liveness is not None and liveness.is_stalled(self.loop.time())
 
     def check_stall(
-        self, request: PlacementRequest, waiting: int
-    ) -> Refused | None:
+        self, request: places.PlacementRequest, waiting: int
+    ) -> refusals.Refused | None:
         """Return a refusal if a request must not wait for a stalled service.
 
         Those that wait fit into this gateway's share of the places, so that
@@ -536,7 +453,7 @@
         """
         usable = list(self.directory.usable(request.service))
         if not usable:
-            return self.no_endpoint_refusal()
+            return refusals.no_endpoint(self.generator.random())
         now = self.loop.time()
         liveness = self.liveness_by_service[request.service]
         slots = sum(endpoint.slots or DEFAULT_SLOTS for endpoint in usable)
@@ -546,14 +463,7 @@
             and now < self.latest_start(request)
         ):
             return None
-        return self.stall_refusal()
-
-    def stall_refusal(self) -> Refused:
-        """Return a refusal after which the stall is likely to have ended."""
-        return Refused(
-            RefusalReason.STALLED,
-            service_liveness.retry_delay(self.generator.random()),
-        )
+        return refusals.stalled(self.generator.random())
 
     def begin_stop(self, finish_by: float, last_streams_at: float) -> None:
         """Refuse requests that cannot finish before a planned stop ends.
@@ -569,7 +479,7 @@
         for service in self.queues:
             self.refuse_unfinishable(service)
 
-    def can_finish(self, request: PlacementRequest) -> bool:
+    def can_finish(self, request: places.PlacementRequest) -> bool:
         """Return whether a request that starts now ends before the stop.
 
         A request that may have run continues in any case, as it cannot be
@@ -586,20 +496,15 @@
             else self.averages_of(request.service).duration,
         )
 
-    def stop_refusal(self) -> Refused:
-        """Return a refusal after which the client tries another gateway."""
-        return Refused(
-            RefusalReason.STOPPING,
-            MIN_RETRY_AFTER_SECONDS * self.generator.uniform(1.0, 2.0),
-        )
-
     def refuse_unfinishable(self, service: str) -> None:
         """Refuse queued requests that cannot finish before a planned stop."""
         if self.finish_by == NO_STOP:
             return
         for waiter in self.queues[service]:
             if not waiter.place.done() and not self.can_finish(waiter.request):
-                waiter.place.set_result(self.stop_refusal())
+                waiter.place.set_result(
+                    refusals.stopping(self.generator.random())
+                )
 
     def refuse_expired(self) -> None:
         """Refuse queued requests that can no longer be answered in time."""
@@ -612,11 +517,9 @@
                 queue.remove(waiter)
                 if not waiter.place.done():
                     waiter.place.set_result(
-                        self.stall_refusal()
+                        refusals.stalled(self.generator.random())
                         if self.is_stalled(service)
-                        else Refused(
-                            RefusalReason.TOO_LATE, MIN_RETRY_AFTER_SECONDS
-                        )
+                        else refusals.too_late()
                     )
 
     def refuse_stalled_queues(self) -> None:
@@ -628,12 +531,14 @@
                 continue
             for waiter in queue:
                 if not waiter.place.done():
-                    waiter.place.set_result(self.stall_refusal())
+                    waiter.place.set_result(
+                        refusals.stalled(self.generator.random())
+                    )
             queue.clear()
 
     def check_queue(
-        self, request: PlacementRequest, ahead: int
-    ) -> Refused | None:
+        self, request: places.PlacementRequest, ahead: int
+    ) -> refusals.Refused | None:
         """Return a refusal if a request could not be served in time.
 
         Args:
@@ -642,14 +547,14 @@
         """
         usable = list(self.directory.usable(request.service))
         if not usable:
-            return self.no_endpoint_refusal()
+            return refusals.no_endpoint(self.generator.random())
         duration = max(
             self.averages_of(request.service).duration.mean,
             MIN_DURATION_SECONDS,
         )
         per_slot = min(1.0, self.max_load_per_slot(request)) / duration
         now = self.loop.time()
-        pause = self.pause_end(request.service, now) - now
+        pause = self.pauses.first_end(usable, now) - now
         state = wait_queue.QueueState(
             ahead,
             sum(
@@ -664,16 +569,10 @@
         if now + wait > self.latest_start(request):
             if pause > 0:
                 return self.pause_refusal(request.service)
-            return Refused(
-                RefusalReason.FULL,
-                max(
-                    MIN_RETRY_AFTER_SECONDS,
-                    wait * self.generator.uniform(0.5, 1.0),
-                ),
-            )
+            return refusals.full(wait, self.generator.random())
         return None
 
-    def latest_start(self, request: PlacementRequest) -> float:
+    def latest_start(self, request: places.PlacementRequest) -> float:
         """Return the latest time at which a request can usefully start.
 
         The first event must reach the client before the client times out, and
@@ -686,7 +585,7 @@
             - stop_decision.longest_duration(averages.first_answer),
         )
 
-    def release(self, placed: Placed) -> None:
+    def release(self, placed: places.Placed) -> None:
         """Release a place and serve the queue of its service."""
         endpoint = placed.endpoint
         left = self.open.get(endpoint.id, 0) - 1
@@ -783,7 +682,7 @@
         )
         return load / max(slots, 1)
 
-    def max_load_per_slot(self, request: PlacementRequest) -> float:
+    def max_load_per_slot(self, request: places.PlacementRequest) -> float:
         """Return the load per slot at which an endpoint is full.
 
         It is lower for a request that is late already.
@@ -797,7 +696,7 @@
             self.loop.time() > request.target_at - first
         )
 
-    def record_leaving(self, placed: Placed) -> None:
+    def record_leaving(self, placed: places.Placed) -> None:
         """Send no more requests to an endpoint that has said it leaves.
 
         The requests that wait for its service are refused if no other endpoint
@@ -806,7 +705,9 @@
         self.directory.mark_stopping(placed.endpoint)
         self.refuse_unserved(placed.endpoint.service)
 
-    def record_pause_stated(self, placed: Placed, seconds: float) -> None:
+    def record_pause_stated(
+        self, placed: places.Placed, seconds: float
+    ) -> None:
         """Send no requests to an endpoint for the time that it states.
 
         The queued requests that cannot wait so long are refused if all
@@ -836,16 +737,11 @@
             return
         for waiter in self.queues.get(service, ()):
             if not waiter.place.done() and not waiter.request.may_have_run:
-                waiter.place.set_result(self.no_endpoint_refusal())
-
-    def no_endpoint_refusal(self) -> Refused:
-        """Return a refusal that spreads the returns of many clients."""
-        return Refused(
-            RefusalReason.NO_ENDPOINT,
-            NO_ENDPOINT_RETRY_SECONDS * self.generator.uniform(0.5, 1.5),
-        )
+                waiter.place.set_result(
+                    refusals.no_endpoint(self.generator.random())
+                )
 
-    def record_limit(self, placed: Placed, rate: float | None) -> None:
+    def record_limit(self, placed: places.Placed, rate: float | None) -> None:
         """Record the rate limit that an answer states; None if it has none."""
         endpoint_id = placed.endpoint.id
         before = self.limits.rate_of(endpoint_id)
@@ -882,11 +778,6 @@
         )
 
 
-def suspect_refusal(retry_after: float) -> Refused:
-    """Return the refusal of a request with a suspect part."""
-    return Refused(RefusalReason.SUSPECT_PART, retry_after)
-
-
 def create_admission(
     loop: asyncio.AbstractEventLoop,
     directory: endpoint_directory.EndpointDirectory,
--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_pauses.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_pauses.py
@@ -4,6 +4,7 @@
 further one. It speaks to this gateway only, and holds for this start of it.
 """
 
+from collections.abc import Iterable
 from typing import Final
 from typing import NamedTuple
 
@@ -58,6 +59,25 @@
             return now
         return max(pause.until, now)
 
+    def first_end(
+        self, usable: Iterable[endpoints.Endpoint], now: float
+    ) -> float:
+        """Return when the first of some endpoints may get requests again.
+
+        That is now if one does not pause, or if there is none.
+        """
+        return min(
+            (self.until(endpoint, now) for endpoint in usable), default=now
+        )
+
+    def ending_by(
+        self, usable: Iterable[endpoints.Endpoint], end: float, now: float
+    ) -> list[endpoints.Endpoint]:
+        """Return the endpoints that may get requests again by a time."""
+        return [
+            endpoint for endpoint in usable if self.until(endpoint, now) <= end
+        ]
+
     def forget_ended(self, now: float) -> None:
         """Forget ended pauses.
 
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -7,11 +7,11 @@
 
 from verbenafall_core import event_log
 from verbenafall_core import metrics as metrics_lib
-from verbenafall_core import retry_after as retry_after_lib
 from verbenafall_core.routes import model
 from verbenafall_core.routes import table
 from verbenafall_gateway.forwarding import admission as admission_lib
 from verbenafall_gateway.forwarding import answer_relay
+from verbenafall_gateway.forwarding import answer_statements
 from verbenafall_gateway.forwarding import channel_pool
 from verbenafall_gateway.forwarding import client_channel
 from verbenafall_gateway.forwarding import configuration_state
@@ -19,10 +19,11 @@
 from verbenafall_gateway.forwarding import crash_suspects
 from verbenafall_gateway.forwarding import dialect as dialect_lib
 from verbenafall_gateway.forwarding import endpoint_channel
-from verbenafall_gateway.forwarding import endpoint_limits
 from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import http_messages
+from verbenafall_gateway.forwarding import places
 from verbenafall_gateway.forwarding import prompt_parts
+from verbenafall_gateway.forwarding import refusals
 from verbenafall_gateway.forwarding import repeat_allowance
 from verbenafall_gateway.forwarding import request_fingerprint
 from verbenafall_gateway.forwarding import retry_decision
@@ -43,11 +44,6 @@
 # Outcome in logs and metrics if the client closed its connection.
 CLIENT_DISCONNECTED: Final = "client_left"
 
-# Longest part of an unreadable header in a log line.
-MAX_LOGGED_HEADER: Final = 100
-# Value of the header by which an endpoint says that it leaves.
-LEAVING: Final = "1"
-
 NOT_FOUND: Final = 404
 UNAUTHORIZED: Final = 401
 BAD_GATEWAY: Final = 502
@@ -135,7 +131,7 @@
 class OpenAttempt(NamedTuple):
     """An attempt whose answer is being read."""
 
-    place: admission_lib.Placed
+    place: places.Placed
     channel: endpoint_channel.EndpointChannel
 
 
@@ -145,6 +141,7 @@
     Attributes:
         jobs: Admitted requests without a final answer.
         open_attempts: The current attempt of each request, by request.
+        statements: Reads what endpoints say of themselves.
         crash_check: Tells a crash of an endpoint from a closed connection.
         dropped_headers: Headers of client requests that are not forwarded.
     """
@@ -180,6 +177,9 @@
         self.jobs: set[Job] = set()
         self.open_attempts: dict[Job, OpenAttempt] = {}
         self.crash_check = crash_check.create_crash_check(loop)
+        self.statements = answer_statements.create_answer_statements(
+            dialect, admission, metrics
+        )
         self.dropped_headers = frozenset(
             {
                 dialect.key,
@@ -297,7 +297,7 @@
         self.allowance.record_request(job.admitted.service, self.loop.time())
         while True:
             place = await self.admission.place(self.placement_request(job))
-            if isinstance(place, admission_lib.Refused):
+            if isinstance(place, refusals.Refused):
                 self.metrics.count(f"forward.refused.{place.reason}")
                 self.finish(
                     job,
@@ -333,9 +333,9 @@
             self.finish(job, action, outcome, reason, retry_after)
             return
 
-    def placement_request(self, job: Job) -> admission_lib.PlacementRequest:
+    def placement_request(self, job: Job) -> places.PlacementRequest:
         """Return the request for a place for the next attempt."""
-        return admission_lib.PlacementRequest(
+        return places.PlacementRequest(
             job.id,
             job.admitted.service,
             job.urgency,
@@ -360,7 +360,7 @@
         return job.times.client_timeout_at
 
     async def attempt(
-        self, job: Job, place: admission_lib.Placed
+        self, job: Job, place: places.Placed
     ) -> retry_decision.Outcome:
         """Send the request to an endpoint and relay its answer."""
         job.sends += 1
@@ -390,7 +390,7 @@
                 job.client,
                 job.relay_state,
                 lambda: self.record_progress(job),
-                lambda head: self.record_statements(job, place, head),
+                lambda head: self.record_head(job, place, head),
                 lambda pause, target: self.admission.record_pause(
                     job.admitted.service, pause, target
                 ),
@@ -460,74 +460,15 @@
                 self.metrics.count("forward.repeats.denied")
         return job.repeat_acquired
 
-    def record_statements(
-        self,
-        job: Job,
-        place: admission_lib.Placed,
-        head: endpoint_channel.Head,
-    ) -> None:
-        """Record what an endpoint says of itself in an answer.
-
-        Another endpoint gives the answer if the request was misdirected.
-        """
-        if head.status == answer_relay.MISDIRECTED_REQUEST:
-            return
-        leaving = http_messages.find_header(head.headers, self.dialect.leaving)
-        if leaving == LEAVING:
-            self.metrics.count("forward.leaving")
-            self.admission.record_leaving(place)
-        if head.status == UNAVAILABLE:
-            self.record_pause(job, place, head)
-        self.record_limit(place, head)
-
-    def record_pause(
+    def record_head(
         self,
         job: Job,
-        place: admission_lib.Placed,
+        place: places.Placed,
         head: endpoint_channel.Head,
     ) -> None:
-        """Record for how long an endpoint wants no requests, if it says so."""
-        values = [
-            value for name, value in head.headers if name == "retry-after"
-        ]
-        if not values:
-            return
-        seconds = retry_after_lib.parse_retry_after(
-            values, http_messages.find_header(head.headers, "date")
-        )
-        if seconds is None:
-            self.metrics.count("forward.pauses.unreadable")
-            event_log.emit(
-                event_catalogue.ENDPOINT_PAUSE_UNREADABLE,
-                endpoint=place.endpoint.id,
-                text=",".join(values)[:MAX_LOGGED_HEADER],
-            )
-            return
-        if seconds > 0:
+        """Record what an endpoint says of itself in an answer."""
+        if self.statements.record(place, head):
             job.pauses += 1
-            self.metrics.count("forward.pauses")
-            self.admission.record_pause_stated(place, seconds)
-
-    def report_pauses(self, now: float) -> None:
-        """Update the metrics of the endpoints that want no requests."""
-        pauses = self.admission.pauses
-        self.metrics.gauge("forward.paused_endpoints", len(pauses.pauses))
-        self.metrics.gauge("forward.longest_pause", pauses.longest(now))
-
-    def record_limit(
-        self, place: admission_lib.Placed, head: endpoint_channel.Head
-    ) -> None:
-        """Record the rate limit that an answer states, or its absence."""
-        text = http_messages.find_header(head.headers, self.dialect.rate_limit)
-        rate = None if text is None else endpoint_limits.parse_rate(text)
-        if text is not None and rate is None:
-            event_log.emit(
-                event_catalogue.ENDPOINT_LIMIT_UNREADABLE,
-                endpoint=place.endpoint.id,
-                text=text,
-            )
-            return
-        self.admission.record_limit(place, rate)
 
     def record_progress(self, job: Job) -> None:
         """Record progress of a service; serve those who waited for it."""
@@ -557,7 +498,7 @@
                 parts=",".join(key.part for key in cleared),
             )
 
-    def format(self, job: Job, place: admission_lib.Placed) -> bytes:
+    def format(self, job: Job, place: places.Placed) -> bytes:
         """Encode the request for an endpoint.
 
         The gateway replaces the headers that it sets itself. A stream that
@@ -589,7 +530,7 @@
     def record_outcome(
         self,
         job: Job,
-        place: admission_lib.Placed,
+        place: places.Placed,
         outcome: retry_decision.Outcome,
     ) -> None:
         """Update the statistics and the endpoint's state after an attempt."""
@@ -632,7 +573,7 @@
                 place.endpoint.id, type(outcome).__name__.lower()
             )
 
-    async def has_crashed(self, place: admission_lib.Placed) -> bool:
+    async def has_crashed(self, place: places.Placed) -> bool:
         """Return whether an endpoint that closed a connection has crashed.
 
         One that leaves may end with requests under way.
@@ -643,9 +584,7 @@
             and not self.admission.directory.is_leaving(place.endpoint.id)
         )
 
-    async def suspect_parts(
-        self, job: Job, place: admission_lib.Placed
-    ) -> None:
+    async def suspect_parts(self, job: Job, place: places.Placed) -> None:
         """Suspect the parts of a request at which its endpoint crashed."""
         now = self.loop.time()
         if not await self.has_crashed(place):
@@ -777,7 +716,7 @@
     def log_attempt(
         self,
         job: Job,
-        place: admission_lib.Placed,
+        place: places.Placed,
         outcome: retry_decision.Outcome,
         action: str,
     ) -> None:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -403,7 +403,7 @@
         self.directory.expire(now)
         self.limits_of_endpoints.retain(set(self.directory.listed))
         self.admission.pauses.forget_ended(now)
-        self.exchange.report_pauses(now)
+        self.exchange.statements.report_pauses(now)
         self.remove_absent_records(now)
         self.pool.sweep()
         for channel in list(self.channels):
