--- a/tests/forwarding/test_pausing_endpoints.py
+++ b/tests/forwarding/test_pausing_endpoints.py
@@ -152,6 +152,38 @@
         assert received == 2
 
 
+class TestMovedLoad:
+    def test_other_endpoint_gets_no_more_requests_than_it_has_places(self):
+        """One that got more would turn requests away as well."""
+        lock = threading.Lock()
+        counts = {"open": 0, "most": 0}
+        full = threading.Event()
+
+        def script(endpoint, connection, request):
+            with lock:
+                counts["open"] += 1
+                counts["most"] = max(counts["most"], counts["open"])
+                if counts["open"] == PLACES:
+                    full.set()
+            full.wait(fakes.WAIT_SECONDS)
+            with lock:
+                counts["open"] -= 1
+            return fakes.answer_ok(endpoint, connection, request)
+
+        with start([answer_busy("30"), script]) as runner:
+            pauses = runner.forwarder.admission.pauses
+            endpoint = runner.forwarder.directory.listed["e0"].value
+            pauses.record(endpoint, 30.0, runner.loop.time())
+            clients = [runner.connect() for _ in range(2 * PLACES)]
+            for number, client in enumerate(clients):
+                client.sendall(fakes.request_bytes(attempt=f"r{number}"))
+            answers = [fakes.read_answer(client) for client in clients]
+            for client in clients:
+                client.close()
+        assert counts["most"] == PLACES
+        assert {answer.status for answer in answers} == {200}
+
+
 class TestRefusal:
     def test_request_that_cannot_wait_is_refused_at_once(self):
         with start([answer_busy("3")]) as runner:
