--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,5 +1,6 @@
-"""A request crashes engines after they have begun to write its answer."""
+"""A part of a prompt crashes engines; seventeen shared parts precede it."""
 
+import os
 import pathlib
 import sys
 import time
@@ -11,48 +12,57 @@
 from common import engine as engine_lib
 from common import wire
 
-DEADLY_PATH = "/stock/gps-7"
-BODY = b"x" * 800
-# Bytes of the answer that an engine writes before it crashes.
-WRITTEN = 400
-WORK_SECONDS = 0.05
-WRITE_SECONDS = 0.03
+DEADLY_PART = "dead0001"
+# Shared parts of all prompts: the turns of one conversation, as an example.
+SHARED_PARTS = int(os.environ.get("PARTS", "17"))
+EVENTS = 6
+EVENT_SECONDS = 0.04
 
 
-class CrashWithinAnswer(crashing.Play):
-    """Look-ups of one caller; those of one path crash engines."""
-
-    engine_count = 3
-    free_crashes = 3
-    compares_sound = False
-    service = "desk"
+class DeepPart(crashing.Play):
+    """Streams of one caller; some have a deadly part as last shared one."""
 
     def route(self) -> dict[str, Any]:
-        """Return the route of all look-ups."""
+        """Return the route of all streams."""
         return deployment_lib.route(
-            "stock",
-            "idempotent",
+            "draft",
+            "streaming",
             self.service,
             crashing.DEADLINE_MS,
-            **{"max-attempts": 2},
+            **{
+                "max-attempts": 2,
+                "stream-resume": True,
+                "sticky-sessions": True,
+                "itl-target-ms": 120,
+            },
         )
 
     def encode(self, attempt: str, number: int, deadly: bool) -> bytes:
-        """Encode a look-up; a deadly one is always the same."""
-        path = DEADLY_PATH if deadly else f"/stock/level-{number % 50}"
-        return wire.head(
-            f"GET {path} HTTP/1.1",
-            {
-                "Host": deployment_lib.HOST,
-                "Verbenafall-Attempt-Id": attempt,
-                "Verbenafall-Deadline-Ms": str(crashing.DEADLINE_MS),
-                "Verbenafall-Key": deployment_lib.KEY,
-            },
+        """Encode a request; sound ones have another last shared part."""
+        parts = [f"c0de{index:04x}:40" for index in range(SHARED_PARTS)]
+        parts.append(f"{DEADLY_PART if deadly else '50c0aaaa'}:200")
+        parts.append(f"{attempt}:30")
+        body = f"{number:08d}".encode()
+        return (
+            wire.head(
+                "POST /draft/x HTTP/1.1",
+                {
+                    "Host": deployment_lib.HOST,
+                    "Verbenafall-Attempt-Id": attempt,
+                    "Verbenafall-Model": "m",
+                    "Verbenafall-Token-Counts": f"{SHARED_PARTS * 40 + 230},24",
+                    "Verbenafall-Prompt-Prefix": ",".join(parts),
+                    "Verbenafall-Deadline-Ms": str(crashing.DEADLINE_MS),
+                    "Verbenafall-Key": deployment_lib.KEY,
+                    "Content-Length": str(len(body)),
+                },
+            )
+            + body
         )
 
     def is_deadly(self, request: wire.Message) -> bool:
-        """Return whether a request is the deadly one."""
-        return request.first[1] == DEADLY_PATH
+        """Return whether a prompt has the deadly part."""
+        return DEADLY_PART in request.headers["verbenafall-prompt-prefix"]
 
     def run_request(
         self,
@@ -61,16 +71,29 @@
         request: wire.Message,
         crash: bool,
     ) -> bool:
-        """Answer in two writes; crash between them."""
-        time.sleep(WORK_SECONDS)
-        answer = engine.answer(request, "200 OK", BODY)
-        cut = len(answer) - len(BODY) + WRITTEN
-        connection.sock.sendall(answer[:cut])
-        time.sleep(WRITE_SECONDS)
+        """Write a stream, or crash before its first byte."""
+        time.sleep(EVENT_SECONDS)
         if crash:
             self.crash(engine)
             return False
-        connection.sock.sendall(answer[cut:])
+        attempt = request.headers["verbenafall-attempt-id"]
+        connection.sock.sendall(
+            wire.head(
+                "HTTP/1.1 200 OK",
+                {
+                    "Verbenafall-Attempt-Id": attempt,
+                    "Verbenafall-Engine-Signature": f"{engine.name}.{attempt}",
+                    "Content-Type": "text/event-stream",
+                    "Transfer-Encoding": "chunked",
+                },
+            )
+        )
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        for number in range(first, EVENTS):
+            event = f"id: {number}\ndata: t{number}\n\n".encode()
+            connection.sock.sendall(wire.chunk(event))
+            time.sleep(EVENT_SECONDS)
+        connection.sock.sendall(wire.chunk(b""))
         return True
 
 
@@ -78,7 +101,6 @@
     FOLDER = pathlib.Path(__file__).resolve().parent
     sys.exit(
         case.main(
-            lambda trouble, record: CrashWithinAnswer(trouble, record).run(),
-            FOLDER,
+            lambda trouble, record: DeepPart(trouble, record).run(), FOLDER
         )
     )
