Review case 2: a rank group stays held after its leader was killed

Cause: rank_agent.py waits 40 ms for the answer to an order. An engine that answers later never has DISARM acknowledged, so pass_switch.finish_clear() never lets the next leader release the hold that the killed one left.

Errors in a case exit with 2 now.

--- a/review/common/case.py
+++ b/review/common/case.py
@@ -32,7 +32,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         return play(trouble, record)
-    except (deployment.CannotRunError, OSError) as error:
-        record.add(f"cannot run: {error}")
-        sys.stderr.write(f"cannot run: {error}\n")
+    except Exception as error:  # Any other exit code would claim a result.
+        record.add(f"cannot run: {error!r}")
+        sys.stderr.write(f"cannot run: {error!r}\n")
         return CANNOT_RUN
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -14,6 +14,7 @@
 import time
 from typing import Any
 
+from common import engine as engine_lib
 from common import store as store_lib
 from common import wire
 
@@ -86,51 +87,47 @@
     return re.sub(r"\{\{([^}]+)\}\}", value, text)
 
 
-class Gateway:
-    """A gateway process, started as the deploy file says.
+class Process:
+    """A program, started as the deploy file says.
 
     Attributes:
-        front: Address for clients.
+        name: Name of its machine.
+        host: Loopback address of its machine.
     """
 
     def __init__(
-        self, name: str, store: str, folder: pathlib.Path, record: Record
+        self,
+        program: tuple[str, str],
+        name: str,
+        host: str,
+        folder: pathlib.Path,
+        record: Record,
     ) -> None:
-        """Write the settings; the process is not started."""
+        """Create a program that is not started."""
+        self.program = program
         self.name = name
+        self.host = host
         self.record = record
-        # Each machine has an address of its own, as some ports are fixed.
-        self.host = free_host()
-        front, ready, links = free_ports(self.host, 3)
-        self.front = (self.host, front)
-        self.ready = (self.host, ready)
         self.settings = folder / f"{name}.ini"
         self.log = folder / f"{name}.log"
-        template = (ROOT / "deploy" / "gateway.ini").read_text()
-        self.settings.write_text(
-            fill_template(
-                template,
-                {
-                    "node-name": name,
-                    "zone": "cba-norte",
-                    "ip": self.host,
-                    "internal-port-range": [links, links],
-                    "listen-addresses": {
-                        "front": f"{self.host}:{front}",
-                        "ready": f"{self.host}:{ready}",
-                    },
-                    "platform": {"address": store},
-                    "bounds": BOUNDS,
-                },
-            )
-        )
         self.process: subprocess.Popen[bytes] | None = None
 
-    def start(self) -> None:
-        """Start the process and wait until it is ready."""
+    def write_settings(self, template: str, fields: dict[str, Any]) -> None:
+        """Fill in a template of the deploy file."""
+        text = (ROOT / "deploy" / template).read_text()
+        common = {
+            "node-name": self.name,
+            "zone": "cba-norte",
+            "ip": self.host,
+            "bounds": BOUNDS,
+        }
+        self.settings.write_text(fill_template(text, {**common, **fields}))
+
+    def launch(self) -> None:
+        """Start the process."""
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [*LAUNCHER, "gateway", "forward"],
+                [*LAUNCHER, *self.program],
                 cwd=ROOT,
                 stdout=log,
                 stderr=log,
@@ -141,12 +138,65 @@
                     "VERBENAFALL_NODE_FILE": str(self.settings),
                 },
             )
+        self.record.add(f"{self.name} starts, pid {self.process.pid}")
+
+    def kill(self) -> None:
+        """Kill the process."""
+        if self.process is not None:
+            self.record.add(f"{self.name} is killed")
+            self.process.kill()
+            self.process.wait()
+
+    def end(self) -> None:
+        """End the process, whatever its state."""
+        if self.process is None:
+            return
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        self.process.wait()
+
+
+class Gateway(Process):
+    """A gateway process.
+
+    Attributes:
+        front: Address for clients.
+    """
+
+    def __init__(
+        self, name: str, store: str, folder: pathlib.Path, record: Record
+    ) -> None:
+        """Write the settings; the process is not started."""
+        # Each machine has an address of its own, as some ports are fixed.
+        super().__init__(
+            ("gateway", "forward"), name, free_host(), folder, record
+        )
+        front, ready, links = free_ports(self.host, 3)
+        self.front = (self.host, front)
+        self.ready = (self.host, ready)
+        self.write_settings(
+            "gateway.ini",
+            {
+                "internal-port-range": [links, links],
+                "listen-addresses": {
+                    "front": f"{self.host}:{front}",
+                    "ready": f"{self.host}:{ready}",
+                },
+                "platform": {"address": store},
+            },
+        )
+
+    def start(self) -> None:
+        """Start the process and wait until it is ready."""
+        self.launch()
         end = time.monotonic() + START_SECONDS
         while not self.is_ready():
-            if time.monotonic() > end or self.process.poll() is not None:
+            ended = self.process is None or self.process.poll() is not None
+            if time.monotonic() > end or ended:
                 raise CannotRunError(f"{self.name} does not become ready")
             time.sleep(0.05)
-        self.record.add(f"{self.name} is ready, pid {self.process.pid}")
+        self.record.add(f"{self.name} is ready")
 
     def is_ready(self) -> bool:
         """Return whether the readiness call is answered with 200."""
@@ -161,19 +211,38 @@
                 return answer is not None and answer.status == 200
         return False
 
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal to the process."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
 
-    def end(self) -> None:
-        """End the process, whatever its state."""
-        if self.process is None:
-            return
-        if self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
-        self.process.wait()
+class Sidecar(Process):
+    """The sidecar of an engine, on the engine's machine."""
+
+    def __init__(
+        self,
+        engine: engine_lib.Engine,
+        links: int,
+        folder: pathlib.Path,
+        record: Record,
+    ) -> None:
+        """Write the settings; the process is not started.
+
+        Args:
+            engine: The engine.
+            links: Port for links, the same on all machines.
+            folder: Where settings and log are written.
+            record: Receives what happens.
+        """
+        host = engine.address[0]
+        name = engine.name.replace("i-", "side-")
+        super().__init__(("sidecar", "steer"), name, host, folder, record)
+        self.write_settings(
+            "sidecar.ini",
+            {
+                "service": engine.service,
+                "app": f"{host}:{engine.address[1]}",
+                "internal-port-range": [links, links],
+                "platform": {"address": engine.store.url},
+                "limits": {"link-mbps": 10.0},
+            },
+        )
 
 
 class Deployment:
@@ -184,14 +253,23 @@
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         self.record = record
         self.store = store_lib.Store()
-        path = pathlib.Path(self.folder.name)
+        self.path = pathlib.Path(self.folder.name)
         self.gateways = [
-            Gateway(f"edge-{number}", self.store.url, path, record)
+            Gateway(f"edge-{number}", self.store.url, self.path, record)
             for number in range(gateways)
         ]
+        self.sidecars: list[Sidecar] = []
 
-    def configure(self, version: int, routes: list[dict[str, Any]]) -> None:
-        """Write a version of the configuration, as the operator does."""
+    def configure(
+        self, version: int, routes: list[dict[str, Any]], **engine: Any
+    ) -> None:
+        """Write a version of the configuration, as the operator does.
+
+        Args:
+            version: Its number.
+            routes: Its routes.
+            engine: What the services say of their engines.
+        """
         services = sorted({route["service"] for route in routes})
         spec = {
             "version": version,
@@ -203,6 +281,7 @@
                     "max-connections": 100,
                     "protocol": "h1",
                     "tls": False,
+                    **({"engine": engine} if engine else {}),
                 }
                 for name in services
             ],
@@ -222,10 +301,18 @@
         for gateway in self.gateways:
             gateway.start()
 
+    def start_sidecars(self, engines: list[engine_lib.Engine]) -> None:
+        """Start a sidecar beside each engine."""
+        links = free_ports(engines[0].address[0], 1)[0]
+        for engine in engines:
+            sidecar = Sidecar(engine, links, self.path, self.record)
+            self.sidecars.append(sidecar)
+            sidecar.launch()
+
     def close(self) -> None:
         """End all processes and the store."""
-        for gateway in self.gateways:
-            gateway.end()
+        for process in (*self.gateways, *self.sidecars):
+            process.end()
         self.store.close()
         self.folder.cleanup()
 
