--- a/review/common/case.py
+++ b/review/common/case.py
@@ -1,7 +1,6 @@
 """Runs a case and returns its exit code."""
 
 from collections.abc import Callable
-import os
 import pathlib
 import signal
 import sys
@@ -21,7 +20,7 @@
 def main(
     play: Callable[[bool, deployment.Record], int], folder: pathlib.Path
 ) -> int:
-    """Play a case, with the disruption unless TROUBLE is 0.
+    """Play a case, with the disruption unless the argument is 0.
 
     Args:
         play: Returns 1 if the rule was broken, else 0.
@@ -29,7 +28,7 @@
     """
     signal.signal(signal.SIGTERM, stop)
     record = deployment.Record(folder / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    trouble = sys.argv[1:2] != ["0"]
     try:
         return play(trouble, record)
     except Exception as error:  # Any other exit code would claim a result.
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -140,12 +140,10 @@
             )
         self.record.add(f"{self.name} starts, pid {self.process.pid}")
 
-    def kill(self) -> None:
-        """Kill the process."""
-        if self.process is not None:
-            self.record.add(f"{self.name} is killed")
-            self.process.kill()
-            self.process.wait()
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
 
     def end(self) -> None:
         """End the process, whatever its state."""
--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -82,10 +82,25 @@
             while (request := connection.read()) is not None:
                 if not request.complete:
                     break
+                if not self.is_expected(request):
+                    sock.sendall(self.misdirected())
+                    continue
                 if not self.script(self, connection, request):
                     break
         self.channels.discard(sock)
 
+    def is_expected(self, request: wire.Message) -> bool:
+        """Return whether a request names this engine, or none."""
+        name = request.headers.get("verbenafall-expect-instance", self.name)
+        return name == self.name
+
+    def misdirected(self) -> bytes:
+        """Encode the answer to a request that names another engine."""
+        return wire.head(
+            "HTTP/1.1 421 Misdirected Request",
+            {"Verbenafall-Instance-Id": self.name, "Content-Length": "0"},
+        )
+
     def crash(self) -> None:
         """End as a crashed process does: all channels are reset."""
         with contextlib.suppress(OSError):
--- a/review/common/rank_group.py
+++ b/review/common/rank_group.py
@@ -31,6 +31,7 @@
         """Create a rank with map 0, which assigns experts in turn."""
         self.number = number
         self.fence = 0
+        self.sequence = 0
         self.version = 0
         self.content = [
             [
@@ -127,11 +128,12 @@
     """The engines of a group, and the thread that runs its passes.
 
     Attributes:
-        order_seconds: Time until an engine answers an order.
+        order_seconds: Time that an engine takes for an order.
         passes: Guards the state; notified when a pass begins.
         mixed: Number of passes that began with different maps.
         switches: Number of changes of map.
-        held_by: Set when an engine accepts a `retention`.
+        hold_acknowledged: Set when an engine has answered a `retention` with
+            202.
     """
 
     def __init__(
@@ -150,7 +152,7 @@
         self.step = 0
         self.mixed = 0
         self.switches = 0
-        self.hold_accepted = threading.Event()
+        self.hold_acknowledged = threading.Event()
         self.ended = threading.Event()
         self.ranks = [Rank(number, size) for number in range(size)]
         self.engines = [
@@ -213,24 +215,27 @@
         elif path.startswith("/api/picked"):
             send_json(connection, 200, self.picked(rank, "lists" in path))
         elif path.startswith("/api/order"):
-            send_json(connection, self.take_order(rank, request), {})
+            body = json.loads(request.body)
+            status = self.take_order(rank, body)
+            try:
+                send_json(connection, status, {})
+            finally:
+                if (body["operation"], status) == ("retention", 202):
+                    self.hold_acknowledged.set()
         else:
             return self.write_stream(engine, connection, request)
         return True
 
-    def take_order(self, rank: Rank, request: wire.Message) -> int:
-        """Carry out an order at once and answer it a little later."""
-        body = json.loads(request.body)
+    def take_order(self, rank: Rank, body: dict[str, Any]) -> int:
+        """Carry out an order, which takes a moment; return the status."""
+        time.sleep(self.order_seconds)
         with self.passes:
             status = rank.order(body, self.step, self.epoch)
-            held = rank.held is not None
+            rank.sequence += status == 202
         self.record.add(
             f"i-{rank.number} {body['operation']} {body.get('version', '')}"
             f" {body.get('step', '')} by {body.get('fencing-token')}: {status}"
         )
-        if body["operation"] == "retention" and held:
-            self.hold_accepted.set()
-        time.sleep(self.order_seconds)
         return status
 
     def report(self, rank: Rank) -> dict[str, Any]:
@@ -241,8 +246,12 @@
                 "stage": "prefill_decode",
                 "models": [{"name": "m", "version": 1, "adapters": []}],
                 "busy": False,
+                "sequence": rank.sequence,
                 "queued-requests": 0,
                 "active-requests": 1,
+                "kv-cache-used": 41000,
+                "kv-cache-total": 140000,
+                "handles": 0,
                 "group": {
                     "name": GROUP,
                     "epoch": self.epoch,
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -37,6 +37,7 @@
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
                 self.send_header("Content-Length", str(len(data)))
+                self.send_header("Store-Era", "1")
                 self.end_headers()
                 self.wfile.write(data)
 
@@ -82,9 +83,17 @@
         if known is not None and known["spec"] == spec:
             return known
         self.revision += 1
+        now = time.time_ns() // 1_000_000
         stored = {
-            "metadata": {"name": name, "revision": self.revision},
+            "metadata": {
+                "name": name,
+                "revision": self.revision,
+                "created": known["metadata"]["created"] if known else now,
+                "finalizers": [],
+                "deletion-pending": False,
+            },
             "spec": spec,
+            "status": {},
         }
         self.objects.setdefault(kind, {})[name] = stored
         self.log.append((self.revision, kind, stored, False))
