--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -64,6 +64,10 @@
     return re.sub(r"\{\{([\w.-]+)\}\}", value, template)
 
 
+# All processes that were started, to end them also after an error.
+STARTED = []
+
+
 class Gateway:
     """One gateway process."""
 
@@ -117,6 +121,7 @@
                 stdout=log,
                 stderr=log,
             )
+        STARTED.append(self.process)
 
     def is_ready(self):
         with contextlib.suppress(OSError):
@@ -157,6 +162,7 @@
             [sys.executable, "-B", str(HERE / "engine.py"), str(self.path)],
             stdin=subprocess.DEVNULL,
         )
+        STARTED.append(self.process)
 
     def has_ended(self):
         return self.process.poll() is not None
