--- a/review/10/run.py
+++ b/review/10/run.py
@@ -1,6 +1,7 @@
 """Case 10: a deadly request makes engines go dark instead of closing channels."""
 
 import asyncio
+import os
 import pathlib
 import random
 import socket
@@ -12,6 +13,8 @@
 
 import deployment as lib  # noqa: E402
 
+# TROUBLE=0 plays the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LENGTH_S = 80
 ENGINES = 4
 DEADLY_FROM_S, DEADLY_EVERY_S = 4.0, 5.0
@@ -258,7 +261,7 @@
             service="writer",
             routes=ROUTES,
             listed_port=port,
-            deadly=DEADLY if lib.trouble() else None,
+            deadly=DEADLY if TROUBLE else None,
         )
         proxies[engine.id] = DarkProxy(engine.settings["port"], port)
     deployment.start()
--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -319,11 +319,6 @@
         answer["body"] = data.decode("latin-1")
 
 
-def trouble():
-    """Return whether the disruption is to be played."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def route(name, prefix, kind, service, **fields):
     """Return a route of the configuration."""
     found = {
--- a/review/common-2/engine.py
+++ b/review/common-2/engine.py
@@ -207,12 +207,19 @@
         self.note("crashes", request=request, running=self.running)
         os.kill(os.getpid(), signal.SIGKILL)
 
+    def is_unframed(self, request, route):
+        """Return whether an answer ends with its channel, without a length."""
+        if route.get("framing") != "close":
+            return False
+        draw = int(hashlib.sha256(request.encode()).hexdigest()[8:16], 16)
+        return draw / 2**32 < self.settings.get("unframed_share", 1.0)
+
     async def work(self, writer, request, target, headers, body):
         """Run a request and write its answer; return whether to go on."""
         prefix = "/" + target.split("/")[1] + "/"
         route = self.settings["routes"][prefix]
         self.note("runs", request=request, target=target)
-        unframed = route.get("framing") == "close"
+        unframed = self.is_unframed(request, route)
         deadly = self.is_deadly(target, headers, body)
         if deadly and not route.get("crash_after_events"):
             await asyncio.sleep(route["work_s"])
@@ -243,7 +250,7 @@
         seed = int(hashlib.sha256(request.encode()).hexdigest()[:8], 16)
         low, high = route["events"]
         last = low + seed % (high - low + 1)
-        close = route.get("framing") == "close"
+        close = self.is_unframed(request, route)
         extra = [("Content-Type", "text/event-stream")]
         await asyncio.sleep(route["work_s"])
         length = None if close else "chunked"
