Scripted endpoint: mark a crash before its connections close

test_crash_of_an_engine_that_leaves_accuses_no_part failed once beside other work: it found no crash (0 == 1). Cause: crash() closed the connections and then set the mark, so the gateway could answer the client, and the test go on, in between.

--- a/tests/forwarding/forwarding_fakes.py
+++ b/tests/forwarding/forwarding_fakes.py
@@ -188,10 +188,11 @@
     def crash(self):
         """Close the listener and then all connections, as a crash does."""
         self.close()
+        # Set first: a closed connection may end the test's last request.
+        self.gone.set()
         for connection in list(self.open_connections):
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
-        self.gone.set()
 
 
 def read_request(connection):
@@ -372,10 +373,12 @@
         if tasks:
             await asyncio.wait(tasks)
 
-    def list_endpoint(self, name, backend, draining=False):
+    def list_endpoint(self, name, backend, draining=False, started_at=None):
         self.listed.put(
             name,
-            endpoints.Endpoint(name, "s", backend.address, "dc", 4, draining),
+            endpoints.Endpoint(
+                name, "s", backend.address, "dc", 4, draining, started_at
+            ),
         )
 
     def wait_ready(self):
