Find crashes of endpoints that only fall silent

Cause: only an attempt whose connection ended led to the question whether the endpoint had crashed. One that ended by its deadline, or as the client left, was forgotten, and the later start in the endpoint's entry was not read as evidence. Ruled out: a wrong answer of the check (the log has no check for these attempts) and evidence that comes too late (there was none).

Change: endpoint_lives keeps unanswered attempts until the entry of their endpoint shows whether it has started again. Those at the earlier start count as being at its crash, and end at once, so that they are sent to another endpoint. A silent trial is renewed, so that no other gateway repeats it meanwhile.

Why it works: the comparison needs no clock, only two starts of one endpoint; a machine that is cut off, frozen or slow keeps its start.

--- a/packages/core/src/verbenafall_core/messages.py
+++ b/packages/core/src/verbenafall_core/messages.py
@@ -511,6 +511,16 @@
     reports: tuple[PartReport, ...]
 
 
+class OpenTrials(NamedTuple):
+    """Trials of suspect parts that the sender makes, without a result yet.
+
+    Attributes:
+        parts: Service and id of each part.
+    """
+
+    parts: tuple[tuple[str, str], ...]
+
+
 class GatewayCounted(NamedTuple):
     """Says that the sender counts the receiver when it divides a limit."""
 
@@ -549,6 +559,7 @@
     | PartReports
     | GatewayCounted
     | StoppingEndpoints
+    | OpenTrials
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -586,4 +597,5 @@
     32: PartReports,
     33: GatewayCounted,
     34: StoppingEndpoints,
+    35: OpenTrials,
 }
--- a/packages/gateway/src/verbenafall_gateway/forwarding/channel_pool.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/channel_pool.py
@@ -102,6 +102,11 @@
             else:
                 del self.idle[endpoint_id]
 
+    def discard(self, endpoint_id: str) -> None:
+        """Close the idle connections to an endpoint."""
+        for channel in self.idle.pop(endpoint_id, ()):
+            channel.abort()
+
     def close(self) -> None:
         """Close all idle connections."""
         for channels in self.idle.values():
--- a/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
@@ -39,8 +39,12 @@
 # and the next one. The peers tell of their requests meanwhile, and an endpoint
 # that crashes again does so within about this time.
 REQUEST_TRIAL_SPACING_SECONDS: Final = 0.1
-# Time after which a trial without a result may be repeated.
+# Time after which the trial of another part may begin if one has no result. The
+# same part is tried again only this time after its trial was last renewed.
 TRIAL_SECONDS: Final = 2.0
+# Maximum duration of a trial. If the endpoint has lost power, it has started
+# again by then.
+MAX_TRIAL_SECONDS: Final = 8.0
 # Retry-after time, in seconds, while the trial of another request is under way.
 TRIAL_RETRY_AFTER: Final = 0.5
 # Endpoints that crash within this time of each other have a cause in common. A
@@ -86,6 +90,18 @@
     waited: float
 
 
+class CrashedRequest(NamedTuple):
+    """A request that an endpoint had not begun to answer when it crashed.
+
+    Attributes:
+        parts: Parts of its prompt, and its fingerprint.
+    """
+
+    service: str
+    parts: tuple[str, ...]
+    crash: Crash
+
+
 class PartHistory(NamedTuple):
     """What is known of a part; times are in seconds of one clock.
 
@@ -278,6 +294,7 @@
         is_informed: Returns whether this gateway hears of the crashes that
             others see.
         assessment: Result of find_suspects(), None after a change.
+        renewed: When the trials of parts were last renewed.
     """
 
     def __init__(self) -> None:
@@ -291,6 +308,7 @@
         self.learned: Callable[[], None] | None = None
         self.is_informed: Callable[[], bool] = lambda: True
         self.assessment: dict[PartKey, bool] | None = None
+        self.renewed: dict[PartKey, float] = {}
 
     def record_event(
         self, service: str, parts: Iterable[str], now: float
@@ -326,21 +344,54 @@
         Returns:
             Its parts that are suspects now.
         """
-        keys = [PartKey(service, part) for part in parts]
-        for key in keys:
-            self.update(key, PartHistory((crash,)))
-        self.drop_old(crash.at)
+        return self.record_crashes(
+            [CrashedRequest(service, tuple(parts), crash)]
+        )
+
+    def record_crashes(
+        self, requests: Iterable[CrashedRequest]
+    ) -> list[PartKey]:
+        """Record crashes that were noticed at the same time.
+
+        Returns:
+            The parts that are suspects now.
+        """
+        known: dict[PartKey, None] = {}
+        for request in requests:
+            for part in request.parts:
+                key = PartKey(request.service, part)
+                self.update(key, PartHistory((request.crash,)))
+                known[key] = None
+            self.drop_old(request.crash.at)
+        keys = list(known)
         if keys:
             self.tell_peers(keys)
             self.notify(self.suspected)
             self.notify(self.learned)
         return [key for key in keys if key in self.main_by_suspect()]
 
+    def last_crash_at(self, endpoint_id: str) -> float:
+        """Return when an endpoint is known to have crashed last."""
+        return max(
+            (
+                crash.at
+                for history in self.histories.values()
+                for crash in history.crashes
+                if crash.endpoint == endpoint_id
+            ),
+            default=NEVER,
+        )
+
     def record_trial(self, part: PartKey, now: float) -> None:
         """Record that a request is sent to try a part."""
         self.update(part, PartHistory(trial_at=now))
         self.tell_peers([part])
 
+    def renew_trial(self, part: PartKey, now: float) -> None:
+        """Record that the trial of a part has no result yet."""
+        if part in self.histories:
+            self.renewed[part] = now
+
     def merge_reports(
         self, reports: Mapping[PartKey, PartHistory], now: float
     ) -> None:
@@ -376,7 +427,12 @@
         if merged.crashes:
             self.histories[key] = merged
         else:
-            self.histories.pop(key, None)
+            self.forget(key)
+
+    def forget(self, key: PartKey) -> None:
+        """Forget the crashes and the trial of a part."""
+        self.histories.pop(key, None)
+        self.renewed.pop(key, None)
 
     def remember_sound(self, key: PartKey, at: float) -> None:
         """Remember when a part was sound, forgetting the oldest ones."""
@@ -403,7 +459,7 @@
         for number, key in enumerate(by_age):
             age = now - self.histories[key].crashes[-1].at
             if number < excess or age > HISTORY_RETENTION_SECONDS:
-                del self.histories[key]
+                self.forget(key)
                 self.assessment = None
 
     def tell_peers(self, keys: Sequence[PartKey]) -> None:
@@ -481,7 +537,8 @@
         last = max(suspects, key=lambda key: due[key])
         if due[last] > now:
             return Blocked(last, due[last] - now)
-        if self.is_trial_open(service, now):
+        renewed_at = self.renewed.get(last, NEVER)
+        if now - renewed_at < TRIAL_SECONDS or self.is_trial_open(service, now):
             return Blocked(last, TRIAL_RETRY_AFTER)
         return Trial(last)
 
@@ -496,6 +553,7 @@
 
     def end_trial(self, part: PartKey) -> None:
         """Let the next trial begin, as the request of this one has ended."""
+        self.renewed.pop(part, None)
         history = self.histories.get(part)
         if history is not None:
             self.histories[part] = history._replace(trial_at=NEVER)
--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_channel.py
@@ -69,6 +69,7 @@
             not, it ends with the connection.
         overhead_bytes: Bytes received since the last part of the answer.
         skipped_any: Whether an answer was skipped since the request was sent.
+        active_at: When the request was sent or bytes were last received.
     """
 
     transport: asyncio.Transport
@@ -103,6 +104,7 @@
         self.in_answer = False
         self.overhead_bytes = 0
         self.skipped_any = False
+        self.active_at = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -123,6 +125,7 @@
         self.skipped_any = False
         self.active = True
         self.used = True
+        self.active_at = self.loop.time()
         self.transport.write(request)
 
     async def next_part(self) -> Part:
@@ -164,6 +167,7 @@
             # No request is open to which these bytes could belong.
             self.abort()
             return
+        self.active_at = self.loop.time()
         self.overhead_bytes += len(data)
         try:
             self.parser.feed_data(data)
--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_directory.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_directory.py
@@ -463,6 +463,11 @@
                 )
         return latest
 
+    def latest_start(self, endpoint: endpoints.Endpoint) -> int | None:
+        """Return the start in the entry of an endpoint, None if unknown."""
+        listed = self.listed.get(endpoint.id)
+        return None if listed is None else listed.value.started_at
+
     def rebuild(self) -> None:
         """Rebuild the index of the endpoints that accept requests."""
         by_service: dict[str, list[endpoints.Endpoint]] = {}
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -5,6 +5,7 @@
 from typing import Final
 from typing import NamedTuple
 
+from verbenafall_core import endpoints
 from verbenafall_core import event_log
 from verbenafall_core import metrics as metrics_lib
 from verbenafall_core.routes import model
@@ -17,8 +18,10 @@
 from verbenafall_gateway.forwarding import configuration_state
 from verbenafall_gateway.forwarding import crash_check
 from verbenafall_gateway.forwarding import crash_suspects
+from verbenafall_gateway.forwarding import departures
 from verbenafall_gateway.forwarding import dialect as dialect_lib
 from verbenafall_gateway.forwarding import endpoint_channel
+from verbenafall_gateway.forwarding import endpoint_lives
 from verbenafall_gateway.forwarding import event_catalogue
 from verbenafall_gateway.forwarding import http_messages
 from verbenafall_gateway.forwarding import places
@@ -143,6 +146,7 @@
         open_attempts: The current attempt of each request, by request.
         statements: Reads what endpoints say of themselves.
         crash_check: Tells a crash of an endpoint from a closed connection.
+        lives: Attempts that a crash may concern which is noticed later.
         dropped_headers: Headers of client requests that are not forwarded.
     """
 
@@ -177,6 +181,7 @@
         self.jobs: set[Job] = set()
         self.open_attempts: dict[Job, OpenAttempt] = {}
         self.crash_check = crash_check.create_crash_check(loop)
+        self.lives = endpoint_lives.create_endpoint_lives()
         self.statements = answer_statements.create_answer_statements(
             dialect, admission, metrics
         )
@@ -318,6 +323,7 @@
             if isinstance(outcome, retry_decision.Broken) and not job.begun:
                 # The crash counts also if the client leaves meanwhile.
                 await asyncio.shield(self.suspect_parts(job, place))
+            self.lives.record_end(job, False, self.loop.time())
             self.admission.end_trial(place)
             if self.try_acquire_retry(job, outcome):
                 self.metrics.count("forward.repeats")
@@ -378,7 +384,7 @@
         self.open_attempts[job] = OpenAttempt(place, channel)
         try:
             job.runs += 1
-            self.record_sent(job)
+            self.record_sent(job, place)
             channel.send(
                 self.format(job, place),
                 job.id,
@@ -397,14 +403,23 @@
                 lambda: self.has_crashed(place),
             )
             return await relay.run(channel, route)
+        except asyncio.CancelledError:
+            self.remember_unanswered(job, place)
+            raise
         finally:
             del self.open_attempts[job]
             # This closes the connection unless the answer is complete.
             self.pool.release(place.endpoint, channel)
 
-    def record_sent(self, job: Job) -> None:
+    def record_sent(self, job: Job, place: places.Placed) -> None:
         """Record that a request is sent, if so, by an acquired repeat."""
         job.sent = True
+        self.lives.record_sent(
+            job,
+            endpoint_lives.SentAttempt(
+                place.endpoint, job.parts, self.loop.time()
+            ),
+        )
         if job.repeat_acquired:
             job.repeat_acquired = False
             self.allowance.record_sent(job.admitted.service)
@@ -467,14 +482,18 @@
         head: endpoint_channel.Head,
     ) -> None:
         """Record what an endpoint says of itself in an answer."""
+        self.lives.record_answer(place.endpoint.id, self.loop.time())
         if self.statements.record(place, head):
             job.pauses += 1
 
     def record_progress(self, job: Job) -> None:
         """Record progress of a service; serve those who waited for it."""
         service = job.admitted.service
+        endpoint = self.open_attempts[job].place.endpoint
+        self.lives.record_answer(endpoint.id, self.loop.time())
         if not job.begun:
             job.begun = True
+            self.lives.record_end(job, False, self.loop.time())
             self.clear_parts(job, job.parts)
         liveness = self.admission.liveness(service)
         if liveness is None:
@@ -587,7 +606,13 @@
     async def suspect_parts(self, job: Job, place: places.Placed) -> None:
         """Suspect the parts of a request at which its endpoint crashed."""
         now = self.loop.time()
-        if not await self.has_crashed(place):
+        state = await self.crash_check.check(place.endpoint)
+        if state is crash_check.EndpointState.UNREACHABLE:
+            self.remember_unanswered(job, place)
+        if (
+            state is not crash_check.EndpointState.CRASHED
+            or self.admission.directory.is_leaving(place.endpoint.id)
+        ):
             return
         self.metrics.count("forward.crashes")
         suspects = self.admission.suspects.record_crash(
@@ -597,15 +622,91 @@
                 place.endpoint.id, now, now - place.acquired_at
             ),
         )
-        if suspects:
-            self.metrics.count("forward.parts.suspected", len(suspects))
-            event_log.emit(
-                event_catalogue.PART_SUSPECTED,
-                request=job.id,
-                service=job.admitted.service,
-                parts=",".join(key.part for key in suspects),
-                endpoint=place.endpoint.id,
+        self.log_suspects(suspects, job.id, place.endpoint)
+
+    def remember_unanswered(self, job: Job, place: places.Placed) -> None:
+        """Keep an attempt that ended at an endpoint that may have crashed."""
+        leaving = self.admission.directory.is_leaving(place.endpoint.id)
+        self.lives.record_end(
+            job, not job.begun and not leaving, self.loop.time()
+        )
+
+    def end_lost_attempts(self) -> None:
+        """End the attempts at endpoints that have started again.
+
+        Those that had not begun were there when the endpoint crashed.
+        """
+        now = self.loop.time()
+        directory, suspects = self.admission.directory, self.admission.suspects
+        lost = self.lives.take_lost(
+            directory.latest_start, suspects.last_crash_at, now
+        )
+        crashes = [self.crash_of(attempt, now) for attempt in lost]
+        found = suspects.record_crashes(crashes)
+        for endpoint in {
+            item.endpoint.id: item.endpoint for item in lost
+        }.values():
+            self.metrics.count("forward.crashes")
+            self.log_suspects(
+                [key for key in found if key.service == endpoint.service],
+                "",
+                endpoint,
             )
+        for attempt in list(self.open_attempts.values()):
+            endpoint = attempt.place.endpoint
+            if not departures.is_later_start(
+                directory.latest_start(endpoint), endpoint.started_at
+            ):
+                continue
+            self.pool.discard(endpoint.id)
+            silent = now - attempt.channel.active_at
+            if silent >= endpoint_lives.START_REPORT_SECONDS:
+                attempt.channel.fail("the endpoint has started again")
+
+    def crash_of(
+        self, attempt: endpoint_lives.SentAttempt, now: float
+    ) -> crash_suspects.CrashedRequest:
+        """Return the crash that ended an attempt, as noticed now or before."""
+        known = self.admission.suspects.last_crash_at(attempt.endpoint.id)
+        at = known if known > attempt.sent_at else now
+        return crash_suspects.CrashedRequest(
+            attempt.endpoint.service,
+            attempt.parts,
+            crash_suspects.Crash(attempt.endpoint.id, at, at - attempt.sent_at),
+        )
+
+    def log_suspects(
+        self,
+        suspects: list[crash_suspects.PartKey],
+        request_id: str,
+        endpoint: endpoints.Endpoint,
+    ) -> None:
+        """Log and count the parts that a crash has made suspects."""
+        if not suspects:
+            return
+        self.metrics.count("forward.parts.suspected", len(suspects))
+        event_log.emit(
+            event_catalogue.PART_SUSPECTED,
+            request=request_id,
+            service=endpoint.service,
+            parts=",".join(key.part for key in suspects),
+            endpoint=endpoint.id,
+        )
+
+    def renew_trials(self) -> list[crash_suspects.PartKey]:
+        """Renew and return the trials of this gateway without a result."""
+        now = self.loop.time()
+        parts = [
+            attempt.place.trial
+            for job, attempt in self.open_attempts.items()
+            if attempt.place.trial is not None
+            and not job.begun
+            and now - attempt.place.acquired_at
+            < crash_suspects.MAX_TRIAL_SECONDS
+        ]
+        for part in parts:
+            self.admission.suspects.renew_trial(part, now)
+        return parts
 
     def stop_suspects(self) -> None:
         """Refuse or withdraw requests after a part has become a suspect."""
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -207,7 +207,10 @@
                 "endpoints",
                 ports.endpoints,
                 store_listeners.EndpointListener(
-                    loop, self.directory, self.admission
+                    loop,
+                    self.directory,
+                    self.admission,
+                    self.exchange.end_lost_attempts,
                 ),
                 WATCH_WAIT,
                 read_delay=read_delay,
@@ -418,6 +421,7 @@
                     channel.reject(408)
             elif waited > limits.idle_timeout.total_seconds():
                 channel.close()
+        self.links.announce_trials(self.exchange.renew_trials())
         self.exchange.move_streams_off_slow_ranks()
         self.admission.refuse_stalled_queues()
         self.admission.refuse_expired()
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
@@ -125,6 +125,7 @@
         router.subscribe(messages.RankSlowdowns, self.on_slowdowns)
         router.subscribe(messages.EndpointLimits, self.on_limits)
         router.subscribe(messages.PartReports, self.on_part_reports)
+        router.subscribe(messages.OpenTrials, self.on_open_trials)
         router.subscribe(messages.GatewayCounted, self.on_counted)
         router.subscribe(messages.RankHold, holds.on_hold)
         hello = messages.Hello(
@@ -262,6 +263,11 @@
         histories = {key: self.suspects.history_of(key) for key in keys}
         self.send_to_all(part_reports(histories, self.loop.time()))
 
+    def announce_trials(self, parts: Sequence[crash_suspects.PartKey]) -> None:
+        """Tell all peers that trials have no result yet."""
+        if parts:
+            self.send_to_all(messages.OpenTrials(tuple(parts)))
+
     def all_part_reports(self) -> messages.PartReports:
         """Return what is known of all parts that may crash endpoints."""
         return part_reports(dict(self.suspects.histories), self.loop.time())
@@ -435,6 +441,21 @@
             now,
         )
 
+    def on_open_trials(
+        self, link: link_lib.Link, message: messages.OpenTrials
+    ) -> None:
+        """Pass the open trials of a peer to the event loop."""
+        del link
+        self.loop.call_soon_threadsafe(self.renew_trials, message)
+
+    def renew_trials(self, message: messages.OpenTrials) -> None:
+        """Hold back trials of the parts that a peer tries."""
+        now = self.loop.time()
+        for service, part in message.parts:
+            self.suspects.renew_trial(
+                crash_suspects.PartKey(service, part), now
+            )
+
     def on_slowdowns(
         self, link: link_lib.Link, message: messages.RankSlowdowns
     ) -> None:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/store_listeners.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/store_listeners.py
@@ -1,6 +1,7 @@
 """Pass updates from the object store to the event loop."""
 
 import asyncio
+from collections.abc import Callable
 
 from verbenafall_core import addresses
 from verbenafall_core import endpoints
@@ -50,9 +51,18 @@
         loop: asyncio.AbstractEventLoop,
         directory: endpoint_directory.EndpointDirectory,
         admission: admission_lib.Admission,
+        applied: Callable[[], None],
     ) -> None:
-        """Create a listener that updates a directory of endpoints."""
+        """Create a listener that updates a directory of endpoints.
+
+        Args:
+            loop: The event loop.
+            directory: Updated on each batch.
+            admission: Serves its queues after that.
+            applied: Called in between.
+        """
         self.loop = loop
+        self.applied = applied
         self.directory = directory
         self.admission = admission
 
@@ -75,6 +85,7 @@
     ) -> None:
         """Update the directory and place queued requests."""
         self.directory.apply(batch, complete, after_outage, self.loop.time())
+        self.applied()
         self.admission.serve_all_queues()
 
     def on_outage(self) -> None:
--- a/tests/core/test_codec.py
+++ b/tests/core/test_codec.py
@@ -64,6 +64,7 @@
         (messages.PartReport("s", "p", (("e", 40, 250),), None, 7),)
     ),
     messages.GatewayCounted(),
+    messages.OpenTrials((("s", "p"), ("s", "request:1"))),
     messages.StoppingEndpoints((("e", 1_700_000_000_000), ("f", None))),
 ]  # fmt: skip
 
