Consider all parts of a prompt after a crash

Cause: parse_shared_parts() dropped the parts after the first sixteen to bound memory. Ruled out: full histories (the same part is found with fifteen shared ones before it) and shared parts that hide it.

Change: all parts count. Memory is bounded by what was at crashes (those of the crash with the most parts go first) and, for sound parts, by team. The search leaves out parts against which nothing speaks.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
@@ -12,6 +12,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -20,6 +21,7 @@
 from typing import NamedTuple
 
 from verbenafall_gateway.forwarding import request_fingerprint
+from verbenafall_gateway.forwarding import sound_parts
 
 NEVER: Final = float("-inf")
 # Gateways notice a crash within a fraction of a second of each other, and an
@@ -52,9 +54,9 @@
 COINCIDENCE_SECONDS: Final = 0.5
 # A part that has crashed nothing for this time is forgotten.
 HISTORY_RETENTION_SECONDS: Final = 3600.0
-MAX_HISTORIES: Final = 256
+# Three times the parts that fit into the head of a request.
+MAX_HISTORIES: Final = 16384
 MAX_CRASHES: Final = 8
-MAX_SOUND_PARTS: Final = 32768
 # Differences of times up to this come from the delay of messages.
 MESSAGE_DELAY_SECONDS: Final = 0.05
 
@@ -144,6 +146,11 @@
     )
 
 
+def crash_id(crash: Crash) -> tuple[str, float]:
+    """Return what all parts that were at a crash have in common."""
+    return crash.endpoint, crash.at
+
+
 def merge_crashes(
     crashes: Iterable[Crash], sound_at: float
 ) -> tuple[Crash, ...]:
@@ -176,7 +183,7 @@
 
 
 class CrashGroup(NamedTuple):
-    """A crash, as first noticed, and the parts that were at it.
+    """A crash, as first noticed, and the parts that it speaks against.
 
     Attributes:
         waited: Seconds for which a request with each part had been there.
@@ -190,82 +197,123 @@
 def group_by_crash(
     histories: Mapping[PartKey, PartHistory],
 ) -> list[CrashGroup]:
-    """Return the crashes of some histories."""
-    sightings = sorted(
-        (key.service, crash, key)
+    """Return the crashes of some histories.
+
+    Parts against which nothing speaks are left out of the groups. They may be
+    by far the most, as all parts of a prompt are at its crash.
+    """
+    sightings = {
+        (key.service, crash.endpoint, crash.at)
         for key, history in histories.items()
         for crash in history.crashes
-    )
+    }
     groups: list[CrashGroup] = []
-    for service, crash, key in sightings:
+    found: dict[tuple[str, str, float], CrashGroup] = {}
+    for service, endpoint, at in sorted(sightings):
+        crash = Crash(endpoint, at, 0.0)
         last = groups[-1] if groups else None
         if (
-            last is not None
-            and last.service == service
-            and is_same_crash(last.crash, crash)
+            last is None
+            or last.service != service
+            or not is_same_crash(last.crash, crash)
         ):
-            last.waited[key] = crash.waited
-        else:
-            groups.append(CrashGroup(service, crash, {key: crash.waited}))
+            last = CrashGroup(service, crash, {})
+            groups.append(last)
+        found[service, endpoint, at] = last
+    for key, history in histories.items():
+        if suspicion(key, history) > 0:
+            for crash in history.crashes:
+                group = found[key.service, crash.endpoint, crash.at]
+                group.waited[key] = crash.waited
     return groups
 
 
-def find_suspects(
-    histories: Mapping[PartKey, PartHistory],
-) -> dict[PartKey, bool]:
+class Assessment(NamedTuple):
+    """What the crashes say together.
+
+    Attributes:
+        main: Whether each suspect is the likely cause of its crashes.
+        together: The suspect parts of prompts of each crash that has several.
+    """
+
+    main: dict[PartKey, bool]
+    together: tuple[frozenset[PartKey], ...]
+
+
+def assess(histories: Mapping[PartKey, PartHistory]) -> Assessment:
     """Return the parts that may have caused one of their crashes.
 
     A crash is explained by those of its parts against which most crashes
     speak.
-
-    Returns:
-        Whether each suspect is the likely cause of its crashes.
     """
     groups = group_by_crash(histories)
     suspects: set[PartKey] = set()
     for group in groups:
-        most = max(suspicion(key, histories[key]) for key in group.waited)
-        if most > 0:
-            suspects |= {
-                key
-                for key in group.waited
-                if suspicion(key, histories[key]) == most
-            }
-    return {
-        key: is_main_suspect(key, histories[key], groups, suspects)
-        for key in suspects
-    }
+        counts = {key: suspicion(key, histories[key]) for key in group.waited}
+        most = max(counts.values(), default=0)
+        suspects |= {key for key, count in counts.items() if count == most}
+    unlikely: set[PartKey] = set()
+    for group in groups:
+        unlikely |= find_unlikely(group, suspects)
+        unlikely |= find_coincident(group, groups, histories)
+    prompts = [
+        frozenset(
+            key
+            for key in group.waited
+            if key in suspects and not key.is_request
+        )
+        for group in groups
+    ]
+    return Assessment(
+        {key: key not in unlikely for key in suspects},
+        tuple(parts for parts in prompts if len(parts) > 1),
+    )
 
 
-def is_main_suspect(
-    key: PartKey,
-    history: PartHistory,
-    groups: Sequence[CrashGroup],
-    suspects: set[PartKey],
-) -> bool:
-    """Return whether a suspect is the likely cause of each of its crashes.
+def find_unlikely(group: CrashGroup, suspects: set[PartKey]) -> set[PartKey]:
+    """Return the suspects beside which another one explains a crash as well.
 
     An endpoint begins with the request that has waited longest. Parts of a
     prompt are compared with each other, and so are whole requests: a request
     has waited as long as its parts.
     """
-    for group in groups:
-        if group.service != key.service:
-            continue
-        if key in group.waited:
-            others = suspects & group.waited.keys() - {key}
-            if any(
-                group.waited[key] <= group.waited[item]
-                for item in others
-                if item.is_request == key.is_request
-            ):
-                return False
-        elif suspicion(key, history) == 1 and any(
-            abs(group.crash.at - crash.at) < COINCIDENCE_SECONDS
-            for crash in history.crashes
-        ):
-            return False
-    return True
+    unlikely: set[PartKey] = set()
+    for is_request in (False, True):
+        waited = {
+            key: seconds
+            for key, seconds in group.waited.items()
+            if key in suspects and key.is_request == is_request
+        }
+        longest = max(waited.values(), default=0.0)
+        first = [key for key, seconds in waited.items() if seconds == longest]
+        unlikely |= waited.keys()
+        if len(first) == 1:
+            unlikely.discard(first[0])
+    return unlikely
+
+
+def find_coincident(
+    group: CrashGroup,
+    groups: Sequence[CrashGroup],
+    histories: Mapping[PartKey, PartHistory],
+) -> set[PartKey]:
+    """Return the parts of a crash that do not explain one at the same time.
+
+    That of another endpoint of the same service has a cause in common.
+    """
+    others = [
+        other
+        for other in groups
+        if other is not group
+        and other.service == group.service
+        and abs(other.crash.at - group.crash.at) < COINCIDENCE_SECONDS
+    ]
+    return {
+        key
+        for other in others
+        for key in group.waited
+        if key not in other.waited and suspicion(key, histories[key]) == 1
+    }
 
 
 def suspicion(key: PartKey, history: PartHistory) -> int:
@@ -286,35 +334,41 @@
 
     Attributes:
         histories: Parts with crashes since they were last sound.
-        sound: When parts were last sound, the oldest first.
+        sound: When parts were last sound.
         tell: Called with the parts of which the peers should be told.
         suspected: Called after a part has become a suspect.
         learned: Called after a change of the suspects that this gateway has
             seen itself.
         is_informed: Returns whether this gateway hears of the crashes that
             others see.
-        assessment: Result of find_suspects(), None after a change.
+        assessment: Result of assess(), None after a change.
         renewed: When the trials of parts were last renewed.
     """
 
     def __init__(self) -> None:
         """Create suspects of which none is known."""
         self.histories: dict[PartKey, PartHistory] = {}
-        self.sound: collections.OrderedDict[PartKey, float] = (
-            collections.OrderedDict()
+        self.sound: sound_parts.SoundParts[PartKey] = (
+            sound_parts.create_sound_parts()
         )
         self.tell: Callable[[Sequence[PartKey]], None] | None = None
         self.suspected: Callable[[], None] | None = None
         self.learned: Callable[[], None] | None = None
         self.is_informed: Callable[[], bool] = lambda: True
-        self.assessment: dict[PartKey, bool] | None = None
+        self.assessment: Assessment | None = None
         self.renewed: dict[PartKey, float] = {}
 
     def record_event(
-        self, service: str, parts: Iterable[str], now: float
+        self, service: str, parts: Iterable[str], now: float, team: str = ""
     ) -> list[PartKey]:
         """Record that an answer to a prompt with some parts had an event.
 
+        Args:
+            service: Service of the request.
+            parts: Parts of its prompt.
+            now: Current time.
+            team: Team that sent it.
+
         Returns:
             The suspects among them, which are none any more.
         """
@@ -323,7 +377,7 @@
         for key in keys:
             # A request seldom comes again, so that it needs no memory.
             if not key.is_request or key in cleared:
-                self.remember_sound(key, now)
+                self.sound.record(key, now, team)
         for key in cleared:
             self.update(key, PartHistory(sound_at=now))
         if cleared:
@@ -357,14 +411,16 @@
             The parts that are suspects now.
         """
         known: dict[PartKey, None] = {}
+        latest = NEVER
         for request in requests:
             for part in request.parts:
                 key = PartKey(request.service, part)
                 self.update(key, PartHistory((request.crash,)))
                 known[key] = None
-            self.drop_old(request.crash.at)
+            latest = max(latest, request.crash.at)
         keys = list(known)
         if keys:
+            self.drop_old(latest)
             self.tell_peers(keys)
             self.notify(self.suspected)
             self.notify(self.learned)
@@ -406,7 +462,7 @@
             > report.sound_at + MESSAGE_DELAY_SECONDS
         ]
         for key, report in reports.items():
-            self.remember_sound(key, report.sound_at)
+            self.sound.record(key, report.sound_at, "")
             self.update(key, report)
         self.drop_old(now)
         if newer:
@@ -417,7 +473,7 @@
     def history_of(self, key: PartKey) -> PartHistory:
         """Return what is known of a part."""
         return self.histories.get(key) or PartHistory(
-            sound_at=self.sound.get(key, NEVER)
+            sound_at=self.sound.times.get(key, NEVER)
         )
 
     def update(self, key: PartKey, news: PartHistory) -> None:
@@ -434,33 +490,32 @@
         self.histories.pop(key, None)
         self.renewed.pop(key, None)
 
-    def remember_sound(self, key: PartKey, at: float) -> None:
-        """Remember when a part was sound, forgetting the oldest ones."""
-        if at <= self.sound.get(key, NEVER):
-            return
-        self.sound[key] = at
-        self.sound.move_to_end(key)
-        if len(self.sound) > MAX_SOUND_PARTS:
-            self.sound.popitem(last=False)
-
     def drop_old(self, now: float) -> None:
-        """Forget histories that are old or too many, the oldest first.
+        """Forget histories that are old or too many.
 
-        Those with several crashes are kept longer than those with one.
+        Those with several crashes are kept longest. Of the others, those of the
+        crash with the most parts go first, so that requests with many parts do
+        not displace the suspects of others.
         """
-        by_age = sorted(
-            self.histories,
-            key=lambda key: (
-                len(self.histories[key].crashes) > 1,
-                self.histories[key].crashes[-1].at,
-            ),
-        )
-        excess = len(by_age) - MAX_HISTORIES
-        for number, key in enumerate(by_age):
-            age = now - self.histories[key].crashes[-1].at
-            if number < excess or age > HISTORY_RETENTION_SECONDS:
+        for key, history in list(self.histories.items()):
+            if now - history.crashes[-1].at > HISTORY_RETENTION_SECONDS:
                 self.forget(key)
                 self.assessment = None
+        excess = len(self.histories) - MAX_HISTORIES
+        if excess <= 0:
+            return
+        sizes = collections.Counter(
+            crash_id(history.crashes[-1]) for history in self.histories.values()
+        )
+
+        def rank(key: PartKey) -> tuple[bool, int, float]:
+            last = self.histories[key].crashes[-1]
+            several = len(self.histories[key].crashes) > 1
+            return several, -sizes[crash_id(last)], last.at
+
+        for key in sorted(self.histories, key=rank)[:excess]:
+            self.forget(key)
+        self.assessment = None
 
     def tell_peers(self, keys: Sequence[PartKey]) -> None:
         """Pass on what is known of some parts."""
@@ -472,12 +527,21 @@
         if listener is not None:
             listener()
 
-    def main_by_suspect(self) -> dict[PartKey, bool]:
-        """Return the suspects, and whether each is the likely cause."""
+    def assessed(self) -> Assessment:
+        """Return what the crashes say together."""
         if self.assessment is None:
-            self.assessment = find_suspects(self.histories)
+            self.assessment = assess(self.histories)
         return self.assessment
 
+    def main_by_suspect(self) -> dict[PartKey, bool]:
+        """Return the suspects, and whether each is the likely cause."""
+        return self.assessed().main
+
+    def has_all_of_a_crash(self, keys: Collection[PartKey]) -> bool:
+        """Return whether a prompt has all suspect parts of a crash."""
+        parts = set(keys)
+        return any(together <= parts for together in self.assessed().together)
+
     def trial_due(self, key: PartKey, main: bool) -> float:
         """Return from when on a suspect may be tried.
 
@@ -517,8 +581,9 @@
     def judge(self, service: str, parts: Iterable[str], now: float) -> Verdict:
         """Return whether a request with some parts may be sent.
 
-        A prompt with several suspects says little about each of them, and is
-        tried only as late as a likely cause.
+        A prompt with all suspects of a crash has the one that caused it, and is
+        tried only as late as a likely cause. One that lacks some of them tells
+        which of the two groups has it.
         """
         if not self.histories:
             return Sound()
@@ -527,10 +592,10 @@
         suspects = [key for key in keys if key in main]
         if not suspects:
             return Sound()
-        several = sum(not key.is_request for key in suspects) > 1
+        has_all = self.has_all_of_a_crash(suspects)
         due = {
             key: self.trial_due(
-                key, main[key] or (several and not key.is_request)
+                key, main[key] or (has_all and not key.is_request)
             )
             for key in suspects
         }
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -73,6 +73,11 @@
     service: str
     team: model.Team | None
 
+    @property
+    def team_name(self) -> str:
+        """Return the name of the team, empty if there is none."""
+        return self.team.name if self.team is not None else ""
+
 
 class Job:
     """State of a request while it is served.
@@ -240,13 +245,16 @@
         self, request: http_messages.Request, admitted: Admitted
     ) -> tuple[str, ...]:
         """Return the shared parts of a request's prompt and its fingerprint."""
-        header = http_messages.find_header(
-            request.headers, self.dialect.prompt_parts
+        header = prompt_parts.join_values(
+            http_messages.find_headers(
+                request.headers, self.dialect.prompt_parts
+            )
         )
-        team = admitted.team.name if admitted.team is not None else ""
         return (
             *prompt_parts.parse_shared_parts(header),
-            request_fingerprint.fingerprint(request, team, header),
+            request_fingerprint.fingerprint(
+                request, admitted.team_name, header
+            ),
         )
 
     def admit(self, request: http_messages.Request) -> Admitted | Rejection:
@@ -506,7 +514,10 @@
     def clear_parts(self, job: Job, parts: tuple[str, ...]) -> None:
         """Record that some parts of a request are sound."""
         cleared = self.admission.suspects.record_event(
-            job.admitted.service, parts, self.loop.time()
+            job.admitted.service,
+            parts,
+            self.loop.time(),
+            job.admitted.team_name,
         )
         if cleared:
             self.metrics.count("forward.parts.cleared", len(cleared))
@@ -514,7 +525,7 @@
                 event_catalogue.PART_CLEARED,
                 request=job.id,
                 service=job.admitted.service,
-                parts=",".join(key.part for key in cleared),
+                parts=prompt_parts.format_parts([key.part for key in cleared]),
             )
 
     def format(self, job: Job, place: places.Placed) -> bytes:
@@ -689,7 +700,7 @@
             event_catalogue.PART_SUSPECTED,
             request=request_id,
             service=endpoint.service,
-            parts=",".join(key.part for key in suspects),
+            parts=prompt_parts.format_parts([key.part for key in suspects]),
             endpoint=endpoint.id,
         )
 
@@ -724,7 +735,7 @@
                     event_catalogue.ATTEMPT_WITHDRAWN,
                     request=job.id,
                     endpoint=attempt.place.endpoint.id,
-                    parts=",".join(job.parts),
+                    parts=prompt_parts.format_parts(job.parts),
                 )
                 attempt.channel.fail("it may crash its endpoint")
 
@@ -835,7 +846,7 @@
             runs=job.runs,
             last_event=job.relay_state.last_event_id or "",
             begun=job.begun,
-            parts=",".join(job.parts),
+            parts=prompt_parts.format_parts(job.parts),
             seconds=self.loop.time() - place.acquired_at,
             gateways=self.allowance.gateways() or 0,
             repeats_left=reserve.earned,
@@ -894,7 +905,7 @@
             events=job.relay_state.events,
             sends=job.sends,
             runs=job.runs,
-            parts=",".join(job.parts),
+            parts=prompt_parts.format_parts(job.parts),
             left=job.times.deadline - now,
             configuration=self.configuration.version(),
         )
--- a/packages/gateway/src/verbenafall_gateway/forwarding/http_messages.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/http_messages.py
@@ -55,6 +55,11 @@
     return next((value for key, value in headers if key == name), None)
 
 
+def find_headers(headers: Iterable[Header], name: str) -> list[str]:
+    """Return all values of a header."""
+    return [value for key, value in headers if key == name]
+
+
 def end_to_end_headers(
     headers: Iterable[Header], excluded: frozenset[str] = frozenset()
 ) -> list[Header]:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/peer_links.py
@@ -44,6 +44,8 @@
 # are too old.
 COUNTS_REPEAT_SECONDS: Final = 0.5
 MILLISECONDS_PER_SECOND: Final = 1000
+# Reports of parts in one message; a report has up to 500 bytes.
+MAX_REPORTS: Final = 1000
 
 
 class PeerLinks:
@@ -297,9 +299,8 @@
         statements = dict(self.limits.statements)
         if statements:
             link.send(limits_message(statements, self.loop.time()))
-        reports = self.all_part_reports()
-        if reports.reports:
-            link.send(reports)
+        for message in split_reports(self.all_part_reports()):
+            link.send(message)
 
     def on_close(self, link: link_lib.Link, reason: str) -> None:
         """Discard the counts of a gateway whose link has closed."""
@@ -517,6 +518,16 @@
     )
 
 
+def split_reports(
+    reports: messages.PartReports,
+) -> list[messages.PartReports]:
+    """Return reports as messages of limited length; none if there are none."""
+    return [
+        messages.PartReports(reports.reports[start : start + MAX_REPORTS])
+        for start in range(0, len(reports.reports), MAX_REPORTS)
+    ]
+
+
 def read_part_report(
     report: messages.PartReport, now: float
 ) -> crash_suspects.PartHistory:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/suspect_record.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/suspect_record.py
@@ -20,6 +20,8 @@
 from verbenafall_core.object_store import records
 from verbenafall_gateway.forwarding import event_catalogue
 
+# Reports in the record, as the store limits the size of an object.
+MAX_STORED_REPORTS: Final = 1024
 RETRY_INTERVAL: Final = datetime.timedelta(milliseconds=500)
 # Longest wait of a stop for the current call.
 STOP_LIMIT: Final = datetime.timedelta(seconds=2)
@@ -92,8 +94,9 @@
 
     def save(self, reports: messages.PartReports) -> None:
         """Write the current suspects soon."""
+        stored = select_reports(reports.reports)
         with self.lock:
-            self.unsaved = StoredSuspects(self.now(), reports.reports)
+            self.unsaved = StoredSuspects(self.now(), stored)
         self.wakeup.set()
 
     def now(self) -> int:
@@ -200,6 +203,25 @@
         )
 
 
+def select_reports(
+    reports: tuple[messages.PartReport, ...],
+) -> tuple[messages.PartReport, ...]:
+    """Return the reports to store.
+
+    Those with most crashes come first, then those of parts that were never
+    sound, then the newest.
+    """
+    ranked = sorted(
+        reports,
+        key=lambda report: (
+            -len(report.crashes),
+            report.sound_age is not None,
+            min((age for _, age, _ in report.crashes), default=0),
+        ),
+    )
+    return tuple(ranked[:MAX_STORED_REPORTS])
+
+
 def count_crashes(
     reports: tuple[messages.PartReport, ...],
 ) -> dict[tuple[str, str], int]:
--- a/tests/forwarding/test_crashing_part.py
+++ b/tests/forwarding/test_crashing_part.py
@@ -3,6 +3,7 @@
 import asyncio
 import concurrent.futures
 import contextlib
+import datetime
 import threading
 
 import pytest
@@ -273,6 +274,52 @@
             assert (answer.status, answer.complete) == (200, True)
 
 
+LONG_HEADS = fakes.configuration(1, ROUTE)._replace(
+    limits=model.ClientLimits(
+        16384,
+        10_000,
+        datetime.timedelta(seconds=2),
+        datetime.timedelta(seconds=5),
+    )
+)
+
+
+class TestLongPrompts:
+    """Guards against a deadly part behind many others.
+
+    Each request with it crashed another engine.
+    """
+
+    @pytest.mark.parametrize("lines", [1, 2])
+    @pytest.mark.parametrize("count", [16, 17, 18, 600])
+    def test_part_behind_many_shared_ones_crashes_one_engine(
+        self, count, lines
+    ):
+        shared = [f"{number:x}:40" for number in range(count)]
+
+        def send(runner, number, part):
+            items = [*shared, f"{part}:40", f"own{number}:9"]
+            half = len(items) // 2 if lines == 2 else len(items)
+            data = fakes.request_bytes(
+                attempt=f"r{number}", x_prompt_parts=",".join(items[:half])
+            )
+            if items[half:]:
+                more = "\r\nx-prompt-parts: " + ",".join(items[half:])
+                data = data[:-4] + more.encode() + b"\r\n\r\n"
+            return test_forwarder.call(runner, data)
+
+        runner = fakes.RunningForwarder(LONG_HEADS, [engine] * 4)
+        try:
+            assert send(runner, 0, "fine").complete
+            for number in range(1, 5):
+                send(runner, number, DEADLY)
+            assert crashes(runner) == 1
+            answer = send(runner, 9, "fine")
+            assert (answer.status, answer.complete) == (200, True)
+        finally:
+            runner.close()
+
+
 class TestAllGatewaysLost:
     def test_suspects_come_back_from_the_store(self):
         """No gateway is left that could tell the one that starts."""
