Treat heads that are no HTTP answer as none

Through http_client, names with a blank or a control byte were passed on.

Cause: each reader took what its parser calls a head, and the two parsers check different things. Ruled out: a rewrite in the relay (the parser's own callbacks report status 0).

Change: answer_heads decides for all readers. What is no answer ends an attempt as broken.

--- a/packages/core/src/verbenafall_core/http_client.py
+++ b/packages/core/src/verbenafall_core/http_client.py
@@ -10,6 +10,8 @@
 import pycurl
 import returns.result
 
+from verbenafall_core import answer_heads
+
 MAX_RESPONSE_BYTES: Final = 8 * 1024 * 1024
 MAX_HEADER_BYTES: Final = 256 * 1024
 CONNECT_TIMEOUT: Final = datetime.timedelta(seconds=1)
@@ -65,25 +67,59 @@
 
 
 class HeaderLines:
-    """Collects the header lines of a response, also of interim ones.
+    """Reads the header lines of a response, also of interim ones.
+
+    libcurl accepts heads that are not those of an answer.
 
     Attributes:
-        lines: The lines so far, with the status lines.
-        size: Their length in bytes.
+        headers: Headers of the last head, with names in lower case.
+        size: Length of all lines in bytes.
+        version: HTTP version of the last head.
+        status: Its status code.
+        fault: Why it is no answer; empty if it is one so far.
+        in_trailers: Whether the head is complete, so that further lines are
+            trailers, which are dropped.
     """
 
     def __init__(self) -> None:
-        """Create a collector without lines."""
-        self.lines: list[bytes] = []
+        """Create a reader without lines."""
+        self.headers: list[tuple[str, str]] = []
         self.size = 0
+        self.version = ""
+        self.status = 0
+        self.fault = ""
+        self.in_trailers = False
 
     def add(self, line: bytes) -> int:
-        """Add a line; 0 makes libcurl abort the transfer."""
+        """Read a line; 0 makes libcurl abort the transfer."""
         self.size += len(line)
         if self.size > MAX_HEADER_BYTES:
-            return 0
-        self.lines.append(line)
-        return len(line)
+            self.fault = f"headers exceed {MAX_HEADER_BYTES} bytes"
+        else:
+            self.fault = self.read(line.decode("latin-1")) or ""
+        return 0 if self.fault else len(line)
+
+    def read(self, line: str) -> str | None:
+        """Read a line and return what is wrong with it."""
+        text = line.rstrip("\r\n")
+        if not text:
+            self.in_trailers = True
+            return answer_heads.find_framing_fault(
+                self.version, self.status, self.headers
+            )
+        if text.startswith("HTTP/"):
+            self.in_trailers = False
+            self.headers.clear()
+            version, _, rest = text.removeprefix("HTTP/").partition(" ")
+            code = rest.split(" ", 1)[0]
+            self.version = version
+            self.status = int(code) if code.isdecimal() else 0
+            return answer_heads.find_status_fault(version, self.status)
+        name, _, value = text.partition(":")
+        value = value.strip(" \t")
+        if not self.in_trailers:
+            self.headers.append((name.lower(), value))
+        return answer_heads.find_header_fault(name, value)
 
 
 class HttpClient:
@@ -112,11 +148,15 @@
         try:
             handle.perform()
         except pycurl.error as error:
-            return returns.result.Failure(to_http_failure(handle, error))
-        status = handle.getinfo(pycurl.RESPONSE_CODE)
-        headers = parse_headers(header_lines.lines)
+            return returns.result.Failure(
+                to_http_failure(handle, error, header_lines.fault)
+            )
         return returns.result.Success(
-            HttpResponse(status, headers, body.getvalue())
+            HttpResponse(
+                header_lines.status,
+                tuple(header_lines.headers),
+                body.getvalue(),
+            )
         )
 
     def reset_handle(self) -> pycurl.Curl:
@@ -154,26 +194,22 @@
         handle.setopt(pycurl.FORBID_REUSE, 1)
 
 
-def to_http_failure(handle: pycurl.Curl, error: pycurl.error) -> HttpFailure:
-    """Convert a libcurl error, and find out whether the request was sent."""
+def to_http_failure(
+    handle: pycurl.Curl, error: pycurl.error, fault: str = ""
+) -> HttpFailure:
+    """Convert a libcurl error, and find out whether the request was sent.
+
+    Args:
+        handle: The handle of the call.
+        error: The error.
+        fault: Why the response is no answer, empty if that is not the cause.
+    """
     arguments: tuple[Any, ...] = error.args
     code, message = arguments[:2]
     before_transfer = handle.getinfo(pycurl.PRETRANSFER_TIME) == 0
     sent = code not in _NOT_SENT_ERRORS and not before_transfer
-    return HttpFailure(sent, f"{message} (libcurl error {code})")
-
-
-def parse_headers(lines: list[bytes]) -> Headers:
-    """Return the headers of the final response, skipping interim ones."""
-    headers: list[tuple[str, str]] = []
-    for raw in lines:
-        line = raw.decode("latin-1").strip()
-        if line.startswith("HTTP/"):
-            headers.clear()
-        elif ":" in line:
-            name, value = line.split(":", 1)
-            headers.append((name.strip().lower(), value.strip()))
-    return tuple(headers)
+    problem = f"no answer: {fault}" if fault else message
+    return HttpFailure(sent, f"{problem} (libcurl error {code})")
 
 
 def create_http_client() -> HttpClient:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_channel.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from verbenafall_core import answer_heads
 from verbenafall_gateway.forwarding import http_messages
 
 # Unread bytes of an answer above which reading from the endpoint pauses.
@@ -171,7 +172,10 @@
         self.overhead_bytes += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             self.fail(f"invalid HTTP response: {error}")
             self.abort()
             return
@@ -215,12 +219,19 @@
         """Queue the head and decide whether the connection is reusable.
 
         Interim (1xx) answers are ignored. An answer that carries the id of
-        another request is skipped.
+        another request is skipped. The parser accepts heads that are no
+        answers.
         """
         status = self.parser.get_status_code()
         if not self.active:
             self.reusable = False
             return
+        fault = answer_heads.find_fault(
+            self.parser.get_http_version(), status, self.headers
+        )
+        if fault is not None:
+            self.fail(f"no answer: {fault}")
+            return
         if 100 <= status < 200:
             return
         self.in_answer = True
--- a/packages/sidecar/src/verbenafall_sidecar/delivery/transfers.py
+++ b/packages/sidecar/src/verbenafall_sidecar/delivery/transfers.py
@@ -73,7 +73,6 @@
         self.request = request
         self.sink = sink
         self.handle: pycurl.Curl | None = None
-        self.status = 0
         self.header_lines = http_client.HeaderLines()
         self.ended = False
 
@@ -81,20 +80,10 @@
         """Abort the transfer asynchronously; the sink receives a failure."""
         self.loop.post(lambda: self.loop.abort(self))
 
-    def add_header(self, line: bytes) -> int:
-        """Store a header line; read the status, which on_data needs.
-
-        Returns:
-            Length of the line; 0 makes libcurl abort.
-        """
-        if line.startswith(b"HTTP/"):
-            self.status = int(line.split(None, 2)[1])
-        return self.header_lines.add(line)
-
     def write(self, data: bytes) -> int:
         """Pass a part of the body to the sink; 0 makes libcurl abort."""
         try:
-            wanted = self.sink.on_data(self.status, data)
+            wanted = self.sink.on_data(self.header_lines.status, data)
         except Exception as error:  # libcurl would only print it.
             event_log.emit(
                 event_catalogue.TRANSFER_LOOP_FAILED, error=repr(error)
@@ -212,7 +201,7 @@
         handle = pycurl.Curl()
         http_client.apply_request(handle, transfer.request)
         handle.setopt(pycurl.WRITEFUNCTION, transfer.write)
-        handle.setopt(pycurl.HEADERFUNCTION, transfer.add_header)
+        handle.setopt(pycurl.HEADERFUNCTION, transfer.header_lines.add)
         transfer.handle = handle
         self.transfers[handle] = transfer
         self.multi.add_handle(handle)
@@ -237,13 +226,14 @@
             left, finished, failed = self.multi.info_read()
             for handle in finished:
                 transfer = self.transfers[handle]
-                self.end(transfer, read_response_head(handle, transfer))
+                self.end(transfer, read_response_head(transfer))
             for handle, code, message in failed:
                 error = pycurl.error(code, message)
-                failure = http_client.to_http_failure(handle, error)
-                self.end(
-                    self.transfers[handle], returns.result.Failure(failure)
+                transfer = self.transfers[handle]
+                failure = http_client.to_http_failure(
+                    handle, error, transfer.header_lines.fault
                 )
+                self.end(transfer, returns.result.Failure(failure))
 
     def end(self, transfer: Transfer, result: TransferResult) -> None:
         """Release a transfer and report its result."""
@@ -282,13 +272,12 @@
         self.timer_due = self.clock.monotonic() + delay
 
 
-def read_response_head(
-    handle: pycurl.Curl, transfer: Transfer
-) -> TransferResult:
+def read_response_head(transfer: Transfer) -> TransferResult:
     """Return status and headers of a finished transfer."""
-    status = handle.getinfo(pycurl.RESPONSE_CODE)
-    headers = http_client.parse_headers(transfer.header_lines.lines)
-    return returns.result.Success(ResponseHead(status, headers))
+    lines = transfer.header_lines
+    return returns.result.Success(
+        ResponseHead(lines.status, tuple(lines.headers))
+    )
 
 
 def not_sent(message: str) -> TransferResult:
