--- a/packages/core/src/verbenafall_core/bundles/records.py
+++ b/packages/core/src/verbenafall_core/bundles/records.py
@@ -65,7 +65,7 @@
         document: Any = json.loads(value)
         fields = [document["accepted"], document["pending"]]
         head = msgspec.convert(fields, Head)
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         return returns.result.Failure(f"{HEAD_NAME} is malformed: {error!r}")
     return returns.result.Success(head)
 
--- a/packages/core/src/verbenafall_core/claims/record.py
+++ b/packages/core/src/verbenafall_core/claims/record.py
@@ -6,6 +6,7 @@
 import msgspec
 import returns.result
 
+from verbenafall_core import json_documents
 from verbenafall_core.claims import model
 
 
@@ -55,8 +56,8 @@
 def decode(value: bytes) -> returns.result.Result[model.Claim, str]:
     """Return the claim in a stored value, or why the value is malformed."""
     try:
-        fields = msgspec.json.decode(value, type=ClaimFields)
-    except (msgspec.DecodeError, UnicodeError) as error:
+        fields = json_documents.decode(value, ClaimFields)
+    except json_documents.JsonError as error:
         return returns.result.Failure(str(error))
     if fields["changed_at"].tzinfo is None:
         return returns.result.Failure("changed_at has no time zone")
--- a/packages/core/src/verbenafall_core/claims/restores.py
+++ b/packages/core/src/verbenafall_core/claims/restores.py
@@ -17,6 +17,7 @@
 
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import event_log
+from verbenafall_core import json_documents
 from verbenafall_core.claims import event_catalogue
 from verbenafall_core.claims import model
 from verbenafall_core.object_store import port
@@ -87,8 +88,8 @@
 def decode(value: bytes) -> Restore | None:
     """Return the restore in a stored value; None if it is malformed."""
     try:
-        fields = msgspec.json.decode(value, type=RestoreFields)
-    except (msgspec.DecodeError, UnicodeError):
+        fields = json_documents.decode(value, RestoreFields)
+    except json_documents.JsonError:
         return None
     if fields["noticed_at"].tzinfo is None:
         return None
--- a/packages/core/src/verbenafall_core/expert_maps/record.py
+++ b/packages/core/src/verbenafall_core/expert_maps/record.py
@@ -8,6 +8,8 @@
 import msgspec
 import returns.result
 
+from verbenafall_core import json_documents
+
 FIRST_EPOCH: Final = 1
 
 
@@ -70,8 +72,8 @@
 def decode(data: bytes) -> RecordResult:
     """Parse and validate a record; the failure describes the problem."""
     try:
-        fields = msgspec.json.decode(data, type=_RecordJson)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        fields = json_documents.decode(data, _RecordJson)
+    except json_documents.JsonError as error:
         return returns.result.Failure(str(error))
     record = MapRecord(**fields)
     problem = find_inconsistency(record)
--- a/packages/core/src/verbenafall_core/instance_list/http_adapter.py
+++ b/packages/core/src/verbenafall_core/instance_list/http_adapter.py
@@ -9,6 +9,7 @@
 
 from verbenafall_core import addresses
 from verbenafall_core import http_client
+from verbenafall_core import json_documents
 from verbenafall_core.instance_list import port
 
 # A poll interval, a call that times out and its retry fit into 3 s, after which
@@ -92,8 +93,8 @@
     If the entry were left out, its instance would look removed.
     """
     try:
-        listed = msgspec.json.decode(body, type=list[ListedInstance])
-    except msgspec.DecodeError as error:
+        listed = json_documents.decode(body, list[ListedInstance])
+    except json_documents.JsonError as error:
         return fail(f"malformed list: {error}")
     instances = []
     for entry in listed:
--- a/packages/core/src/verbenafall_core/leases.py
+++ b/packages/core/src/verbenafall_core/leases.py
@@ -27,6 +27,7 @@
 
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import event_log
+from verbenafall_core import json_documents
 from verbenafall_core import lease_events
 from verbenafall_core import periodic
 from verbenafall_core.object_store import port
@@ -166,13 +167,13 @@
 def decode_record(value: bytes) -> LeaseRecord | None:
     """Return the record in a stored value; None if it is malformed."""
     try:
-        stored = msgspec.json.decode(value, type=StoredRecord)
+        stored = json_documents.decode(value, StoredRecord)
         return LeaseRecord(
             stored.holder,
             stored.sent_at_us * _MICROSECOND,
             stored.duration_us * _MICROSECOND,
         )
-    except (msgspec.DecodeError, OverflowError):
+    except (json_documents.JsonError, OverflowError):
         return None
 
 
--- a/packages/core/src/verbenafall_core/object_store/http_adapter.py
+++ b/packages/core/src/verbenafall_core/object_store/http_adapter.py
@@ -11,6 +11,7 @@
 import returns.result
 
 from verbenafall_core import http_client
+from verbenafall_core import json_documents
 from verbenafall_core.object_store import port
 from verbenafall_core.object_store import revisions
 from verbenafall_core.object_store import store_era
@@ -254,8 +255,8 @@
 def parse_list(response: StoreResponse) -> port.ListResult:
     """Return the objects in a list response."""
     try:
-        listed = msgspec.json.decode(response.body, type=list[ListedObject])
-    except msgspec.DecodeError as error:
+        listed = json_documents.decode(response.body, list[ListedObject])
+    except json_documents.JsonError as error:
         return fail(
             port.FailureKind.UNCERTAIN, f"malformed list of objects: {error}"
         )
--- a/packages/gateway/src/verbenafall_gateway/forwarding/suspect_record.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/suspect_record.py
@@ -15,6 +15,7 @@
 
 from verbenafall_core import clock as clock_lib
 from verbenafall_core import event_log
+from verbenafall_core import json_documents
 from verbenafall_core import messages
 from verbenafall_core.object_store import port
 from verbenafall_core.object_store import records
@@ -157,8 +158,8 @@
         The owner saves again what it knows with it, instead of what is unsaved.
         """
         try:
-            content = msgspec.json.decode(value, type=StoredSuspects)
-        except msgspec.DecodeError as error:
+            content = json_documents.decode(value, StoredSuspects)
+        except json_documents.JsonError as error:
             event_log.emit(
                 event_catalogue.SUSPECT_RECORD_FAILED, error=str(error)
             )
--- a/packages/gateway/src/verbenafall_gateway/operator_commands/http_fleet.py
+++ b/packages/gateway/src/verbenafall_gateway/operator_commands/http_fleet.py
@@ -9,6 +9,7 @@
 
 from verbenafall_core import addresses
 from verbenafall_core import http_client
+from verbenafall_core import json_documents
 from verbenafall_core import messages
 from verbenafall_core.bundles import roll
 from verbenafall_core.instance_list import port as instance_port
@@ -107,9 +108,9 @@
 def decode_status(gateway: str, body: bytes) -> _StatusResult:
     """Decode a gateway's response to a status request."""
     try:
-        document = msgspec.json.decode(body)
+        document = json_documents.decode(body, dict)
         replies = tuple(_decode_reply(entry) for entry in document["processes"])
-    except (msgspec.MsgspecError, KeyError, TypeError) as error:
+    except (json_documents.JsonError, KeyError, TypeError) as error:
         return returns.result.Failure(f"{gateway}: malformed status: {error!r}")
     return returns.result.Success(replies)
 
--- a/packages/sidecar/src/verbenafall_sidecar/endpoint/engine_errors.py
+++ b/packages/sidecar/src/verbenafall_sidecar/endpoint/engine_errors.py
@@ -3,7 +3,7 @@
 from typing import Final
 from typing import TypedDict
 
-import msgspec
+from verbenafall_core import json_documents
 
 STATUS_OK: Final = 200
 STATUS_TOO_MANY_REQUESTS: Final = 429
@@ -46,8 +46,8 @@
 def find_message(body: bytes) -> str:
     """Return the message of a JSON error body, or an empty string."""
     try:
-        fields = msgspec.json.decode(body, type=ErrorBody)
-    except (msgspec.DecodeError, UnicodeError):
+        fields = json_documents.decode(body, ErrorBody)
+    except json_documents.JsonError:
         return ""
     error = fields.get("error", "")
     if isinstance(error, str):
--- a/packages/sidecar/src/verbenafall_sidecar/endpoint/engine_http.py
+++ b/packages/sidecar/src/verbenafall_sidecar/endpoint/engine_http.py
@@ -14,6 +14,7 @@
 import sseclient
 
 from verbenafall_core import http_client
+from verbenafall_core import json_documents
 from verbenafall_core import messages
 from verbenafall_sidecar.delivery import transfers
 from verbenafall_sidecar.endpoint import endpoint_port
@@ -161,8 +162,8 @@
     if data == STREAM_END:
         return StreamEnd()
     try:
-        event = msgspec.json.decode(data, type=ChatEvent)
-    except (msgspec.DecodeError, UnicodeError) as error:
+        event = json_documents.decode(data, ChatEvent)
+    except json_documents.JsonError as error:
         return MalformedEvent(f"malformed event: {error}")
     choices = event.get("choices") or []
     if not choices:
@@ -350,12 +351,12 @@
         if response.status != STATUS_OK:
             return load_failure(f"status {response.status}")
         try:
-            fields = msgspec.json.decode(response.body, type=dict[str, Any])
+            fields = json_documents.decode(response.body, dict[str, Any])
             load = msgspec.convert(
                 [fields.get(name) for name in engine_port.EngineLoad._fields],
                 engine_port.EngineLoad,
             )
-        except msgspec.DecodeError as error:
+        except (json_documents.JsonError, msgspec.ValidationError) as error:
             return load_failure(f"malformed load report: {error}")
         return returns.result.Success(load)
 
--- a/packages/sidecar/src/verbenafall_sidecar/orders/order_http.py
+++ b/packages/sidecar/src/verbenafall_sidecar/orders/order_http.py
@@ -11,6 +11,7 @@
 
 from verbenafall_core import addresses
 from verbenafall_core import http_client
+from verbenafall_core import json_documents
 from verbenafall_core.expert_maps import switch
 from verbenafall_sidecar.orders import order_port
 
@@ -101,15 +102,15 @@
     try:
         if response.status == STATUS_OK:
             return returns.result.Success(_parse_state(response.body))
-        error = msgspec.json.decode(response.body, type=_Error)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as problem:
+        error = json_documents.decode(response.body, _Error)
+    except json_documents.JsonError as problem:
         message = f"HTTP {response.status}: {problem}"
         return _fail(order_port.FailureKind.INVALID, message)
     return _parse_error(response.status, error)
 
 
 def _parse_state(body: bytes) -> order_port.EngineState:
-    state = msgspec.json.decode(body, type=_State)
+    state = json_documents.decode(body, _State)
     armed = state["armed"]
     return order_port.EngineState(
         group=state["group"],
--- a/tests/platform_adapter/standin_store.py
+++ b/tests/platform_adapter/standin_store.py
@@ -9,6 +9,27 @@
 ERA_HEADER = "Store-Era"
 
 
+class Raw:
+    """Text of a value that the JSON encoder would not write."""
+
+    def __init__(self, text):
+        self.text = text
+
+
+def encode(content):
+    """Encode a response, with raw values as they are."""
+    values = []
+
+    def replace(value):
+        values.append(value.text)
+        return f"raw value {len(values) - 1}"
+
+    data = json.dumps(content, default=replace).encode()
+    for number, text in enumerate(values):
+        data = data.replace(f'"raw value {number}"'.encode(), text, 1)
+    return data
+
+
 class StandinStore:
     """Stores objects by kind and name, with one revision counter.
 
@@ -49,7 +70,7 @@
                     standin.drop_next_response = False
                     self.close_connection = True
                     return
-                data = json.dumps(content).encode()
+                data = encode(content)
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(data)))
                 if era is not None:
