Entries of unknown services say nothing of an address

Cause: latest_starts() compared all listed entries of an address.

Change: only entries of services of the configuration in force are compared. An address that another known service uses again counts as before; until the configuration names that service, the engine's 421 shows the replacement.

Red before: test_later_start[unknown-2-expected2], and none of the others.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/configuration_state.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/configuration_state.py
@@ -52,6 +52,10 @@
             self.changed()
         return True
 
+    def has_service(self, name: str) -> bool:
+        """Return whether a service exists, true without a configuration."""
+        return self.configuration is None or name in self.configuration.services
+
     def version(self) -> int:
         """Return the version in force, or 0 without a configuration."""
         return self.configuration.version if self.configuration else 0
--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_directory.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_directory.py
@@ -82,6 +82,8 @@
         copies_lapse_at: Time from which a copied entry that is still listed
             is maintained by its engine, None if that has passed.
         store_lost: Whether the last call to the store has failed.
+        is_known_service: Returns whether a service exists. Entries of others
+            come from other writers and say nothing of an address.
     """
 
     def __init__(self) -> None:
@@ -102,6 +104,7 @@
         self.copied_until = 0
         self.copies_lapse_at: float | None = None
         self.store_lost = False
+        self.is_known_service: Callable[[str], bool] = lambda _service: True
 
     def apply(
         self,
@@ -457,7 +460,9 @@
         latest: dict[addresses.Address, int] = {}
         for listed in self.listed.values():
             endpoint = listed.value
-            if endpoint.started_at is not None:
+            if endpoint.started_at is not None and self.is_known_service(
+                endpoint.service
+            ):
                 latest[endpoint.address] = max(
                     endpoint.started_at, latest.get(endpoint.address, 0)
                 )
@@ -474,9 +479,8 @@
         latest = self.latest_starts()
         for name, listed in self.listed.items():
             started_at = listed.value.started_at
-            if (
-                started_at is not None
-                and started_at < latest[listed.value.address]
+            if started_at is not None and started_at < latest.get(
+                listed.value.address, started_at
             ):
                 continue
             if self.accepts_requests(name, listed):
--- a/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/forwarder.py
@@ -175,6 +175,7 @@
         self.suspects.learned = self.save_suspects
         self.admission.limits_changed = self.links.announce_limit
         self.configuration.changed = self.apply_configuration
+        self.directory.is_known_service = self.configuration.has_service
         self.directory.leaving_changed = self.links.announce_leaving
         self.directory.stopping_changed = self.links.announce_stopping
         self.record = own_record.OwnRecord(
@@ -240,6 +241,7 @@
             for service in configuration.services.values():
                 if service.engine is not None and service.engine.layout:
                     self.admission.track_liveness(service.name)
+        self.directory.rebuild()
         self.links.announce_configuration()
 
     def on_suspects_loaded(self, reports: messages.PartReports) -> None:
--- a/tests/forwarding/test_directory.py
+++ b/tests/forwarding/test_directory.py
@@ -132,3 +132,32 @@
         assert usable(directory) == ["b"]
         apply(directory, 6, [item("a", 6)])
         assert usable(directory) == ["a", "b"]
+
+
+class TestAddressOfAnotherEntry:
+    """Guards an engine against an odd entry with its address.
+
+    An entry of an unknown service with a later start took it out of use.
+    """
+
+    @pytest.mark.parametrize(
+        ("service", "started_at", "expected"),
+        [
+            ("s", 2, ["b"]),
+            ("t", 2, []),
+            ("unknown", 2, ["a"]),
+            ("unknown", 0, ["a"]),
+            ("s", 0, ["a"]),
+        ],
+    )
+    def test_later_start(self, service, started_at, expected):
+        found = endpoint_directory.create_endpoint_directory()
+        found.is_known_service = {"s", "t"}.__contains__
+        first, second = (item(name, 4).value for name in "ab")
+        other = second._replace(service=service, started_at=started_at)
+        entries = [
+            collection.Item("a", 4, first._replace(started_at=1)),
+            collection.Item("b", 5, other),
+        ]
+        apply(found, 5, entries, complete=True)
+        assert usable(found) == expected
