--- a/packages/core/src/verbenafall_core/json_documents.py
+++ b/packages/core/src/verbenafall_core/json_documents.py
@@ -14,7 +14,9 @@
 T = TypeVar("T")
 
 # Strings, which may contain any other of these tokens, and structure.
-_TOKEN: Final = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[][{},]', re.DOTALL)
+_TOKEN: Final = re.compile(
+    rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[{]+|[\]}]+|,', re.DOTALL
+)
 _KEY: Final = re.compile(rb'\s*("[^"\\]*(?:\\.[^"\\]*)*")\s*:', re.DOTALL)
 _OPENING: Final = frozenset(b"[{")
 _CLOSING: Final = frozenset(b"]}")
@@ -64,9 +66,9 @@
     for found in _TOKEN.finditer(text):
         code = text[found.start()]
         if code in _OPENING:
-            depth += 1
+            depth += found.end() - found.start()
         elif code in _CLOSING:
-            depth -= 1
+            depth -= found.end() - found.start()
             if depth < 0 or (depth == 0 and found.end() != len(text)):
                 raise JsonError("its brackets do not match")
         elif code == ord(",") and depth == 1:
