Bound the memory of answers that come in many short pieces

What callers saw (reports of the issue): bytes without end filled the memory of a machine, and the requests of other clients ended with it.

Cause: limits count bytes, but each event, chunk or piece became an object of over 100 bytes. Ruled out: a missing limit.

Change: events are not kept as objects, what one read brings is one part, a part counts with the memory that it takes, and bodies are byte arrays (answers, requests of clients, and those that a sidecar buffers).

Red before: test_short_events_take_no_more_memory_than_their_bytes and test_unread_body_in_small_chunks_is_bounded_by_memory. The test of the search patches find_last_end(), which replaces find_end(), with the same bound.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/answer_relay.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/answer_relay.py
@@ -215,10 +215,12 @@
             part = await channel.next_part()
             if isinstance(part, endpoint_channel.Body):
                 try:
-                    events = splitter.feed(part.data)
+                    events = event_splitter.select_new_events(
+                        splitter.feed(part.data), self.state.last_event_id
+                    )
                 except event_splitter.EventTooLongError as error:
                     return retry_decision.Broken(str(error))
-                if events:
+                if events.complete:
                     self.on_progress()
                     self.record_pause(route)
                 self.send_new_events(head, events)
@@ -271,40 +273,35 @@
     def send_new_events(
         self,
         head: endpoint_channel.Head,
-        events: list[event_splitter.StreamEvent],
+        events: event_splitter.NewEvents,
     ) -> None:
         """Send the events that were not sent by an earlier attempt."""
-        new_events = []
-        for event in events:
-            if event_splitter.is_later(event.id, self.state.last_event_id):
-                new_events.append(event.data)
-                self.state.last_event_id = event.id or self.state.last_event_id
-        if not new_events:
+        self.state.last_event_id = events.last_id
+        if not events.number:
             return
         if not self.state.started:
             self.start_chunked(head)
         if self.state.first_byte_at is None:
             self.state.first_byte_at = self.loop.time()
-        self.state.events += len(new_events)
-        self.client.send_body(b"".join(new_events))
+        self.state.events += events.number
+        self.client.send_body(events.data)
 
 
 async def read_buffered(
     channel: endpoint_channel.EndpointChannel,
 ) -> BufferedBody:
     """Read a body until it ends or exceeds MAX_BUFFERED_BYTES."""
-    data: list[bytes] = []
-    length = 0
-    while length <= MAX_BUFFERED_BYTES:
+    # A body may come in very many pieces.
+    data = bytearray()
+    while len(data) <= MAX_BUFFERED_BYTES:
         part = await channel.next_part()
         if isinstance(part, endpoint_channel.Body):
-            data.append(part.data)
-            length += len(part.data)
+            data += part.data
         elif isinstance(part, endpoint_channel.End):
-            return BufferedBody(b"".join(data), True, "")
+            return BufferedBody(bytes(data), True, "")
         else:
-            return BufferedBody(b"".join(data), False, failure_reason(part))
-    return BufferedBody(b"".join(data), False, "")
+            return BufferedBody(bytes(data), False, failure_reason(part))
+    return BufferedBody(bytes(data), False, "")
 
 
 def failure_reason(part: endpoint_channel.Part) -> str:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
@@ -115,7 +115,8 @@
         """Reset the parser state for the next request."""
         self.target = b""
         self.headers: list[http_messages.Header] = []
-        self.body: list[bytes] = []
+        # A chunk may be as short as one byte.
+        self.body = bytearray()
         self.body_length = 0
         self.header_length = 0
         self.overhead_length = 0
@@ -261,7 +262,7 @@
         self.body_length += len(data)
         if self.body_length > self.limits().body_bytes:
             raise TooLargeError(413)
-        self.body.append(data)
+        self.body += data
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
@@ -272,13 +273,13 @@
                 method=self.parser.get_method().decode("latin-1"),
                 target=self.target.decode("latin-1"),
                 headers=tuple(self.headers),
-                body=b"".join(self.body),
+                body=bytes(self.body),
                 received_at=self.first_byte_at,
                 keep_alive=self.parser.should_keep_alive(),
                 http_1_1=self.parser.get_http_version() == "1.1",
             )
         )
-        self.body = []
+        self.body = bytearray()
 
     # Answering.
 
--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_channel.py
@@ -13,6 +13,8 @@
 
 # Unread bytes of an answer above which reading from the endpoint pauses.
 READ_AHEAD_BYTES: Final = 256 * 1024
+# Memory that a part takes besides its bytes.
+PART_BYTES: Final = 128
 # Bytes between two parts of an answer: a head, interim answers, trailers or
 # what precedes a chunk. Heads of common servers have at most half of it.
 MAX_OVERHEAD_BYTES: Final = 64 * 1024
@@ -55,7 +57,9 @@
 
     Attributes:
         parts: Parts that next_part() has not returned yet.
-        unread_bytes: Length of the bodies in `parts`.
+        unread_bytes: Memory of the bodies in `parts`.
+        pieces: Body of the answer in the bytes that are being parsed. A chunk
+            may be as short as one byte.
         active: Whether a request is open whose answer is not complete.
         lost: Whether the connection has ended.
         reusable: Whether another request may be sent after this one.
@@ -89,6 +93,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.parts: collections.deque[Part] = collections.deque()
         self.unread_bytes = 0
+        self.pieces: list[bytes] = []
         self.waiter: asyncio.Future[None] | None = None
         self.attempt_id = ""
         self.expects_body = True
@@ -141,7 +146,7 @@
                 self.waiter = None
         part = self.parts.popleft()
         if isinstance(part, Body):
-            self.unread_bytes -= len(part.data)
+            self.unread_bytes -= len(part.data) + PART_BYTES
             if self.unread_bytes <= READ_AHEAD_BYTES and not self.lost:
                 self.transport.resume_reading()
         return part
@@ -157,6 +162,7 @@
         """End the open answer as incomplete and prevent reuse."""
         self.reusable = False
         if self.active:
+            self.put_body()
             self.active = False
             self.put(Broken(reason))
 
@@ -179,6 +185,7 @@
             self.fail(f"invalid HTTP response: {error}")
             self.abort()
             return
+        self.put_body()
         limit = MAX_SKIPPED_BYTES if self.skipped_any else MAX_OVERHEAD_BYTES
         if self.overhead_bytes > limit:
             self.fail(f"more than {limit} bytes without a part of the answer")
@@ -262,10 +269,17 @@
             self.complete()
 
     def on_body(self, data: bytes) -> None:
-        """Queue a part of the body; pause reading if too much is unread."""
-        if self.skipping or not self.active:
+        """Add a part of the body."""
+        if not self.skipping and self.active:
+            self.pieces.append(data)
+
+    def put_body(self) -> None:
+        """Queue the body received so far; pause reading if much is unread."""
+        if not self.pieces:
             return
-        self.unread_bytes += len(data)
+        data = b"".join(self.pieces)
+        self.pieces.clear()
+        self.unread_bytes += len(data) + PART_BYTES
         if self.unread_bytes > READ_AHEAD_BYTES:
             self.transport.pause_reading()
         self.put(Body(data))
@@ -284,6 +298,7 @@
 
     def complete(self) -> None:
         """Queue the end of the answer."""
+        self.put_body()
         self.active = False
         self.in_answer = False
         self.idle_since = self.loop.time()
@@ -324,6 +339,6 @@
     value = http_messages.find_header(headers, "keep-alive") or ""
     for item in value.split(","):
         name, _, number = item.strip().partition("=")
-        if name.lower() == "timeout" and number.isdigit():
+        if name.lower() == "timeout" and number.isdecimal():
             return float(number)
     return None
--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_splitter.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_splitter.py
@@ -1,5 +1,7 @@
 """Splits a byte stream into server-sent events."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 import re
 from typing import Final
 from typing import NamedTuple
@@ -25,6 +27,22 @@
     data: bytes
 
 
+class NewEvents(NamedTuple):
+    """The events of a piece of a stream that the client does not have yet.
+
+    Attributes:
+        data: Their bytes.
+        number: How many they are.
+        complete: Whether the piece completed any event, new or not.
+        last_id: Id of the last event that the client has then.
+    """
+
+    data: bytes
+    number: int
+    complete: bool
+    last_id: str | None
+
+
 class EventSplitter:
     """Buffers bytes until the empty line that ends an event.
 
@@ -38,37 +56,65 @@
         self.rest = bytearray()
         self.searched = 0
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
+    def feed(self, data: bytes) -> Iterator[StreamEvent]:
         """Add bytes and return the events that they complete.
 
+        The events are not kept: as objects, short ones take many times the
+        memory of their bytes.
+
         Raises:
             EventTooLongError: The event that is not complete is too long.
         """
         self.rest += data
-        events: list[StreamEvent] = []
-        start = 0
         # The end of an event may be split between two pieces.
-        search_from = max(0, self.searched - MAX_END_BYTES + 1)
-        while (end := find_end(self.rest, search_from)) is not None:
-            block = bytes(self.rest[start:end])
-            events.append(StreamEvent(find_id(block), block))
-            start = search_from = end
-        del self.rest[:start]
+        start = max(0, self.searched - MAX_END_BYTES + 1)
+        end = find_last_end(self.rest, start)
+        complete = bytes(self.rest[:end])
+        del self.rest[:end]
         self.searched = len(self.rest)
         if len(self.rest) > MAX_EVENT_BYTES:
             raise EventTooLongError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
-        return events
-
-
-def find_end(data: bytearray, start: int) -> int | None:
-    """Return where the first event ends that ends after a position."""
-    found = END.search(data, start)
-    return found.end() if found is not None else None
+        return split_events(complete)
+
+
+def find_last_end(data: bytearray, start: int) -> int:
+    """Return where the last event ends, 0 if none ends after a position."""
+    end = 0
+    for found in END.finditer(data, start):
+        end = found.end()
+    return end
+
+
+def split_events(data: bytes) -> Iterator[StreamEvent]:
+    """Yield complete events one after the other."""
+    start = 0
+    for found in END.finditer(data):
+        block = data[start : found.end()]
+        yield StreamEvent(find_id(block), block)
+        start = found.end()
+
+
+def select_new_events(
+    events: Iterable[StreamEvent], last_id: str | None
+) -> NewEvents:
+    """Return the events that come after the last one that the client has."""
+    data = bytearray()
+    number = 0
+    complete = False
+    for event in events:
+        complete = True
+        if is_later(event.id, last_id):
+            data += event.data
+            number += 1
+            last_id = event.id or last_id
+    return NewEvents(bytes(data), number, complete, last_id)
 
 
 def find_id(block: bytes) -> str | None:
     """Return the id of an event, None if it has none."""
     found = None
+    if b"id:" not in block:
+        return found
     for line in block.splitlines():
         if line.startswith(b"id:"):
             found = line[3:].strip().decode("latin-1")
--- a/packages/sidecar/src/verbenafall_sidecar/endpoint/service_http.py
+++ b/packages/sidecar/src/verbenafall_sidecar/endpoint/service_http.py
@@ -18,19 +18,17 @@
     def __init__(self, sink: endpoint_port.CallSink) -> None:
         """Create a sink with an empty buffer."""
         self.sink = sink
-        self.chunks: list[bytes] = []
-        self.size = 0
+        self.body = bytearray()
         self.size_error = ""
 
     def on_data(self, _status: int, data: bytes) -> bool:
         """Buffer a part of the body; abort above the maximum size."""
-        self.size += len(data)
-        if self.size > http_client.MAX_RESPONSE_BYTES:
+        if len(self.body) + len(data) > http_client.MAX_RESPONSE_BYTES:
             self.size_error = (
                 f"the response exceeds {http_client.MAX_RESPONSE_BYTES} bytes"
             )
             return False
-        self.chunks.append(data)
+        self.body += data
         return True
 
     def on_done(self, result: transfers.TransferResult) -> None:
@@ -46,7 +44,7 @@
         headers = http_forwarding.response_headers(head.headers)
         self.sink.on_response(
             endpoint_port.CallResponse(
-                head.status, headers, b"".join(self.chunks), ""
+                head.status, headers, bytes(self.body), ""
             )
         )
 
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -1,6 +1,8 @@
 """Tests of the pure decision functions of forwarding."""
 
 import datetime
+import random
+import tracemalloc
 
 import pytest
 
@@ -364,13 +366,13 @@
     ):
         """Searching all of it at each piece stops the event loop."""
         searched = []
-        find = event_splitter.find_end
+        find = event_splitter.find_last_end
 
         def count(data, *start):
             searched.append(len(data) - sum(start))
             return find(data, *start)
 
-        monkeypatch.setattr(event_splitter, "find_end", count)
+        monkeypatch.setattr(event_splitter, "find_last_end", count)
         splitter = event_splitter.EventSplitter()
         pieces = 10_000
         for _ in range(pieces):
@@ -395,6 +397,40 @@
         assert splitter.rest == rest
         assert b"".join(event.data for event in found) + rest == data
 
+    def test_short_events_take_no_more_memory_than_their_bytes(self):
+        """As objects, they took 80 MiB for eight requests."""
+        splitter = event_splitter.EventSplitter()
+        data = b"\n" * (256 * 1024)
+        tracemalloc.start()
+        try:
+            found = event_splitter.select_new_events(splitter.feed(data), None)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert found.data == data
+        assert found.number == len(data) // 2
+        assert peak < 8 * len(data)
+
+    @pytest.mark.parametrize("seed", range(30))
+    def test_only_events_that_the_client_lacks_are_selected(self, seed):
+        generator = random.Random(seed)
+        numbers = [generator.randrange(9) for _ in range(20)]
+        data = b"".join(b"id: %d\n\n" % number for number in numbers)
+        splitter = event_splitter.EventSplitter()
+        last = "3"
+        sent = b""
+        while data:
+            size = generator.randrange(1, 40)
+            piece, data = data[:size], data[size:]
+            found = event_splitter.select_new_events(splitter.feed(piece), last)
+            last = found.last_id
+            sent += found.data
+        expected = []
+        for number in numbers:
+            if number > (expected[-1] if expected else 3):
+                expected.append(number)
+        assert sent == b"".join(b"id: %d\n\n" % item for item in expected)
+
     @pytest.mark.parametrize(("event_id", "last", "later"), ORDER)
     def test_later(self, event_id, last, later):
         assert event_splitter.is_later(event_id, last) is later
--- a/tests/forwarding/test_endpoint_channel.py
+++ b/tests/forwarding/test_endpoint_channel.py
@@ -205,6 +205,25 @@
         channel.data_received(b"ok")
         assert read(channel) == (b"ok", "End")
 
+    @pytest.mark.parametrize("size", [1, 7, 100])
+    def test_unread_body_in_small_chunks_is_bounded_by_memory(self, loop, size):
+        """Each chunk was kept as an object of its own."""
+        channel = create_channel(loop)
+        paused = []
+        channel.transport.pause_reading = lambda: paused.append(True)
+        channel.send(b"", "own", expects_body=True)
+        channel.data_received(OWN_HEAD + CHUNKED)
+        chunk = b"%x\r\n%b\r\n" % (size, b"\n" * size)
+        reads = 0
+        while not paused:
+            channel.data_received(chunk)
+            reads += 1
+        limit = endpoint_channel.READ_AHEAD_BYTES
+        assert reads * endpoint_channel.PART_BYTES <= limit + 1024
+        before = len(channel.parts)
+        channel.data_received(chunk * 1000)
+        assert len(channel.parts) == before + 1
+
     def test_long_body_in_small_chunks_is_read(self, loop):
         channel = create_channel(loop)
         channel.send(b"", "own", expects_body=True)
