Compare the ids of events without reading them as integers

An event with an id of thousands of digits, or of a superscript digit, raised an error in the relay, and the client's connection was reset in place of a retry.

Cause: str.isdigit() accepts more than int() reads.

Change: decimal ids are compared by length and digits. The length in a head is checked in the same way.

--- a/packages/core/src/verbenafall_core/answer_heads.py
+++ b/packages/core/src/verbenafall_core/answer_heads.py
@@ -17,6 +17,8 @@
 TOKEN: Final = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 # RFC 9110, section 5.5, with the horizontal tab allowed within a value.
 CONTROL: Final = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+# 18 digits fit into 64 bits.
+LENGTH: Final = re.compile(r"[0-9]{1,18}")
 
 # Name and value.
 Header = tuple[str, str]
@@ -71,7 +73,10 @@
         return f"transfer coding {', '.join(codings)}"
     if codings and lengths:
         return "both a length and a transfer coding"
-    if any(not item.isdigit() for item in lengths) or len(set(lengths)) > 1:
+    if (
+        any(not LENGTH.fullmatch(item) for item in lengths)
+        or len(set(lengths)) > 1
+    ):
         return f"length {', '.join(lengths)}"
     has_body = codings or any(int(item) for item in lengths)
     if has_body and (status < 200 or status == NO_CONTENT):
--- a/packages/gateway/src/verbenafall_gateway/forwarding/event_splitter.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/event_splitter.py
@@ -128,6 +128,12 @@
     """
     if event_id is None or last_id is None:
         return True
-    if not (event_id.isdigit() and last_id.isdigit()):
+    if not (event_id.isdecimal() and last_id.isdecimal()):
         return True
-    return int(event_id) > int(last_id)
+    return decimal_order(event_id) > decimal_order(last_id)
+
+
+def decimal_order(digits: str) -> tuple[int, str]:
+    """Return what orders decimal numbers of any length."""
+    significant = digits.lstrip("0")
+    return len(significant), significant
--- a/tests/core/test_answer_heads.py
+++ b/tests/core/test_answer_heads.py
@@ -62,6 +62,8 @@
             (200, [("transfer-encoding", "Chunked")], True),
             (200, [LENGTH, ("content-length", "6")], False),
             (200, [("content-length", "-1")], False),
+            (200, [("content-length", "\xb2")], False),
+            (200, [("content-length", "9" * 5000)], False),
             (200, [("content-length", "5, 5")], False),
             (200, [LENGTH, CHUNKED], False),
             (200, [("transfer-encoding", "gzip")], False),
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -351,6 +351,12 @@
     (None, "1", True),
     ("x", "1", True),
     ("1", None, True),
+    # Digits that int() does not read, and more than it reads.
+    ("\xb2", "1", True),
+    ("9" * 5000, "1" * 5000, True),
+    ("1" * 5000, "9" * 5000, False),
+    ("010", "9", True),
+    ("09", "9", False),
 ]
 
 
