Refuse requests that may run once late in a planned stop

What callers saw (reports of the issue): requests that came late in a planned stop were cut without an answer. Here they get an answer, but a booking whose endpoint was late got 502, which leaves open whether it has run.

Cause: requests that are no streams were admitted by the estimate of their service until the limit.

Red before: test_requests_that_may_run_once_are_refused_in_time, 6 bookings.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/admission.py
@@ -86,8 +86,9 @@
             while no stop is planned.
         limits_changed: Called with the id of an endpoint whose rate limit the
             other gateways should know.
-        last_streams_at: When the planned stop begins to refuse streams whose
-            deadline is later than `finish_by`.
+        last_streams_at: When the planned stop begins to refuse streams, and
+            requests that may run only once, whose deadline is later than
+            `finish_by`.
     """
 
     def __init__(
@@ -470,9 +471,10 @@
 
         Args:
             finish_by: When the open requests are abandoned.
-            last_streams_at: When to begin to refuse streams that are not
-                certain to finish. Other requests get a final answer even if
-                they are abandoned.
+            last_streams_at: When to begin to refuse streams, and requests that
+                may run only once, that are not certain to finish. An abandoned
+                request of another kind gets a final answer after which it may
+                be sent again.
         """
         self.finish_by = finish_by
         self.last_streams_at = last_streams_at
@@ -486,7 +488,9 @@
         refused.
         """
         now = self.loop.time()
-        must_be_certain = request.is_stream and now >= self.last_streams_at
+        must_be_certain = now >= self.last_streams_at and (
+            request.is_stream or not request.repeatable
+        )
         return request.may_have_run or stop_decision.can_finish(
             now,
             self.finish_by,
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -361,6 +361,7 @@
             job.runs > 0,
             job.admitted.route.kind is model.RequestKind.STREAM,
             job.parts,
+            job.admitted.route.repeatable,
         )
 
     def client_timeout_at(self, job: Job) -> float:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/places.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/places.py
@@ -23,6 +23,7 @@
             stop can cut it.
         parts: Ids of the parts of its prompt that others may have as well, and
             its fingerprint.
+        repeatable: Whether it may run more than once.
     """
 
     request_id: str
@@ -36,6 +37,7 @@
     may_have_run: bool = False
     is_stream: bool = False
     parts: tuple[str, ...] = ()
+    repeatable: bool = True
 
 
 class Placed(NamedTuple):
