Keep the bytes at the ends of header values

Change: values are stripped of blanks and tabs before they are decoded, in both readers of headers.

Red before: three of the four cases of TestHeaders in test_client_channel.py.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/client_channel.py
@@ -229,9 +229,7 @@
         if not self.reading_head:
             return
         self.count_head(len(name) + len(value) + 4)
-        self.headers.append(
-            (name.decode("latin-1").lower(), value.decode("latin-1").strip())
-        )
+        self.headers.append(http_messages.decode_header(name, value))
 
     def count_head(self, length: int) -> None:
         """Raise TooLargeError if the head exceeds its limit."""
--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_channel.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_channel.py
@@ -218,9 +218,7 @@
         """Add a header; ignore trailers."""
         if self.in_answer:
             return
-        self.headers.append(
-            (name.decode("latin-1").lower(), value.decode("latin-1").strip())
-        )
+        self.headers.append(http_messages.decode_header(name, value))
 
     def on_headers_complete(self) -> None:
         """Queue the head and decide whether the connection is reusable.
--- a/packages/gateway/src/verbenafall_gateway/forwarding/http_messages.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/http_messages.py
@@ -50,6 +50,15 @@
     body: bytes
 
 
+def decode_header(name: bytes, value: bytes) -> Header:
+    """Return a header line; its bytes stay the same when it is encoded again.
+
+    str.strip() would also remove the bytes 0x85 and 0xA0, which end some
+    characters in UTF-8.
+    """
+    return name.decode("latin-1").lower(), value.strip(b" \t").decode("latin-1")
+
+
 def find_header(headers: Iterable[Header], name: str) -> str | None:
     """Return the first value of a header, None if it is absent."""
     return next((value for key, value in headers if key == name), None)
--- a/tests/forwarding/test_client_channel.py
+++ b/tests/forwarding/test_client_channel.py
@@ -7,6 +7,7 @@
 from forwarding import forwarding_fakes as fakes
 from verbenafall_gateway.forwarding import client_channel
 from verbenafall_gateway.forwarding import forwarder
+from verbenafall_gateway.forwarding import http_messages
 
 
 class RecordingTransport:
@@ -43,9 +44,16 @@
     async def serve(client, request):
         """Send no answer."""
 
+    handled = []
+
+    def handle(client, request):
+        handled.append((client, request))
+        return serve(client, request)
+
     found = client_channel.ClientChannel(
-        loop, serve, lambda: forwarder.DEFAULT_LIMITS, set()
+        loop, handle, lambda: forwarder.DEFAULT_LIMITS, set()
     )
+    found.handled = handled
     found.connection_made(RecordingTransport())
     yield found
     loop.close()
@@ -124,3 +132,18 @@
         for _ in range(forwarder.DEFAULT_LIMITS.header_bytes):
             channel.data_received(b"1\r\nx\r\n")
         assert channel.transport.written == b""
+
+
+class TestHeaders:
+    """Guards the bytes of header values, which an engine compares."""
+
+    @pytest.mark.parametrize("value", ["\u00e0", "\u00c5", "\u0445", "a b"])
+    def test_value_reaches_the_endpoint_unchanged(self, channel, value):
+        data = f"GET /a/x HTTP/1.1\r\nHost: h\r\nX-Model: \t{value} \r\n\r\n"
+        channel.data_received(data.encode())
+        channel.loop.run_until_complete(asyncio.sleep(0))
+        ((_, request),) = channel.handled
+        sent = http_messages.format_request(
+            request.method, request.target, request.headers, request.body
+        )
+        assert f"x-model: {value}\r\n".encode() in sent
