Relay no body in an encoding that the client did not ask for

What callers saw: nothing yet, found with the heads that are no answer.

Cause: the header was passed on like any other.

Change: such an answer is broken, so that the request is repeated where that is allowed. What says that the request has not run still counts.

Red before: four of the eight cases of TestEncodedBody.

--- a/packages/core/src/verbenafall_core/answer_heads.py
+++ b/packages/core/src/verbenafall_core/answer_heads.py
@@ -84,6 +84,18 @@
     return None
 
 
+def is_encoded(headers: Iterable[Header]) -> bool:
+    """Return whether a body is not the content itself but encoded.
+
+    Args:
+        headers: The headers, with names in lower case.
+    """
+    return any(
+        name == "content-encoding" and value.strip().lower() != "identity"
+        for name, value in headers
+    )
+
+
 def find_fault(
     version: str, status: int, headers: Iterable[Header]
 ) -> str | None:
--- a/packages/gateway/src/verbenafall_gateway/forwarding/answer_relay.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/answer_relay.py
@@ -7,6 +7,7 @@
 from typing import Final
 from typing import NamedTuple
 
+from verbenafall_core import answer_heads
 from verbenafall_core.routes import model
 from verbenafall_gateway.forwarding import client_channel
 from verbenafall_gateway.forwarding import dialect as dialect_lib
@@ -23,6 +24,7 @@
 NOT_RUN_BODY_SECONDS: Final = 0.1
 NOT_RUN_STATUSES: Final = frozenset({421, 429, 503})
 MISDIRECTED_REQUEST: Final = 421
+ENCODING_REASON: Final = "the body is in an encoding that nobody asked for"
 CRASH_REASON: Final = "the endpoint crashed within an answer without a length"
 
 
@@ -74,6 +76,7 @@
         on_head: Callable[[endpoint_channel.Head], None],
         on_pause: Callable[[float, float], None],
         has_crashed: Callable[[], Awaitable[bool]],
+        may_be_encoded: bool = False,
     ) -> None:
         """Create a relay to a client.
 
@@ -89,7 +92,9 @@
                 with the target of its route, in seconds.
             has_crashed: Returns whether the endpoint has crashed; awaited at
                 the end of an answer that ends with its connection.
+            may_be_encoded: Whether the client accepts an encoded body.
         """
+        self.may_be_encoded = may_be_encoded
         self.has_crashed = has_crashed
         self.on_progress = on_progress
         self.on_head = on_head
@@ -113,6 +118,8 @@
         head = part
         self.on_head(head)
         if 200 <= head.status < 300:
+            if self.is_encoded(head):
+                return retry_decision.Broken(ENCODING_REASON)
             if self.header(head, self.dialect.signature) is None:
                 return retry_decision.Broken(
                     "2xx answer without a signature header"
@@ -126,6 +133,10 @@
         """Return the first value of a header, None if it is absent."""
         return http_messages.find_header(head.headers, name)
 
+    def is_encoded(self, head: endpoint_channel.Head) -> bool:
+        """Return whether the body is in an encoding that nobody asked for."""
+        return not self.may_be_encoded and answer_heads.is_encoded(head.headers)
+
     async def relay_failure(
         self,
         channel: endpoint_channel.EndpointChannel,
@@ -145,6 +156,8 @@
                 async with asyncio.timeout(NOT_RUN_BODY_SECONDS):
                     await read_buffered(channel)
             return retry_decision.NotRun(head.status)
+        if self.is_encoded(head):
+            return retry_decision.Broken(ENCODING_REASON)
         buffered = await read_buffered(channel)
         if not buffered.complete:
             return retry_decision.Broken(buffered.reason)
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -136,6 +136,12 @@
         return self.admitted.route.priority
 
 
+def accepts_encoding(request: http_messages.Request) -> bool:
+    """Return whether a client accepts an encoded body."""
+    accepted = http_messages.find_header(request.headers, "accept-encoding")
+    return accepted not in (None, "", "identity")
+
+
 class OpenAttempt(NamedTuple):
     """An attempt whose answer is being read."""
 
@@ -410,6 +416,7 @@
                     job.admitted.service, pause, target
                 ),
                 lambda: self.has_crashed(place),
+                accepts_encoding(job.request),
             )
             return await relay.run(channel, route)
         except asyncio.CancelledError:
--- a/tests/forwarding/test_invalid_heads.py
+++ b/tests/forwarding/test_invalid_heads.py
@@ -106,3 +106,32 @@
 
         with test_forwarder.running(script) as runner:
             assert test_forwarder.call(runner).status == 502
+
+
+class TestEncodedBody:
+    """Guards against a body that the client cannot read."""
+
+    @pytest.mark.parametrize(
+        ("encoding", "accepted", "relayed"),
+        [
+            ("gzip", None, False),
+            ("gzip", "identity", False),
+            ("gzip", "gzip, br", True),
+            ("identity", None, True),
+        ],
+    )
+    @pytest.mark.parametrize("status", [200, 500])
+    def test_only_as_the_client_asked(
+        self, status, encoding, accepted, relayed
+    ):
+        def script(endpoint, connection, request):
+            extra = f"Content-Encoding: {encoding}\r\n"
+            connection.sendall(fakes.answer(request, status, b"x", extra))
+            return True
+
+        fields = {} if accepted is None else {"Accept_Encoding": accepted}
+        with test_forwarder.running(script) as runner:
+            data = fakes.request_bytes(**fields)
+            answer = test_forwarder.call(runner, data)
+            assert answer.status == (status if relayed else 502)
+            assert ("x-signature" in answer.headers) is relayed
