Forget unanswered attempts with their request

The parts of remembered attempts are bounded as well.

Red before: test_request_whose_client_leaves_is_forgotten[0.05].

--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_lives.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_lives.py
@@ -19,8 +19,10 @@
 # Time for which an attempt that ended without an answer is remembered. A
 # machine without power is back earlier.
 RETENTION_SECONDS: Final = 30.0
-# Maximum number of such attempts at one endpoint; the oldest are dropped first.
+# Bounds of such attempts: their number at one endpoint, and their parts at all
+# endpoints. The oldest are dropped first.
 MAX_ENDED: Final = 64
+MAX_ENDED_PARTS: Final = 65536
 
 # Returns the latest known start of an endpoint in Unix milliseconds, None if
 # it is not listed or states none.
@@ -116,6 +118,7 @@
             self.keep_ended(
                 endpoint_id, [*ended, EndedAttempt(attempt, now)], now
             )
+            self.drop_oldest()
 
     def keep_ended(
         self, endpoint_id: str, ended: list[EndedAttempt], now: float
@@ -127,6 +130,22 @@
         else:
             self.ended.pop(endpoint_id, None)
 
+    def drop_oldest(self) -> None:
+        """Forget the oldest ended attempts if all have too many parts."""
+        by_age = sorted(
+            (item.ended_at, endpoint_id, len(item.attempt.parts))
+            for endpoint_id, items in self.ended.items()
+            for item in items
+        )
+        excess = sum(parts for _, _, parts in by_age) - MAX_ENDED_PARTS
+        for _, endpoint_id, parts in by_age:
+            if excess <= 0:
+                return
+            excess -= parts
+            del self.ended[endpoint_id][0]
+            if not self.ended[endpoint_id]:
+                del self.ended[endpoint_id]
+
     def take_lost(
         self,
         latest_start: LatestStart,
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -244,6 +244,7 @@
             self.finish_abandoned(job)
         finally:
             self.jobs.discard(job)
+            self.lives.record_end(job, False, self.loop.time())
             if job.repeat_acquired:
                 self.allowance.give_back(admitted.service)
 
--- a/tests/forwarding/test_dark_endpoints.py
+++ b/tests/forwarding/test_dark_endpoints.py
@@ -1,5 +1,6 @@
 """Requests that make endpoints go dark: their connections stay silent."""
 
+import asyncio
 import concurrent.futures
 import contextlib
 import datetime
@@ -123,6 +124,26 @@
                 assert answer.result(fakes.WAIT_SECONDS).status != 200
         assert 0 < lost <= MAX_ENGINES_LOST
 
+    @pytest.mark.parametrize("leave_after", [0.0, 0.05])
+    def test_request_whose_client_leaves_is_forgotten(
+        self, monkeypatch, leave_after
+    ):
+        """Also while the gateway finds out whether its endpoint crashed."""
+
+        async def check(address):
+            await asyncio.sleep(0.2)
+
+        script = test_forwarder.break_after(0)
+        with test_forwarder.running(script, routes=[RECORDS]) as runner:
+            exchange = runner.forwarder.exchange
+            exchange.crash_check.connect = check
+            for number in range(3):
+                with runner.connect() as client:
+                    client.sendall(fakes.request_bytes(attempt=f"r{number}"))
+                    threading.Event().wait(leave_after)
+            fakes.wait_until(lambda: not exchange.jobs)
+            assert not exchange.lives.open
+
     def test_client_that_leaves_does_not_hide_it(self, monkeypatch):
         """The evidence comes after the attempt has ended."""
         with running(RECORDS, monkeypatch) as (runner, engines):
@@ -260,6 +281,19 @@
             lives.record_answer(name, now + 99.0)
         assert not lives.ended
 
+    def test_parts_that_are_remembered_are_bounded(self, monkeypatch):
+        monkeypatch.setattr(endpoint_lives, "MAX_ENDED_PARTS", 50)
+        lives = endpoint_lives.create_endpoint_lives()
+        for number in range(20):
+            found = endpoint(1, f"e{number % 3}")
+            parts = tuple(f"p{part}" for part in range(10))
+            attempt = endpoint_lives.SentAttempt(found, parts, float(number))
+            lives.record_sent(number, attempt)
+            lives.record_end(number, True, number + 0.5)
+        kept = [item for items in lives.ended.values() for item in items]
+        times = sorted(item.attempt.sent_at for item in kept)
+        assert times == [15.0, 16.0, 17.0, 18.0, 19.0]
+
     def test_answer_that_begins_ends_the_watch(self):
         lives = endpoint_lives.create_endpoint_lives()
         lives.record_sent("k", endpoint_lives.SentAttempt(endpoint(), (), 0.0))
