Count crashes at the same moment once against a request

Cause: two crashes count as proof against a request. That holds for crashes one after the other, the second by a trial, not for crashes with a cause in common. Ruled out: that the part was not found (another caller was served).

Change: crashes within 0.5 s of each other count as one against a request.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
@@ -320,13 +320,24 @@
     """Return the number of crashes that speak against a part.
 
     A part that was sound before is likely to have been there by chance the
-    first time. A request is tried again after its first crash in any case.
+    first time. A request is tried again after its first crash in any case; if
+    the same request was at several endpoints that crashed together, another
+    cause is as likely.
     """
     if key.is_request:
-        return len(history.crashes)
+        return count_moments(history.crashes)
     return len(history.crashes) - (history.sound_at > NEVER)
 
 
+def count_moments(crashes: Sequence[Crash]) -> int:
+    """Return the number of crashes, counting those together as one."""
+    times = sorted(crash.at for crash in crashes)
+    return sum(
+        number == 0 or at - times[number - 1] >= COINCIDENCE_SECONDS
+        for number, at in enumerate(times)
+    )
+
+
 class CrashSuspects:
     """Suspects of all services, as known to one gateway.
 
@@ -551,7 +562,7 @@
         """
         history = self.histories[key]
         last_at = history.crashes[-1].at
-        if key.is_request and len(history.crashes) == 1:
+        if key.is_request and count_moments(history.crashes) == 1:
             if not self.is_informed():
                 # The other gateways may know of a crash by it already.
                 return last_at + MAIN_TRIAL_DELAY_SECONDS
@@ -575,7 +586,7 @@
         return sum(
             item.is_request and item.service == key.service and item < key
             for item in self.main_by_suspect()
-            if len(self.histories[item].crashes) == 1
+            if count_moments(self.histories[item].crashes) == 1
         )
 
     def judge(self, service: str, parts: Iterable[str], now: float) -> Verdict:
