End silent attempts only when a new start is first seen

An attempt that had reached the new process and was silent for 2 s was ended by the next entry, and idle connections were closed again each time.

Change: each start is handled once, also if the entry was missing in between.

Red before: test_request_that_reached_the_new_process_goes_on, now with a later entry (502 instead of 200).

--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_lives.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_lives.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Hashable
+from collections.abc import Iterable
 from typing import Final
 from typing import NamedTuple
 
@@ -77,12 +78,36 @@
     Attributes:
         open: Attempts whose answer has not begun, by the key of the request.
         ended: Attempts that ended without an answer, by endpoint id.
+        starts: Latest start of each listed endpoint, by id.
     """
 
     def __init__(self) -> None:
         """Create a tracker without attempts."""
         self.open: dict[Hashable, SentAttempt] = {}
         self.ended: dict[str, list[EndedAttempt]] = {}
+        self.starts: dict[str, int] = {}
+
+    def take_restarted(self, listed: Iterable[endpoints.Endpoint]) -> set[str]:
+        """Return the ids of the endpoints that have started again.
+
+        Each start is reported once.
+
+        Args:
+            listed: All listed endpoints.
+        """
+        before, self.starts = (
+            self.starts,
+            {
+                endpoint.id: endpoint.started_at
+                for endpoint in listed
+                if endpoint.started_at is not None
+            },
+        )
+        return {
+            name
+            for name, start in self.starts.items()
+            if departures.is_later_start(start, before.get(name))
+        }
 
     def record_sent(self, key: Hashable, attempt: SentAttempt) -> None:
         """Add the attempt of a request."""
--- a/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/exchange.py
@@ -18,7 +18,6 @@
 from verbenafall_gateway.forwarding import configuration_state
 from verbenafall_gateway.forwarding import crash_check
 from verbenafall_gateway.forwarding import crash_suspects
-from verbenafall_gateway.forwarding import departures
 from verbenafall_gateway.forwarding import dialect as dialect_lib
 from verbenafall_gateway.forwarding import endpoint_channel
 from verbenafall_gateway.forwarding import endpoint_lives
@@ -672,15 +671,17 @@
                 "",
                 endpoint,
             )
+        restarted = self.lives.take_restarted(
+            listed.value for listed in directory.listed.values()
+        )
+        for endpoint_id in restarted:
+            self.pool.discard(endpoint_id)
         for attempt in list(self.open_attempts.values()):
-            endpoint = attempt.place.endpoint
-            if not departures.is_later_start(
-                directory.latest_start(endpoint), endpoint.started_at
-            ):
-                continue
-            self.pool.discard(endpoint.id)
             silent = now - attempt.channel.active_at
-            if silent >= endpoint_lives.START_REPORT_SECONDS:
+            if (
+                attempt.place.endpoint.id in restarted
+                and silent >= endpoint_lives.START_REPORT_SECONDS
+            ):
                 attempt.channel.fail("the endpoint has started again")
 
     def crash_of(
--- a/tests/forwarding/test_dark_endpoints.py
+++ b/tests/forwarding/test_dark_endpoints.py
@@ -192,14 +192,17 @@
             assert found.body == b"".join(map(fakes.event, range(5)))
 
     def test_request_that_reached_the_new_process_goes_on(self, monkeypatch):
-        """It was sent before the entry showed the new start."""
+        """It was sent before the entry showed the new start.
+
+        Later entries of the same start do not end it either.
+        """
         proceed = threading.Event()
 
         def script(endpoint, connection, request):
             proceed.wait(fakes.WAIT_SECONDS)
             return fakes.answer_ok(endpoint, connection, request)
 
-        monkeypatch.setattr(endpoint_lives, "START_REPORT_SECONDS", 5.0)
+        monkeypatch.setattr(endpoint_lives, "START_REPORT_SECONDS", 0.5)
         engines = Engines()
         with (
             test_forwarder.running(script, routes=[ONCE]) as runner,
@@ -210,6 +213,8 @@
             answer = send(pool, runner, 1, "/a/sound")
             fakes.wait_until(lambda: backend.requests)
             engines.list_start(runner, "e0", backend, FIRST_START + 1)
+            threading.Event().wait(0.6)
+            engines.list_start(runner, "e9", backend, FIRST_START + 1)
             proceed.set()
             assert answer.result(fakes.WAIT_SECONDS).status == 200
             assert not runner.forwarder.suspects.histories
@@ -281,6 +286,17 @@
             lives.record_answer(name, now + 99.0)
         assert not lives.ended
 
+    def test_each_start_is_reported_once(self):
+        lives = endpoint_lives.create_endpoint_lives()
+        reports = [
+            lives.take_restarted([endpoint(start)] if start else [])
+            for start in (1, 1, 2, 2, None, 2, 3, 1)
+        ]
+        assert [bool(report) for report in reports] == [
+            *(False, False, True, False),
+            *(False, False, True, False),
+        ]
+
     def test_parts_that_are_remembered_are_bounded(self, monkeypatch):
         monkeypatch.setattr(endpoint_lives, "MAX_ENDED_PARTS", 50)
         lives = endpoint_lives.create_endpoint_lives()
