Remember the start of an endpoint while its entry is missing

Found by reading: an entry lapses while its endpoint has no power, and the start that came after it was taken for the first one, so that silent attempts were not ended (they were still counted as being at the crash).

Red before: test_each_start_is_reported_once, with an entry that is missing in between.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_lives.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/endpoint_lives.py
@@ -24,6 +24,9 @@
 # endpoints. The oldest are dropped first.
 MAX_ENDED: Final = 64
 MAX_ENDED_PARTS: Final = 65536
+# Maximum number of starts that are remembered; those that were not listed for
+# longest are dropped first.
+MAX_STARTS: Final = 4096
 
 # Returns the latest known start of an endpoint in Unix milliseconds, None if
 # it is not listed or states none.
@@ -78,7 +81,8 @@
     Attributes:
         open: Attempts whose answer has not begun, by the key of the request.
         ended: Attempts that ended without an answer, by endpoint id.
-        starts: Latest start of each listed endpoint, by id.
+        starts: Latest start of each endpoint, by id. An entry may be missing
+            while its endpoint has no power.
     """
 
     def __init__(self) -> None:
@@ -95,19 +99,19 @@
         Args:
             listed: All listed endpoints.
         """
-        before, self.starts = (
-            self.starts,
-            {
-                endpoint.id: endpoint.started_at
-                for endpoint in listed
-                if endpoint.started_at is not None
-            },
-        )
-        return {
-            name
-            for name, start in self.starts.items()
-            if departures.is_later_start(start, before.get(name))
-        }
+        restarted = set()
+        for endpoint in listed:
+            if endpoint.started_at is None:
+                continue
+            before = self.starts.pop(endpoint.id, None)
+            if departures.is_later_start(endpoint.started_at, before):
+                restarted.add(endpoint.id)
+            self.starts[endpoint.id] = max(
+                endpoint.started_at, before or endpoint.started_at
+            )
+        while len(self.starts) > MAX_STARTS:
+            del self.starts[next(iter(self.starts))]
+        return restarted
 
     def record_sent(self, key: Hashable, attempt: SentAttempt) -> None:
         """Add the attempt of a request."""
--- a/tests/forwarding/test_dark_endpoints.py
+++ b/tests/forwarding/test_dark_endpoints.py
@@ -288,14 +288,21 @@
 
     def test_each_start_is_reported_once(self):
         lives = endpoint_lives.create_endpoint_lives()
+        starts = [1, 1, 2, 2, None, 2, None, 3, 1, 3]
         reports = [
             lives.take_restarted([endpoint(start)] if start else [])
-            for start in (1, 1, 2, 2, None, 2, 3, 1)
-        ]
-        assert [bool(report) for report in reports] == [
-            *(False, False, True, False),
-            *(False, False, True, False),
+            for start in starts
         ]
+        restarts = [number for number, report in enumerate(reports) if report]
+        assert restarts == [2, 7]
+
+    def test_number_of_starts_is_bounded(self, monkeypatch):
+        monkeypatch.setattr(endpoint_lives, "MAX_STARTS", 3)
+        lives = endpoint_lives.create_endpoint_lives()
+        for number in range(9):
+            found = [endpoint(1, "kept"), endpoint(1, f"e{number}")]
+            lives.take_restarted(found)
+        assert set(lives.starts) == {"kept", "e7", "e8"}
 
     def test_parts_that_are_remembered_are_bounded(self, monkeypatch):
         monkeypatch.setattr(endpoint_lives, "MAX_ENDED_PARTS", 50)
