Tell the trial of a request from copies that were sent before

Trials crashed endpoints 0.26 s and 0.42 s apart.

A trial is sent 0.1 s after a crash and may crash its endpoint within half a second of it.

Change: a crash counts unless its request was sent before the first one could be known. Red before: the new case of TestRequests. The state machine's assertion holds requests to the same.

--- a/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
+++ b/packages/gateway/src/verbenafall_gateway/forwarding/crash_suspects.py
@@ -330,11 +330,24 @@
 
 
 def count_moments(crashes: Sequence[Crash]) -> int:
-    """Return the number of crashes, counting those together as one."""
-    times = sorted(crash.at for crash in crashes)
-    return sum(
-        number == 0 or at - times[number - 1] >= COINCIDENCE_SECONDS
-        for number, at in enumerate(times)
+    """Return the number of crashes, counting those together as one.
+
+    A trial of the request that was at the first crash is none of those: it is
+    sent later.
+    """
+    counted: list[Crash] = []
+    for crash in sorted(crashes, key=lambda item: item.at):
+        if not counted or not is_coincident(counted[-1], crash):
+            counted.append(crash)
+    return len(counted)
+
+
+def is_coincident(first: Crash, second: Crash) -> bool:
+    """Return whether a request was at two crashes by copies sent before."""
+    sent_after = second.at - second.waited - first.at
+    return (
+        second.at - first.at < COINCIDENCE_SECONDS
+        and sent_after < REQUEST_TRIAL_SPACING_SECONDS - MESSAGE_DELAY_SECONDS
     )
 
 
--- a/tests/forwarding/test_crash_suspects.py
+++ b/tests/forwarding/test_crash_suspects.py
@@ -302,6 +302,13 @@
                 0.3,
                 crash_suspects.Trial,
             ),
+            # The second crash was that of a trial.
+            (
+                [Fall([R1]), Fall([R1], "e2", waited=0.01), COINCIDENCE],
+                R1,
+                RETENTION - 1,
+                crash_suspects.Blocked,
+            ),
             # Two that did so together are tried again.
             (
                 [Fall([R1, R2]), Fall([R1, R2], "e2")],
@@ -645,15 +652,17 @@
             else:
                 self.unaware += 1
         if R1 in parts:
-            # After crashes at two times only if another request may have
-            # caused them.
-            known = suspects.history_of(key(R1)).crashes
-            times = sorted(crash.at for crash in known)
-            apart = any(
-                second - first >= crash_suspects.COINCIDENCE_SECONDS
-                for first, second in itertools.pairwise(times)
+            # After two crashes only if another request may have caused them,
+            # or if it was at both before it could be tried.
+            known = sorted(
+                suspects.history_of(key(R1)).crashes, key=lambda item: item.at
+            )
+            tried = any(
+                second.at - second.waited >= first.at + SPACING
+                or second.at >= first.at + crash_suspects.COINCIDENCE_SECONDS
+                for first, second in itertools.combinations(known, 2)
             )
-            assert not apart or self.now - times[-1] >= OTHER
+            assert not tried or self.now - known[-1].at >= OTHER
         if isinstance(verdict, crash_suspects.Trial):
             suspects.record_trial(verdict.part, self.now)
         self.flights.append(Flight(number, parts, endpoint, self.now))
