--- a/review/standins3/standins.py
+++ b/review/standins3/standins.py
@@ -234,8 +234,70 @@
     return re.sub(r"\{\{([^}]+)\}\}", lambda m: str(values[m[1]]), template)
 
 
-class Gateway:
-    """One gateway process, started as the deploy file says."""
+class Program:
+    """A process of the system, started as the deploy file says."""
+
+    command = ()
+
+    def start(self):
+        environment = {
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
+        }
+        environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
+        environment["VERBENAFALL_NODE_FILE"] = str(self.settings)
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                ["python3", "target/app/launch.py", *self.command],
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        self.process.wait()
+
+
+class Sidecar(Program):
+    """One sidecar process."""
+
+    command = ("sidecar", "steer")
+
+    def __init__(self, name, store_address, folder, host, ports):
+        template = (ROOT / "deploy" / "sidecar.ini").read_text()
+        template = template.replace("{{ip}}:9464", "{{metrics}}")
+        self.settings = folder / f"{name}.ini"
+        self.settings.write_text(
+            render(
+                template,
+                {
+                    "node-name": name,
+                    "zone": "cba-norte",
+                    "service": "asistente-llm",
+                    "app": f"{host}:{ports[0]}",
+                    "ip": host,
+                    "internal-port-range.0": ports[1],
+                    "metrics": f"{host}:{ports[2]}",
+                    "platform.address": store_address,
+                    "bounds.grace-period-s": GRACE_SECONDS,
+                    "limits.link-mbps": 10.0,
+                },
+            )
+        )
+        self.log = folder / f"{name}.log"
+        self.start()
+
+
+class Gateway(Program):
+    """One gateway process."""
+
+    command = ("gateway", "forward")
 
     def __init__(self, name, store_address, folder):
         ports = free_ports(4)
@@ -268,24 +330,6 @@
         self.log = folder / f"{name}.log"
         self.start()
 
-    def start(self):
-        environment = {
-            name: os.environ[name]
-            for name in ("PATH", "HOME", "LANG")
-            if name in os.environ
-        }
-        environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
-        environment["VERBENAFALL_NODE_FILE"] = str(self.settings)
-        with self.log.open("ab") as log:
-            self.process = subprocess.Popen(
-                ["python3", "target/app/launch.py", "gateway", "forward"],
-                cwd=ROOT,
-                env=environment,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-
     def is_ready(self):
         with contextlib.suppress(OSError, ValueError, IndexError):
             with socket.create_connection(self.ready, 1) as channel:
@@ -302,12 +346,6 @@
             time.sleep(0.1)
         return False
 
-    def end(self):
-        if self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
-        self.process.wait()
-
 
 class Engine:
     """One engine process with its entry in the store."""
@@ -479,9 +517,20 @@
 )
 
 
-def send_request(gateway, method, path, attempt, extra=(), body=b"", limit=10.0):
+def send_request(
+    gateway,
+    method,
+    path,
+    attempt,
+    extra=(),
+    body=b"",
+    limit=10.0,
+    patience=None,
+):
     """Send one request on a new channel; return what came back.
 
+    With `patience`, the client leaves after so many seconds without a byte.
+
     `complete` says that the answer is whole by its own framing; `fault` says
     what bytes were no HTTP, empty if there were none.
     """
@@ -497,11 +546,12 @@
         lines.append(f"Content-Length: {len(body)}")
     raw = bytearray()
     end = time.monotonic() + limit + 1.0
+    leave_at = end if patience is None else time.monotonic() + patience
     with contextlib.suppress(OSError):
         with socket.create_connection(gateway.front, 1) as channel:
             channel.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
             channel.settimeout(QUIET_SECONDS)
-            while time.monotonic() < end:
+            while time.monotonic() < min(end, leave_at):
                 try:
                     data = channel.recv(65536)
                 except TimeoutError:
@@ -513,6 +563,8 @@
                 if not data:
                     break
                 raw += data
+                if patience is not None:
+                    leave_at = time.monotonic() + patience
     return parse_answer(bytes(raw))
 
 
@@ -611,6 +663,7 @@
         self.store = Store()
         self.gateways = []
         self.engines = []
+        self.processes = []
 
     def add_engine(self, name, service, **options):
         engine = Engine(
@@ -634,7 +687,7 @@
         return all([item.wait_until_ready() for item in self.gateways])
 
     def close(self):
-        for item in [*self.gateways, *self.engines]:
+        for item in [*self.gateways, *self.engines, *self.processes]:
             item.end()
         self.store.close()
         for path in self.folder.iterdir():
