--- a/review/standins3/engine.py
+++ b/review/standins3/engine.py
@@ -16,6 +16,8 @@
 OPTIONS = json.loads(sys.argv[1])
 NAME = OPTIONS["name"]
 PRINT_LOCK = threading.Lock()
+# Version of the weights; SIGUSR1 brings the next one.
+WEIGHTS = {"version": 1}
 
 
 def tell(what, **fields):
@@ -86,6 +88,14 @@
             + b"Content-Length: 0\r\n\r\n"
         )
         return True
+    wanted = headers.get("verbenafall-expect-version")
+    if wanted is not None and wanted != str(WEIGHTS["version"]):
+        tell("has other weights", attempt=attempt, wanted=wanted)
+        channel.sendall(
+            head(421, attempt, f"Verbenafall-Instance-Id: {NAME}")[:-2]
+            + b"Content-Length: 0\r\n\r\n"
+        )
+        return True
     if path == "/health":
         channel.sendall(
             head(200, attempt, f"Verbenafall-Instance-Id: {NAME}")[:-2]
@@ -102,7 +112,13 @@
     body = body_of(attempt, OPTIONS.get("size", 800))
     time.sleep(OPTIONS.get("work_s", 0.02))
     channel.sendall(
-        head(200, attempt, signature(body), f"Content-Length: {len(body)}")
+        head(
+            200,
+            attempt,
+            signature(body),
+            f"Verbenafall-Weight-Versions: {WEIGHTS['version']}",
+            f"Content-Length: {len(body)}",
+        )
         + body
     )
     tell("answered", attempt=attempt, status=200, size=len(body))
@@ -175,8 +191,14 @@
     os._exit(0)
 
 
+def load_weights(*_args):
+    """Use the next version of the weights from now on."""
+    WEIGHTS["version"] += 1
+
+
 def main():
     signal.signal(signal.SIGTERM, leave)
+    signal.signal(signal.SIGUSR1, load_weights)
     listener = socket.create_server(("127.0.0.1", OPTIONS.get("port", 0)))
     port = listener.getsockname()[1]
     sys.stdout.write(f"127.0.0.1:{port}\n")
--- a/review/standins3/standins.py
+++ b/review/standins3/standins.py
@@ -359,6 +359,7 @@
         self.options = options
         self.folder = folder
         self.starts = 0
+        self.weights = 1
         self.address = None
         self.start()
 
@@ -391,8 +392,14 @@
             fields = json.loads(line)
             self.record.add(self.name, fields.pop("what"), **fields)
 
+    def load_weights(self):
+        """Take the next version of the weights into use, and say so."""
+        self.weights += 1
+        self.process.send_signal(signal.SIGUSR1)
+        self.announce()
+
     def announce(self, state="ready", address=None):
-        self.record.add(self.name, "entry", state=state)
+        self.record.add(self.name, "entry", state=state, weights=self.weights)
         self.store.put(
             "servers",
             self.name,
@@ -404,6 +411,10 @@
                 "slots": self.slots,
                 "state": state,
                 "cold-remaining-ms": 0,
+                "stage": "prefill_decode",
+                "models": [
+                    {"name": "m", "version": self.weights, "adapters": []}
+                ],
                 "born": self.born,
                 "sequence": 1,
             },
