--- a/review/standins3/standins.py
+++ b/review/standins3/standins.py
@@ -26,6 +26,7 @@
 # The bounds of the users' small installations.
 GRACE_SECONDS = 8
 DRAIN_SECONDS = 2.0
+HEARTBEAT_SECONDS = 1.2
 # Silence after which a client looks whether its answer is whole.
 QUIET_SECONDS = 0.2
 # Below the ports that the system gives to outgoing channels.
