--- a/review/standins3/engine.py
+++ b/review/standins3/engine.py
@@ -141,16 +141,23 @@
 
 
 def send_unframed(channel, attempt, headers):
-    """Answer with neither a length nor chunks; the channel ends with it."""
-    del headers
+    """Fail with neither a length nor chunks; the channel ends with it.
+
+    Requests that don't fail get an answer with a length.
+    """
+    if attempt not in OPTIONS["failing"]:
+        return send_plain(channel, attempt, headers)
     pieces = OPTIONS["pieces"]
     body = body_of(attempt, pieces * OPTIONS["piece_size"])
-    channel.sendall(head(200, attempt, signature(body), "Content-Type: a/b"))
+    status = OPTIONS["status"]
+    channel.sendall(
+        head(status, attempt, signature(body), "Content-Type: text/plain")
+    )
     for number in range(pieces):
         time.sleep(OPTIONS["gap_s"])
         size = OPTIONS["piece_size"]
         channel.sendall(body[number * size : (number + 1) * size])
-    tell("answered", attempt=attempt, status=200, size=len(body))
+    tell("answered", attempt=attempt, status=status, size=len(body))
     return False
 
 
