--- a/review/standins3/engine.py
+++ b/review/standins3/engine.py
@@ -18,6 +18,8 @@
 PRINT_LOCK = threading.Lock()
 # Version of the weights; SIGUSR1 brings the next one.
 WEIGHTS = {"version": 1}
+# Requests of a grey engine so far.
+GREY = {"requests": 0}
 
 
 def tell(what, **fields):
@@ -84,16 +86,26 @@
     expected = headers.get("verbenafall-expect-instance")
     if expected not in (None, NAME):
         channel.sendall(
-            head(421, attempt, f"Verbenafall-Instance-Id: {NAME}")[:-2]
-            + b"Content-Length: 0\r\n\r\n"
+            head(
+                421,
+                attempt,
+                f"Verbenafall-Instance-Id: {NAME}",
+                f"At-Server: {NAME}",
+                "Content-Length: 0",
+            )
         )
         return True
     wanted = headers.get("verbenafall-expect-version")
     if wanted is not None and wanted != str(WEIGHTS["version"]):
         tell("has other weights", attempt=attempt, wanted=wanted)
         channel.sendall(
-            head(421, attempt, f"Verbenafall-Instance-Id: {NAME}")[:-2]
-            + b"Content-Length: 0\r\n\r\n"
+            head(
+                421,
+                attempt,
+                f"Verbenafall-Instance-Id: {NAME}",
+                f"At-Server: {NAME}",
+                "Content-Length: 0",
+            )
         )
         return True
     if path == "/health":
@@ -125,66 +137,38 @@
     return True
 
 
-def send_failure(channel, attempt, headers):
-    """Apply the request; fail with `status` after that if told so."""
-    del headers
-    time.sleep(OPTIONS.get("work_s", 0.02))
-    status = OPTIONS["status"] if attempt in OPTIONS["failing"] else 200
-    body = body_of(attempt, 800)
-    tell("applied", attempt=attempt)
-    channel.sendall(
-        head(status, attempt, signature(body), f"Content-Length: {len(body)}")
-        + body
-    )
-    tell("answered", attempt=attempt, status=status)
-    return True
-
-
-def send_unframed(channel, attempt, headers):
-    """Fail with neither a length nor chunks; the channel ends with it.
+def send_grey(channel, attempt, headers):
+    """Fail two in five requests, and one in twenty without a length.
 
-    Requests that don't fail get an answer with a length.
+    That one's answer has neither a length nor chunks and ends with its
+    channel. All others have a length.
     """
-    if attempt not in OPTIONS["failing"]:
+    with PRINT_LOCK:
+        GREY["requests"] += 1
+        number = GREY["requests"]
+    if number % 5 not in (1, 3):
         return send_plain(channel, attempt, headers)
     pieces = OPTIONS["pieces"]
-    body = body_of(attempt, pieces * OPTIONS["piece_size"])
-    status = OPTIONS["status"]
+    size = OPTIONS["piece_size"]
+    body = body_of(attempt, pieces * size)
+    if number % 20 != 1:
+        channel.sendall(
+            head(500, attempt, signature(body), f"Content-Length: {len(body)}")
+            + body
+        )
+        return True
+    tell("fails without a length", attempt=attempt, size=len(body))
     channel.sendall(
-        head(status, attempt, signature(body), "Content-Type: text/plain")
+        head(500, attempt, signature(body), "Content-Type: text/plain")
     )
     for number in range(pieces):
         time.sleep(OPTIONS["gap_s"])
-        size = OPTIONS["piece_size"]
         channel.sendall(body[number * size : (number + 1) * size])
-    tell("answered", attempt=attempt, status=status, size=len(body))
-    return False
-
-
-def send_stream(channel, attempt, headers):
-    """Send events from `Last-Event-Id` on, with neither length nor chunks."""
-    first = int(headers.get("last-event-id", "0")) + 1
-    channel.sendall(
-        head(
-            200,
-            attempt,
-            signature(attempt.encode()),
-            "Content-Type: text/event-stream",
-        )
-    )
-    for number in range(first, OPTIONS["events"] + 1):
-        time.sleep(OPTIONS["gap_s"])
-        channel.sendall(f"id: {number}\ndata: piece-{number}\n\n".encode())
-    tell("answered", attempt=attempt, status=200, first=first)
+    tell("answered", attempt=attempt, status=500, size=len(body))
     return False
 
 
-HANDLERS = {
-    "plain": send_plain,
-    "failure": send_failure,
-    "unframed": send_unframed,
-    "stream": send_stream,
-}
+HANDLERS = {"plain": send_plain, "grey": send_grey}
 
 
 def body_of(attempt, size):
--- a/review/standins3/recovery.py
+++ b/review/standins3/recovery.py
@@ -20,7 +20,8 @@
     """One run of a case.
 
     Attributes:
-        trouble: Called with the deployment right before the final fault.
+        trouble: Called with the deployment right before the final fault;
+            None to leave out both.
         extra_headers: Returns further headers of a client's request, by the
             request's number; its answer counts like any other.
     """
@@ -99,7 +100,7 @@
             thread.start()
         time.sleep(BEFORE_SECONDS)
         end = time.monotonic()
-        if standins.trouble():
+        if self.trouble is not None:
             self.strike()
         back = time.monotonic()
         time.sleep(RECOVERY_SECONDS + AFTER_SECONDS)
